State the model and the inputs and outputs of a node's policy

Cause: the parts behind the policy can only be built side by side once they agree on events, effects and messages. Ruled out: maps or strings for messages, and a policy that reads a clock; both keep property tests from driving it.

--- /dev/null
+++ b/control/src/main/java/org/carawaysill/control/package-info.java
@@ -0,0 +1,5 @@
+/** The operator's command line. */
+@NullMarked
+package org.carawaysill.control;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kernel/src/main/java/org/carawaysill/kernel/package-info.java
@@ -0,0 +1,5 @@
+/** Services found by name, duties and bounded rings. */
+@NullMarked
+package org.carawaysill.kernel;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/load/src/main/java/org/carawaysill/load/package-info.java
@@ -0,0 +1,5 @@
+/** Load, scenarios, reports and plots. */
+@NullMarked
+package org.carawaysill.load;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/configuration/Labels.java
@@ -0,0 +1,31 @@
+package org.carawaysill.model.configuration;
+
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The operators' labels on a service, an operation or a caller.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param values each label's key and value
+ */
+public record Labels(Map<String, String> values) {
+
+    /** No labels. */
+    public static final Labels NONE = new Labels(Map.of());
+
+    public Labels {
+        values = Map.copyOf(values);
+    }
+
+    /**
+     * Looks a label up.
+     *
+     * @param key the label's key
+     * @return its value
+     */
+    public Optional<String> value(String key) {
+        return Optional.ofNullable(values.get(key));
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/identity/RequestIdentifier.java
@@ -0,0 +1,37 @@
+package org.carawaysill.model.identity;
+
+import java.util.HexFormat;
+
+/**
+ * Identifies one caller's request over all its attempts and all hops of the chain.
+ *
+ * <p>128 bits. Immutable and thread safe.
+ *
+ * @param high the upper 64 bits
+ * @param low the lower 64 bits
+ */
+public record RequestIdentifier(long high, long low) {
+
+    private static final int TEXT_LENGTH = 32;
+    private static final int HALF = 16;
+
+    /**
+     * Reads the form that {@link #toString()} writes.
+     *
+     * @param text 32 hexadecimal digits
+     * @return the identifier
+     * @throws IllegalArgumentException if the text is anything else
+     */
+    public static RequestIdentifier parse(String text) {
+        if (text.length() != TEXT_LENGTH) {
+            throw new IllegalArgumentException("an identifier has 32 hexadecimal digits");
+        }
+        return new RequestIdentifier(
+                HexFormat.fromHexDigitsToLong(text, 0, HALF), HexFormat.fromHexDigitsToLong(text, HALF, TEXT_LENGTH));
+    }
+
+    @Override
+    public String toString() {
+        return HexFormat.of().toHexDigits(high) + HexFormat.of().toHexDigits(low);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/request/AnswerContent.java
@@ -0,0 +1,19 @@
+package org.carawaysill.model.request;
+
+import java.util.List;
+
+/**
+ * An HTTP answer of an upstream copy, complete.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param status the HTTP status code
+ * @param headers the end-to-end headers
+ * @param body the whole body
+ */
+public record AnswerContent(int status, List<Header> headers, Body body) {
+
+    public AnswerContent {
+        headers = List.copyOf(headers);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/request/Body.java
@@ -0,0 +1,74 @@
+package org.carawaysill.model.request;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/**
+ * The bytes of a request or an answer.
+ *
+ * <p>Invariant: the bytes never change; the array given is owned by this object from then on. Immutable and thread safe.
+ */
+public final class Body {
+
+    /** A body of no bytes. */
+    public static final Body EMPTY = new Body(new byte[0]);
+
+    private final byte[] bytes;
+
+    private Body(byte[] bytes) {
+        this.bytes = bytes;
+    }
+
+    /**
+     * Wraps bytes without a copy.
+     *
+     * @param bytes the bytes, which the caller must not change afterwards
+     * @return the body
+     */
+    public static Body wrap(byte[] bytes) {
+        return bytes.length == 0 ? EMPTY : new Body(bytes);
+    }
+
+    /**
+     * Encodes text as UTF-8.
+     *
+     * @param text the text
+     * @return the body
+     */
+    public static Body ofText(String text) {
+        return wrap(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Gives the bytes themselves, to be read only.
+     *
+     * @return the bytes, not a copy
+     */
+    public byte[] bytes() {
+        return bytes;
+    }
+
+    /**
+     * Tells the length.
+     *
+     * @return the number of bytes
+     */
+    public int length() {
+        return bytes.length;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Body that && Arrays.equals(bytes, that.bytes);
+    }
+
+    @Override
+    public int hashCode() {
+        return Arrays.hashCode(bytes);
+    }
+
+    @Override
+    public String toString() {
+        return "Body[" + bytes.length + " bytes]";
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/request/RequestContent.java
@@ -0,0 +1,34 @@
+package org.carawaysill.model.request;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * An HTTP request as far as the upstream copies see it.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param method the HTTP method
+ * @param path the path with its query
+ * @param headers the end-to-end headers
+ * @param body the whole body
+ */
+public record RequestContent(String method, String path, List<Header> headers, Body body) {
+
+    public RequestContent {
+        headers = List.copyOf(headers);
+    }
+
+    /**
+     * Finds the first header of a name.
+     *
+     * @param name the field name, in any case
+     * @return its value
+     */
+    public Optional<String> header(String name) {
+        return headers.stream()
+                .filter(header -> header.name().equalsIgnoreCase(name))
+                .map(Header::value)
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/request/RetryReason.java
@@ -0,0 +1,22 @@
+package org.carawaysill.model.request;
+
+/**
+ * Why a node tried a request again; each has its own counter.
+ *
+ * <p>Immutable and thread safe.
+ */
+public enum RetryReason implements Counted {
+    /** The first choice refused without running it. */
+    NOT_RUN,
+    /** The first choice could not be reached. */
+    UNREACHABLE,
+    /** The answer was lost, and the request is idempotent. */
+    ANSWER_LOST,
+    /** The copy answered with an error, and the request is idempotent. */
+    COPY_ERROR;
+
+    @Override
+    public String family() {
+        return "retry";
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/request/Step.java
@@ -0,0 +1,37 @@
+package org.carawaysill.model.request;
+
+/**
+ * The step of a request, or of the control work, at which an error arose.
+ *
+ * <p>Immutable and thread safe.
+ */
+public enum Step {
+    /** Reading the caller's request. */
+    INGRESS,
+    /** Deciding whether to take the request in. */
+    ADMISSION,
+    /** Waiting for a slot of the local copy. */
+    QUEUE,
+    /** Choosing the node of another copy. */
+    ROUTING,
+    /** Handing the request to another node. */
+    PEER_SEND,
+    /** Waiting for another node's answer. */
+    PEER_WAIT,
+    /** Opening a connection to the local copy. */
+    COPY_CONNECT,
+    /** Writing the request to the local copy. */
+    COPY_WRITE,
+    /** Waiting for the local copy's answer. */
+    COPY_WAIT,
+    /** Deciding whether this node may run a request that must run at most once. */
+    OWNERSHIP,
+    /** Reading or adopting configuration. */
+    CONFIGURATION,
+    /** Reading the list of VMs. */
+    VM_LIST,
+    /** Stopping the node as planned. */
+    DRAIN,
+    /** Watching other nodes. */
+    MEMBERSHIP
+}
--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/request/UnknownReason.java
@@ -0,0 +1,26 @@
+package org.carawaysill.model.request;
+
+/**
+ * Why it is not known whether a request ran; each has its own counter.
+ *
+ * <p>Immutable and thread safe.
+ */
+public enum UnknownReason implements Counted {
+    /** The deadline passed after the request had been handed to a copy. */
+    DEADLINE,
+    /** The connection to the other node was lost after the request had been written to it. */
+    PEER_LOST,
+    /** The connection to the local copy was lost after a part of the request had been written. */
+    COPY_LOST,
+    /** The local copy's answer ended before it was complete. */
+    TRUNCATED,
+    /** This node started after the identifier was minted, so an earlier run can't be ruled out. */
+    RESTARTED,
+    /** The same identifier was handed to a copy before, and its answer is not known. */
+    EARLIER_ATTEMPT;
+
+    @Override
+    public String family() {
+        return "unknown";
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/package-info.java
@@ -0,0 +1,5 @@
+/** The process beside each upstream copy. */
+@NullMarked
+package org.carawaysill.node;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/effect/package-info.java
@@ -0,0 +1,5 @@
+/** What the policy asks its node to do; the only output of the policy. */
+@NullMarked
+package org.carawaysill.policy.effect;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/event/package-info.java
@@ -0,0 +1,5 @@
+/** What can happen to a node; the only input of the policy. */
+@NullMarked
+package org.carawaysill.policy.event;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
@@ -0,0 +1,214 @@
+package org.carawaysill.policy.message;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.CallerName;
+import org.carawaysill.model.identity.RequestIdentifier;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.Priority;
+import org.carawaysill.model.request.RequestContent;
+
+/**
+ * What nodes say to each other. Times travel as remaining durations, since nodes share no monotonic clock. Immutable and
+ * thread safe.
+ */
+public sealed interface PeerMessage {
+
+    /**
+     * A request to be handed to the receiver's local copy, or to be passed on by the receiver as its holder.
+     *
+     * @param attempt this attempt, echoed in the answer
+     * @param request the caller's request over all its attempts
+     * @param service the receiver's service
+     * @param operation the operation's name as the sender classified it
+     * @param caller who asked at the entry
+     * @param priority the place in the order of refusal, set at the entry
+     * @param idempotent whether running it twice does no harm
+     * @param key the idempotency key, if there is one
+     * @param retryCredits retries that the receiver may spend on it and below; what is not spent comes back
+     * @param remainingNanos time left until the deadline
+     * @param depth hops from the entry, which is 0
+     * @param purpose what the receiver is asked to do
+     * @param content the request
+     */
+    record PeerRequest(
+            AttemptIdentifier attempt,
+            RequestIdentifier request,
+            ServiceName service,
+            String operation,
+            CallerName caller,
+            Priority priority,
+            boolean idempotent,
+            Optional<String> key,
+            int retryCredits,
+            long remainingNanos,
+            int depth,
+            Purpose purpose,
+            RequestContent content)
+            implements PeerMessage {}
+
+    /** What the receiver of a request is asked to do. */
+    enum Purpose {
+        /** Hand it to the local copy. */
+        RUN,
+        /** Decide as its holder: run it here or at another copy, at most once. */
+        HOLD
+    }
+
+    /**
+     * The answer to a {@link PeerRequest}.
+     *
+     * @param attempt the attempt answered
+     * @param outcome what it came to
+     * @param unspentCredits retry credits that come back
+     * @param load the answering node's load
+     * @param cuts the admission cut of each service at and below the answering node
+     */
+    record PeerAnswer(
+            AttemptIdentifier attempt, Outcome outcome, int unspentCredits, LoadReport load, List<ServiceCut> cuts)
+            implements PeerMessage {
+
+        public PeerAnswer {
+            cuts = List.copyOf(cuts);
+        }
+    }
+
+    /**
+     * The sender no longer waits for an attempt.
+     *
+     * @param attempt the attempt
+     */
+    record CancelAttempt(AttemptIdentifier attempt) implements PeerMessage {}
+
+    /** The sender is leaving: send it no new work. */
+    record DrainNotice() implements PeerMessage {}
+
+    /**
+     * The sender lives.
+     *
+     * @param sequence rises by one with each heartbeat of this process
+     * @param load the sender's load
+     * @param versions the configuration versions that the sender has in force
+     */
+    record Heartbeat(long sequence, LoadReport load, Map<ServiceName, Long> versions) implements PeerMessage {
+
+        public Heartbeat {
+            versions = Map.copyOf(versions);
+        }
+    }
+
+    /**
+     * Asks for a lease under which the sender may act as holder.
+     *
+     * @param service the service whose roster it concerns
+     * @param rosterVersion the version of the roster under which the sender would act
+     * @param incarnation the start time of the sender's process in milliseconds since 1970
+     * @param sequence echoed in the reply
+     * @param durationNanos the length asked for, counted by the sender from before it sent this
+     */
+    record LeaseRequest(ServiceName service, long rosterVersion, long incarnation, long sequence, long durationNanos)
+            implements PeerMessage {}
+
+    /**
+     * The reply to a {@link LeaseRequest}.
+     *
+     * @param service the service
+     * @param rosterVersion the version asked for
+     * @param sequence the request's sequence
+     * @param granted whether the lease is granted
+     * @param highestVersion the highest roster version that the sender knows of
+     */
+    record LeaseReply(ServiceName service, long rosterVersion, long sequence, boolean granted, long highestVersion)
+            implements PeerMessage {}
+
+    /**
+     * The sender leaves and hands over what it knows of work that must run at most once.
+     *
+     * @param service the service
+     * @param entries the table
+     * @param last whether this is the last part
+     */
+    record HolderHandover(ServiceName service, List<HolderEntry> entries, boolean last) implements PeerMessage {
+
+        public HolderHandover {
+            entries = List.copyOf(entries);
+        }
+    }
+
+    /**
+     * One known request of a {@link HolderHandover}.
+     *
+     * @param request the request
+     * @param outcome what it came to; empty while it may still be running
+     */
+    record HolderEntry(RequestIdentifier request, Optional<Outcome> outcome) {}
+
+    /**
+     * Asks for a service's document if the receiver has a newer one.
+     *
+     * @param service the service
+     * @param knownVersion the version that the sender has, 0 for none
+     */
+    record ConfigurationWanted(ServiceName service, long knownVersion) implements PeerMessage {}
+
+    /**
+     * A service's document.
+     *
+     * @param service the service
+     * @param version the platform's version number
+     * @param text the whole text
+     */
+    record ConfigurationDocument(ServiceName service, long version, String text) implements PeerMessage {}
+
+    /**
+     * A change from one version of a service's document to a later one.
+     *
+     * @param service the service
+     * @param baseVersion the version that the change applies to
+     * @param version the version that it leads to
+     * @param edits the replaced line ranges, in rising order
+     * @param checksum the CRC-32C of the resulting text in UTF-8
+     */
+    record ConfigurationChange(ServiceName service, long baseVersion, long version, List<LineEdit> edits, int checksum)
+            implements PeerMessage {
+
+        public ConfigurationChange {
+            edits = List.copyOf(edits);
+        }
+    }
+
+    /**
+     * One replaced range of lines.
+     *
+     * @param fromLine the first line replaced, from 0, in the base text
+     * @param removedLines how many lines go
+     * @param addedLines the lines that come
+     */
+    record LineEdit(int fromLine, int removedLines, List<String> addedLines) {
+
+        public LineEdit {
+            addedLines = List.copyOf(addedLines);
+        }
+    }
+
+    /**
+     * A node's load.
+     *
+     * @param inFlight requests at the local copy
+     * @param limit the learned concurrency limit
+     * @param queued requests waiting
+     * @param cut the lowest priority level that the node admits
+     */
+    record LoadReport(int inFlight, int limit, int queued, int cut) {}
+
+    /**
+     * The admission cut of a service as its callers should apply it.
+     *
+     * @param service the service
+     * @param level the lowest priority level that has a chance there, 0 for all
+     */
+    record ServiceCut(ServiceName service, int level) {}
+}
--- /dev/null
+++ b/protocol/src/main/java/org/carawaysill/protocol/package-info.java
@@ -0,0 +1,5 @@
+/** Messages between nodes over TCP. */
+@NullMarked
+package org.carawaysill.protocol;
+
+import org.jspecify.annotations.NullMarked;
