--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/engine/CallerRequests.java
@@ -0,0 +1,111 @@
+package org.carawaysill.policy.engine;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.carawaysill.model.configuration.Classification;
+import org.carawaysill.model.identity.RequestIdentifier;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.Priority;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.RequestTerms;
+import org.carawaysill.model.request.Step;
+import org.carawaysill.policy.admission.ChainCuts;
+import org.carawaysill.policy.admission.ChainRefusal;
+import org.carawaysill.policy.event.Event;
+import org.carawaysill.policy.ownership.KeyReader;
+import org.carawaysill.policy.retry.RequestLedger;
+import org.carawaysill.policy.time.Moment;
+
+/**
+ * Takes in callers' requests at the entry of the chain.
+ *
+ * <p>Invariant: each request is answered, or becomes work, exactly once. Not thread safe: owned by the policy.
+ */
+final class CallerRequests {
+
+    private static final Duration NOT_READY_RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final NodeIdentity identity;
+    private final ServiceDirectory directory;
+    private final ControlPlane control;
+    private final ChainCuts chainCuts;
+    private final Ownership ownership;
+    private final ClientRetries clientRetries;
+    private final WorkRunner runner;
+    private final OutcomeDelivery delivery;
+    private final IdentifierSource identifiers;
+
+    CallerRequests(EngineParts parts, WorkRunner runner) {
+        identity = parts.identity();
+        directory = parts.directory();
+        control = parts.control();
+        chainCuts = parts.chainCuts();
+        ownership = parts.ownership();
+        clientRetries = parts.clientRetries();
+        delivery = parts.delivery();
+        identifiers = parts.identifiers();
+        this.runner = runner;
+    }
+
+    void accept(Moment now, Event.CallerRequest request) {
+        WorkOrigin origin = new WorkOrigin.FromCaller(request.exchange());
+        if (!control.readyToServe()) {
+            refuse(now, origin, RefusalReason.NO_CONFIGURATION, NOT_READY_RETRY_AFTER);
+            return;
+        }
+        Optional<Classification> classification = directory.classify(
+                identity.service(),
+                request.content().method(),
+                request.content().path(),
+                request.caller());
+        if (classification.isEmpty()) {
+            refuse(now, origin, RefusalReason.UNKNOWN_OPERATION, NOT_READY_RETRY_AFTER);
+            return;
+        }
+        accept(now, request, origin, classification.get());
+    }
+
+    private void accept(Moment now, Event.CallerRequest request, WorkOrigin origin, Classification classification) {
+        RequestTerms terms = classification.terms();
+        String operation = classification.operation().name();
+        Priority priority = Priority.of(terms.importance(), request.caller());
+        Optional<ChainRefusal> refusal = chainCuts.check(now.nanos(), operation, priority);
+        if (refusal.isPresent()) {
+            refuse(now, origin, RefusalReason.OVERLOAD_BELOW, refusal.get().retryAfter());
+            return;
+        }
+        Optional<KeyReader.Key> key = request.key().map(KeyReader::read);
+        RequestFacts facts = new RequestFacts(
+                key.map(KeyReader.Key::request).orElseGet(identifiers::request),
+                identity.service(),
+                operation,
+                request.caller(),
+                priority,
+                terms.idempotent(),
+                request.key(),
+                now.nanos(),
+                now.nanos() + terms.deadline().toNanos(),
+                0,
+                request.content());
+        dispatch(now, origin, facts, terms.retryCredits(), key.map(KeyReader.Key::mintedMillis).orElse(OptionalLong.empty()));
+    }
+
+    private void dispatch(Moment now, WorkOrigin origin, RequestFacts facts, int credits, OptionalLong minted) {
+        RequestIdentifier request = facts.request();
+        if (facts.key().isEmpty()) {
+            // Without a key no repeat can be recognised: the work runs under this node's sole knowledge, never again.
+            runner.start(now, new Work(facts, new RequestLedger(credits), Work.Scope.OWN_SERVICE, origin));
+        } else if (facts.idempotent()) {
+            clientRetries.dispatch(now, origin, facts, credits);
+        } else if (ownership.holder(request).filter(identity.node()::equals).isPresent()) {
+            ownership.hold(now, origin, facts, credits, minted);
+        } else {
+            runner.start(now, new Work(facts, new RequestLedger(credits), Work.Scope.AT_HOLDER, origin));
+        }
+    }
+
+    private void refuse(Moment now, WorkOrigin origin, RefusalReason reason, Duration retryAfter) {
+        delivery.deliver(now.nanos(), origin, new Outcome.NotRun(reason, retryAfter, Step.INGRESS, Optional.empty()), 0);
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/engine/OutcomeDelivery.java
@@ -0,0 +1,47 @@
+package org.carawaysill.policy.engine;
+
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.policy.effect.Effect;
+import org.carawaysill.policy.message.PeerMessage;
+
+/**
+ * Tells everyone who waits for a piece of work what it came to.
+ *
+ * <p>Not thread safe: owned by the policy.
+ */
+final class OutcomeDelivery {
+
+    private final Outbox out;
+    private final LoadView loadView;
+
+    OutcomeDelivery(Outbox out, LoadView loadView) {
+        this.out = out;
+        this.loadView = loadView;
+    }
+
+    void deliver(long now, Work work, Outcome outcome) {
+        int unspent = work.ledger().close();
+        for (WorkOrigin origin : work.origins()) {
+            deliver(now, origin, outcome, unspent);
+            // Credits come back once: a second waiter must not be given the same credits again.
+            unspent = 0;
+        }
+    }
+
+    void deliver(long now, WorkOrigin origin, Outcome outcome, int unspentCredits) {
+        switch (outcome) {
+            case Outcome.Answered answered -> {}
+            case Outcome.NotRun notRun -> out.count(notRun.reason());
+            case Outcome.Unknown unknown -> out.count(unknown.reason());
+        }
+        switch (origin) {
+            case WorkOrigin.FromCaller caller -> out.add(new Effect.AnswerExchange(caller.exchange(), outcome));
+            case WorkOrigin.FromCopy copy -> out.add(new Effect.AnswerExchange(copy.exchange(), outcome));
+            case WorkOrigin.FromPeer peer ->
+                out.add(new Effect.SendToPeer(
+                        peer.peer(),
+                        new PeerMessage.PeerAnswer(
+                                peer.attempt(), outcome, unspentCredits, loadView.load(), loadView.cuts(now))));
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/engine/PeerRequests.java
@@ -0,0 +1,108 @@
+package org.carawaysill.policy.engine;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.Step;
+import org.carawaysill.policy.message.PeerMessage.PeerRequest;
+import org.carawaysill.policy.ownership.KeyReader;
+import org.carawaysill.policy.retry.RequestLedger;
+import org.carawaysill.policy.time.Moment;
+
+/**
+ * Takes in requests that other nodes send.
+ *
+ * <p>Invariant: the same message delivered twice is taken in once. Not thread safe: owned by the policy.
+ */
+final class PeerRequests {
+
+    private static final Duration RETRY_AFTER = Duration.ofMillis(200);
+
+    private final NodeIdentity identity;
+    private final ControlPlane control;
+    private final Ownership ownership;
+    private final WorkTable table;
+    private final WorkRunner runner;
+    private final OutcomeDelivery delivery;
+    private boolean draining;
+
+    PeerRequests(EngineParts parts, WorkRunner runner) {
+        identity = parts.identity();
+        control = parts.control();
+        ownership = parts.ownership();
+        table = parts.table();
+        delivery = parts.delivery();
+        this.runner = runner;
+    }
+
+    void drain() {
+        draining = true;
+    }
+
+    void accept(Moment now, NodeName from, PeerRequest request) {
+        if (table.byPeer(from, request.attempt()).isPresent()) {
+            return;
+        }
+        WorkOrigin origin = new WorkOrigin.FromPeer(from, request.attempt());
+        refusal(request)
+                .ifPresentOrElse(
+                        reason -> delivery.deliver(
+                                now.nanos(),
+                                origin,
+                                new Outcome.NotRun(reason, RETRY_AFTER, Step.ADMISSION, Optional.of(identity.node())),
+                                request.retryCredits()),
+                        () -> start(now, origin, request));
+    }
+
+    private Optional<RefusalReason> refusal(PeerRequest request) {
+        if (!request.service().equals(identity.service())) {
+            return Optional.of(RefusalReason.UNKNOWN_SERVICE);
+        }
+        if (draining) {
+            return Optional.of(RefusalReason.DRAINING);
+        }
+        if (!control.readyToServe()) {
+            return Optional.of(RefusalReason.NO_CONFIGURATION);
+        }
+        return request.remainingNanos() <= 0 ? Optional.of(RefusalReason.DEADLINE) : Optional.empty();
+    }
+
+    private void start(Moment now, WorkOrigin origin, PeerRequest request) {
+        RequestFacts facts = new RequestFacts(
+                request.request(),
+                request.service(),
+                request.operation(),
+                request.caller(),
+                request.priority(),
+                request.idempotent(),
+                request.key(),
+                now.nanos(),
+                now.nanos() + request.remainingNanos(),
+                request.depth(),
+                request.content());
+        switch (request.purpose()) {
+            case RUN ->
+                runner.start(
+                        now,
+                        new Work(facts, new RequestLedger(request.retryCredits()), Work.Scope.LOCAL_COPY, origin));
+            case HOLD ->
+                ownership.hold(
+                        now,
+                        origin,
+                        facts,
+                        request.retryCredits(),
+                        KeyReader.read(request.key().orElse("")).mintedMillis());
+        }
+    }
+
+    /** The other node no longer waits; work that others still wait for, or that must not be cut off, goes on. */
+    void cancelled(Moment now, NodeName from, AttemptIdentifier attempt) {
+        table.byPeer(from, attempt).ifPresent(work -> {
+            WorkOrigin origin = new WorkOrigin.FromPeer(from, attempt);
+            runner.originGone(now, work, origin);
+        });
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/engine/ServiceDirectory.java
@@ -0,0 +1,41 @@
+package org.carawaysill.policy.engine;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.carawaysill.model.configuration.Classification;
+import org.carawaysill.model.configuration.RequestClassifier;
+import org.carawaysill.model.configuration.ServiceConfiguration;
+import org.carawaysill.model.identity.CallerName;
+import org.carawaysill.model.identity.ServiceName;
+
+/**
+ * The documents in force at this node, with their classifiers.
+ *
+ * <p>Invariant: a document is only ever replaced by one of a higher version. Not thread safe: owned by the policy.
+ */
+final class ServiceDirectory {
+
+    private final Map<ServiceName, Entry> entries = new HashMap<>();
+
+    /** Takes a document, and tells whether it is new. */
+    boolean adopt(ServiceConfiguration configuration) {
+        Entry present = entries.get(configuration.service());
+        if (present != null && present.configuration().version() >= configuration.version()) {
+            return false;
+        }
+        entries.put(configuration.service(), new Entry(configuration, new RequestClassifier(configuration)));
+        return true;
+    }
+
+    Optional<ServiceConfiguration> configuration(ServiceName service) {
+        return Optional.ofNullable(entries.get(service)).map(Entry::configuration);
+    }
+
+    Optional<Classification> classify(ServiceName service, String method, String path, CallerName caller) {
+        return Optional.ofNullable(entries.get(service))
+                .flatMap(entry -> entry.classifier().classify(method, path, caller));
+    }
+
+    private record Entry(ServiceConfiguration configuration, RequestClassifier classifier) {}
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/engine/WorkRunner.java
@@ -0,0 +1,354 @@
+package org.carawaysill.policy.engine;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.Step;
+import org.carawaysill.model.request.UnknownReason;
+import org.carawaysill.policy.admission.Candidate;
+import org.carawaysill.policy.admission.CopyAdmission;
+import org.carawaysill.policy.admission.Finish;
+import org.carawaysill.policy.admission.Verdict;
+import org.carawaysill.policy.effect.Effect;
+import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.PeerMessage.PeerRequest;
+import org.carawaysill.policy.message.PeerMessage.Purpose;
+import org.carawaysill.policy.time.Moment;
+
+/**
+ * Brings a piece of work to its outcome: one attempt after another, at the local copy or at another node.
+ *
+ * <p>Invariants: a piece of work has one attempt at a time; an outcome of an attempt that has ended changes nothing; work
+ * of which any attempt may have run is never reported as not run. Not thread safe: owned by the policy.
+ */
+final class WorkRunner {
+
+    private static final Duration SHORTEST_RETRY_AFTER = Duration.ofMillis(100);
+
+    private final NodeIdentity identity;
+    private final WorkTable table;
+    private final Timers timers;
+    private final Outbox out;
+    private final CopyAdmission admission;
+    private final ControlPlane control;
+    private final Ownership ownership;
+    private final RetryGate retryGate;
+    private final OutcomeDelivery delivery;
+    private final IdentifierSource identifiers;
+    private boolean draining;
+
+    WorkRunner(EngineParts parts) {
+        identity = parts.identity();
+        table = parts.table();
+        timers = parts.timers();
+        out = parts.out();
+        admission = parts.admission();
+        control = parts.control();
+        ownership = parts.ownership();
+        retryGate = parts.retryGate();
+        delivery = parts.delivery();
+        identifiers = parts.identifiers();
+    }
+
+    void drain() {
+        draining = true;
+    }
+
+    /** Takes in work that is not yet in the table. */
+    void start(Moment now, Work work) {
+        table.add(work);
+        timers.add(work.facts().deadlineNanos(), work);
+        tryNext(now, work);
+    }
+
+    private void tryNext(Moment now, Work work) {
+        work.retryDueNanos(Long.MAX_VALUE);
+        switch (work.scope()) {
+            case LOCAL_COPY -> offerToLocalCopy(now, work);
+            case OWN_SERVICE, HELD -> {
+                if (draining || work.tried().contains(identity.node())) {
+                    sendToAnotherCopy(now, work);
+                } else {
+                    offerToLocalCopy(now, work);
+                }
+            }
+            case AT_HOLDER -> sendToHolder(now, work);
+            case DEEPER_SERVICE -> sendToAnotherCopy(now, work);
+        }
+    }
+
+    private void offerToLocalCopy(Moment now, Work work) {
+        RequestFacts facts = work.facts();
+        Attempt attempt = new Attempt.Queued(identifiers.attempt());
+        work.tried().add(identity.node());
+        table.startAttempt(work, attempt);
+        Candidate candidate = new Candidate(
+                attempt.identifier(),
+                facts.operation(),
+                facts.priority(),
+                facts.idempotent(),
+                facts.depth(),
+                now.nanos(),
+                facts.deadlineNanos());
+        apply(now, admission.offer(now.nanos(), candidate));
+    }
+
+    private void sendToAnotherCopy(Moment now, Work work) {
+        RequestFacts facts = work.facts();
+        Optional<NodeName> peer = control.choose(now, facts.service(), work.tried(), facts.priority());
+        if (peer.isEmpty()) {
+            finish(now, work, notRun(RefusalReason.NO_COPY, Step.ROUTING));
+            return;
+        }
+        work.tried().add(peer.get());
+        send(now, work, peer.get(), Purpose.RUN);
+    }
+
+    private void sendToHolder(Moment now, Work work) {
+        Optional<NodeName> holder = ownership.holder(work.facts().request());
+        if (holder.isEmpty() || !control.connected(holder.get())) {
+            finish(now, work, notRun(RefusalReason.HOLDER_UNREACHABLE, Step.OWNERSHIP));
+            return;
+        }
+        send(now, work, holder.get(), Purpose.HOLD);
+    }
+
+    private void send(Moment now, Work work, NodeName peer, Purpose purpose) {
+        RequestFacts facts = work.facts();
+        Attempt attempt = new Attempt.AtPeer(identifiers.attempt(), peer, now.nanos());
+        table.startAttempt(work, attempt);
+        control.sent(now, peer);
+        PeerRequest request = new PeerRequest(
+                attempt.identifier(),
+                facts.request(),
+                facts.service(),
+                facts.operation(),
+                facts.caller(),
+                facts.priority(),
+                facts.idempotent(),
+                facts.key(),
+                work.ledger().lend(attempt.identifier()),
+                facts.deadlineNanos() - now.nanos(),
+                facts.depth(),
+                purpose,
+                facts.content());
+        out.add(new Effect.SendToPeer(peer, request));
+    }
+
+    /** Carries out what the admission of the local copy decided. */
+    void apply(Moment now, List<Verdict> verdicts) {
+        for (Verdict verdict : verdicts) {
+            switch (verdict) {
+                case Verdict.Start start -> handToCopy(now, start.attempt());
+                case Verdict.Refuse refuse ->
+                    ended(
+                            now,
+                            refuse.attempt(),
+                            new Outcome.NotRun(
+                                    refuse.reason(),
+                                    refuse.retryAfter(),
+                                    Step.ADMISSION,
+                                    Optional.of(identity.node())));
+                case Verdict.CancelRunning cancel -> {
+                    out.add(new Effect.CancelAtCopy(cancel.attempt()));
+                    ended(now, cancel.attempt(), unknown(UnknownReason.EARLIER_ATTEMPT, Step.COPY_WAIT));
+                }
+            }
+        }
+    }
+
+    private void handToCopy(Moment now, AttemptIdentifier attempt) {
+        Optional<Work> found = table.byAttempt(attempt);
+        if (found.isEmpty()) {
+            apply(now, admission.withdraw(now.nanos(), attempt));
+            return;
+        }
+        Work work = found.get();
+        // A holder that was paused in the queue may wake under an expired lease, while another node has become the holder.
+        // Asking again right before the write keeps it from running what it may no longer own.
+        if (work.held() && !ownership.mayHandOver(now)) {
+            apply(now, admission.withdraw(now.nanos(), attempt));
+            finish(now, work, notRun(RefusalReason.NO_LEASE, Step.OWNERSHIP));
+            return;
+        }
+        work.current(Optional.of(new Attempt.AtCopy(attempt)));
+        ownership.handedOver(work);
+        out.add(new Effect.HandToCopy(
+                attempt, work.facts().content(), work.facts().deadlineNanos()));
+    }
+
+    /** Takes the local copy's answer, or the failure to get one. */
+    void copyAnswered(Moment now, AttemptIdentifier attempt, Outcome outcome) {
+        Finish finish =
+                switch (outcome) {
+                    case Outcome.Answered answered -> Finish.ANSWERED;
+                    case Outcome.NotRun notRun -> Finish.FAILED;
+                    case Outcome.Unknown unknown -> Finish.LOST;
+                };
+        List<Verdict> verdicts = admission.finished(now.nanos(), attempt, finish);
+        ended(now, attempt, outcome);
+        apply(now, verdicts);
+    }
+
+    /** Takes another node's answer; one that comes late, twice or from a node that was not asked changes nothing. */
+    void peerAnswered(Moment now, NodeName from, PeerMessage.PeerAnswer answer) {
+        Optional<Work> found = table.byAttempt(answer.attempt());
+        if (found.isEmpty()
+                || !(found.get().current().orElseThrow() instanceof Attempt.AtPeer(var identifier, NodeName peer, long sent))
+                || !peer.equals(from)) {
+            return;
+        }
+        control.answered(now, from, answer.load(), now.nanos() - sent);
+        found.get().ledger().returned(answer.attempt(), answer.unspentCredits());
+        ended(now, answer.attempt(), heardFrom(from, answer.outcome()));
+    }
+
+    /** A refusal that a node passes on keeps the peer at which it arose. */
+    private static Outcome heardFrom(NodeName peer, Outcome outcome) {
+        return switch (outcome) {
+            case Outcome.Answered answered -> answered;
+            case Outcome.NotRun(var reason, var retryAfter, var step, var at) ->
+                new Outcome.NotRun(reason, retryAfter, step, at.or(() -> Optional.of(peer)));
+            case Outcome.Unknown(var reason, var step, var at) ->
+                new Outcome.Unknown(reason, step, at.or(() -> Optional.of(peer)));
+        };
+    }
+
+    /** A message to another node was not written at all. */
+    void unsent(Moment now, NodeName peer, AttemptIdentifier attempt) {
+        table.byAttempt(attempt).ifPresent(work -> {
+            control.failed(now, peer);
+            work.ledger().returned(attempt, Integer.MAX_VALUE);
+            RefusalReason reason = work.scope() == Work.Scope.AT_HOLDER
+                    ? RefusalReason.HOLDER_UNREACHABLE
+                    : RefusalReason.PEER_UNREACHABLE;
+            ended(
+                    now,
+                    attempt,
+                    new Outcome.NotRun(reason, SHORTEST_RETRY_AFTER, Step.PEER_SEND, Optional.of(peer)));
+        });
+    }
+
+    /** The connection to another node is gone, and with it every answer that was awaited from it. */
+    void peerLost(Moment now, NodeName peer) {
+        for (Work work : table.atPeer(peer)) {
+            loseAttempt(now, work, peer);
+        }
+    }
+
+    /** Another node is silent; idempotent work need not wait for it. */
+    void peerSuspected(Moment now, NodeName peer) {
+        for (Work work : table.atPeer(peer)) {
+            if (work.facts().idempotent()) {
+                out.add(new Effect.SendToPeer(
+                        peer,
+                        new PeerMessage.CancelAttempt(work.current().orElseThrow().identifier())));
+                loseAttempt(now, work, peer);
+            }
+        }
+    }
+
+    private void loseAttempt(Moment now, Work work, NodeName peer) {
+        AttemptIdentifier attempt = work.current().orElseThrow().identifier();
+        control.failed(now, peer);
+        work.ledger().lost(attempt);
+        ended(now, attempt, new Outcome.Unknown(UnknownReason.PEER_LOST, Step.PEER_WAIT, Optional.of(peer)));
+    }
+
+    private void ended(Moment now, AttemptIdentifier attempt, Outcome outcome) {
+        Optional<Work> found = table.byAttempt(attempt);
+        if (found.isEmpty()) {
+            return;
+        }
+        Work work = found.get();
+        table.endAttempt(work);
+        if (!(outcome instanceof Outcome.NotRun)) {
+            work.markMayHaveRun();
+        }
+        Optional<Long> retryAt = retryGate.retryAt(now, work, outcome, draining);
+        if (retryAt.isEmpty()) {
+            finish(now, work, outcome);
+        } else if (retryAt.get() <= now.nanos()) {
+            tryNext(now, work);
+        } else {
+            work.retryDueNanos(retryAt.get());
+            timers.add(retryAt.get(), work);
+        }
+    }
+
+    /** Does what is due for a piece of work: its deadline, or its next attempt. */
+    void due(Moment now, Work work) {
+        if (now.nanos() >= work.facts().deadlineNanos()) {
+            abandon(
+                    now,
+                    work,
+                    work.current()
+                            .map(WorkRunner::atDeadline)
+                            .orElseGet(() -> notRun(RefusalReason.DEADLINE, Step.ADMISSION)));
+        } else if (now.nanos() >= work.retryDueNanos()) {
+            tryNext(now, work);
+        }
+    }
+
+    private static Outcome atDeadline(Attempt attempt) {
+        return switch (attempt) {
+            case Attempt.Queued queued -> notRun(RefusalReason.DEADLINE, Step.QUEUE);
+            case Attempt.AtCopy atCopy -> unknown(UnknownReason.DEADLINE, Step.COPY_WAIT);
+            case Attempt.AtPeer atPeer ->
+                new Outcome.Unknown(UnknownReason.DEADLINE, Step.PEER_WAIT, Optional.of(atPeer.peer()));
+        };
+    }
+
+    /** Ends work whose caller went away or stops waiting; what is not idempotent runs on once it has been handed over. */
+    void abandon(Moment now, Work work, Outcome outcome) {
+        work.current().ifPresent(attempt -> cancel(now, work, attempt));
+        if (!work.finished()) {
+            finish(now, work, outcome);
+        }
+    }
+
+    private void cancel(Moment now, Work work, Attempt attempt) {
+        table.endAttempt(work);
+        switch (attempt) {
+            case Attempt.Queued queued -> apply(now, admission.withdraw(now.nanos(), queued.identifier()));
+            case Attempt.AtCopy atCopy -> {
+                work.markMayHaveRun();
+                if (work.facts().idempotent()) {
+                    out.add(new Effect.CancelAtCopy(atCopy.identifier()));
+                    apply(now, admission.withdraw(now.nanos(), atCopy.identifier()));
+                }
+            }
+            case Attempt.AtPeer atPeer -> {
+                work.markMayHaveRun();
+                work.ledger().lost(atPeer.identifier());
+                control.failedToAnswer(now, atPeer.peer());
+                out.add(new Effect.SendToPeer(
+                        atPeer.peer(), new PeerMessage.CancelAttempt(atPeer.identifier())));
+            }
+        }
+    }
+
+    private void finish(Moment now, Work work, Outcome outcome) {
+        // A refusal of the last attempt says nothing of the earlier ones: reporting it as "not run" would be false, and a
+        // caller that trusts it would run the work twice.
+        Outcome told = outcome instanceof Outcome.NotRun && work.mayHaveRun()
+                ? unknown(UnknownReason.EARLIER_ATTEMPT, Step.PEER_WAIT)
+                : outcome;
+        table.remove(work);
+        work.finish();
+        ownership.finished(now, work, told);
+        delivery.deliver(now.nanos(), work, told);
+    }
+
+    private static Outcome notRun(RefusalReason reason, Step step) {
+        return new Outcome.NotRun(reason, SHORTEST_RETRY_AFTER, step, Optional.empty());
+    }
+
+    private static Outcome unknown(UnknownReason reason, Step step) {
+        return new Outcome.Unknown(reason, step, Optional.empty());
+    }
+}
