--- a/model/src/main/java/org/carawaysill/model/request/UnknownReason.java
+++ b/model/src/main/java/org/carawaysill/model/request/UnknownReason.java
@@ -16,6 +16,8 @@
     TRUNCATED,
     /** This node started after the identifier was minted, so an earlier run can't be ruled out. */
     RESTARTED,
+    /** The identifier was minted so long ago that an earlier run may have been forgotten. */
+    IDENTIFIER_TOO_OLD,
     /** The same identifier was handed to a copy before, and its answer is not known. */
     EARLIER_ATTEMPT;
 
--- a/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
@@ -3,8 +3,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.CallerName;
+import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.RequestIdentifier;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Outcome;
@@ -100,38 +102,124 @@
         }
     }
 
+    /**
+     * One node of a roster; a VM replaced under the same name at another address is another member.
+     *
+     * @param node the node's name
+     * @param host the IP number of its VM
+     * @param port the TCP port at which it listens for other nodes
+     */
+    record RosterMember(NodeName node, String host, int port) {}
+
+    /**
+     * The members of one published roster.
+     *
+     * @param version the version of the configuration that published it
+     * @param members the nodes, ordered by name
+     */
+    record RosterView(long version, List<RosterMember> members) {
+
+        public RosterView {
+            members = List.copyOf(members);
+        }
+    }
+
     /**
      * Asks for a lease under which the sender may act as holder.
      *
      * @param service the service whose roster it concerns
-     * @param rosterVersion the version of the roster under which the sender would act
+     * @param requester the sender as its settings describe it
      * @param incarnation the start time of the sender's process in milliseconds since 1970
      * @param sequence echoed in the reply
-     * @param durationNanos the length asked for, counted by the sender from before it sent this
+     * @param durationNanos the length asked for, counted by the sender from before it sent this; zero gives the lease back
+     * @param rosterVersion the version of the roster under which the sender would act
+     * @param rosterDigest the digest of that roster's members
+     * @param previousDigest the digest of the members under which the sender acted before, 0 for none
+     * @param closedBelow rosters of lower versions can give no lease any more
+     * @param rosters the rosters that the receiver may not know; empty in steady state
      */
-    record LeaseRequest(ServiceName service, long rosterVersion, long incarnation, long sequence, long durationNanos)
-            implements PeerMessage {}
+    record LeaseRequest(
+            ServiceName service,
+            RosterMember requester,
+            long incarnation,
+            long sequence,
+            long durationNanos,
+            long rosterVersion,
+            long rosterDigest,
+            long previousDigest,
+            long closedBelow,
+            List<RosterView> rosters)
+            implements PeerMessage {
+
+        public LeaseRequest {
+            rosters = List.copyOf(rosters);
+        }
+    }
+
+    /** What a granter decided. */
+    enum LeaseVerdict {
+        /** The sender may act for all work that the roster asked for gives it. */
+        GRANTED,
+        /** The sender may act for the work that both the roster asked for and its previous one give it. */
+        GRANTED_FOR_UNMOVED,
+        /** No lease now: another one is in force, a newer roster is known, or the granter just started. */
+        REFUSED,
+        /** No lease until the receiver has been told the members of the roster. */
+        UNKNOWN_ROSTER
+    }
 
     /**
      * The reply to a {@link LeaseRequest}.
      *
      * @param service the service
-     * @param rosterVersion the version asked for
+     * @param granter the sender as its settings describe it
      * @param sequence the request's sequence
-     * @param granted whether the lease is granted
+     * @param verdict what was decided
+     * @param recovering whether the sender may have forgotten promises that it made before a restart
+     * @param freeNanos for how long the sender has had no lease in force that excludes a full grant
+     * @param freeForUnmovedNanos for how long it has had none that excludes a grant for unmoved work
      * @param highestVersion the highest roster version that the sender knows of
+     * @param closedBelow rosters of lower versions can give no lease any more
+     * @param rosters the rosters that the receiver may not know; empty in steady state
      */
-    record LeaseReply(ServiceName service, long rosterVersion, long sequence, boolean granted, long highestVersion)
-            implements PeerMessage {}
+    record LeaseReply(
+            ServiceName service,
+            RosterMember granter,
+            long sequence,
+            LeaseVerdict verdict,
+            boolean recovering,
+            long freeNanos,
+            long freeForUnmovedNanos,
+            long highestVersion,
+            long closedBelow,
+            List<RosterView> rosters)
+            implements PeerMessage {
+
+        public LeaseReply {
+            rosters = List.copyOf(rosters);
+        }
+    }
 
     /**
      * The sender leaves and hands over what it knows of work that must run at most once.
      *
      * @param service the service
-     * @param entries the table
-     * @param last whether this is the last part
+     * @param rosterDigest the digest of the members under which the sender acted
+     * @param vouchedFromMillis every run of an identifier minted after this is in the table, wall clock since 1970
+     * @param vouchedUntilMillis the sender stopped running work at this time, wall clock since 1970
+     * @param part the number of this part, from 0
+     * @param parts how many parts there are
+     * @param entries a part of the table
      */
-    record HolderHandover(ServiceName service, List<HolderEntry> entries, boolean last) implements PeerMessage {
+    record HolderHandover(
+            ServiceName service,
+            long rosterDigest,
+            long vouchedFromMillis,
+            long vouchedUntilMillis,
+            int part,
+            int parts,
+            List<HolderEntry> entries)
+            implements PeerMessage {
 
         public HolderHandover {
             entries = List.copyOf(entries);
@@ -142,9 +230,12 @@
      * One known request of a {@link HolderHandover}.
      *
      * @param request the request
+     * @param mintedMillis when its identifier was minted, if it says so, wall clock since 1970
+     * @param contentHash a hash of its content, by which a reused identifier is found
      * @param outcome what it came to; empty while it may still be running
      */
-    record HolderEntry(RequestIdentifier request, Optional<Outcome> outcome) {}
+    record HolderEntry(
+            RequestIdentifier request, OptionalLong mintedMillis, int contentHash, Optional<Outcome> outcome) {}
 
     /**
      * Asks for a service's document if the receiver has a newer one.
