Outline routing, membership, detection and configuration distribution

Thin versions behind the interfaces that the other policy features use. A document that fails the checks becomes an event of its own with its version, since a watch that starts again from the version in force would get the refused one at once, again and again. Not built yet: the relay between nodes, the gate at start, subsets, adaptive detectors.

--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/detection/package-info.java
@@ -0,0 +1,5 @@
+/** Failure detectors: from when on a silent node is suspected. */
+@NullMarked
+package org.carawaysill.policy.detection;
+
+import org.jspecify.annotations.NullMarked;
--- a/policy/src/main/java/org/carawaysill/policy/event/Event.java
+++ b/policy/src/main/java/org/carawaysill/policy/event/Event.java
@@ -101,7 +101,16 @@
     record ConfigurationUnchanged(ServiceName service) implements Event {}
 
     /**
-     * A read at the platform failed, or gave a document that failed the checks.
+     * The platform's configuration service gave a document that failed the checks.
+     *
+     * @param service the service
+     * @param version the platform's version number of the document
+     * @param message its faults, in one line
+     */
+    record ConfigurationRefused(ServiceName service, long version, String message) implements Event {}
+
+    /**
+     * A read at the platform failed.
      *
      * @param service the service
      * @param step where it failed
