--- a/model/src/main/java/org/carawaysill/model/configuration/ServiceConfiguration.java
+++ b/model/src/main/java/org/carawaysill/model/configuration/ServiceConfiguration.java
@@ -20,6 +20,7 @@
  * @param callers the callers that the operators know
  * @param selectors the selectors, of which the first that states a term wins
  * @param defaults the terms that no selector states
+ * @param limits what holds for the service as a whole
  */
 public record ServiceConfiguration(
         ServiceName service,
@@ -30,7 +31,8 @@
         List<Operation> operations,
         List<CallerEntry> callers,
         List<Selector> selectors,
-        RequestTerms defaults) {
+        RequestTerms defaults,
+        ServiceLimits limits) {
 
     public ServiceConfiguration {
         calls = List.copyOf(calls);
@@ -40,6 +42,18 @@
         selectors = List.copyOf(selectors);
     }
 
+    /**
+     * Starts a configuration with a name, a version and a roster; the rest is empty or has its default.
+     *
+     * @param service the service
+     * @param version the platform's version number
+     * @param copies the roster
+     * @return a builder
+     */
+    public static ServiceConfigurationBuilder builder(ServiceName service, long version, List<CopyEntry> copies) {
+        return new ServiceConfigurationBuilder(service, version, copies);
+    }
+
     /**
      * Finds a copy of the roster.
      *
--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/document/FaultCollector.java
@@ -0,0 +1,44 @@
+package org.carawaysill.model.document;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Collects the faults of one document while it is read.
+ *
+ * <p>Not thread safe: used by the one thread that reads the document.
+ */
+public final class FaultCollector {
+
+    private final List<Fault> faults = new ArrayList<>();
+
+    /**
+     * Adds a fault.
+     *
+     * @param line the line, from 1
+     * @param key the path of the key
+     * @param message what is wrong
+     */
+    public void add(int line, String key, String message) {
+        faults.add(new Fault(line, key, message));
+    }
+
+    /**
+     * Tells whether the document is faultless so far.
+     *
+     * @return true if no fault was added
+     */
+    public boolean isEmpty() {
+        return faults.isEmpty();
+    }
+
+    /**
+     * Lists the faults.
+     *
+     * @return every fault in the order of lines, those of one line in the order in which they were found
+     */
+    public List<Fault> inOrder() {
+        return faults.stream().sorted(Comparator.comparingInt(Fault::line)).toList();
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/document/Located.java
@@ -0,0 +1,13 @@
+package org.carawaysill.model.document;
+
+/**
+ * A value and where its document states it.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param value the value
+ * @param line its line, from 1
+ * @param key the path of its key
+ * @param <T> the type of the value
+ */
+public record Located<T>(T value, int line, String key) {}
--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/document/TextCursor.java
@@ -0,0 +1,132 @@
+package org.carawaysill.model.document;
+
+/**
+ * A position in a text, with its line.
+ *
+ * <p>Invariant: the position only rises and never passes the end. Not thread safe.
+ */
+final class TextCursor {
+
+    private static final char END = '\0';
+    private static final int FENCE_LENGTH = 3;
+
+    private final String text;
+    private int position;
+    private int line = 1;
+
+    TextCursor(String text) {
+        this.text = text;
+    }
+
+    int line() {
+        return line;
+    }
+
+    boolean atEnd() {
+        return position >= text.length();
+    }
+
+    char peek() {
+        return atEnd() ? END : text.charAt(position);
+    }
+
+    void advance() {
+        if (peek() == '\n') {
+            line++;
+        }
+        position = Math.min(position + 1, text.length());
+    }
+
+    boolean skipIf(char expected) {
+        boolean found = peek() == expected && !atEnd();
+        if (found) {
+            advance();
+        }
+        return found;
+    }
+
+    void skipPast(char expected) {
+        while (!atEnd() && !skipIf(expected)) {
+            advance();
+        }
+    }
+
+    void skipUntilAny(String ends) {
+        while (!atEnd() && ends.indexOf(peek()) < 0) {
+            advance();
+        }
+    }
+
+    void skipLine() {
+        skipPast('\n');
+    }
+
+    void skipSpaces() {
+        while (peek() == ' ' || peek() == '\t') {
+            advance();
+        }
+    }
+
+    /** Skips white space, line ends and comments. */
+    void skipBlank() {
+        while (!atEnd()) {
+            if (peek() == '#') {
+                skipLine();
+            } else if (Character.isWhitespace(peek())) {
+                advance();
+            } else {
+                return;
+            }
+        }
+    }
+
+    /** Reads one part of a key, bare or quoted; always moves on. */
+    String readKey() {
+        char quote = peek();
+        if (quote == '"' || quote == '\'') {
+            int start = position + 1;
+            skipQuoted(quote);
+            return text.substring(start, Math.max(start, position - 1));
+        }
+        int start = position;
+        advance();
+        skipUntilAny(" \t.=]\n");
+        return text.substring(start, position);
+    }
+
+    /** Skips a string of any of the four forms that TOML has. */
+    void skipString() {
+        char quote = peek();
+        String fence = String.valueOf(quote).repeat(FENCE_LENGTH);
+        if (text.startsWith(fence, position)) {
+            skipFenced(quote, fence);
+        } else {
+            skipQuoted(quote);
+        }
+    }
+
+    private void skipQuoted(char quote) {
+        advance();
+        while (!atEnd() && peek() != quote) {
+            skipCharacter(quote);
+        }
+        advance();
+    }
+
+    private void skipFenced(char quote, String fence) {
+        position += FENCE_LENGTH;
+        while (!atEnd() && !text.startsWith(fence, position)) {
+            skipCharacter(quote);
+        }
+        while (peek() == quote) {
+            advance();
+        }
+    }
+
+    private void skipCharacter(char quote) {
+        if (quote == '"' && peek() == '\\') {
+            advance();
+        }
+        advance();
+    }
+}
--- /dev/null
+++ b/model/src/test/java/org/carawaysill/model/configuration/SiteDocumentsTest.java
@@ -0,0 +1,70 @@
+package org.carawaysill.model.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.carawaysill.model.document.Fault;
+import org.carawaysill.model.document.ParseResult;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The documents of both sites are faultless and fit together. */
+class SiteDocumentsTest {
+
+    private static final Path SITES = Path.of("..", "sites");
+
+    @ParameterizedTest
+    @ValueSource(strings = {"trinacria", "tengri"})
+    void fitTogether(String site) throws IOException {
+        List<ServiceConfiguration> services = read(site);
+        assertEquals(4, services.size());
+
+        Set<String> addresses = new HashSet<>();
+        Set<String> names = new HashSet<>();
+        for (ServiceConfiguration service : services) {
+            names.add(service.service().value());
+            service.copies().forEach(copy -> addresses.add(copy.host() + ":" + copy.peerPort()));
+        }
+        int copies =
+                services.stream().mapToInt(service -> service.copies().size()).sum();
+        assertEquals(copies, addresses.size(), "each copy has its own address");
+        services.forEach(service -> service.calls().forEach(call -> assertTrue(names.contains(call.value()))));
+    }
+
+    @Test
+    void haveTheCopiesOfTheirSites() throws IOException {
+        assertEquals(13, copies("trinacria"));
+        assertEquals(14, copies("tengri"));
+    }
+
+    private static int copies(String site) throws IOException {
+        return read(site).stream().mapToInt(service -> service.copies().size()).sum();
+    }
+
+    private static List<ServiceConfiguration> read(String site) throws IOException {
+        try (Stream<Path> files = Files.list(SITES.resolve(site).resolve("configuration"))) {
+            return files.sorted().map(SiteDocumentsTest::parse).toList();
+        }
+    }
+
+    private static ServiceConfiguration parse(Path file) {
+        try {
+            return switch (ServiceConfigurationParser.parse(Files.readString(file), 1)) {
+                case ParseResult.Valid<ServiceConfiguration>(ServiceConfiguration value) -> value;
+                case ParseResult.Invalid<ServiceConfiguration>(List<Fault> faults) -> fail(file + " " + faults);
+            };
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
