--- a/policy/src/main/java/org/carawaysill/policy/engine/CallerRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/CallerRequests.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.carawaysill.model.configuration.Classification;
 import org.carawaysill.model.identity.RequestIdentifier;
 import org.carawaysill.model.request.Outcome;
@@ -14,6 +13,7 @@
 import org.carawaysill.policy.admission.ChainRefusal;
 import org.carawaysill.policy.event.Event;
 import org.carawaysill.policy.ownership.KeyReader;
+import org.carawaysill.policy.ownership.RequestKey;
 import org.carawaysill.policy.retry.RequestLedger;
 import org.carawaysill.policy.time.Moment;
 
@@ -24,6 +24,7 @@
  */
 final class CallerRequests {
 
+    private static final String NO_OPERATION = "";
     private static final Duration NOT_READY_RETRY_AFTER = Duration.ofSeconds(1);
 
     private final NodeIdentity identity;
@@ -51,7 +52,7 @@
     void accept(Moment now, Event.CallerRequest request) {
         WorkOrigin origin = new WorkOrigin.FromCaller(request.exchange());
         if (!control.readyToServe()) {
-            refuse(now, origin, RefusalReason.NO_CONFIGURATION, NOT_READY_RETRY_AFTER);
+            refuse(now, origin, NO_OPERATION, RefusalReason.NO_CONFIGURATION, NOT_READY_RETRY_AFTER);
             return;
         }
         Optional<Classification> classification = directory.classify(
@@ -60,7 +61,7 @@
                 request.content().path(),
                 request.caller());
         if (classification.isEmpty()) {
-            refuse(now, origin, RefusalReason.UNKNOWN_OPERATION, NOT_READY_RETRY_AFTER);
+            refuse(now, origin, NO_OPERATION, RefusalReason.UNKNOWN_OPERATION, NOT_READY_RETRY_AFTER);
             return;
         }
         accept(now, request, origin, classification.get());
@@ -72,12 +73,17 @@
         Priority priority = Priority.of(terms.importance(), request.caller());
         Optional<ChainRefusal> refusal = chainCuts.check(now.nanos(), operation, priority);
         if (refusal.isPresent()) {
-            refuse(now, origin, RefusalReason.OVERLOAD_BELOW, refusal.get().retryAfter());
+            refuse(
+                    now,
+                    origin,
+                    operation,
+                    RefusalReason.OVERLOAD_BELOW,
+                    refusal.get().retryAfter());
             return;
         }
-        Optional<KeyReader.Key> key = request.key().map(KeyReader::read);
+        Optional<RequestKey> key = request.key().map(KeyReader::read);
         RequestFacts facts = new RequestFacts(
-                key.map(KeyReader.Key::request).orElseGet(identifiers::request),
+                key.map(RequestKey::request).orElseGet(identifiers::request),
                 identity.service(),
                 operation,
                 request.caller(),
@@ -88,10 +94,10 @@
                 now.nanos() + terms.deadline().toNanos(),
                 0,
                 request.content());
-        dispatch(now, origin, facts, terms.retryCredits(), key.map(KeyReader.Key::mintedMillis).orElse(OptionalLong.empty()));
+        dispatch(now, origin, facts, terms.retryCredits());
     }
 
-    private void dispatch(Moment now, WorkOrigin origin, RequestFacts facts, int credits, OptionalLong minted) {
+    private void dispatch(Moment now, WorkOrigin origin, RequestFacts facts, int credits) {
         RequestIdentifier request = facts.request();
         if (facts.key().isEmpty()) {
             // Without a key no repeat can be recognised: the work runs under this node's sole knowledge, never again.
@@ -99,13 +105,14 @@
         } else if (facts.idempotent()) {
             clientRetries.dispatch(now, origin, facts, credits);
         } else if (ownership.holder(request).filter(identity.node()::equals).isPresent()) {
-            ownership.hold(now, origin, facts, credits, minted);
+            ownership.hold(now, origin, facts, credits);
         } else {
             runner.start(now, new Work(facts, new RequestLedger(credits), Work.Scope.AT_HOLDER, origin));
         }
     }
 
-    private void refuse(Moment now, WorkOrigin origin, RefusalReason reason, Duration retryAfter) {
-        delivery.deliver(now.nanos(), origin, new Outcome.NotRun(reason, retryAfter, Step.INGRESS, Optional.empty()), 0);
+    private void refuse(Moment now, WorkOrigin origin, String operation, RefusalReason reason, Duration retryAfter) {
+        Outcome outcome = new Outcome.NotRun(reason, retryAfter, Step.INGRESS, Optional.empty());
+        delivery.deliver(now.nanos(), origin, operation, outcome, 0);
     }
 }
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/engine/ControlPlane.java
@@ -0,0 +1,183 @@
+package org.carawaysill.policy.engine;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.carawaysill.model.configuration.CopyEntry;
+import org.carawaysill.model.configuration.ServiceConfiguration;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.Priority;
+import org.carawaysill.policy.distribution.ConfigurationDistribution;
+import org.carawaysill.policy.effect.PeerState;
+import org.carawaysill.policy.event.Event;
+import org.carawaysill.policy.membership.HeartbeatContent;
+import org.carawaysill.policy.membership.Membership;
+import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.PeerMessage.Heartbeat;
+import org.carawaysill.policy.message.PeerMessage.LoadReport;
+import org.carawaysill.policy.routing.CopySelector;
+import org.carawaysill.policy.time.Moment;
+
+/**
+ * Configuration, membership and routing of one node, and what flows between them.
+ *
+ * <p>Invariant: routing offers only nodes that membership lets have new work. Not thread safe: owned by the policy.
+ */
+final class ControlPlane {
+
+    private final NodeIdentity identity;
+    private final ServiceDirectory directory;
+    private final ConfigurationDistribution distribution;
+    private final Membership membership;
+    private final CopySelector selector;
+    private final HeartbeatContent heartbeatContent;
+    private final Outbox out;
+    private Map<NodeName, PeerState> states = Map.of();
+
+    ControlPlane(
+            NodeIdentity identity,
+            ServiceDirectory directory,
+            ConfigurationDistribution distribution,
+            Membership membership,
+            CopySelector selector,
+            HeartbeatContent heartbeatContent,
+            Outbox out) {
+        this.identity = identity;
+        this.directory = directory;
+        this.distribution = distribution;
+        this.membership = membership;
+        this.selector = selector;
+        this.heartbeatContent = heartbeatContent;
+        this.out = out;
+    }
+
+    /**
+     * Takes in an event that may concern the control work.
+     *
+     * @return the documents that came into force by it
+     */
+    List<ServiceConfiguration> handle(Moment now, Event event) {
+        out.addAll(distribution.handle(now, event));
+        List<ServiceConfiguration> adopted = adoptNewDocuments(now);
+        out.addAll(membership.handle(now, event, heartbeatContent));
+        if (event instanceof Event.PeerReceived(NodeName from, Heartbeat heartbeat)) {
+            selector.heard(now.nanos(), from, heartbeat.load());
+        }
+        return adopted;
+    }
+
+    /** Requests and answers are far more frequent than all else and say nothing of configuration. */
+    boolean carriesWork(Event event) {
+        return switch (event) {
+            case Event.CallerRequest _, Event.CopyCall _, Event.ExchangeClosed _, Event.CopyAnswered _ -> true;
+            case Event.PeerReceived(var from, PeerMessage message) -> carriesWork(message);
+            case Event.PeerUnsent _,
+                    Event.PeerConnected _,
+                    Event.PeerLost _,
+                    Event.ConfigurationRead _,
+                    Event.ConfigurationUnchanged _,
+                    Event.ConfigurationRefused _,
+                    Event.ConfigurationReadFailed _,
+                    Event.VmListRead _,
+                    Event.DrainOrdered _,
+                    Event.WakeUp _ -> false;
+        };
+    }
+
+    private static boolean carriesWork(PeerMessage message) {
+        return message instanceof PeerMessage.PeerRequest
+                || message instanceof PeerMessage.PeerAnswer
+                || message instanceof PeerMessage.CancelAttempt;
+    }
+
+    /** Any message shows that its sender lives. */
+    void heard(Moment now, Event.PeerReceived received) {
+        if (carriesWork(received.message())) {
+            out.addAll(membership.handle(now, received, heartbeatContent));
+        }
+    }
+
+    private List<ServiceConfiguration> adoptNewDocuments(Moment now) {
+        List<ServiceConfiguration> adopted = distribution.versions().keySet().stream()
+                .map(distribution::inForce)
+                .flatMap(Optional::stream)
+                .filter(directory::adopt)
+                .toList();
+        adopted.forEach(document -> selector.roster(now.nanos(), document));
+        watchPeers(now);
+        return adopted;
+    }
+
+    private void watchPeers(Moment now) {
+        List<CopyEntry> own = distribution
+                .newest(identity.service())
+                .map(ServiceConfiguration::copies)
+                .orElse(List.of());
+        out.addAll(membership.watch(now, own, selector.wanted()));
+    }
+
+    /**
+     * Compares what membership believes now with what it believed before, and tells routing.
+     *
+     * @return the nodes that have become suspected
+     */
+    List<NodeName> refreshStates(Moment now) {
+        Map<NodeName, PeerState> present = membership.states(now.nanos());
+        if (present.equals(states)) {
+            return List.of();
+        }
+        present.forEach(
+                (node, state) -> selector.usable(now.nanos(), node, membership.mayGetNewWork(now.nanos(), node)));
+        Map<NodeName, PeerState> before = states;
+        states = present;
+        return present.entrySet().stream()
+                .filter(entry -> entry.getValue() == PeerState.SUSPECTED)
+                .map(Map.Entry::getKey)
+                .filter(node -> before.get(node) != PeerState.SUSPECTED)
+                .toList();
+    }
+
+    boolean readyToServe() {
+        return distribution.readyToServe();
+    }
+
+    Map<ServiceName, Long> versions() {
+        return distribution.versions();
+    }
+
+    Map<NodeName, PeerState> states() {
+        return states;
+    }
+
+    boolean connected(NodeName node) {
+        PeerState state = states.getOrDefault(node, PeerState.UNREACHABLE);
+        return state != PeerState.UNREACHABLE;
+    }
+
+    Optional<NodeName> choose(Moment now, ServiceName service, Set<NodeName> excluded, Priority priority) {
+        return selector.choose(now.nanos(), service, excluded, priority);
+    }
+
+    void sent(Moment now, NodeName peer) {
+        selector.sent(now.nanos(), peer);
+        membership.sent(now.nanos(), peer);
+    }
+
+    void answered(Moment now, NodeName peer, LoadReport load, long latencyNanos) {
+        selector.answered(now.nanos(), peer, load, latencyNanos);
+    }
+
+    void failed(Moment now, NodeName peer) {
+        selector.failed(now.nanos(), peer);
+    }
+
+    void withdrawn(Moment now, NodeName peer) {
+        selector.withdrawn(now.nanos(), peer);
+    }
+
+    long nextWakeNanos() {
+        return Math.min(distribution.nextWakeNanos(), membership.nextWakeNanos());
+    }
+}
--- a/policy/src/main/java/org/carawaysill/policy/engine/CopyCalls.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/CopyCalls.java
@@ -69,8 +69,7 @@
                 call.target(),
                 classification.operation().name(),
                 caller,
-                parent.map(work -> work.facts().priority())
-                        .orElseGet(() -> Priority.of(Importance.BACKGROUND, caller)),
+                parent.map(work -> work.facts().priority()).orElseGet(() -> Priority.of(Importance.BACKGROUND, caller)),
                 terms.idempotent(),
                 Optional.empty(),
                 now.nanos(),
@@ -87,6 +86,7 @@
     }
 
     private void refuse(Moment now, WorkOrigin origin, RefusalReason reason) {
-        delivery.deliver(now.nanos(), origin, new Outcome.NotRun(reason, RETRY_AFTER, Step.ROUTING, Optional.empty()), 0);
+        Outcome outcome = new Outcome.NotRun(reason, RETRY_AFTER, Step.ROUTING, Optional.empty());
+        delivery.deliver(now.nanos(), origin, NO_OPERATION, outcome, 0);
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/engine/LoadView.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/LoadView.java
@@ -25,7 +25,7 @@
         return admission.load();
     }
 
-    List<ServiceCut> cuts(long now) {
-        return chainCuts.report(now, admission.cut());
+    List<ServiceCut> cuts(long now, String operation) {
+        return chainCuts.report(now, operation, admission.cut());
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/engine/OutcomeDelivery.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/OutcomeDelivery.java
@@ -20,15 +20,24 @@
     }
 
     void deliver(long now, Work work, Outcome outcome) {
-        int unspent = work.ledger().close();
         for (WorkOrigin origin : work.origins()) {
-            deliver(now, origin, outcome, unspent);
-            // Credits come back once: a second waiter must not be given the same credits again.
-            unspent = 0;
+            deliver(now, origin, work.facts().operation(), outcome, unspent(work, origin));
         }
     }
 
-    void deliver(long now, WorkOrigin origin, Outcome outcome, int unspentCredits) {
+    /**
+     * Credits go back once and are then no longer here: neither a second waiter nor a late call of the copy may spend
+     * them again.
+     */
+    private static int unspent(Work work, WorkOrigin origin) {
+        return switch (origin) {
+            case WorkOrigin.FromPeer peer -> work.ledger().grantForAttempt(peer.attempt(), Integer.MAX_VALUE);
+            case WorkOrigin.FromCaller caller -> 0;
+            case WorkOrigin.FromCopy copy -> 0;
+        };
+    }
+
+    void deliver(long now, WorkOrigin origin, String operation, Outcome outcome, int unspentCredits) {
         switch (outcome) {
             case Outcome.Answered answered -> {}
             case Outcome.NotRun notRun -> out.count(notRun.reason());
@@ -41,7 +50,11 @@
                 out.add(new Effect.SendToPeer(
                         peer.peer(),
                         new PeerMessage.PeerAnswer(
-                                peer.attempt(), outcome, unspentCredits, loadView.load(), loadView.cuts(now))));
+                                peer.attempt(),
+                                outcome,
+                                unspentCredits,
+                                loadView.load(),
+                                loadView.cuts(now, operation))));
         }
     }
 }
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/engine/Ownership.java
@@ -0,0 +1,110 @@
+package org.carawaysill.policy.engine;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.RequestIdentifier;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.RequestContent;
+import org.carawaysill.model.request.Step;
+import org.carawaysill.model.request.UnknownReason;
+import org.carawaysill.policy.ownership.Claim;
+import org.carawaysill.policy.ownership.Holder;
+import org.carawaysill.policy.ownership.KeyReader;
+import org.carawaysill.policy.retry.RequestLedger;
+import org.carawaysill.policy.time.Moment;
+
+/**
+ * Work that must run at most once, at the node that holds its identifier.
+ *
+ * <p>Invariant: a claim answered with {@link Claim.Run} becomes exactly one piece of work, whose outcome is told to the
+ * holder's table once. Not thread safe: owned by the policy.
+ */
+final class Ownership {
+
+    private static final Duration RETRY_AFTER = Duration.ofMillis(500);
+
+    private final Holder holder;
+    private final WorkTable table;
+    private final OutcomeDelivery delivery;
+    private Optional<WorkRunner> runner = Optional.empty();
+
+    Ownership(Holder holder, WorkTable table, OutcomeDelivery delivery) {
+        this.holder = holder;
+        this.table = table;
+        this.delivery = delivery;
+    }
+
+    /** Breaks the circle between this object and the runner, which need each other. */
+    void runner(WorkRunner starter) {
+        runner = Optional.of(starter);
+    }
+
+    Optional<NodeName> holder(RequestIdentifier request) {
+        return holder.holder(request);
+    }
+
+    boolean mayHandOver(Moment now) {
+        return holder.held(now);
+    }
+
+    /** Decides as the holder of a request about one attempt at it. */
+    void hold(Moment now, WorkOrigin origin, RequestFacts facts, int credits) {
+        int contentHash = contentHash(facts.content());
+        Claim claim = facts.key()
+                .map(KeyReader::read)
+                .<Claim>map(key -> holder.claim(now, key, contentHash))
+                .orElseGet(() -> new Claim.Refused(RefusalReason.BAD_REQUEST, RETRY_AFTER));
+        switch (claim) {
+            case Claim.Run run ->
+                runner.orElseThrow().start(now, new Work(facts, new RequestLedger(credits), Work.Scope.HELD, origin));
+            case Claim.Running running -> joinOrRefuse(now, origin, facts, credits);
+            case Claim.Known known -> deliver(now, origin, facts, known.outcome(), credits);
+            case Claim.MayHaveRun(var reason) ->
+                deliver(now, origin, facts, new Outcome.Unknown(reason, Step.OWNERSHIP, Optional.empty()), credits);
+            case Claim.Refused(var reason, var retryAfter) ->
+                deliver(
+                        now,
+                        origin,
+                        facts,
+                        new Outcome.NotRun(reason, retryAfter, Step.OWNERSHIP, Optional.empty()),
+                        credits);
+        }
+    }
+
+    /**
+     * A repeat of a request that is running waits for the same outcome; where the run has outlived its deadline, it is
+     * not known what it came to.
+     */
+    private void joinOrRefuse(Moment now, WorkOrigin origin, RequestFacts facts, int credits) {
+        Optional<Work> running = table.held(facts.request());
+        if (running.isPresent()) {
+            table.attach(running.get(), origin);
+        } else {
+            Outcome unknown = new Outcome.Unknown(UnknownReason.EARLIER_ATTEMPT, Step.OWNERSHIP, Optional.empty());
+            deliver(now, origin, facts, unknown, credits);
+        }
+    }
+
+    private void deliver(Moment now, WorkOrigin origin, RequestFacts facts, Outcome outcome, int credits) {
+        delivery.deliver(now.nanos(), origin, facts.operation(), outcome, credits);
+    }
+
+    /** Remembers the outcome of held work; work that was not run may be claimed again. */
+    void finished(Moment now, Work work, Outcome outcome) {
+        if (!work.held()) {
+            return;
+        }
+        if (outcome instanceof Outcome.NotRun) {
+            holder.notRun(work.facts().request());
+        } else {
+            holder.finished(now, work.facts().request(), outcome);
+        }
+    }
+
+    private static int contentHash(RequestContent content) {
+        return 31 * (31 * content.method().hashCode() + content.path().hashCode())
+                + content.body().hashCode();
+    }
+}
--- a/policy/src/main/java/org/carawaysill/policy/engine/PeerRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/PeerRequests.java
@@ -8,7 +8,7 @@
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.policy.message.PeerMessage.PeerRequest;
-import org.carawaysill.policy.ownership.KeyReader;
+import org.carawaysill.policy.message.PeerMessage.Purpose;
 import org.carawaysill.policy.retry.RequestLedger;
 import org.carawaysill.policy.time.Moment;
 
@@ -52,6 +52,7 @@
                         reason -> delivery.deliver(
                                 now.nanos(),
                                 origin,
+                                request.operation(),
                                 new Outcome.NotRun(reason, RETRY_AFTER, Step.ADMISSION, Optional.of(identity.node())),
                                 request.retryCredits()),
                         () -> start(now, origin, request));
@@ -83,18 +84,11 @@
                 now.nanos() + request.remainingNanos(),
                 request.depth(),
                 request.content());
-        switch (request.purpose()) {
-            case RUN ->
-                runner.start(
-                        now,
-                        new Work(facts, new RequestLedger(request.retryCredits()), Work.Scope.LOCAL_COPY, origin));
-            case HOLD ->
-                ownership.hold(
-                        now,
-                        origin,
-                        facts,
-                        request.retryCredits(),
-                        KeyReader.read(request.key().orElse("")).mintedMillis());
+        if (request.purpose() == Purpose.HOLD) {
+            ownership.hold(now, origin, facts, request.retryCredits());
+        } else {
+            RequestLedger ledger = new RequestLedger(request.retryCredits());
+            runner.start(now, new Work(facts, ledger, Work.Scope.LOCAL_COPY, origin));
         }
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/engine/RetryDecision.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/RetryDecision.java
@@ -20,7 +20,8 @@
 
     static Optional<RetryReason> reason(boolean idempotent, Outcome outcome) {
         return switch (outcome) {
-            case Outcome.Answered answered -> afterAnswer(idempotent, answered.content().status());
+            case Outcome.Answered answered ->
+                afterAnswer(idempotent, answered.content().status());
             case Outcome.NotRun notRun -> afterRefusal(notRun.reason());
             case Outcome.Unknown unknown -> idempotent ? Optional.of(RetryReason.ANSWER_LOST) : Optional.empty();
         };
--- a/policy/src/main/java/org/carawaysill/policy/engine/WorkRunner.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/WorkRunner.java
@@ -67,17 +67,17 @@
 
     private void tryNext(Moment now, Work work) {
         work.retryDueNanos(Long.MAX_VALUE);
-        switch (work.scope()) {
-            case LOCAL_COPY -> offerToLocalCopy(now, work);
-            case OWN_SERVICE, HELD -> {
-                if (draining || work.tried().contains(identity.node())) {
-                    sendToAnotherCopy(now, work);
-                } else {
-                    offerToLocalCopy(now, work);
-                }
-            }
-            case AT_HOLDER -> sendToHolder(now, work);
-            case DEEPER_SERVICE -> sendToAnotherCopy(now, work);
+        boolean local = switch (work.scope()) {
+            case LOCAL_COPY -> true;
+            case OWN_SERVICE, HELD -> !draining && !work.tried().contains(identity.node());
+            case AT_HOLDER, DEEPER_SERVICE -> false;
+        };
+        if (local) {
+            offerToLocalCopy(now, work);
+        } else if (work.scope() == Work.Scope.AT_HOLDER) {
+            sendToHolder(now, work);
+        } else {
+            sendToAnotherCopy(now, work);
         }
     }
 
@@ -131,7 +131,7 @@
                 facts.priority(),
                 facts.idempotent(),
                 facts.key(),
-                work.ledger().lend(attempt.identifier()),
+                lend(work, attempt),
                 facts.deadlineNanos() - now.nanos(),
                 facts.depth(),
                 purpose,
@@ -139,6 +139,11 @@
         out.add(new Effect.SendToPeer(peer, request));
     }
 
+    /** One credit stays here, so that an attempt whose answer is lost does not take every retry with it. */
+    private static int lend(Work work, Attempt attempt) {
+        return work.ledger().grantForAttempt(attempt.identifier(), work.ledger().left() - 1);
+    }
+
     /** Carries out what the admission of the local copy decided. */
     void apply(Moment now, List<Verdict> verdicts) {
         for (Verdict verdict : verdicts) {
@@ -168,7 +173,8 @@
             return;
         }
         Work work = found.get();
-        // A holder that was paused in the queue may wake under an expired lease, while another node has become the holder.
+        // A holder that was paused in the queue may wake under an expired lease, while another node has become the
+        // holder.
         // Asking again right before the write keeps it from running what it may no longer own.
         if (work.held() && !ownership.mayHandOver(now)) {
             apply(now, admission.withdraw(now.nanos(), attempt));
@@ -176,19 +182,17 @@
             return;
         }
         work.current(Optional.of(new Attempt.AtCopy(attempt)));
-        ownership.handedOver(work);
         out.add(new Effect.HandToCopy(
                 attempt, work.facts().content(), work.facts().deadlineNanos()));
     }
 
     /** Takes the local copy's answer, or the failure to get one. */
     void copyAnswered(Moment now, AttemptIdentifier attempt, Outcome outcome) {
-        Finish finish =
-                switch (outcome) {
-                    case Outcome.Answered answered -> Finish.ANSWERED;
-                    case Outcome.NotRun notRun -> Finish.FAILED;
-                    case Outcome.Unknown unknown -> Finish.LOST;
-                };
+        Finish finish = switch (outcome) {
+            case Outcome.Answered answered -> Finish.ANSWERED;
+            case Outcome.NotRun notRun -> Finish.FAILED;
+            case Outcome.Unknown unknown -> Finish.LOST;
+        };
         List<Verdict> verdicts = admission.finished(now.nanos(), attempt, finish);
         ended(now, attempt, outcome);
         apply(now, verdicts);
@@ -198,7 +202,8 @@
     void peerAnswered(Moment now, NodeName from, PeerMessage.PeerAnswer answer) {
         Optional<Work> found = table.byAttempt(answer.attempt());
         if (found.isEmpty()
-                || !(found.get().current().orElseThrow() instanceof Attempt.AtPeer(var identifier, NodeName peer, long sent))
+                || !(found.get().current().orElseThrow()
+                        instanceof Attempt.AtPeer(var identifier, NodeName peer, long sent))
                 || !peer.equals(from)) {
             return;
         }
@@ -226,10 +231,7 @@
             RefusalReason reason = work.scope() == Work.Scope.AT_HOLDER
                     ? RefusalReason.HOLDER_UNREACHABLE
                     : RefusalReason.PEER_UNREACHABLE;
-            ended(
-                    now,
-                    attempt,
-                    new Outcome.NotRun(reason, SHORTEST_RETRY_AFTER, Step.PEER_SEND, Optional.of(peer)));
+            ended(now, attempt, new Outcome.NotRun(reason, SHORTEST_RETRY_AFTER, Step.PEER_SEND, Optional.of(peer)));
         });
     }
 
@@ -246,7 +248,8 @@
             if (work.facts().idempotent()) {
                 out.add(new Effect.SendToPeer(
                         peer,
-                        new PeerMessage.CancelAttempt(work.current().orElseThrow().identifier())));
+                        new PeerMessage.CancelAttempt(
+                                work.current().orElseThrow().identifier())));
                 loseAttempt(now, work, peer);
             }
         }
@@ -325,15 +328,27 @@
             case Attempt.AtPeer atPeer -> {
                 work.markMayHaveRun();
                 work.ledger().lost(atPeer.identifier());
-                control.failedToAnswer(now, atPeer.peer());
-                out.add(new Effect.SendToPeer(
-                        atPeer.peer(), new PeerMessage.CancelAttempt(atPeer.identifier())));
+                control.withdrawn(now, atPeer.peer());
+                out.add(new Effect.SendToPeer(atPeer.peer(), new PeerMessage.CancelAttempt(atPeer.identifier())));
             }
         }
     }
 
+    /** One of those who wait went away; work that others still wait for, or that must not be cut off, goes on. */
+    void originGone(Moment now, Work work, WorkOrigin origin) {
+        table.removeOrigin(origin);
+        work.origins().remove(origin);
+        boolean atCopy = work.current()
+                .filter(attempt -> attempt instanceof Attempt.AtCopy)
+                .isPresent();
+        if (work.origins().isEmpty() && (work.facts().idempotent() || !atCopy)) {
+            abandon(now, work, notRun(RefusalReason.CANCELLED, Step.INGRESS));
+        }
+    }
+
     private void finish(Moment now, Work work, Outcome outcome) {
-        // A refusal of the last attempt says nothing of the earlier ones: reporting it as "not run" would be false, and a
+        // A refusal of the last attempt says nothing of the earlier ones: reporting it as "not run" would be false, and
+        // a
         // caller that trusts it would run the work twice.
         Outcome told = outcome instanceof Outcome.NotRun && work.mayHaveRun()
                 ? unknown(UnknownReason.EARLIER_ATTEMPT, Step.PEER_WAIT)
