--- a/policy/src/main/java/org/carawaysill/policy/engine/BaselinePolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/BaselinePolicy.java
@@ -282,8 +282,7 @@
 
     @Override
     public long nextWakeNanos() {
-        long due =
-                calls.values().stream().mapToLong(call -> call.dueNanos).min().orElse(Long.MAX_VALUE);
+        long due = timeouts.isEmpty() ? Long.MAX_VALUE : timeouts.peek().dueNanos();
         return Math.min(Math.min(due, nextStatusNanos), control.nextWakeNanos());
     }
 
