Run the policy of a small fleet under random schedules

Conclusion: schedules of kills, pauses, partitions, loss, roster changes, stale and absent platform, planned stops; the seed determines the schedule.

--- /dev/null
+++ b/soak/src/main/java/org/carawaysill/soak/Journal.java
@@ -0,0 +1,41 @@
+package org.carawaysill.soak;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.carawaysill.model.request.Invariant;
+
+/**
+ * The end of a schedule and the breaches found in it.
+ *
+ * <p>Invariant: bounded; the oldest lines go first. Not thread safe: one schedule owns it.
+ */
+final class Journal {
+
+    private static final int LINES_KEPT = 60;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final Deque<String> lines = new ArrayDeque<>();
+    private final List<String> breaches = new ArrayList<>();
+
+    void note(long now, String line) {
+        if (lines.size() == LINES_KEPT) {
+            lines.removeFirst();
+        }
+        lines.addLast(now / NANOS_PER_MILLI + " ms: " + line);
+    }
+
+    void breach(long now, Invariant invariant, String line) {
+        note(now, "BREACH of " + invariant + ": " + line);
+        breaches.add(now / NANOS_PER_MILLI + " ms: " + invariant + ": " + line);
+    }
+
+    List<String> breaches() {
+        return List.copyOf(breaches);
+    }
+
+    List<String> end() {
+        return List.copyOf(lines);
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/org/carawaysill/soak/Schedule.java
@@ -0,0 +1,276 @@
+package org.carawaysill.soak;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.Invariant;
+
+/**
+ * One random schedule: a small fleet, callers, and faults that come at any moment, together or twice, then a calm end in
+ * which everything must be well again.
+ *
+ * <p>Invariant: the seed determines the schedule. Not thread safe: one thread runs it.
+ */
+final class Schedule {
+
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+    private static final long WARM_UP = 8 * SECOND;
+    private static final long TROUBLE_END = 28 * SECOND;
+    private static final long CALM_START = 40 * SECOND;
+    private static final long END = 46 * SECOND;
+    private static final int REQUESTS_PER_SECOND = 30;
+
+    private final RandomGenerator random;
+    private final Agenda agenda = new Agenda();
+    private final Journal journal = new Journal();
+    private final Documents documents = new Documents();
+    private final RunLog runLog = new RunLog(agenda, journal);
+    private final SimulatedPlatform platform = new SimulatedPlatform(agenda, documents);
+    private final SimulatedNetwork network;
+    private final Clients clients;
+    private final Map<NodeName, SimulatedNode> nodes = new TreeMap<>();
+    private final Map<ServiceName, List<NodeName>> rosters = new HashMap<>();
+    private int entryRosters = 1;
+    private double pauseRate;
+    private double copyFailureRate;
+    private double slowness = 1;
+
+    Schedule(long seed) {
+        random = new SplittableRandom(seed);
+        network = new SimulatedNetwork(agenda, random);
+        clients = new Clients(this, random);
+    }
+
+    Result run() {
+        startFleet();
+        agenda.at(WARM_UP - SECOND, this::sendRequests);
+        agenda.at(WARM_UP, this::nextFault);
+        agenda.at(TROUBLE_END, this::calmDown);
+        agenda.runUntil(END);
+        clients.judge(entryRosters);
+        checkConvergence();
+        return new Result(journal.breaches(), journal.end(), clients.sent(CALM_START), clients.answered(CALM_START));
+    }
+
+    private void startFleet() {
+        for (ServiceName service : List.of(Topology.ENTRY, Topology.DEEP)) {
+            List<NodeName> roster = new ArrayList<>(Topology.nodes(service, 3));
+            rosters.put(service, roster);
+            publish(service);
+            roster.forEach(node -> agenda.in(random.nextLong(SECOND), () -> startNew(node)));
+        }
+    }
+
+    private void startNew(NodeName name) {
+        SimulatedNode node = new SimulatedNode(name, this, random);
+        nodes.put(name, node);
+        network.add(node);
+        node.start();
+    }
+
+    private void publish(ServiceName service) {
+        platform.publish(service, Topology.document(service, rosters.get(service), "change " + random.nextInt()));
+    }
+
+    private void sendRequests() {
+        if (agenda.now() < END - 2 * SECOND) {
+            clients.send();
+            agenda.in(random.nextLong(2 * SECOND / REQUESTS_PER_SECOND), this::sendRequests);
+        }
+    }
+
+    private void nextFault() {
+        if (agenda.now() >= TROUBLE_END) {
+            return;
+        }
+        Fault fault = Fault.values()[random.nextInt(Fault.values().length)];
+        journal.note(agenda.now(), "fault: " + fault);
+        apply(fault);
+        agenda.in(random.nextLong(2 * SECOND), this::nextFault);
+    }
+
+    private void apply(Fault fault) {
+        long length = random.nextLong(6 * SECOND);
+        switch (fault) {
+            case KILL_NODE -> killAndRestart(anyNode(), length);
+            case PAUSE_NODE -> anyNode().pause(length);
+            case PAUSES_EVERYWHERE -> during(length, () -> pauseRate = 0.002, () -> pauseRate = 0);
+            case LOSS -> during(length, () -> network.trouble(0.2, 0.02), () -> network.trouble(0, 0));
+            case PARTITION -> during(length, this::partition, network::heal);
+            case PLATFORM_DOWN -> during(length, () -> platform.down(true), () -> platform.down(false));
+            case PLATFORM_STALE -> during(length, () -> platform.stale(true), () -> platform.stale(false));
+            case PUBLISH -> publish(random.nextBoolean() ? Topology.ENTRY : Topology.DEEP);
+            case INVALID_DOCUMENT -> platform.publish(Topology.ENTRY, "service = 7");
+            case ROSTER_CHANGE -> changeRoster(random.nextBoolean() ? Topology.ENTRY : Topology.DEEP);
+            case PLANNED_STOP -> drainAndRestart(anyNode(), length);
+            case SLOW_COPIES -> during(length, () -> slowness = 6, () -> slowness = 1);
+            case COPY_FAILURES -> during(length, () -> copyFailureRate = 0.1, () -> copyFailureRate = 0);
+            default -> throw new IllegalStateException("no such fault: " + fault);
+        }
+    }
+
+    private void during(long length, Runnable begin, Runnable end) {
+        begin.run();
+        agenda.in(length, end);
+    }
+
+    private void killAndRestart(SimulatedNode node, long length) {
+        if (node.alive()) {
+            node.kill();
+            agenda.in(length, node::start);
+        }
+    }
+
+    private void drainAndRestart(SimulatedNode node, long length) {
+        if (node.alive() && !node.draining()) {
+            node.drain();
+            agenda.in(random.nextLong(3 * SECOND), () -> platform.leaving(node.name()));
+            agenda.in(8 * SECOND + length, () -> {
+                if (node.alive() && node.draining()) {
+                    journal.breach(agenda.now(), Invariant.GRACEFUL_STOP, node.name() + " never stopped");
+                    node.kill();
+                }
+                if (!node.alive()) {
+                    node.start();
+                }
+            });
+        }
+    }
+
+    private void partition() {
+        Map<NodeName, Integer> sides = new HashMap<>();
+        nodes.keySet().forEach(node -> sides.put(node, random.nextInt(2)));
+        network.partition(sides);
+    }
+
+    /** Replaces one VM of a roster; the old one goes on for a while, as a VM does that has not heard of it. */
+    private void changeRoster(ServiceName service) {
+        List<NodeName> roster = rosters.get(service);
+        NodeName old = roster.remove(random.nextInt(roster.size()));
+        NodeName added = new NodeName(service + "-" + (nodes.size() + 1));
+        roster.add(added);
+        if (service.equals(Topology.ENTRY)) {
+            entryRosters++;
+        }
+        startNew(added);
+        publish(service);
+        agenda.in(random.nextLong(8 * SECOND), () -> {
+            platform.gone(old);
+            if (nodes.get(old).alive()) {
+                nodes.get(old).kill();
+            }
+        });
+    }
+
+    private void calmDown() {
+        publish(Topology.ENTRY);
+        publish(Topology.DEEP);
+    }
+
+    private void checkConvergence() {
+        rosters.forEach((service, roster) -> roster.forEach(name -> {
+            SimulatedNode node = nodes.get(name);
+            long version = node.versions().getOrDefault(service, 0L);
+            if (node.alive() && !node.draining() && version != platform.version(service)) {
+                journal.breach(
+                        agenda.now(),
+                        Invariant.VERSION_NEVER_FALLS,
+                        name + " has version " + version + " long after " + platform.version(service));
+            }
+        }));
+    }
+
+    private SimulatedNode anyNode() {
+        List<SimulatedNode> all = List.copyOf(nodes.values());
+        return all.get(random.nextInt(all.size()));
+    }
+
+    /** Callers know the VMs by an old list: also nodes that have left the roster. */
+    SimulatedNode anyEntryNode() {
+        List<SimulatedNode> entries = nodes.values().stream()
+                .filter(node -> Topology.serviceOf(node.name()).equals(Topology.ENTRY))
+                .toList();
+        return entries.get(random.nextInt(entries.size()));
+    }
+
+    long now() {
+        return agenda.now();
+    }
+
+    Agenda agenda() {
+        return agenda;
+    }
+
+    Journal journal() {
+        return journal;
+    }
+
+    Documents documents() {
+        return documents;
+    }
+
+    RunLog runLog() {
+        return runLog;
+    }
+
+    SimulatedPlatform platform() {
+        return platform;
+    }
+
+    SimulatedNetwork network() {
+        return network;
+    }
+
+    Clients clients() {
+        return clients;
+    }
+
+    double pauseRate() {
+        return pauseRate;
+    }
+
+    long longestPause() {
+        return 4 * SECOND;
+    }
+
+    double copyFailureRate() {
+        return copyFailureRate;
+    }
+
+    double slowness() {
+        return slowness;
+    }
+
+    private enum Fault {
+        KILL_NODE,
+        PAUSE_NODE,
+        PAUSES_EVERYWHERE,
+        LOSS,
+        PARTITION,
+        PLATFORM_DOWN,
+        PLATFORM_STALE,
+        PUBLISH,
+        INVALID_DOCUMENT,
+        ROSTER_CHANGE,
+        PLANNED_STOP,
+        SLOW_COPIES,
+        COPY_FAILURES
+    }
+
+    /**
+     * What a schedule came to.
+     *
+     * @param breaches each breach of an invariant
+     * @param end the last lines of the journal
+     * @param calmSent requests sent in the calm end
+     * @param calmAnswered how many of them were answered
+     */
+    record Result(List<String> breaches, List<String> end, long calmSent, long calmAnswered) {}
+}
--- /dev/null
+++ b/soak/src/main/java/org/carawaysill/soak/SimulatedNode.java
@@ -0,0 +1,247 @@
+package org.carawaysill.soak;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.carawaysill.model.identity.AvailabilityZone;
+import org.carawaysill.model.identity.ExchangeIdentifier;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.Invariant;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.policy.NodePolicy;
+import org.carawaysill.policy.effect.Effect;
+import org.carawaysill.policy.effect.NodeStatus;
+import org.carawaysill.policy.engine.NodeIdentity;
+import org.carawaysill.policy.engine.OverloadPolicy;
+import org.carawaysill.policy.engine.PolicySettings;
+import org.carawaysill.policy.event.Event;
+import org.carawaysill.policy.message.PeerMessage.RosterMember;
+import org.carawaysill.policy.time.Moment;
+
+/**
+ * One node: the real policy, with clocks, adapters and a process that can be paused, killed and started again.
+ *
+ * <p>Invariant: nothing reaches a process that started after it was sent. Not thread safe: one schedule owns it.
+ */
+final class SimulatedNode {
+
+    private static final long EPOCH_MILLIS = 1_790_000_000_000L;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final long EARLIEST_WAKE_NANOS = 100_000L;
+
+    private final NodeName name;
+    private final Schedule schedule;
+    private final RandomGenerator random;
+    private final SimulatedCopy copy;
+    private final Map<ExchangeIdentifier, Consumer<Optional<Outcome>>> exchanges = new HashMap<>();
+    private final Map<ServiceName, Long> versions = new HashMap<>();
+    private Optional<NodePolicy> policy = Optional.empty();
+    private long incarnation;
+    private long monotonicOrigin;
+    private long skewMillis;
+    private long pausedUntil;
+    private long wakeAt = Long.MAX_VALUE;
+    private long drainedAt = Long.MAX_VALUE;
+
+    SimulatedNode(NodeName name, Schedule schedule, RandomGenerator random) {
+        this.name = name;
+        this.schedule = schedule;
+        this.random = random;
+        this.copy = new SimulatedCopy(this, schedule, random);
+    }
+
+    NodeName name() {
+        return name;
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+
+    boolean alive() {
+        return policy.isPresent();
+    }
+
+    boolean draining() {
+        return drainedAt != Long.MAX_VALUE;
+    }
+
+    Map<ServiceName, Long> versions() {
+        return versions;
+    }
+
+    void start() {
+        skewMillis = random.nextLong(-20, 21);
+        monotonicOrigin = random.nextLong(1L << 40);
+        Moment now = moment();
+        incarnation = Math.max(incarnation + 1, now.epochMillis());
+        NodeIdentity identity = new NodeIdentity(
+                name, Topology.serviceOf(name), new AvailabilityZone(Topology.zoneOf(name)), incarnation);
+        RosterMember self = new RosterMember(name, "127.0.0.1", Topology.portOf(name));
+        policy = Optional.of(new OverloadPolicy(
+                identity,
+                self,
+                PolicySettings.DEFAULTS,
+                schedule.documents(),
+                new SplittableRandom(random.nextLong()),
+                now));
+        pausedUntil = 0;
+        drainedAt = Long.MAX_VALUE;
+        versions.clear();
+        schedule.platform().listed(name);
+        deliver(incarnation, new Event.WakeUp());
+    }
+
+    void kill() {
+        schedule.journal().note(schedule.now(), name + " ends");
+        policy = Optional.empty();
+        wakeAt = Long.MAX_VALUE;
+        schedule.network().processEnded(name);
+        List<Consumer<Optional<Outcome>>> waiting = List.copyOf(exchanges.values());
+        exchanges.clear();
+        waiting.forEach(waiter -> waiter.accept(Optional.empty()));
+    }
+
+    void pause(long nanos) {
+        schedule.journal().note(schedule.now(), name + " is paused");
+        pausedUntil = schedule.now() + nanos;
+    }
+
+    void drain() {
+        schedule.journal().note(schedule.now(), name + " drains");
+        drainedAt = schedule.now();
+        deliver(incarnation, new Event.DrainOrdered());
+    }
+
+    /** Opens an exchange whose outcome goes to the waiter; empty when the process ends before it answers. */
+    void open(ExchangeIdentifier exchange, Consumer<Optional<Outcome>> waiter, Event request) {
+        if (!alive()) {
+            waiter.accept(Optional.empty());
+            return;
+        }
+        exchanges.put(exchange, waiter);
+        deliver(incarnation, request);
+    }
+
+    void close(ExchangeIdentifier exchange) {
+        if (exchanges.remove(exchange) != null) {
+            deliver(incarnation, new Event.ExchangeClosed(exchange));
+        }
+    }
+
+    void deliver(long toIncarnation, Event event) {
+        if (!alive() || toIncarnation != incarnation) {
+            return;
+        }
+        if (schedule.now() < pausedUntil) {
+            schedule.agenda().at(pausedUntil, () -> deliver(toIncarnation, event));
+            return;
+        }
+        decide(event);
+    }
+
+    private void decide(Event event) {
+        long decidedBy = incarnation;
+        for (Effect effect : policy.orElseThrow().decide(moment(), event)) {
+            // A process may be paused between a decision and its execution; the rest is then carried out late.
+            schedule.agenda().at(Math.max(schedule.now(), pausedUntil), () -> execute(decidedBy, effect));
+            if (random.nextDouble() < schedule.pauseRate()) {
+                pause(random.nextLong(schedule.longestPause()));
+            }
+        }
+        scheduleWake();
+    }
+
+    private void scheduleWake() {
+        long due = policy.orElseThrow().nextWakeNanos();
+        if (due == Long.MAX_VALUE) {
+            return;
+        }
+        long at = Math.max(due - monotonicOrigin, schedule.now() + EARLIEST_WAKE_NANOS);
+        if (at >= wakeAt) {
+            return;
+        }
+        wakeAt = at;
+        long wokenIncarnation = incarnation;
+        schedule.agenda().at(at, () -> {
+            if (wakeAt == at && wokenIncarnation == incarnation) {
+                wakeAt = Long.MAX_VALUE;
+                deliver(wokenIncarnation, new Event.WakeUp());
+            }
+        });
+    }
+
+    private void execute(long decidedBy, Effect effect) {
+        if (!alive() || decidedBy != incarnation) {
+            return;
+        }
+        if (schedule.now() < pausedUntil) {
+            schedule.agenda().at(pausedUntil, () -> execute(decidedBy, effect));
+            return;
+        }
+        switch (effect) {
+            case Effect.HandToCopy hand -> copy.run(hand, moment().nanos());
+            case Effect.CancelAtCopy cancel -> copy.cancel(cancel.attempt());
+            case Effect.AnswerExchange answer -> answer(answer);
+            case Effect.SendToPeer send -> schedule.network().send(this, send.peer(), send.message());
+            case Effect.ConnectPeer connect -> schedule.network().connect(name, connect.peer());
+            case Effect.DisconnectPeer disconnect -> schedule.network().disconnect(name, disconnect.peer());
+            case Effect.ReadConfiguration read -> schedule.platform().read(this, read);
+            case Effect.ReadVmList read -> schedule.platform().readVmList(this);
+            case Effect.Count(Invariant invariant) ->
+                schedule.journal().breach(schedule.now(), invariant, "counted by " + name);
+            case Effect.Count count -> {}
+            case Effect.LogChange change -> {}
+            case Effect.PublishStatus published -> checkVersions(published.status());
+            case Effect.StopProcess stop -> stop();
+        }
+    }
+
+    private void answer(Effect.AnswerExchange answer) {
+        Consumer<Optional<Outcome>> waiter = exchanges.remove(answer.exchange());
+        if (waiter != null) {
+            waiter.accept(Optional.of(answer.outcome()));
+        }
+    }
+
+    private void checkVersions(NodeStatus status) {
+        status.versions().forEach((service, version) -> {
+            long before = versions.getOrDefault(service, 0L);
+            if (version < before) {
+                schedule.journal()
+                        .breach(
+                                schedule.now(),
+                                Invariant.VERSION_NEVER_FALLS,
+                                name + " fell from " + before + " to " + version + " of " + service);
+            }
+            versions.put(service, version);
+        });
+    }
+
+    private void stop() {
+        if (!exchanges.isEmpty() || copy.busy()) {
+            schedule.journal()
+                    .breach(schedule.now(), Invariant.GRACEFUL_STOP, name + " stopped with requests in flight");
+        }
+        kill();
+    }
+
+    /** New work some seconds after the order to leave would be a breach; what the node accepted before may go on. */
+    boolean leftLongAgo(long graceNanos) {
+        return draining() && schedule.now() - drainedAt > graceNanos;
+    }
+
+    private Moment moment() {
+        long now = schedule.now();
+        return new Moment(now + monotonicOrigin, EPOCH_MILLIS + now / NANOS_PER_MILLI + skewMillis);
+    }
+
+    static long wallMillis(long now) {
+        return EPOCH_MILLIS + now / NANOS_PER_MILLI;
+    }
+}
