--- a/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
@@ -130,6 +130,7 @@
      * @param service the service whose roster it concerns
      * @param requester the sender as its settings describe it
      * @param incarnation the start time of the sender's process in milliseconds since 1970
+     * @param wallMillis the sender's wall clock at sending, since 1970
      * @param sequence echoed in the reply
      * @param durationNanos the length asked for, counted by the sender from before it sent this; zero gives the lease back
      * @param rosterVersion the version of the roster under which the sender would act
@@ -142,6 +143,7 @@
             ServiceName service,
             RosterMember requester,
             long incarnation,
+            long wallMillis,
             long sequence,
             long durationNanos,
             long rosterVersion,
@@ -164,8 +166,10 @@
         GRANTED_FOR_UNMOVED,
         /** No lease now: another one is in force, a newer roster is known, or the granter just started. */
         REFUSED,
-        /** No lease until the receiver has been told the members of the roster. */
-        UNKNOWN_ROSTER
+        /** No lease until the granter has been told the members of the roster. */
+        UNKNOWN_ROSTER,
+        /** No lease while the wall clocks of the sender and of the granter are too far apart. */
+        CLOCKS_APART
     }
 
     /**
