--- /dev/null
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/LinkLimits.java
@@ -0,0 +1,227 @@
+package org.carawaysill.protocol.link;
+
+import java.time.Duration;
+
+/**
+ * The limits that a {@link PeerLink} keeps.
+ *
+ * <p>Invariant: all positive, and the shortest delay before a new dial is not above the longest. Immutable and thread
+ * safe.
+ *
+ * @param maximumFrameBytes the largest frame, either way
+ * @param highWaterMarkBytes bytes waiting to be written to one peer above which further messages to it are unsent
+ * @param socketBufferBytes the size asked for the operating system's buffers, each way
+ * @param ringCapacity messages that may wait for the event loop; a power of two
+ * @param connectLimit how long a dial may take
+ * @param greetingLimit how long the greeting may take
+ * @param drainLimit how long a frame may wait to be written before its peer counts as a slow reader
+ * @param probeLimit how long a peer whose place another connection asks for may stay silent
+ * @param closingLimit how long an orderly close may take
+ * @param shortestRedial the first delay before dialling again
+ * @param longestRedial the delay that further failures lead to
+ */
+public record LinkLimits(
+        int maximumFrameBytes,
+        int highWaterMarkBytes,
+        int socketBufferBytes,
+        int ringCapacity,
+        Duration connectLimit,
+        Duration greetingLimit,
+        Duration drainLimit,
+        Duration probeLimit,
+        Duration closingLimit,
+        Duration shortestRedial,
+        Duration longestRedial) {
+
+    private static final int MEBIBYTE = 1024 * 1024;
+    private static final int KIBIBYTE = 1024;
+
+    public LinkLimits {
+        requirePositive("maximumFrameBytes", maximumFrameBytes);
+        requirePositive("highWaterMarkBytes", highWaterMarkBytes);
+        requirePositive("socketBufferBytes", socketBufferBytes);
+        requirePositive("ringCapacity", ringCapacity);
+        requirePositive("connectLimit", connectLimit.toMillis());
+        requirePositive("greetingLimit", greetingLimit.toMillis());
+        requirePositive("drainLimit", drainLimit.toMillis());
+        requirePositive("probeLimit", probeLimit.toMillis());
+        requirePositive("closingLimit", closingLimit.toMillis());
+        requirePositive("shortestRedial", shortestRedial.toMillis());
+        requirePositive("longestRedial", longestRedial.minus(shortestRedial).toMillis() + 1);
+    }
+
+    /**
+     * Starts from the default limits.
+     *
+     * @return a builder
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /**
+     * Gives the default limits.
+     *
+     * @return the limits
+     */
+    public static LinkLimits defaults() {
+        return builder().build();
+    }
+
+    private static void requirePositive(String name, long value) {
+        if (value <= 0) {
+            throw new IllegalArgumentException(name + " is out of range");
+        }
+    }
+
+    /** Collects limits; what is not set keeps its default. Not thread safe. */
+    public static final class Builder {
+
+        private int maximumFrameBytes = 4 * MEBIBYTE;
+        private int highWaterMarkBytes = 8 * MEBIBYTE;
+        private int socketBufferBytes = 256 * KIBIBYTE;
+        private int ringCapacity = 8192;
+        private Duration connectLimit = Duration.ofSeconds(2);
+        private Duration greetingLimit = Duration.ofSeconds(3);
+        private Duration drainLimit = Duration.ofSeconds(5);
+        private Duration probeLimit = Duration.ofSeconds(1);
+        private Duration closingLimit = Duration.ofMillis(500);
+        private Duration shortestRedial = Duration.ofMillis(50);
+        private Duration longestRedial = Duration.ofSeconds(2);
+
+        private Builder() {}
+
+        /**
+         * Sets the largest frame.
+         *
+         * @param bytes the size in bytes
+         * @return this builder
+         */
+        public Builder maximumFrameBytes(int bytes) {
+            maximumFrameBytes = bytes;
+            return this;
+        }
+
+        /**
+         * Sets how much may wait to be written to one peer.
+         *
+         * @param bytes the size in bytes
+         * @return this builder
+         */
+        public Builder highWaterMarkBytes(int bytes) {
+            highWaterMarkBytes = bytes;
+            return this;
+        }
+
+        /**
+         * Sets the size of the operating system's buffers.
+         *
+         * @param bytes the size in bytes
+         * @return this builder
+         */
+        public Builder socketBufferBytes(int bytes) {
+            socketBufferBytes = bytes;
+            return this;
+        }
+
+        /**
+         * Sets how many messages may wait for the event loop.
+         *
+         * @param messages the number, rounded up to a power of two
+         * @return this builder
+         */
+        public Builder ringCapacity(int messages) {
+            ringCapacity = messages;
+            return this;
+        }
+
+        /**
+         * Sets how long a dial may take.
+         *
+         * @param limit the limit
+         * @return this builder
+         */
+        public Builder connectLimit(Duration limit) {
+            connectLimit = limit;
+            return this;
+        }
+
+        /**
+         * Sets how long the greeting may take.
+         *
+         * @param limit the limit
+         * @return this builder
+         */
+        public Builder greetingLimit(Duration limit) {
+            greetingLimit = limit;
+            return this;
+        }
+
+        /**
+         * Sets how long a frame may wait to be written.
+         *
+         * @param limit the limit
+         * @return this builder
+         */
+        public Builder drainLimit(Duration limit) {
+            drainLimit = limit;
+            return this;
+        }
+
+        /**
+         * Sets how long a probed peer may stay silent.
+         *
+         * @param limit the limit
+         * @return this builder
+         */
+        public Builder probeLimit(Duration limit) {
+            probeLimit = limit;
+            return this;
+        }
+
+        /**
+         * Sets how long an orderly close may take.
+         *
+         * @param limit the limit
+         * @return this builder
+         */
+        public Builder closingLimit(Duration limit) {
+            closingLimit = limit;
+            return this;
+        }
+
+        /**
+         * Sets the delays before dialling again.
+         *
+         * @param shortest the first delay
+         * @param longest the delay that further failures lead to
+         * @return this builder
+         */
+        public Builder redial(Duration shortest, Duration longest) {
+            shortestRedial = shortest;
+            longestRedial = longest;
+            return this;
+        }
+
+        /**
+         * Builds the limits.
+         *
+         * @return the limits
+         * @throws IllegalArgumentException if one is out of range
+         */
+        public LinkLimits build() {
+            return new LinkLimits(
+                    maximumFrameBytes,
+                    highWaterMarkBytes,
+                    socketBufferBytes,
+                    ringCapacity,
+                    connectLimit,
+                    greetingLimit,
+                    drainLimit,
+                    probeLimit,
+                    closingLimit,
+                    shortestRedial,
+                    longestRedial);
+        }
+    }
+}
