Carry messages between nodes over Netty with protobuf

One event loop thread, length-delimited frames, a greeting with magic, version, name and incarnation, and one connection per pair of nodes, chosen by the node with the lesser name. Bodies carry their length and CRC-32C.

--- /dev/null
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/BodyCodec.java
@@ -0,0 +1,48 @@
+package org.carawaysill.protocol.codec;
+
+import com.google.protobuf.UnsafeByteOperations;
+import java.util.zip.CRC32C;
+import org.carawaysill.model.request.Body;
+import org.carawaysill.protocol.generated.BodyFrame;
+
+/**
+ * Translates bodies, with their length and their checksum as end mark.
+ *
+ * <p>The guard is against an answer that ends early and is taken for a short but whole one: the caller would see a
+ * truncated bill. Length and checksum are stated when the body is known to be whole, and are compared where it arrives,
+ * so that whatever cuts or alters it on the way shows as a fault. Stateless and thread safe.
+ */
+final class BodyCodec {
+
+    private BodyCodec() {}
+
+    static BodyFrame encode(Body body) {
+        return encode(body.bytes());
+    }
+
+    static BodyFrame encode(byte[] bytes) {
+        return BodyFrame.newBuilder()
+                .setLength(bytes.length)
+                .setContent(UnsafeByteOperations.unsafeWrap(bytes))
+                .setChecksum(checksum(bytes))
+                .build();
+    }
+
+    static byte[] decode(boolean present, BodyFrame frame) throws ProtocolFault {
+        Fields.present(present, "body");
+        if (frame.getLength() != frame.getContent().size()) {
+            throw new ProtocolFault(ProtocolFault.Kind.WRONG_LENGTH, "body");
+        }
+        byte[] bytes = frame.getContent().toByteArray();
+        if (frame.getChecksum() != checksum(bytes)) {
+            throw new ProtocolFault(ProtocolFault.Kind.WRONG_CHECKSUM, "body");
+        }
+        return bytes;
+    }
+
+    private static int checksum(byte[] bytes) {
+        CRC32C checksum = new CRC32C();
+        checksum.update(bytes, 0, bytes.length);
+        return (int) checksum.getValue();
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/ContentCodec.java
@@ -0,0 +1,72 @@
+package org.carawaysill.protocol.codec;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.carawaysill.model.request.AnswerContent;
+import org.carawaysill.model.request.Body;
+import org.carawaysill.model.request.Header;
+import org.carawaysill.model.request.RequestContent;
+import org.carawaysill.protocol.generated.AnswerContentFrame;
+import org.carawaysill.protocol.generated.HeaderField;
+import org.carawaysill.protocol.generated.RequestContentFrame;
+
+/** Translates HTTP requests and answers. Stateless and thread safe. */
+final class ContentCodec {
+
+    private static final int LEAST_STATUS = 100;
+    private static final int GREATEST_STATUS = 999;
+
+    private ContentCodec() {}
+
+    static RequestContentFrame encode(RequestContent content) {
+        return RequestContentFrame.newBuilder()
+                .setMethod(content.method())
+                .setPath(content.path())
+                .addAllHeaders(encode(content.headers()))
+                .setBody(BodyCodec.encode(content.body()))
+                .build();
+    }
+
+    static RequestContent decode(RequestContentFrame frame) throws ProtocolFault {
+        return new RequestContent(
+                Fields.word(frame.getMethod(), "method"),
+                Fields.word(frame.getPath(), "path"),
+                decode(frame.getHeadersList()),
+                Body.wrap(BodyCodec.decode(frame.hasBody(), frame.getBody())));
+    }
+
+    static AnswerContentFrame encode(AnswerContent content) {
+        return AnswerContentFrame.newBuilder()
+                .setStatus(content.status())
+                .addAllHeaders(encode(content.headers()))
+                .setBody(BodyCodec.encode(content.body()))
+                .build();
+    }
+
+    static AnswerContent decode(AnswerContentFrame frame) throws ProtocolFault {
+        return new AnswerContent(
+                Fields.between(frame.getStatus(), LEAST_STATUS, GREATEST_STATUS, "status"),
+                decode(frame.getHeadersList()),
+                Body.wrap(BodyCodec.decode(frame.hasBody(), frame.getBody())));
+    }
+
+    private static List<HeaderField> encode(List<Header> headers) {
+        List<HeaderField> fields = new ArrayList<>(headers.size());
+        for (Header header : headers) {
+            fields.add(HeaderField.newBuilder()
+                    .setName(header.name())
+                    .setValue(header.value())
+                    .build());
+        }
+        return fields;
+    }
+
+    private static List<Header> decode(List<HeaderField> fields) throws ProtocolFault {
+        List<Header> headers = new ArrayList<>(fields.size());
+        for (HeaderField field : fields) {
+            headers.add(new Header(
+                    Fields.word(field.getName(), "header name"), Fields.line(field.getValue(), "header value")));
+        }
+        return headers;
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/Fields.java
@@ -0,0 +1,138 @@
+package org.carawaysill.protocol.codec;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.RequestIdentifier;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.Priority;
+import org.carawaysill.protocol.generated.Identifier;
+
+/** Checks of single fields, shared by the codecs. Stateless and thread safe. */
+final class Fields {
+
+    /** The longest duration that travels; a longer one is shortened to it before it is sent. */
+    static final Duration LONGEST_DURATION = Duration.ofDays(30);
+
+    /** The greatest admission cut: one above the greatest priority, when nothing is admitted. */
+    static final int GREATEST_CUT = Priority.MAXIMUM + 1;
+
+    private static final char SPACE = ' ';
+    private static final char DELETE = 0x7f;
+
+    private Fields() {}
+
+    static void present(boolean present, String field) throws ProtocolFault {
+        if (!present) {
+            throw new ProtocolFault(ProtocolFault.Kind.MISSING, field);
+        }
+    }
+
+    static String notBlank(String text, String field) throws ProtocolFault {
+        present(!text.isBlank(), field);
+        return text;
+    }
+
+    static ServiceName service(String text) throws ProtocolFault {
+        return new ServiceName(notBlank(text, "service"));
+    }
+
+    static int between(int value, int least, int greatest, String field) throws ProtocolFault {
+        if (value < least || value > greatest) {
+            throw new ProtocolFault(ProtocolFault.Kind.OUT_OF_RANGE, field);
+        }
+        return value;
+    }
+
+    static int notNegative(int value, String field) throws ProtocolFault {
+        return between(value, 0, Integer.MAX_VALUE, field);
+    }
+
+    static long notNegative(long value, String field) throws ProtocolFault {
+        if (value < 0) {
+            throw new ProtocolFault(ProtocolFault.Kind.OUT_OF_RANGE, field);
+        }
+        return value;
+    }
+
+    /** Reads a duration; the bound keeps the sum with any monotonic time from overflowing. */
+    static long durationNanos(long value, String field) throws ProtocolFault {
+        if (value < 0 || value > LONGEST_DURATION.toNanos()) {
+            throw new ProtocolFault(ProtocolFault.Kind.OUT_OF_RANGE, field);
+        }
+        return value;
+    }
+
+    /** Fits a duration to what {@link #durationNanos} accepts: a deadline that has passed travels as 0. */
+    static long fittingNanos(long nanos) {
+        return Math.clamp(nanos, 0, LONGEST_DURATION.toNanos());
+    }
+
+    /** Fits a duration of any length to what {@link #durationNanos} accepts. */
+    static long fittingNanos(Duration duration) {
+        if (duration.compareTo(LONGEST_DURATION) > 0) {
+            return LONGEST_DURATION.toNanos();
+        }
+        return duration.isNegative() ? 0 : duration.toNanos();
+    }
+
+    /**
+     * Reads a method, path or header name, which hold no white space and no control characters: one with a line end
+     * would let its sender forge HTTP headers or a whole request at the copy.
+     */
+    static String word(String text, String field) throws ProtocolFault {
+        present(!text.isEmpty(), field);
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) <= SPACE || text.charAt(i) == DELETE) {
+                throw new ProtocolFault(ProtocolFault.Kind.BAD_TEXT, field);
+            }
+        }
+        return text;
+    }
+
+    /** Reads a header's value, which holds no line end, for the same reason as {@link #word}. */
+    static String line(String text, String field) throws ProtocolFault {
+        for (int i = 0; i < text.length(); i++) {
+            char character = text.charAt(i);
+            if (character == '\r' || character == '\n' || character == 0) {
+                throw new ProtocolFault(ProtocolFault.Kind.BAD_TEXT, field);
+            }
+        }
+        return text;
+    }
+
+    static String utf8(byte[] bytes, String field) throws ProtocolFault {
+        try {
+            return StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(bytes))
+                    .toString();
+        } catch (CharacterCodingException e) {
+            throw new ProtocolFault(ProtocolFault.Kind.BAD_TEXT, field);
+        }
+    }
+
+    static Identifier identifier(AttemptIdentifier attempt) {
+        return identifier(attempt.high(), attempt.low());
+    }
+
+    static Identifier identifier(RequestIdentifier request) {
+        return identifier(request.high(), request.low());
+    }
+
+    private static Identifier identifier(long high, long low) {
+        return Identifier.newBuilder().setHigh(high).setLow(low).build();
+    }
+
+    static AttemptIdentifier attempt(boolean present, Identifier identifier) throws ProtocolFault {
+        present(present, "attempt");
+        return new AttemptIdentifier(identifier.getHigh(), identifier.getLow());
+    }
+
+    static RequestIdentifier request(boolean present, Identifier identifier) throws ProtocolFault {
+        present(present, "request");
+        return new RequestIdentifier(identifier.getHigh(), identifier.getLow());
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/PeerMessageCodec.java
@@ -0,0 +1,78 @@
+package org.carawaysill.protocol.codec;
+
+import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.PeerMessage.CancelAttempt;
+import org.carawaysill.policy.message.PeerMessage.ConfigurationChange;
+import org.carawaysill.policy.message.PeerMessage.ConfigurationDocument;
+import org.carawaysill.policy.message.PeerMessage.ConfigurationWanted;
+import org.carawaysill.policy.message.PeerMessage.DrainNotice;
+import org.carawaysill.policy.message.PeerMessage.Heartbeat;
+import org.carawaysill.policy.message.PeerMessage.HolderHandover;
+import org.carawaysill.policy.message.PeerMessage.LeaseReply;
+import org.carawaysill.policy.message.PeerMessage.LeaseRequest;
+import org.carawaysill.policy.message.PeerMessage.PeerAnswer;
+import org.carawaysill.policy.message.PeerMessage.PeerRequest;
+import org.carawaysill.protocol.generated.DrainNoticeFrame;
+import org.carawaysill.protocol.generated.Frame;
+
+/**
+ * Translates the policy's messages to frames and back.
+ *
+ * <p>Invariants: every message can be encoded; decoding gives an equal message, but for durations, which are fitted to 0
+ * to 30 days, and text that is not well-formed UTF-16; whatever a frame holds, decoding it gives a message or a
+ * {@link ProtocolFault} and nothing else. Stateless and thread safe.
+ */
+public final class PeerMessageCodec {
+
+    private PeerMessageCodec() {}
+
+    /**
+     * Translates a message to a frame.
+     *
+     * @param message the message
+     * @return the frame, which refers to the bytes of the message's body without a copy
+     */
+    public static Frame encode(PeerMessage message) {
+        Frame.Builder frame = Frame.newBuilder();
+        switch (message) {
+            case PeerRequest request -> frame.setPeerRequest(RequestCodec.encode(request));
+            case PeerAnswer answer -> frame.setPeerAnswer(RequestCodec.encode(answer));
+            case CancelAttempt cancel -> frame.setCancelAttempt(RequestCodec.encode(cancel));
+            case DrainNotice _ -> frame.setDrainNotice(DrainNoticeFrame.getDefaultInstance());
+            case Heartbeat heartbeat -> frame.setHeartbeat(ControlCodec.encode(heartbeat));
+            case LeaseRequest request -> frame.setLeaseRequest(ControlCodec.encode(request));
+            case LeaseReply reply -> frame.setLeaseReply(ControlCodec.encode(reply));
+            case HolderHandover handover -> frame.setHolderHandover(ControlCodec.encode(handover));
+            case ConfigurationWanted wanted -> frame.setConfigurationWanted(ConfigurationCodec.encode(wanted));
+            case ConfigurationDocument document -> frame.setConfigurationDocument(ConfigurationCodec.encode(document));
+            case ConfigurationChange change -> frame.setConfigurationChange(ConfigurationCodec.encode(change));
+        }
+        return frame.build();
+    }
+
+    /**
+     * Translates a frame to a message.
+     *
+     * @param frame the frame
+     * @return the message
+     * @throws ProtocolFault if the frame holds no message, or a malformed one
+     */
+    public static PeerMessage decode(Frame frame) throws ProtocolFault {
+        return switch (frame.getKindCase()) {
+            case PEER_REQUEST -> RequestCodec.decode(frame.getPeerRequest());
+            case PEER_ANSWER -> RequestCodec.decode(frame.getPeerAnswer());
+            case CANCEL_ATTEMPT -> RequestCodec.decode(frame.getCancelAttempt());
+            case DRAIN_NOTICE -> new DrainNotice();
+            case HEARTBEAT -> ControlCodec.decode(frame.getHeartbeat());
+            case LEASE_REQUEST -> ControlCodec.decode(frame.getLeaseRequest());
+            case LEASE_REPLY -> ControlCodec.decode(frame.getLeaseReply());
+            case HOLDER_HANDOVER -> ControlCodec.decode(frame.getHolderHandover());
+            case CONFIGURATION_WANTED -> ConfigurationCodec.decode(frame.getConfigurationWanted());
+            case CONFIGURATION_DOCUMENT -> ConfigurationCodec.decode(frame.getConfigurationDocument());
+            case CONFIGURATION_CHANGE -> ConfigurationCodec.decode(frame.getConfigurationChange());
+            case HELLO, ACCEPTED, REFUSED, PROBE, PROBE_REPLY, KIND_NOT_SET ->
+                throw new ProtocolFault(
+                        ProtocolFault.Kind.UNEXPECTED_FRAME, frame.getKindCase().name());
+        };
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/Greeting.java
@@ -0,0 +1,82 @@
+package org.carawaysill.protocol.link;
+
+import java.util.Optional;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.protocol.generated.Accepted;
+import org.carawaysill.protocol.generated.Frame;
+import org.carawaysill.protocol.generated.Hello;
+import org.carawaysill.protocol.generated.Refused;
+
+/** Writes and checks the frames with which a connection begins. Stateless and thread safe. */
+final class Greeting {
+
+    /** The largest frame that is read before the other side has greeted. */
+    static final int MAXIMUM_BYTES = 4096;
+
+    static final long MAGIC = 0x6361_7261_7761_7953L;
+    static final int VERSION = 1;
+
+    static final Frame ACCEPTED =
+            Frame.newBuilder().setAccepted(Accepted.getDefaultInstance()).build();
+
+    private Greeting() {}
+
+    /** What the first frame of the other side amounts to. */
+    sealed interface Result {
+
+        /** A greeting of this protocol, from a node that may be talked to. */
+        record Greeted(LinkIdentity peer, long connection) implements Result {}
+
+        /** Anything else. */
+        record Faulty(LinkFaultKind kind, String detail) implements Result {}
+    }
+
+    static Frame hello(LinkIdentity self, long connection) {
+        Hello hello = Hello.newBuilder()
+                .setMagic(MAGIC)
+                .setVersion(VERSION)
+                .setNode(self.name().value())
+                .setService(self.service().value())
+                .setIncarnation(self.incarnation())
+                .setConnection(connection)
+                .build();
+        return Frame.newBuilder().setHello(hello).build();
+    }
+
+    static Frame refused(LinkFaultKind reason) {
+        return Frame.newBuilder()
+                .setRefused(Refused.newBuilder().setReason(reason.name()))
+                .build();
+    }
+
+    static Result check(Frame frame, LinkIdentity self, Optional<NodeName> expected) {
+        if (frame.getKindCase() == Frame.KindCase.REFUSED) {
+            return new Result.Faulty(
+                    LinkFaultKind.REFUSED_BY_PEER, frame.getRefused().getReason());
+        }
+        Hello hello = frame.getHello();
+        if (frame.getKindCase() != Frame.KindCase.HELLO || hello.getMagic() != MAGIC) {
+            return new Result.Faulty(LinkFaultKind.WRONG_MAGIC, "the first frame is no greeting");
+        }
+        if (hello.getVersion() != VERSION) {
+            return new Result.Faulty(LinkFaultKind.WRONG_VERSION, "version " + hello.getVersion());
+        }
+        if (hello.getNode().isBlank() || hello.getService().isBlank() || hello.getIncarnation() < 0) {
+            return new Result.Faulty(LinkFaultKind.MALFORMED, "incomplete greeting");
+        }
+        return checkName(hello, self, expected);
+    }
+
+    private static Result checkName(Hello hello, LinkIdentity self, Optional<NodeName> expected) {
+        NodeName name = new NodeName(hello.getNode());
+        if (name.equals(self.name())) {
+            return new Result.Faulty(LinkFaultKind.OWN_NAME, "greeted with this node's name");
+        }
+        if (expected.isPresent() && !expected.get().equals(name)) {
+            return new Result.Faulty(LinkFaultKind.WRONG_PEER, "greeted as " + name);
+        }
+        LinkIdentity peer = new LinkIdentity(name, new ServiceName(hello.getService()), hello.getIncarnation());
+        return new Result.Greeted(peer, hello.getConnection());
+    }
+}
--- a/protocol/src/main/java/org/carawaysill/protocol/link/LinkFaultKind.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/LinkFaultKind.java
@@ -1,5 +1,7 @@
 package org.carawaysill.protocol.link;
 
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.TooLongFrameException;
 import org.carawaysill.model.request.Step;
 
 /** What can go wrong with a connection between nodes; each kind has its own counter. Immutable and thread safe. */
@@ -49,4 +51,12 @@
     public Step step() {
         return step;
     }
+
+    static LinkFaultKind of(Throwable cause) {
+        return switch (cause) {
+            case TooLongFrameException _ -> OVERSIZE;
+            case CorruptedFrameException _ -> MALFORMED;
+            default -> BROKEN;
+        };
+    }
 }
--- /dev/null
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/LinkIdentity.java
@@ -0,0 +1,21 @@
+package org.carawaysill.protocol.link;
+
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+
+/**
+ * Who a node is, as it says in its greeting.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param name the node's name
+ * @param service the service of its copy
+ * @param incarnation the start time of its process in milliseconds since 1970
+ */
+record LinkIdentity(NodeName name, ServiceName service, long incarnation) {
+
+    /** Tells whether this node, of the two, chooses which of several connections carries their messages. */
+    boolean choosesAgainst(LinkIdentity other) {
+        return name.compareTo(other.name) < 0;
+    }
+}
--- a/protocol/src/main/java/org/carawaysill/protocol/link/PeerLink.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/PeerLink.java
@@ -1,24 +1,60 @@
 package org.carawaysill.protocol.link;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.random.RandomGenerator;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.policy.message.PeerMessage;
 
 /**
- * This node's connections to other nodes.
+ * This node's connections to other nodes, on one event loop thread.
  *
- * <p>Invariant: at most one connection to a peer carries messages at a time, whoever dialled it. All methods are thread
- * safe and none but {@link #close} blocks.
+ * <p>Invariants: at most one connection to a peer carries messages at a time, whoever dialled it, so that the messages of
+ * one sending thread to a peer arrive in order, and between connected and lost without a gap up to the loss; each message
+ * is written or reported as unsent. All methods are thread safe and none but {@link #close} blocks.
  */
 public final class PeerLink implements AutoCloseable {
 
-    private final PeerListener listener;
+    private static final int CHECKS_PER_DRAIN_LIMIT = 4;
+    private static final Duration STOP_LIMIT = Duration.ofSeconds(1);
+
+    private final EventLoopGroup group;
+    private final EventLoop eventLoop;
+    private final InetSocketAddress address;
+    private final PeerTable table;
+    private final Acceptor acceptor;
+    private final Dialler dialler;
+    private final SendRing ring;
+    private final AtomicBoolean closing = new AtomicBoolean();
 
     private PeerLink(Builder builder) {
-        listener = builder.listener.orElseThrow(() -> new IllegalStateException("a listener is needed"));
+        LinkIdentity self = new LinkIdentity(
+                required(builder.self, "name"), required(builder.service, "service"), builder.incarnation);
+        group = new MultiThreadIoEventLoopGroup(
+                1, new DefaultThreadFactory("peer-link", true), NioIoHandler.newFactory());
+        eventLoop = group.next();
+        address = new InetSocketAddress(builder.host, builder.port);
+        table = new PeerTable(self, builder.limits, required(builder.listener, "listener"), builder.random);
+        acceptor = new Acceptor(eventLoop, table);
+        dialler = new Dialler(eventLoop, table, builder.random);
+        ring = new SendRing(table, eventLoop);
+        table.whenLost(dialler::lost);
+    }
+
+    private static <T> T required(Optional<T> value, String name) {
+        return value.orElseThrow(() -> new IllegalStateException("a link needs a " + name));
     }
 
     /**
@@ -36,45 +72,97 @@
      * @return the bound TCP port, or the failure to bind
      */
     public CompletableFuture<Integer> start() {
-        return CompletableFuture.failedFuture(new UnsupportedOperationException("not written yet"));
+        long interval = table.limits().drainLimit().toNanos() / CHECKS_PER_DRAIN_LIMIT;
+        eventLoop.scheduleAtFixedRate(table::checkDraining, interval, interval, TimeUnit.NANOSECONDS);
+        return acceptor.bind(address);
     }
 
     /**
-     * Keeps a connection open to a peer: dials it while there is none, at jittered intervals.
+     * Keeps a connection open to a peer: dials it while there is none, at jittered intervals. Whether this node dialled
+     * or the peer did, one connection serves both directions.
      *
      * @param peer the other node
      * @param host its IP number
      * @param port its TCP port for nodes
      */
-    public void connect(NodeName peer, String host, int port) {}
+    public void connect(NodeName peer, String host, int port) {
+        InetSocketAddress peerAddress = new InetSocketAddress(host, port);
+        onEventLoop(() -> dialler.want(peer, peerAddress));
+    }
 
     /**
-     * Stops dialling a peer, and closes the connection to it once what was sent is written.
+     * Stops dialling a peer, and closes the connection to it once what was sent before is written. The peer may dial
+     * again.
      *
      * @param peer the other node
      */
-    public void disconnect(NodeName peer) {}
+    public void disconnect(NodeName peer) {
+        onEventLoop(() -> {
+            dialler.forget(peer);
+            ring.drainFully();
+            table.close(peer);
+        });
+    }
 
     /**
-     * Sends a message, in the order of the calls of one thread.
+     * Sends a message, in the order of the calls of one thread. It is reported as unsent if there is no connection to the
+     * peer, if the ring is full, if too much waits for the peer already, if the message is larger than a frame may be, or
+     * if the connection is lost before any byte of it is given to the operating system.
      *
      * @param peer the other node
      * @param message the message
      */
     public void send(NodeName peer, PeerMessage message) {
-        listener.unsent(peer, message);
+        ring.offer(new Outgoing(peer, message));
     }
 
     /**
-     * Drops all traffic of some peers both ways, for tests of partitions: connections to them stay but are silent.
+     * Drops all traffic of some peers both ways, for tests of partitions: connections to them stay but are silent, and
+     * what is sent to them is neither written nor reported as unsent.
      *
      * @param peers the peers, in place of those given before
      */
-    public void block(Set<NodeName> peers) {}
+    public void block(Set<NodeName> peers) {
+        table.block(peers);
+    }
+
+    /**
+     * Gives what this link has counted.
+     *
+     * @return the counters, which go on counting
+     */
+    public LinkCounters counters() {
+        return table.counters();
+    }
 
-    /** Writes what was sent, closes all connections and stops the event loop. */
+    /**
+     * Writes what was sent, closes all connections and stops the event loop; waits for that, at most the closing limit
+     * and a second. Not to be called by the listener, whose thread it waits for.
+     */
     @Override
-    public void close() {}
+    public void close() {
+        if (!closing.compareAndSet(false, true)) {
+            return;
+        }
+        eventLoop.execute(this::closeConnections);
+        long limit = table.limits().closingLimit().plus(STOP_LIMIT).toMillis();
+        if (group.terminationFuture().awaitUninterruptibly(limit)) {
+            ring.stop();
+        }
+    }
+
+    private void closeConnections() {
+        acceptor.close();
+        dialler.forgetAll();
+        ring.drainFully();
+        table.closeAll(() -> group.shutdownGracefully(0, STOP_LIMIT.toMillis(), TimeUnit.MILLISECONDS));
+    }
+
+    private void onEventLoop(Runnable task) {
+        if (!closing.get()) {
+            eventLoop.execute(task);
+        }
+    }
 
     /** Collects what a link needs. Not thread safe. */
     public static final class Builder {
@@ -86,6 +174,7 @@
         private String host = "127.0.0.1";
         private int port;
         private LinkLimits limits = LinkLimits.defaults();
+        private RandomGenerator random = new SplittableRandom();
 
         private Builder() {}
 
@@ -155,6 +244,17 @@
             return this;
         }
 
+        /**
+         * Sets the source of jitter and of connection identifiers, which the event loop thread owns from then on.
+         *
+         * @param generator the source
+         * @return this builder
+         */
+        public Builder random(RandomGenerator generator) {
+            random = generator;
+            return this;
+        }
+
         /**
          * Sets who hears of events.
          *
--- /dev/null
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/SendRing.java
@@ -0,0 +1,106 @@
+package org.carawaysill.protocol.link;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.jctools.queues.MessagePassingQueue;
+import org.jctools.queues.atomic.MpscAtomicArrayQueue;
+
+/**
+ * The bounded ring between the threads that send and the event loop.
+ *
+ * <p>Messages that are offered while the event loop is busy are written together and flushed once per connection.
+ * Invariants: each message offered is written or reported as unsent, once; the messages of one sender keep their order.
+ * Any thread may offer; only one thread at a time drains: the event loop, and after its end whoever holds the lock.
+ */
+final class SendRing {
+
+    /** After so many messages the event loop turns to its sockets, so that a flood of sends can't starve the reads. */
+    private static final int MOST_PER_DRAIN = 512;
+
+    private final MessagePassingQueue<Outgoing> queue;
+    private final PeerTable table;
+    private final Executor eventLoop;
+    private final AtomicBoolean drainAhead = new AtomicBoolean();
+    private volatile boolean stopped;
+
+    SendRing(PeerTable table, Executor eventLoop) {
+        this.queue = new MpscAtomicArrayQueue<>(table.limits().ringCapacity());
+        this.table = table;
+        this.eventLoop = eventLoop;
+    }
+
+    void offer(Outgoing outgoing) {
+        if (!queue.offer(outgoing)) {
+            table.unsent(outgoing.peer(), outgoing.message());
+            return;
+        }
+        if (stopped) {
+            reportRest();
+        } else if (drainAhead.compareAndSet(false, true)) {
+            drainSoon();
+        }
+    }
+
+    private void drainSoon() {
+        try {
+            eventLoop.execute(this::drain);
+        } catch (RejectedExecutionException e) {
+            // The event loop has ended just now; stop() follows and reports what is left here.
+        }
+    }
+
+    /** Writes what was offered; on the event loop. */
+    void drain() {
+        // Cleared before the first poll: what is offered after the last poll must schedule the next drain.
+        drainAhead.set(false);
+        Set<PeerConnection> written = new HashSet<>();
+        for (int i = 0; i < MOST_PER_DRAIN; i++) {
+            Outgoing next = queue.poll();
+            if (next == null) {
+                break;
+            }
+            write(next).ifPresent(written::add);
+        }
+        written.forEach(PeerConnection::flush);
+        if (!queue.isEmpty() && drainAhead.compareAndSet(false, true)) {
+            drainSoon();
+        }
+    }
+
+    /** Writes all that was offered so far; on the event loop. */
+    void drainFully() {
+        while (!queue.isEmpty()) {
+            drain();
+        }
+    }
+
+    private Optional<PeerConnection> write(Outgoing outgoing) {
+        Optional<PeerConnection> connection = table.open(outgoing.peer());
+        if (connection.isPresent() && table.isBlocked(outgoing.peer())) {
+            return Optional.empty();
+        }
+        Optional<PeerConnection> taken = connection.filter(open -> open.send(outgoing.message()));
+        if (taken.isEmpty()) {
+            table.unsent(outgoing.peer(), outgoing.message());
+        }
+        return taken;
+    }
+
+    /** Reports whatever is left, now and from now on; after the end of the event loop. */
+    void stop() {
+        stopped = true;
+        reportRest();
+    }
+
+    private synchronized void reportRest() {
+        Outgoing next = queue.poll();
+        while (next != null) {
+            table.unsent(next.peer(), next.message());
+            next = queue.poll();
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/TrafficKind.java
@@ -0,0 +1,39 @@
+package org.carawaysill.protocol.link;
+
+import org.carawaysill.protocol.generated.Frame;
+
+/** What the bytes between nodes are for; requests and answers are payload, all else is control. */
+public enum TrafficKind {
+    /** Greetings and probes. */
+    LINK,
+    /** Requests. */
+    REQUEST,
+    /** Answers. */
+    ANSWER,
+    /** Cancellations. */
+    CANCELLATION,
+    /** Drain notices. */
+    DRAIN,
+    /** Heartbeats. */
+    HEARTBEAT,
+    /** Lease requests and replies. */
+    LEASE,
+    /** Handovers of a holder's table. */
+    HANDOVER,
+    /** Configuration relayed between nodes. */
+    CONFIGURATION;
+
+    static TrafficKind of(Frame frame) {
+        return switch (frame.getKindCase()) {
+            case HELLO, ACCEPTED, REFUSED, PROBE, PROBE_REPLY, KIND_NOT_SET -> LINK;
+            case PEER_REQUEST -> REQUEST;
+            case PEER_ANSWER -> ANSWER;
+            case CANCEL_ATTEMPT -> CANCELLATION;
+            case DRAIN_NOTICE -> DRAIN;
+            case HEARTBEAT -> HEARTBEAT;
+            case LEASE_REQUEST, LEASE_REPLY -> LEASE;
+            case HOLDER_HANDOVER -> HANDOVER;
+            case CONFIGURATION_WANTED, CONFIGURATION_DOCUMENT, CONFIGURATION_CHANGE -> CONFIGURATION;
+        };
+    }
+}
--- /dev/null
+++ b/protocol/src/test/java/org/carawaysill/protocol/link/RawPeer.java
@@ -0,0 +1,80 @@
+package org.carawaysill.protocol.link;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.protocol.generated.Frame;
+
+/** The other end of a connection, under a test's full control, for what no link would do. */
+final class RawPeer implements AutoCloseable {
+
+    private static final int PATIENCE_MILLIS = 30_000;
+
+    private final Socket socket;
+    private final DataInputStream input;
+    private final DataOutputStream output;
+
+    RawPeer(Socket socket) throws IOException {
+        this.socket = socket;
+        socket.setSoTimeout(PATIENCE_MILLIS);
+        input = new DataInputStream(socket.getInputStream());
+        output = new DataOutputStream(socket.getOutputStream());
+    }
+
+    static RawPeer dial(TestNode node) throws IOException {
+        return new RawPeer(new Socket(InetAddress.getLoopbackAddress(), node.port));
+    }
+
+    static Frame hello(String name, long incarnation) {
+        return Greeting.hello(new LinkIdentity(new NodeName(name), new ServiceName("tracker"), incarnation), 1);
+    }
+
+    /** Greets a node whose name is the lesser one, up to the point at which messages may follow. */
+    static RawPeer greet(TestNode node, String name, long incarnation) throws IOException {
+        RawPeer peer = dial(node);
+        peer.write(hello(name, incarnation));
+        peer.read();
+        peer.read();
+        return peer;
+    }
+
+    void write(Frame frame) throws IOException {
+        writeBytes(frame.toByteArray());
+    }
+
+    void writeBytes(byte[] frame) throws IOException {
+        output.writeInt(frame.length);
+        output.write(frame);
+    }
+
+    /** Writes bytes with nothing before them. */
+    void writeRaw(byte[] bytes) throws IOException {
+        output.write(bytes);
+    }
+
+    Frame read() throws IOException {
+        return Frame.parseFrom(input.readNBytes(input.readInt()));
+    }
+
+    /** Waits until the other side closes, whatever it writes before. */
+    void awaitClosed() {
+        try {
+            while (input.read() >= 0) {
+                // What comes before the end does not matter here.
+            }
+        } catch (java.net.SocketTimeoutException e) {
+            throw new AssertionError("the connection was not closed", e);
+        } catch (IOException e) {
+            // A reset is an end as well.
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/protocol/src/test/java/org/carawaysill/protocol/link/TestNode.java
@@ -0,0 +1,90 @@
+package org.carawaysill.protocol.link;
+
+import java.time.Duration;
+import java.util.SplittableRandom;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.protocol.link.RecordingListener.Report;
+
+/** A started link on loopback with what it reports. */
+final class TestNode implements AutoCloseable {
+
+    static final LinkLimits QUICK = LinkLimits.builder()
+            .maximumFrameBytes(4 * 1024 * 1024)
+            .greetingLimit(Duration.ofMillis(300))
+            .drainLimit(Duration.ofMillis(400))
+            .probeLimit(Duration.ofMillis(300))
+            .closingLimit(Duration.ofSeconds(2))
+            .redial(Duration.ofMillis(5), Duration.ofMillis(50))
+            .build();
+
+    private static final long SEED = 7;
+
+    final NodeName name;
+    final RecordingListener heard = new RecordingListener();
+    final PeerLink link;
+    final int port;
+
+    TestNode(String name, long incarnation, LinkLimits limits) {
+        this(name, incarnation, limits, 0);
+    }
+
+    TestNode(String name, long incarnation, LinkLimits limits, int port) {
+        this.name = new NodeName(name);
+        link = PeerLink.builder()
+                .self(this.name)
+                .service(new ServiceName("manifests"))
+                .incarnation(incarnation)
+                .host("127.0.0.1")
+                .port(port)
+                .limits(limits)
+                .listener(heard)
+                .random(new SplittableRandom(SEED))
+                .build();
+        this.port = link.start().join();
+    }
+
+    static TestNode start(String name) {
+        return new TestNode(name, 1, QUICK);
+    }
+
+    void dial(TestNode peer) {
+        link.connect(peer.name, "127.0.0.1", peer.port);
+    }
+
+    void connect(TestNode peer) {
+        dial(peer);
+        awaitConnected(peer);
+        peer.awaitConnected(this);
+    }
+
+    void awaitConnected(TestNode peer) {
+        heard.await(_ -> isConnected(peer.name));
+    }
+
+    boolean isConnected(NodeName peer) {
+        return connections(peer) > losses(peer);
+    }
+
+    long connections(NodeName peer) {
+        return heard.of(Report.Connected.class).stream()
+                .filter(report -> report.peer().equals(peer))
+                .count();
+    }
+
+    long losses(NodeName peer) {
+        return heard.of(Report.Lost.class).stream()
+                .filter(report -> report.peer().equals(peer))
+                .count();
+    }
+
+    void send(TestNode peer, PeerMessage message) {
+        link.send(peer.name, message);
+    }
+
+    @Override
+    public void close() {
+        link.close();
+    }
+}
