Add the kernel: services found by name, duties and bounded rings

A full ring is a typed result with a counter, so that no event loop ever blocks on the policy's thread. The duty parks behind a full fence: the ring's own write order doesn't rule out that an item is written after the producer read the flag.

--- /dev/null
+++ b/kernel/src/main/java/org/carawaysill/kernel/duty/package-info.java
@@ -0,0 +1,5 @@
+/** Threads with one job each, fed by a ring. */
+@NullMarked
+package org.carawaysill.kernel.duty;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kernel/src/main/java/org/carawaysill/kernel/service/ServiceRegistry.java
@@ -0,0 +1,118 @@
+package org.carawaysill.kernel.service;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The services of one process, found by name and type.
+ *
+ * <p>Invariants: names are unique; services start in the order in which they were registered, each after the one before
+ * it works, and stop in the reverse order. Thread safe.
+ */
+public final class ServiceRegistry {
+
+    private final Map<String, Service> services = new LinkedHashMap<>();
+
+    private final Deque<Service> started = new ArrayDeque<>();
+
+    /**
+     * Adds a service.
+     *
+     * @param <S> the service's type
+     * @param service the service
+     * @return the service
+     * @throws IllegalArgumentException if another one has its name
+     */
+    public synchronized <S extends Service> S register(S service) {
+        if (services.putIfAbsent(service.name(), service) != null) {
+            throw new IllegalArgumentException("a service is already registered as " + service.name());
+        }
+        return service;
+    }
+
+    /**
+     * Looks a service up.
+     *
+     * @param <T> the type wanted
+     * @param name the service's name
+     * @param type the type wanted
+     * @return the service, or empty where none of that name has that type
+     */
+    public synchronized <T> Optional<T> find(String name, Class<T> type) {
+        return Optional.ofNullable(services.get(name)).filter(type::isInstance).map(type::cast);
+    }
+
+    /**
+     * Looks up a service that must be there.
+     *
+     * @param <T> the type wanted
+     * @param name the service's name
+     * @param type the type wanted
+     * @return the service
+     * @throws IllegalStateException if none of that name has that type
+     */
+    public <T> T require(String name, Class<T> type) {
+        return find(name, type)
+                .orElseThrow(() -> new IllegalStateException("no service " + name + " of type " + type.getName()));
+    }
+
+    /**
+     * Starts all services in order. If one fails, those started before it are stopped again.
+     *
+     * @return completes when all work; fails with the first failure
+     */
+    public CompletableFuture<Void> start() {
+        CompletableFuture<Void> chain = CompletableFuture.completedFuture(null);
+        for (Service service : registered()) {
+            chain = chain.thenCompose(ignored -> start(service));
+        }
+        CompletableFuture<Void> all = chain;
+        return all.exceptionallyCompose(failure -> ignoringFailure(stop()).thenCompose(ignored -> all));
+    }
+
+    private CompletableFuture<Void> start(Service service) {
+        return service.start().thenRun(() -> remember(service));
+    }
+
+    private synchronized List<Service> registered() {
+        return new ArrayList<>(services.values());
+    }
+
+    private synchronized void remember(Service service) {
+        started.push(service);
+    }
+
+    private synchronized List<Service> takeStarted() {
+        List<Service> lastFirst = new ArrayList<>(started);
+        started.clear();
+        return lastFirst;
+    }
+
+    /**
+     * Stops the started services in reverse order, each after the one before it has stopped, whether or not that failed.
+     *
+     * @return completes when all have stopped; fails with the first failure
+     */
+    public CompletableFuture<Void> stop() {
+        CompletableFuture<Void> chain = CompletableFuture.completedFuture(null);
+        for (Service service : takeStarted()) {
+            chain = stopAfter(chain, service);
+        }
+        return chain;
+    }
+
+    private static CompletableFuture<Void> stopAfter(CompletableFuture<Void> earlier, Service service) {
+        CompletableFuture<Void> stopped = ignoringFailure(earlier).thenCompose(ignored -> service.stop());
+        return ignoringFailure(stopped).thenCompose(ignored -> earlier).thenCompose(ignored -> stopped);
+    }
+
+    private static CompletableFuture<Void> ignoringFailure(CompletableFuture<Void> future) {
+        return future.exceptionally(failure -> null);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/carawaysill/kernel/service/package-info.java
@@ -0,0 +1,5 @@
+/** Services of a process, which find each other by name. */
+@NullMarked
+package org.carawaysill.kernel.service;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kernel/src/test/java/org/carawaysill/kernel/duty/DutyTest.java
@@ -0,0 +1,132 @@
+package org.carawaysill.kernel.duty;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CyclicBarrier;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
+import org.carawaysill.kernel.ring.BoundedRing;
+import org.carawaysill.kernel.ring.Offer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+class DutyTest {
+
+    private static final int GENEROUS_SECONDS = 30;
+
+    private final BoundedRing<Integer> ring = new BoundedRing<>(64);
+
+    private final Semaphore handled = new Semaphore(0);
+
+    private final CountDownLatch woken = new CountDownLatch(2);
+
+    private final AtomicLong nextWake = new AtomicLong(Long.MAX_VALUE);
+
+    private final AtomicInteger wakeUps = new AtomicInteger();
+
+    private final DutyWork<Integer> work = new DutyWork<>() {
+        @Override
+        public void handle(Integer item) {
+            if (item < 0) {
+                throw new IllegalStateException("broken item");
+            }
+            handled.release();
+        }
+
+        @Override
+        public void wakeUp() {
+            wakeUps.incrementAndGet();
+            woken.countDown();
+        }
+
+        @Override
+        public long nextWakeNanos() {
+            return nextWake.get();
+        }
+    };
+
+    private final Duty<Integer> duty = new Duty<>("test-duty", ring, work, Duration.ZERO);
+
+    private void offerUntilAccepted(int item) {
+        while (duty.offer(item) == Offer.FULL) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    void handlesWhatItTookBeforeItStops() throws InterruptedException {
+        IntStream.range(0, 50).forEach(duty::offer);
+        duty.start();
+        duty.stop().join();
+        assertTrue(handled.tryAcquire(50, GENEROUS_SECONDS, TimeUnit.SECONDS));
+    }
+
+    /*
+     * A request hangs although the node is idle: its event lies in the ring while the policy's thread sleeps. The
+     * producer wrote the item and read the flag before the duty, which had looked at the ring already, set it. Each
+     * round offers one item at the moment the duty goes to sleep and waits for it.
+     */
+    @Test
+    void neverSleepsOverAnItem() throws Exception {
+        duty.start();
+        int producers = 4;
+        CyclicBarrier together = new CyclicBarrier(producers);
+        List<Thread> threads = IntStream.range(0, producers)
+                .mapToObj(i -> Thread.ofPlatform().start(() -> offerRounds(together)))
+                .toList();
+        for (int round = 0; round < 5_000; round++) {
+            assertTrue(handled.tryAcquire(producers, GENEROUS_SECONDS, TimeUnit.SECONDS));
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        duty.stop().join();
+    }
+
+    private void offerRounds(CyclicBarrier together) {
+        try {
+            for (int round = 0; round < 5_000; round++) {
+                together.await();
+                offerUntilAccepted(round);
+            }
+        } catch (Exception failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
+    /*
+     * A core runs at full load on an idle node: the work asks for a wake-up in the past, again and again. The duty
+     * keeps a least time between wake-ups, so that items are still handled and few wake-ups happen.
+     */
+    @Test
+    void keepsATimeBetweenWakeUpsThatAreAlwaysDue() throws InterruptedException {
+        nextWake.set(System.nanoTime() - 1);
+        long start = System.nanoTime();
+        duty.start();
+        duty.offer(1);
+        assertTrue(handled.tryAcquire(GENEROUS_SECONDS, TimeUnit.SECONDS));
+        assertTrue(woken.await(GENEROUS_SECONDS, TimeUnit.SECONDS));
+        duty.stop().join();
+        long mostWakeUps = 1 + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+        assertTrue(wakeUps.get() <= mostWakeUps);
+    }
+
+    @Test
+    void reportsWhatTheWorkThrew() {
+        duty.start();
+        duty.offer(-1);
+        CompletionException failure =
+                assertThrows(CompletionException.class, () -> duty.stop().join());
+        assertEquals("broken item", failure.getCause().getMessage());
+    }
+}
