--- a/kernel/src/main/java/org/carawaysill/kernel/duty/Duty.java
+++ b/kernel/src/main/java/org/carawaysill/kernel/duty/Duty.java
@@ -1,19 +1,17 @@
 package org.carawaysill.kernel.duty;
 
-import java.lang.invoke.VarHandle;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.carawaysill.kernel.ring.BoundedRing;
-import org.carawaysill.kernel.ring.Offer;
 
 /**
  * A named thread with one job: it takes items from its ring, parks while there are none, and wakes at a given time.
  *
- * <p>Invariants: only this thread runs the work; an item that the ring accepted before {@link #stop()} is handled. Any
- * thread may offer. A duty starts once and stops once.
+ * <p>Invariants: only this thread runs the work; an item that the ring accepted before {@link #stop()} is handled. A
+ * duty starts once and stops once. Thread safe.
  *
  * @param <T> the type of the items
  */
@@ -35,8 +33,6 @@
 
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
-    private volatile boolean parked;
-
     private volatile boolean stopping;
 
     private long earliestWakeNanos;
@@ -73,38 +69,6 @@
         return stopped;
     }
 
-    /**
-     * Offers an item and wakes the thread if it is parked.
-     *
-     * @param item the item
-     * @return whether the ring took it
-     */
-    public Offer offer(T item) {
-        return wakeAfter(ring.offer(item));
-    }
-
-    /**
-     * Offers an item unless the ring already holds a number of items, and wakes the thread if it is parked.
-     *
-     * @param item the item
-     * @param limit how many items the ring may hold at most after this offer
-     * @return whether the ring took it
-     */
-    public Offer offerBelow(T item, int limit) {
-        return wakeAfter(ring.offerBelow(item, limit));
-    }
-
-    private Offer wakeAfter(Offer offer) {
-        // Guards against a lost wake-up, which shows as an item that waits until the next one comes. The fence orders
-        // the write of the item before the read of the flag; park() orders the flag before its last look at the ring.
-        // So either this thread sees the flag, or the duty sees the item.
-        VarHandle.fullFence();
-        if (parked) {
-            LockSupport.unpark(thread);
-        }
-        return offer;
-    }
-
     private void run() {
         try {
             while (!(stopping && ring.isEmpty())) {
@@ -120,8 +84,8 @@
         Optional<T> item = ring.poll();
         item.ifPresent(work::handle);
         boolean woken = wakeUpIfDue();
-        if (item.isEmpty() && !woken && !spin()) {
-            park();
+        if (item.isEmpty() && !woken && !stopping) {
+            ring.await(spinNanos, nanosUntilWake());
         }
     }
 
@@ -142,33 +106,4 @@
         long now = System.nanoTime();
         return Math.max(due - now, earliestWakeNanos - now);
     }
-
-    private boolean spin() {
-        long start = System.nanoTime();
-        while (System.nanoTime() - start < spinNanos) {
-            if (!ring.isEmpty()) {
-                return true;
-            }
-            Thread.onSpinWait();
-        }
-        return false;
-    }
-
-    private void park() {
-        parked = true;
-        VarHandle.fullFence();
-        if (ring.isEmpty() && !stopping) {
-            parkUntilWake();
-        }
-        parked = false;
-    }
-
-    private void parkUntilWake() {
-        long remaining = nanosUntilWake();
-        if (remaining == Long.MAX_VALUE) {
-            LockSupport.park(this);
-        } else if (remaining > 0) {
-            LockSupport.parkNanos(this, remaining);
-        }
-    }
 }
--- a/kernel/src/main/java/org/carawaysill/kernel/ring/BoundedRing.java
+++ b/kernel/src/main/java/org/carawaysill/kernel/ring/BoundedRing.java
@@ -1,14 +1,16 @@
 package org.carawaysill.kernel.ring;
 
+import java.lang.invoke.VarHandle;
 import java.util.Optional;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.concurrent.locks.LockSupport;
 import org.jctools.queues.atomic.MpscAtomicArrayQueue;
 
 /**
  * A first-in, first-out ring of fixed capacity with many producers and one consumer.
  *
  * <p>Invariants: it never holds more than its capacity, an offer never blocks, and a refused offer is counted. Any thread
- * may offer; only one thread may poll.
+ * may offer; only one thread, the consumer, may poll and await.
  *
  * @param <T> the type of the items
  */
@@ -18,6 +20,8 @@
 
     private final LongAdder refused = new LongAdder();
 
+    private volatile Optional<Thread> parkedConsumer = Optional.empty();
+
     /**
      * Makes an empty ring.
      *
@@ -28,7 +32,7 @@
     }
 
     /**
-     * Offers an item.
+     * Offers an item, and wakes the consumer if it awaits one.
      *
      * @param item the item
      * @return whether the ring took it
@@ -38,7 +42,8 @@
     }
 
     /**
-     * Offers an item unless the ring already holds a number of items, so that the rest stays free for others.
+     * Offers an item unless the ring already holds a number of items, so that the rest stays free for others; wakes the
+     * consumer if it awaits one.
      *
      * @param item the item
      * @param limit how many items the ring may hold at most after this offer
@@ -49,11 +54,51 @@
     }
 
     private Offer counted(boolean accepted) {
-        if (accepted) {
-            return Offer.ACCEPTED;
+        if (!accepted) {
+            refused.increment();
+            return Offer.FULL;
+        }
+        // Guards against a lost wake-up, which shows as an item that lies in the ring until the next one comes. The
+        // fence orders the write of the item before the read of the parked consumer; await() orders its own write of
+        // that before its last look at the ring. So either this thread sees the consumer, or the consumer the item.
+        VarHandle.fullFence();
+        parkedConsumer.ifPresent(LockSupport::unpark);
+        return Offer.ACCEPTED;
+    }
+
+    /**
+     * Waits until the ring holds an item; returns early where the thread is unparked for another reason.
+     *
+     * @param spinNanos how long to look for an item before parking, in nanoseconds
+     * @param limitNanos how long to wait at most, in nanoseconds; {@link Long#MAX_VALUE} for without limit
+     */
+    public void await(long spinNanos, long limitNanos) {
+        if (spin(Math.min(spinNanos, limitNanos))) {
+            return;
+        }
+        parkedConsumer = Optional.of(Thread.currentThread());
+        VarHandle.fullFence();
+        if (isEmpty()) {
+            park(limitNanos - spinNanos);
+        }
+        parkedConsumer = Optional.empty();
+    }
+
+    private boolean spin(long nanos) {
+        long start = System.nanoTime();
+        while (isEmpty()) {
+            if (System.nanoTime() - start >= nanos) {
+                return false;
+            }
+            Thread.onSpinWait();
+        }
+        return true;
+    }
+
+    private void park(long nanos) {
+        if (nanos > 0) {
+            LockSupport.parkNanos(this, nanos);
         }
-        refused.increment();
-        return Offer.FULL;
     }
 
     /**
--- a/kernel/src/test/java/org/carawaysill/kernel/duty/DutyTest.java
+++ b/kernel/src/test/java/org/carawaysill/kernel/duty/DutyTest.java
@@ -58,14 +58,14 @@
     private final Duty<Integer> duty = new Duty<>("test-duty", ring, work, Duration.ZERO);
 
     private void offerUntilAccepted(int item) {
-        while (duty.offer(item) == Offer.FULL) {
+        while (ring.offer(item) == Offer.FULL) {
             Thread.onSpinWait();
         }
     }
 
     @Test
     void handlesWhatItTookBeforeItStops() throws InterruptedException {
-        IntStream.range(0, 50).forEach(duty::offer);
+        IntStream.range(0, 50).forEach(ring::offer);
         duty.start();
         duty.stop().join();
         assertTrue(handled.tryAcquire(50, GENEROUS_SECONDS, TimeUnit.SECONDS));
@@ -113,7 +113,7 @@
         nextWake.set(System.nanoTime() - 1);
         long start = System.nanoTime();
         duty.start();
-        duty.offer(1);
+        ring.offer(1);
         assertTrue(handled.tryAcquire(GENEROUS_SECONDS, TimeUnit.SECONDS));
         assertTrue(woken.await(GENEROUS_SECONDS, TimeUnit.SECONDS));
         duty.stop().join();
@@ -124,7 +124,7 @@
     @Test
     void reportsWhatTheWorkThrew() {
         duty.start();
-        duty.offer(-1);
+        ring.offer(-1);
         CompletionException failure =
                 assertThrows(CompletionException.class, () -> duty.stop().join());
         assertEquals("broken item", failure.getCause().getMessage());
