Add the node: HTTP servers, the client of the local copy, platform reader, admin server, planned stop

All adapters are confined to one event loop, the policy to its own thread; a bounded ring joins them. The link between nodes can't start yet, so neither can the whole process.

--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/exchange/ExchangeServer.java
@@ -0,0 +1,213 @@
+package org.carawaysill.node.exchange;
+
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.carawaysill.kernel.ring.Offer;
+import org.carawaysill.kernel.service.Service;
+import org.carawaysill.kernel.service.ServiceRegistry;
+import org.carawaysill.model.error.CarawaysillException;
+import org.carawaysill.model.identity.ExchangeIdentifier;
+import org.carawaysill.model.identity.NetworkAddress;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.RequestContent;
+import org.carawaysill.model.request.Step;
+import org.carawaysill.node.observation.BadRequest;
+import org.carawaysill.node.observation.Counters;
+import org.carawaysill.node.observation.ExchangeResult;
+import org.carawaysill.node.observation.ExchangeSide;
+import org.carawaysill.node.policy.PolicyInbox;
+import org.carawaysill.policy.event.Event;
+
+/**
+ * An HTTP server that turns whole requests into events: the ingress for callers, or the egress for the local copy.
+ *
+ * <p>Invariant: each request gets one answer, or its connection is closed; a bad one is counted and touches no other.
+ * The two methods of {@link Service} are thread safe, all else is confined to the event loop.
+ */
+public final class ExchangeServer implements Service {
+
+    private static final int MAXIMUM_LINE_BYTES = 8192;
+
+    private static final Duration RING_FULL_RETRY_AFTER = Duration.ofMillis(500);
+
+    private static final long GRACE_SECONDS = 10;
+
+    /** How long the rest of a refused body is read and thrown away, so that the client sees the refusal. */
+    private static final long LINGER_MILLIS = 1000;
+
+    private final ExchangeSide side;
+
+    private final NetworkAddress address;
+
+    private final RequestTranslation translation;
+
+    private final Vertx vertx;
+
+    private final HttpServer server;
+
+    private final ExchangeTable table;
+
+    private final PolicyInbox inbox;
+
+    private final Counters counters;
+
+    private final ConnectionGuard guard;
+
+    private final RequestReader reader;
+
+    private ExchangeServer(
+            ExchangeSide side,
+            RequestTranslation translation,
+            ExchangeServerSettings settings,
+            ServiceRegistry registry) {
+        this.side = side;
+        this.translation = translation;
+        this.address = settings.address();
+        this.vertx = settings.vertx();
+        this.table = registry.require(ExchangeTable.NAME, ExchangeTable.class);
+        this.inbox = registry.require(PolicyInbox.NAME, PolicyInbox.class);
+        this.counters = registry.require(Counters.NAME, Counters.class);
+        this.guard = new ConnectionGuard(vertx, settings.connections(), counters);
+        this.reader = new RequestReader(settings.sizes().maximumBodyBytes(), table.budget());
+        this.server = server(settings);
+    }
+
+    /**
+     * Makes the server for callers.
+     *
+     * @param settings where and within which limits it serves
+     * @param registry where the exchange table, the inbox and the counters are found
+     * @return the server, which does not listen yet
+     */
+    public static ExchangeServer ingress(ExchangeServerSettings settings, ServiceRegistry registry) {
+        return new ExchangeServer(ExchangeSide.INGRESS, new RequestTranslation.OfCaller(), settings, registry);
+    }
+
+    /**
+     * Makes the server for the local copy's own calls.
+     *
+     * @param settings where and within which limits it serves
+     * @param registry where the exchange table, the inbox and the counters are found
+     * @return the server, which does not listen yet
+     */
+    public static ExchangeServer egress(ExchangeServerSettings settings, ServiceRegistry registry) {
+        return new ExchangeServer(ExchangeSide.EGRESS, new RequestTranslation.OfCopy(), settings, registry);
+    }
+
+    private HttpServer server(ExchangeServerSettings settings) {
+        HttpServerOptions options = new HttpServerOptions()
+                .setHttp2ClearTextEnabled(false)
+                .setHandle100ContinueAutomatically(true)
+                .setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
+                .setMaxHeaderSize(settings.sizes().maximumHeaderBytes());
+        return vertx.createHttpServer(options)
+                .connectionHandler(guard::opened)
+                .invalidRequestHandler(this::refuseUndecodable)
+                .requestHandler(this::read);
+    }
+
+    @Override
+    public String name() {
+        return side.name().toLowerCase(Locale.ROOT);
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        return server.listen(address.port(), address.host())
+                .<Void>mapEmpty()
+                .recover(failure -> Future.failedFuture(new CarawaysillException(
+                        Step.INGRESS, Optional.empty(), "can't listen at " + address + " for " + name(), failure)))
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        return server.shutdown(GRACE_SECONDS, TimeUnit.SECONDS)
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
+    /**
+     * Tells where the server listens.
+     *
+     * @return the bound port
+     */
+    public int port() {
+        return server.actualPort();
+    }
+
+    private void read(HttpServerRequest request) {
+        ConnectionWatch watch = guard.watch(request.connection());
+        watch.bodyExpected();
+        reader.read(request).thenAccept(result -> {
+            switch (result) {
+                case ReadResult.Whole whole -> open(request, watch, whole.content());
+                case ReadResult.Bad bad -> refuse(request, watch, bad.kind(), bad.detail());
+                case ReadResult.Gone ignored -> counters.exchangeEnded(side, ExchangeResult.CLOSED);
+            }
+        });
+    }
+
+    private void open(HttpServerRequest request, ConnectionWatch watch, RequestContent content) {
+        watch.answerAwaited();
+        ExchangeIdentifier identifier =
+                table.open(new Exchange(side, request, watch, content.body().length()));
+        ReceivedRequest received = new ReceivedRequest(content, request.headers());
+        switch (translation.translate(identifier, received)) {
+            case RequestTranslation.Translated.Work work -> offer(identifier, work.event());
+            case RequestTranslation.Translated.Bad bad -> {
+                table.take(identifier);
+                refuse(request, watch, bad.kind(), bad.detail());
+            }
+        }
+    }
+
+    private void offer(ExchangeIdentifier identifier, Event event) {
+        if (inbox.offerWork(event) == Offer.FULL) {
+            counters.count(RefusalReason.RING_FULL);
+            table.answer(
+                    identifier,
+                    new Outcome.NotRun(RefusalReason.RING_FULL, RING_FULL_RETRY_AFTER, Step.INGRESS, Optional.empty()));
+        }
+    }
+
+    private void refuse(HttpServerRequest request, ConnectionWatch watch, BadRequest kind, String detail) {
+        counters.count(kind);
+        counters.exchangeEnded(side, ExchangeResult.NOT_RUN);
+        watch.answerWriting();
+        request.handler(ignored -> {});
+        request.response().putHeader(HttpHeaders.CONNECTION, "close");
+        OutcomeWriter.writeBad(request.response(), kind, detail).onComplete(ignored -> closeAfterRefusal(request));
+    }
+
+    private void closeAfterRefusal(HttpServerRequest request) {
+        if (request.isEnded()) {
+            request.connection().close();
+        } else {
+            // A connection closed while the client still sends is reset, and the reset can overtake the refusal.
+            vertx.setTimer(LINGER_MILLIS, ignored -> request.connection().close());
+        }
+    }
+
+    private void refuseUndecodable(HttpServerRequest request) {
+        BadRequest kind = switch (request.decoderResult().cause()) {
+            case TooLongHttpLineException ignored -> BadRequest.LINE_TOO_LONG;
+            case TooLongHttpHeaderException ignored -> BadRequest.HEADERS_TOO_LARGE;
+            case null, default -> BadRequest.MALFORMED;
+        };
+        refuse(request, guard.watch(request.connection()), kind, "the request can't be read as HTTP");
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/exchange/ProblemDocument.java
@@ -0,0 +1,41 @@
+package org.carawaysill.node.exchange;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonObject;
+import java.util.Optional;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.request.Step;
+
+/**
+ * The body of an answer that no copy gave: a problem after RFC 9457 with the step, the peer and the reason.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param status the HTTP status
+ * @param outcome the outcome as the header states it
+ * @param title the outcome in words
+ * @param detail what happened, in one line
+ * @param step where it happened
+ * @param peer the other node that it concerns, if any
+ * @param reason the reason, as the counters name it
+ */
+record ProblemDocument(
+        int status, String outcome, String title, String detail, Step step, Optional<NodeName> peer, String reason) {
+
+    /** The body's media type. */
+    static final String MEDIA_TYPE = "application/problem+json";
+
+    private static final String TYPE_PREFIX = "urn:carawaysill:outcome:";
+
+    Buffer toBuffer() {
+        return new JsonObject()
+                .put("type", TYPE_PREFIX + outcome)
+                .put("title", title)
+                .put("status", status)
+                .put("detail", detail)
+                .put("step", step.name().toLowerCase(java.util.Locale.ROOT))
+                .put("peer", peer.map(NodeName::value).orElse(null))
+                .put("reason", reason)
+                .toBuffer();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/exchange/RequestReader.java
@@ -0,0 +1,107 @@
+package org.carawaysill.node.exchange;
+
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.carawaysill.model.request.RequestContent;
+import org.carawaysill.node.observation.BadRequest;
+
+/**
+ * Reads requests whole, within limits.
+ *
+ * <p>Invariant: of each request at most the limit is kept in memory, and nothing of a refused one. Confined to the event
+ * loop.
+ */
+final class RequestReader {
+
+    private static final List<String> SINGLE_FIELDS = List.of(
+            CarawaysillHeaders.IDEMPOTENCY_KEY, CarawaysillHeaders.CALLER, CarawaysillHeaders.ATTEMPT, "traceparent");
+
+    private static final String CHUNKED = "chunked";
+
+    private static final String SCHEME_END = "://";
+
+    private final int maximumBodyBytes;
+
+    private final BodyBudget budget;
+
+    RequestReader(int maximumBodyBytes, BodyBudget budget) {
+        this.maximumBodyBytes = maximumBodyBytes;
+        this.budget = budget;
+    }
+
+    /**
+     * Reads a request. The bytes of a whole one are taken from the budget, and the receiver gives them back.
+     *
+     * @param request the request, of which nothing was read yet
+     * @return completes on the event loop, never exceptionally
+     */
+    CompletableFuture<ReadResult> read(HttpServerRequest request) {
+        Optional<ReadResult.Bad> bad = checkHead(request);
+        if (bad.isPresent()) {
+            return CompletableFuture.completedFuture(bad.get());
+        }
+        BodyCollector collector = new BodyCollector(maximumBodyBytes, budget);
+        request.handler(collector::add);
+        request.endHandler(ignored -> collector.end());
+        request.exceptionHandler(collector::fail);
+        return collector.result().thenApply(body -> switch (body) {
+            case BodyCollector.Collected.Whole whole ->
+                new ReadResult.Whole(new RequestContent(
+                        request.method().name(),
+                        originForm(request.uri()),
+                        HeaderHygiene.ofRequest(request.headers()),
+                        whole.body()));
+            case BodyCollector.Collected.Refused refused -> new ReadResult.Bad(refused.kind(), "the body is refused");
+            case BodyCollector.Collected.Gone ignored -> new ReadResult.Gone();
+        });
+    }
+
+    private Optional<ReadResult.Bad> checkHead(HttpServerRequest request) {
+        if (!originForm(request.uri()).startsWith("/")) {
+            return bad(BadRequest.MALFORMED, "the request target is not a path");
+        }
+        Optional<String> ambiguous = SINGLE_FIELDS.stream()
+                .filter(name -> request.headers().getAll(name).size() > 1)
+                .findFirst();
+        if (ambiguous.isPresent()) {
+            return bad(BadRequest.AMBIGUOUS_HEADER, ambiguous.get() + " came more than once");
+        }
+        return checkFraming(request);
+    }
+
+    private Optional<ReadResult.Bad> checkFraming(HttpServerRequest request) {
+        List<String> encodings = request.headers().getAll(HttpHeaders.TRANSFER_ENCODING);
+        // Guards against a body that this node and another one in the path would end at different places, which shows
+        // as a second request smuggled into the first. Only the plain chunked encoding is taken.
+        if (!encodings.isEmpty()
+                && !(encodings.size() == 1 && encodings.getFirst().equalsIgnoreCase(CHUNKED))) {
+            return bad(BadRequest.FRAMING, "only the chunked transfer encoding is taken");
+        }
+        if (statedLength(request) > maximumBodyBytes) {
+            return bad(BadRequest.BODY_TOO_LARGE, "the body is larger than " + maximumBodyBytes + " bytes");
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<ReadResult.Bad> bad(BadRequest kind, String detail) {
+        return Optional.of(new ReadResult.Bad(kind, detail));
+    }
+
+    private static long statedLength(HttpServerRequest request) {
+        String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
+        return length == null ? 0 : Long.parseLong(length);
+    }
+
+    /** Takes scheme and authority off a target in absolute form, which a client may send to what it takes for a proxy. */
+    private static String originForm(String target) {
+        int schemeEnd = target.indexOf(SCHEME_END);
+        if (target.startsWith("/") || schemeEnd < 0) {
+            return target;
+        }
+        int path = target.indexOf('/', schemeEnd + SCHEME_END.length());
+        return path < 0 ? "/" : target.substring(path);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/lifecycle/EventLoopFactory.java
@@ -0,0 +1,49 @@
+package org.carawaysill.node.lifecycle;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Makes a Vert.x instance that fits a small process: one event loop, no files, small buffers. Thread safe. */
+final class EventLoopFactory {
+
+    /**
+     * Limits of the libraries for which there is no other way than system properties. What the command line sets goes
+     * before these.
+     */
+    private static final Map<String, String> LIBRARY_LIMITS = Map.of(
+            "io.netty.allocator.numDirectArenas", "1",
+            "io.netty.allocator.numHeapArenas", "1",
+            "io.netty.allocator.maxOrder", "3",
+            "vertx.disableDnsResolver", "true",
+            "vertx.disableMetrics", "true",
+            "vertx.disableWebsockets", "true");
+
+    private static final long NEVER_CHECK_HOURS = 24;
+
+    private EventLoopFactory() {}
+
+    /**
+     * Makes an instance. Must come before any other use of Vert.x or Netty, since they read the limits once.
+     *
+     * @return the instance, with one event loop
+     */
+    static Vertx create() {
+        LIBRARY_LIMITS.forEach((name, value) -> {
+            if (System.getProperty(name) == null) {
+                System.setProperty(name, value);
+            }
+        });
+        FileSystemOptions noFiles =
+                new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false);
+        return Vertx.vertx(new VertxOptions()
+                .setEventLoopPoolSize(1)
+                .setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1)
+                .setFileSystemOptions(noFiles)
+                .setBlockedThreadCheckInterval(NEVER_CHECK_HOURS)
+                .setBlockedThreadCheckIntervalUnit(TimeUnit.HOURS));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/observation/Counters.java
@@ -0,0 +1,203 @@
+package org.carawaysill.node.observation;
+
+import io.prometheus.metrics.core.datapoints.CounterDataPoint;
+import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import org.carawaysill.kernel.service.Service;
+import org.carawaysill.model.request.Counted;
+import org.carawaysill.model.request.Invariant;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.RetryReason;
+import org.carawaysill.model.request.UnknownReason;
+
+/**
+ * The node's counters and histograms.
+ *
+ * <p>Invariant: each reason has its series from the start, at 0, so that a rise is seen from the first occurrence. Thread
+ * safe.
+ */
+public final class Counters implements Service {
+
+    /** The name under which the service is registered. */
+    public static final String NAME = "counters";
+
+    /** What the names of all series begin with. */
+    public static final String PREFIX = "carawaysill_";
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private static final double[] HANDOFF_BUCKETS = {
+        5e-6, 10e-6, 25e-6, 50e-6, 100e-6, 250e-6, 500e-6, 1e-3, 5e-3, 25e-3, 100e-3, 1
+    };
+
+    private final PrometheusRegistry registry;
+
+    private final Map<Object, CounterDataPoint> occurrences = new HashMap<>();
+
+    private final Map<ExchangeSide, Map<ExchangeResult, CounterDataPoint>> exchanges = new HashMap<>();
+
+    private final Counter linkFaults;
+
+    private final CounterDataPoint policyFailures;
+
+    private final DistributionDataPoint handoff;
+
+    /**
+     * Makes all series.
+     *
+     * @param registry where they are registered
+     */
+    public Counters(PrometheusRegistry registry) {
+        this.registry = registry;
+        addReasons("refusals", "Requests refused and not run", RefusalReason.values());
+        addReasons("unknown", "Requests of which it is not known whether they ran", UnknownReason.values());
+        addReasons("retries", "Requests tried again", RetryReason.values());
+        addReasons("breaches", "Broken promises that the program noticed about itself", Invariant.values());
+        addReasons("bad_requests", "Requests that were malformed or too large", BadRequest.values());
+        addReasons("connections_closed", "HTTP connections that the node closed", ConnectionFault.values());
+        addReasons("lost_messages", "Messages and answers that the node dropped", LostMessage.values());
+        addExchanges();
+        linkFaults = counter("link_faults", "Faults of connections between nodes", "reason");
+        policyFailures =
+                counter("policy_failures", "Events at which the policy failed").labelValues();
+        handoff = handoffHistogram();
+    }
+
+    private Counter counter(String name, String help, String... labels) {
+        return Counter.builder()
+                .name(PREFIX + name)
+                .help(help)
+                .labelNames(labels)
+                .withoutExemplars()
+                .register(registry);
+    }
+
+    private void addReasons(String name, String help, Enum<?>... reasons) {
+        Counter counter = counter(name, help, "reason");
+        for (Enum<?> reason : reasons) {
+            occurrences.put(reason, counter.labelValues(labelValue(reason)));
+        }
+    }
+
+    private void addExchanges() {
+        Counter counter = counter("exchanges", "HTTP exchanges that ended", "side", "outcome");
+        for (ExchangeSide side : ExchangeSide.values()) {
+            Map<ExchangeResult, CounterDataPoint> results = new HashMap<>();
+            for (ExchangeResult result : ExchangeResult.values()) {
+                results.put(result, counter.labelValues(labelValue(side), labelValue(result)));
+            }
+            exchanges.put(side, results);
+        }
+    }
+
+    private DistributionDataPoint handoffHistogram() {
+        return Histogram.builder()
+                .name(PREFIX + "handoff_seconds")
+                .help("Time from an event to the policy's look at it")
+                .classicOnly()
+                .classicUpperBounds(HANDOFF_BUCKETS)
+                .withoutExemplars()
+                .register(registry);
+    }
+
+    private static String labelValue(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    /**
+     * Gives the registry of all series.
+     *
+     * @return the registry
+     */
+    public PrometheusRegistry registry() {
+        return registry;
+    }
+
+    /**
+     * Counts what the policy or an adapter decided.
+     *
+     * @param counted what occurred
+     */
+    public void count(Counted counted) {
+        increment(counted);
+    }
+
+    /**
+     * Counts a request that never became an event, also as refused.
+     *
+     * @param kind what is wrong with it
+     */
+    public void count(BadRequest kind) {
+        increment(kind);
+        increment(kind.reason());
+    }
+
+    /**
+     * Counts a closed connection.
+     *
+     * @param fault why the node closed it
+     */
+    public void count(ConnectionFault fault) {
+        increment(fault);
+    }
+
+    /**
+     * Counts a dropped message.
+     *
+     * @param message what was dropped
+     */
+    public void count(LostMessage message) {
+        increment(message);
+    }
+
+    private void increment(Object reason) {
+        CounterDataPoint point = occurrences.get(reason);
+        if (point == null) {
+            throw new IllegalArgumentException("no series for " + reason);
+        }
+        point.inc();
+    }
+
+    /**
+     * Counts an exchange that ended.
+     *
+     * @param side at which server
+     * @param result how it ended
+     */
+    public void exchangeEnded(ExchangeSide side, ExchangeResult result) {
+        exchanges.get(side).get(result).inc();
+    }
+
+    /**
+     * Counts a fault of a connection between nodes.
+     *
+     * @param kind its kind
+     */
+    public void linkFault(Enum<?> kind) {
+        linkFaults.labelValues(labelValue(kind)).inc();
+    }
+
+    /** Counts an event at which the policy failed. */
+    public void policyFailure() {
+        policyFailures.inc();
+    }
+
+    /**
+     * Observes how long an event waited for the policy.
+     *
+     * @param nanos the time in nanoseconds
+     */
+    public void handoff(long nanos) {
+        handoff.observe(nanos / NANOS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/peer/package-info.java
@@ -0,0 +1,5 @@
+/** Messages with other nodes. */
+@NullMarked
+package org.carawaysill.node.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/platform/BoundedBody.java
@@ -0,0 +1,62 @@
+package org.carawaysill.node.platform;
+
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.streams.WriteStream;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Takes a body up to a limit.
+ *
+ * <p>Guards against a platform service that answers without end, which would show as an exhausted heap. Invariant: holds
+ * no more than its limit. Confined to the event loop.
+ */
+final class BoundedBody implements WriteStream<Buffer> {
+
+    private final int limitBytes;
+
+    private final Buffer parts = Buffer.buffer();
+
+    BoundedBody(int limitBytes) {
+        this.limitBytes = limitBytes;
+    }
+
+    String text() {
+        return parts.toString();
+    }
+
+    @Override
+    public Future<Void> write(Buffer part) {
+        if (parts.length() + part.length() > limitBytes) {
+            return Future.failedFuture(new IllegalStateException("the answer is larger than " + limitBytes + " bytes"));
+        }
+        parts.appendBuffer(part);
+        return Future.succeededFuture();
+    }
+
+    @Override
+    public Future<Void> end() {
+        return Future.succeededFuture();
+    }
+
+    @Override
+    public WriteStream<Buffer> exceptionHandler(@Nullable Handler<Throwable> handler) {
+        return this;
+    }
+
+    @Override
+    public WriteStream<Buffer> setWriteQueueMaxSize(int maxSize) {
+        return this;
+    }
+
+    @Override
+    public boolean writeQueueFull() {
+        return false;
+    }
+
+    @Override
+    public WriteStream<Buffer> drainHandler(@Nullable Handler<Void> handler) {
+        return this;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/platform/package-info.java
@@ -0,0 +1,5 @@
+/** Reads at the platform's services. */
+@NullMarked
+package org.carawaysill.node.platform;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/policy/PolicyDuty.java
@@ -0,0 +1,58 @@
+package org.carawaysill.node.policy;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.carawaysill.kernel.duty.Duty;
+import org.carawaysill.kernel.service.Service;
+import org.carawaysill.kernel.service.ServiceRegistry;
+import org.carawaysill.node.observation.Counters;
+import org.carawaysill.policy.NodePolicy;
+
+/**
+ * The thread that owns the policy.
+ *
+ * <p>Invariant: no other thread calls the policy. Thread safe.
+ */
+public final class PolicyDuty implements Service {
+
+    /** The name under which the service is registered. */
+    public static final String NAME = "policy";
+
+    /**
+     * How long the thread looks for a next event before it parks. Waking a parked thread takes longer than this; the
+     * processor time of an idle node grows by this for each event.
+     */
+    private static final Duration SPIN = Duration.ofNanos(20_000);
+
+    private final Duty<Arrival> duty;
+
+    /**
+     * Makes the duty of a policy, which does not run yet.
+     *
+     * @param policy the policy, which no one else may use from now on
+     * @param clock the clocks of the moments that the policy sees
+     * @param registry where the inbox, the counters and the adapters are found
+     */
+    public PolicyDuty(NodePolicy policy, NodeClock clock, ServiceRegistry registry) {
+        PolicyInbox inbox = registry.require(PolicyInbox.NAME, PolicyInbox.class);
+        Counters counters = registry.require(Counters.NAME, Counters.class);
+        PolicyWork work = new PolicyWork(policy, clock, new EffectDispatcher(registry), counters);
+        this.duty = new Duty<>(NAME, inbox.ring(), work, SPIN);
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        duty.start();
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        return duty.stop();
+    }
+}
