Add the stand-ins for the platform and the upstream copies

Tests and benches need a configuration service that counts and fails, a lagging VM list, and upstream copies with slots and an exact run log.

The copy's work is a timer, not a busy loop: one machine then carries a whole site, and the capacity is slots over mean work.

--- /dev/null
+++ b/standin/src/main/java/org/carawaysill/standin/configuration/ConfigurationStore.java
@@ -0,0 +1,54 @@
+package org.carawaysill.standin.configuration;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.carawaysill.model.identity.ServiceName;
+
+/**
+ * The published documents.
+ *
+ * <p>Invariant: version numbers start at 1 and rise by one with each document published, over all services together. Not
+ * thread safe: used on the event loop only; what it hands out is immutable.
+ */
+final class ConfigurationStore {
+
+    private static final long NO_VERSION = 0;
+
+    private Map<ServiceName, PublishedDocument> documents = Map.of();
+    private long lastVersion = NO_VERSION;
+
+    /**
+     * Publishes a document.
+     *
+     * @param service the service that it is for
+     * @param text the TOML text, which is not checked
+     * @param expectedVersion the version that it replaces, if the publisher wants this checked
+     * @return its version, or the version that came in between
+     */
+    PublishResult publish(ServiceName service, String text, OptionalLong expectedVersion) {
+        long present = versionOf(service);
+        if (expectedVersion.isPresent() && expectedVersion.getAsLong() != present) {
+            return new PublishResult.Conflict(present);
+        }
+        lastVersion++;
+        Map<ServiceName, PublishedDocument> changed = new HashMap<>(documents);
+        changed.put(service, new PublishedDocument(lastVersion, text));
+        documents = Map.copyOf(changed);
+        return new PublishResult.Published(lastVersion);
+    }
+
+    /**
+     * Gives all documents as they are now.
+     *
+     * @return an immutable snapshot
+     */
+    Map<ServiceName, PublishedDocument> documents() {
+        return documents;
+    }
+
+    private long versionOf(ServiceName service) {
+        PublishedDocument document = documents.get(service);
+        return document == null ? NO_VERSION : document.version();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/EgressClient.java
@@ -0,0 +1,69 @@
+package org.carawaysill.standin.upstream;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.net.SocketAddress;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Calls deeper services through the egress port of the copy's own node.
+ *
+ * <p>Invariant: has a connection for each slot, so that a call never waits for one. Not thread safe: used on the event
+ * loop only.
+ */
+final class EgressClient {
+
+    private static final int SPARE_CONNECTIONS = 16;
+    private static final long LONGEST_CALL_MILLISECONDS = 30_000;
+
+    private final HttpClient client;
+    private final SocketAddress egress;
+
+    EgressClient(Vertx vertx, SocketAddress egress, int slots) {
+        this.egress = egress;
+        HttpClientOptions options = new HttpClientOptions().setKeepAliveTimeout(0);
+        PoolOptions pool = new PoolOptions().setHttp1MaxSize(slots + SPARE_CONNECTIONS);
+        this.client = vertx.createHttpClient(options, pool);
+    }
+
+    /**
+     * Calls a deeper service.
+     *
+     * @param call which, and how
+     * @param request the request on whose behalf
+     * @param running gets told the answer's body or why there is none
+     * @param nowNanos the monotonic time
+     * @return the answer
+     */
+    Future<Buffer> call(GraphCall call, CopyRequest request, DeeperCall running, long nowNanos) {
+        String path = call.egressPath(request.match().segments(), request.traceText());
+        RequestOptions options = new RequestOptions()
+                .setHost(egress.host())
+                .setPort(egress.port())
+                .setMethod(HttpMethod.valueOf(call.method()))
+                .setURI(path)
+                .setTimeout(timeoutMilliseconds(request, nowNanos));
+        return running.send(client.request(options).map(out -> withHeaders(out, request)));
+    }
+
+    private static HttpClientRequest withHeaders(HttpClientRequest out, CopyRequest request) {
+        request.traceparent().ifPresent(value -> out.putHeader(CopyRequest.TRACE_PARENT, value));
+        request.attempt().ifPresent(value -> out.putHeader(CopyRequest.ATTEMPT, value));
+        return out;
+    }
+
+    private static long timeoutMilliseconds(CopyRequest request, long nowNanos) {
+        if (request.deadlineNanos().isEmpty()) {
+            return LONGEST_CALL_MILLISECONDS;
+        }
+        long left = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos().getAsLong() - nowNanos);
+        return Math.clamp(left, 1, LONGEST_CALL_MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/GraphCall.java
@@ -0,0 +1,27 @@
+package org.carawaysill.standin.upstream;
+
+import java.util.List;
+
+/**
+ * A call that an operation makes to a deeper service.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param service the deeper service
+ * @param method the HTTP method
+ * @param path the path at that service; each segment {@code *} takes the text that the operation's own path matched
+ */
+record GraphCall(String service, String method, String path) {
+
+    /**
+     * Writes the path of one call.
+     *
+     * @param matched the segments that the wildcards of the operation's own path matched
+     * @param otherwise what a wildcard takes where the operation's path has none
+     * @return the path at the node's egress port
+     */
+    String egressPath(List<String> matched, String otherwise) {
+        String segment = matched.isEmpty() ? otherwise : matched.getFirst();
+        return "/services/" + service + path.replace(PathPattern.WILDCARD, segment);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/RunLog.java
@@ -0,0 +1,116 @@
+package org.carawaysill.standin.upstream;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What ran in a copy. A run counts as started when work begins.
+ *
+ * <p>Invariant: started = completed + failed + cancelled + those that run. Counts are exact as long as {@code overflowed}
+ * is false. Not thread safe: used on the event loop only.
+ */
+final class RunLog {
+
+    private final List<GraphOperation> operations;
+    private final int capacity;
+    private RunTable runs;
+    private long started;
+    private long completed;
+    private long failed;
+    private long cancelled;
+    private long untraced;
+    private long foreignAnswers;
+    private int maximumRunsPerTrace;
+    private boolean overflowed;
+
+    /**
+     * Makes an empty log.
+     *
+     * @param operations the operations of the graph
+     * @param capacity how many pairs of trace and operation it remembers
+     */
+    RunLog(List<GraphOperation> operations, int capacity) {
+        this.operations = operations;
+        this.capacity = capacity;
+        this.runs = new RunTable(capacity);
+    }
+
+    void started(Optional<TraceIdentifier> trace, int operation) {
+        started++;
+        if (trace.isEmpty()) {
+            untraced++;
+            return;
+        }
+        int count = runs.count(trace.get(), operation);
+        maximumRunsPerTrace = Math.max(maximumRunsPerTrace, count);
+        overflowed |= count == 0;
+    }
+
+    void completed() {
+        completed++;
+    }
+
+    void failed() {
+        failed++;
+    }
+
+    void cancelled() {
+        cancelled++;
+    }
+
+    /** Counts an answer of a deeper service that was another request's or not complete. */
+    void foreignAnswer() {
+        foreignAnswers++;
+    }
+
+    RunTable runs() {
+        return runs;
+    }
+
+    /** Writes all but the runs of each trace. */
+    JsonObject toJson() {
+        return new JsonObject()
+                .put("started", started)
+                .put("completed", completed)
+                .put("failed", failed)
+                .put("cancelled", cancelled)
+                .put("untraced", untraced)
+                .put("foreignAnswers", foreignAnswers)
+                .put("overflowed", overflowed)
+                .put("maxRunsPerTrace", maximumRunsPerTrace)
+                .put("duplicates", duplicates());
+    }
+
+    /** Writes one entry of a table. */
+    JsonObject entry(RunTable table, int entry) {
+        return new JsonObject()
+                .put("trace", table.trace(entry).toString())
+                .put("operation", operations.get(table.operation(entry)).name())
+                .put("runs", table.runs(entry));
+    }
+
+    /** Forgets everything; what runs at that moment still counts as finished later. */
+    void reset() {
+        runs = new RunTable(capacity);
+        started = 0;
+        completed = 0;
+        failed = 0;
+        cancelled = 0;
+        untraced = 0;
+        foreignAnswers = 0;
+        maximumRunsPerTrace = 0;
+        overflowed = false;
+    }
+
+    private JsonArray duplicates() {
+        JsonArray duplicates = new JsonArray();
+        for (int i = 0; i < runs.size(); i++) {
+            if (runs.runs(i) > 1 && !operations.get(runs.operation(i)).idempotent()) {
+                duplicates.add(entry(runs, i));
+            }
+        }
+        return duplicates;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/RunLogWriter.java
@@ -0,0 +1,52 @@
+package org.carawaysill.standin.upstream;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonObject;
+
+/**
+ * Writes a whole run log piece by piece, so that neither memory nor the event loop is taken up by it.
+ *
+ * <p>Invariant: writes the entries that were there at the start, each once. Not thread safe: used on the event loop
+ * only.
+ */
+final class RunLogWriter {
+
+    private static final int ENTRIES_PER_PIECE = 512;
+
+    private final RunLog log;
+    private final RunTable runs;
+    private final int size;
+    private final JsonObject summary;
+    private final HttpServerResponse response;
+
+    RunLogWriter(RunLog log, JsonObject summary, HttpServerResponse response) {
+        this.log = log;
+        this.runs = log.runs();
+        this.size = runs.size();
+        this.summary = summary;
+        this.response = response;
+    }
+
+    /** Writes the summary with one more key, {@code runsByTrace}: a list of trace, operation and runs. */
+    void write() {
+        String head = summary.encode();
+        response.putHeader("Content-Type", "application/json").setChunked(true);
+        response.write(head.substring(0, head.length() - 1) + ",\"runsByTrace\":[");
+        writeFrom(0);
+    }
+
+    private void writeFrom(int first) {
+        int end = Math.min(size, first + ENTRIES_PER_PIECE);
+        Buffer piece = Buffer.buffer();
+        for (int i = first; i < end; i++) {
+            piece.appendString(i == 0 ? "" : ",")
+                    .appendBuffer(log.entry(runs, i).toBuffer());
+        }
+        if (end == size) {
+            response.end(piece.appendString("]}"));
+        } else {
+            response.write(piece).onSuccess(written -> writeFrom(end));
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/ServiceGraph.java
@@ -0,0 +1,73 @@
+package org.carawaysill.standin.upstream;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What a service does and whom it calls.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param service the service's name
+ * @param operations its operations, of which the first match counts
+ */
+public record ServiceGraph(
+        @JsonProperty(required = true) String service,
+        @JsonProperty(required = true) List<GraphOperation> operations) {
+
+    public ServiceGraph {
+        operations = List.copyOf(operations);
+    }
+
+    /**
+     * A request's operation.
+     *
+     * @param index the operation's place in the graph
+     * @param operation the operation
+     * @param segments what the wildcards of its path matched
+     */
+    record Match(int index, GraphOperation operation, List<String> segments) {}
+
+    /**
+     * Finds the operation of a request.
+     *
+     * @param method the HTTP method
+     * @param path the path without its query
+     * @return the first operation that matches
+     */
+    Optional<Match> match(String method, String path) {
+        for (int i = 0; i < operations.size(); i++) {
+            GraphOperation operation = operations.get(i);
+            Optional<List<String>> segments =
+                    operation.method().equals(method) ? operation.path().match(path) : Optional.empty();
+            if (segments.isPresent()) {
+                return Optional.of(new Match(i, operation, segments.get()));
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Tells whether any operation calls a deeper service.
+     *
+     * @return whether the copy needs its node's egress port
+     */
+    public boolean callsDeeper() {
+        return operations.stream().anyMatch(operation -> !operation.calls().isEmpty());
+    }
+
+    /**
+     * Gives every operation the same mean of work.
+     *
+     * @param milliseconds the mean of the work per request
+     * @return the changed graph
+     */
+    public ServiceGraph withServiceMilliseconds(double milliseconds) {
+        return new ServiceGraph(
+                service,
+                operations.stream()
+                        .map(operation -> operation.withServiceMilliseconds(milliseconds))
+                        .toList());
+    }
+}
