Add the load program and the launcher, thin

layout writes a site's processes on loopback, run plays a scenario with clients that retry hard and holds the answers against the copies' run logs, table puts two reports side by side. ./carawaysill starts the programs and plays the demo.

Tested so far: the command line's errors. Not yet run against nodes, which are being built.

--- /dev/null
+++ b/load/src/main/java/org/carawaysill/load/client/HttpTry.java
@@ -0,0 +1,85 @@
+package org.carawaysill.load.client;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.time.Duration;
+import java.util.Optional;
+import org.carawaysill.load.client.TryResult.ConnectionLost;
+import org.carawaysill.load.client.TryResult.TimedOut;
+import org.carawaysill.load.site.LoadOperation;
+import org.carawaysill.load.site.Site;
+
+/**
+ * One try of one request at one node.
+ *
+ * <p>Invariant: it has exactly one result. Not thread safe: used on one event loop.
+ */
+final class HttpTry {
+
+    private final Promise<TryResult> result = Promise.promise();
+    private final RequestIdentity identity;
+    private Optional<HttpClientRequest> sent = Optional.empty();
+
+    private HttpTry(RequestIdentity identity) {
+        this.identity = identity;
+    }
+
+    static Future<TryResult> send(
+            Vertx vertx,
+            HttpClient client,
+            int port,
+            LoadOperation operation,
+            RequestIdentity identity,
+            Duration timeout) {
+        HttpTry attempt = new HttpTry(identity);
+        long timer = vertx.setTimer(timeout.toMillis(), ignored -> attempt.timeOut());
+        client.request(options(port, operation, identity)).onComplete(attempt::write, attempt::lose);
+        return attempt.result.future().onComplete(ignored -> vertx.cancelTimer(timer));
+    }
+
+    private static RequestOptions options(int port, LoadOperation operation, RequestIdentity identity) {
+        return new RequestOptions()
+                .setMethod(HttpMethod.valueOf(operation.method()))
+                .setHost(Site.HOST)
+                .setPort(port)
+                .setURI(operation.pathFor(identity.spanIdentifier()))
+                .putHeader("Idempotency-Key", identity.idempotencyKey())
+                .putHeader("Carawaysill-Caller", operation.caller().value())
+                .putHeader("traceparent", identity.traceParent());
+    }
+
+    private void write(HttpClientRequest request) {
+        if (result.future().isComplete()) {
+            request.reset();
+            return;
+        }
+        sent = Optional.of(request);
+        request.send().onComplete(this::read, this::lose);
+    }
+
+    private void read(HttpClientResponse response) {
+        response.body().onComplete(body -> finish(response, body), this::lose);
+    }
+
+    private void finish(HttpClientResponse response, Buffer body) {
+        result.tryComplete(AnswerReading.of(identity, response, body));
+    }
+
+    private void lose(Throwable cause) {
+        result.tryComplete(new ConnectionLost());
+    }
+
+    // The connection is closed with the try: an answer that comes later can't be taken for that of another request.
+    private void timeOut() {
+        if (result.tryComplete(new TimedOut())) {
+            sent.ifPresent(HttpClientRequest::reset);
+        }
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/carawaysill/load/layout/NodeSettingsText.java
@@ -0,0 +1,57 @@
+package org.carawaysill.load.layout;
+
+import org.carawaysill.load.site.Site;
+import org.carawaysill.load.site.SiteCopy;
+import org.carawaysill.load.site.SiteCopy.Port;
+
+/** Writes a node's settings. Stateless and thread safe. */
+final class NodeSettingsText {
+
+    private static final int MAXIMUM_BODY_BYTES = 1 << 20;
+    private static final int MAXIMUM_HEADER_BYTES = 16 << 10;
+
+    private NodeSettingsText() {}
+
+    static String of(SiteCopy copy, PolicyName policy) {
+        return """
+                [node]
+                name = "%s"
+                service = "%s"
+                zone = "%s"
+                policy = "%s"
+
+                [addresses]
+                ingress = "%s"
+                egress = "%s"
+                peer = "%s"
+                admin = "%s"
+                copy = "%s"
+
+                [platform]
+                configuration = "%s:%d"
+                vm-list = "%s:%d"
+
+                [limits]
+                maximum-body-bytes = %d
+                maximum-header-bytes = %d
+
+                [bench]
+                faults = true
+                """.formatted(
+                        copy.name(),
+                        copy.service().name(),
+                        copy.zone(),
+                        policy.text(),
+                        copy.address(Port.INGRESS),
+                        copy.address(Port.EGRESS),
+                        copy.address(Port.PEER),
+                        copy.address(Port.ADMIN),
+                        copy.address(Port.COPY),
+                        Site.HOST,
+                        Site.CONFIGURATION_PORT,
+                        Site.HOST,
+                        Site.VM_LIST_PORT,
+                        MAXIMUM_BODY_BYTES,
+                        MAXIMUM_HEADER_BYTES);
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/carawaysill/load/layout/Program.java
@@ -0,0 +1,20 @@
+package org.carawaysill.load.layout;
+
+import java.util.Locale;
+
+/** The programs that a layout starts. Immutable and thread safe. */
+public enum Program {
+    /** The node beside an upstream copy. */
+    NODE,
+    /** A stand-in for the platform or for an upstream copy. */
+    STANDIN;
+
+    /**
+     * Gives the launcher's word for the program.
+     *
+     * @return the word
+     */
+    public String text() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/carawaysill/load/report/Comparison.java
@@ -0,0 +1,11 @@
+package org.carawaysill.load.report;
+
+/**
+ * Two runs of the same load, one under each policy.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param baseline plain forwarding with fixed retries at each hop
+ * @param carawaysill the project's own policy
+ */
+public record Comparison(RunReport baseline, RunReport carawaysill) {}
--- /dev/null
+++ b/load/src/main/java/org/carawaysill/load/report/ReportBuilder.java
@@ -0,0 +1,187 @@
+package org.carawaysill.load.report;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.DoubleStream;
+import java.util.stream.Stream;
+import org.HdrHistogram.Histogram;
+import org.carawaysill.load.audit.Audit;
+import org.carawaysill.load.audit.Violation;
+import org.carawaysill.load.client.RequestRecord;
+import org.carawaysill.load.client.TryResult;
+import org.carawaysill.load.client.TryResult.NotRun;
+import org.carawaysill.load.run.ProcessorSample;
+import org.carawaysill.load.run.RunOutcome;
+import org.carawaysill.load.run.RunSettings;
+import org.carawaysill.load.scenario.Timeline;
+import org.carawaysill.load.scenario.Window;
+
+/**
+ * Works a report out of what a run recorded.
+ *
+ * <p>Immutable and thread safe.
+ */
+public final class ReportBuilder {
+
+    private static final int SIGNIFICANT_DIGITS = 3;
+    private static final long NANOS_PER_MICROSECOND = 1000;
+
+    private final RunSettings settings;
+    private final Timeline timeline;
+    private final Audit audit;
+    private final List<RequestRecord> records;
+    private final List<ProcessorSample> processors;
+    private final Buckets buckets;
+
+    /**
+     * Creates the builder.
+     *
+     * @param outcome what the run recorded
+     */
+    public ReportBuilder(RunOutcome outcome) {
+        settings = outcome.settings();
+        timeline = settings.timeline();
+        audit = outcome.audit();
+        records = audit.records();
+        processors = outcome.processors();
+        buckets = new Buckets(timeline, records);
+    }
+
+    /**
+     * Works the report out.
+     *
+     * @return the report
+     */
+    public RunReport build() {
+        Map<Violation, Integer> violations = audit.violations();
+        List<Recovery> recoveries = recoveries();
+        return new RunReport(
+                settings.policy(),
+                settings.site().name(),
+                settings.scenario().text(),
+                settings.seed(),
+                settings.seconds(),
+                records.size(),
+                records.stream()
+                        .mapToInt(request -> request.tries().size())
+                        .average()
+                        .orElse(0),
+                settings.site().capacityPerSecond(),
+                normalPerSecond(),
+                records.stream().filter(this::sentInTrigger).count() / triggerSeconds(),
+                records.stream().filter(this::wholeInTrigger).count() / triggerSeconds(),
+                new SlotUse(settings.site(), settings.scenario(), timeline.triggers()).ratio(records),
+                recoveries.stream().mapToDouble(Recovery::seconds).max().orElse(0),
+                recoveries.stream().allMatch(Recovery::complete),
+                records.stream().mapToInt(audit::attempts).max().orElse(0),
+                records.stream().mapToInt(audit::attempts).average().orElse(0),
+                records.stream().mapToInt(audit::mostRunsOfOneHop).max().orElse(0),
+                answeredRatio(request -> request.arrival().operation().important()),
+                violations.values().stream().mapToInt(Integer::intValue).sum(),
+                byText(violations),
+                refusals(),
+                counted(tries().map(TryResult::countedAs)),
+                latencies(),
+                answeredByOperation(),
+                busy().max().orElse(0),
+                busy().average().orElse(0),
+                buckets.series());
+    }
+
+    private double normalPerSecond() {
+        Window steady = timeline.steady();
+        long whole = records.stream()
+                .filter(RequestRecord::whole)
+                .filter(request -> steady.contains(request.finishedNanos()))
+                .count();
+        return whole / steady.seconds();
+    }
+
+    private double triggerSeconds() {
+        return timeline.triggers().stream().mapToDouble(Window::seconds).sum();
+    }
+
+    private List<Recovery> recoveries() {
+        List<Recovery> recoveries = new ArrayList<>();
+        timeline.recoveries().forEach(window -> recoveries.add(Recovery.of(buckets, normalPerSecond(), window)));
+        return recoveries;
+    }
+
+    private boolean sentInTrigger(RequestRecord request) {
+        return timeline.triggered(request.arrival().atNanos());
+    }
+
+    private boolean wholeInTrigger(RequestRecord request) {
+        return request.whole() && timeline.triggered(request.finishedNanos());
+    }
+
+    private double answeredRatio(Predicate<RequestRecord> which) {
+        return records.stream()
+                .filter(this::sentInTrigger)
+                .filter(which)
+                .mapToInt(request -> request.whole() ? 1 : 0)
+                .average()
+                .orElse(1);
+    }
+
+    private Map<String, Double> answeredByOperation() {
+        Map<String, Double> ratios = new TreeMap<>();
+        settings.site()
+                .operations()
+                .forEach(operation -> ratios.put(
+                        operation.name(),
+                        answeredRatio(request -> request.arrival().operation().equals(operation))));
+        return ratios;
+    }
+
+    private Stream<TryResult> tries() {
+        return records.stream().flatMap(request -> request.tries().stream());
+    }
+
+    private Map<String, Integer> refusals() {
+        return counted(tries().filter(NotRun.class::isInstance).map(result -> ((NotRun) result).reason()));
+    }
+
+    private Map<String, Latency> latencies() {
+        Map<String, Latency> latencies = new TreeMap<>();
+        latencies.put(
+                "steady",
+                latency(request -> timeline.steady().contains(request.arrival().atNanos())));
+        latencies.put("trigger", latency(this::sentInTrigger));
+        latencies.put(
+                "triggerImportant",
+                latency(request ->
+                        sentInTrigger(request) && request.arrival().operation().important()));
+        return latencies;
+    }
+
+    private Latency latency(Predicate<RequestRecord> which) {
+        Histogram histogram = new Histogram(SIGNIFICANT_DIGITS);
+        records.stream()
+                .filter(RequestRecord::whole)
+                .filter(which)
+                .forEach(request -> histogram.recordValue(request.latencyNanos() / NANOS_PER_MICROSECOND));
+        return Latency.of(histogram);
+    }
+
+    private DoubleStream busy() {
+        return processors.stream()
+                .filter(sample -> timeline.triggered(sample.atNanos()))
+                .mapToDouble(ProcessorSample::busyRatio);
+    }
+
+    private static Map<String, Integer> byText(Map<Violation, Integer> violations) {
+        Map<String, Integer> byText = new TreeMap<>();
+        violations.forEach((kind, count) -> byText.put(kind.text(), count));
+        return byText;
+    }
+
+    private static Map<String, Integer> counted(Stream<String> names) {
+        return names.collect(Collectors.toMap(Function.identity(), name -> 1, Integer::sum, TreeMap::new));
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/carawaysill/load/report/Series.java
@@ -0,0 +1,30 @@
+package org.carawaysill.load.report;
+
+import java.util.List;
+
+/**
+ * Goodput over time.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param bucketSeconds the length of one bucket
+ * @param sent requests sent in each bucket, without their clients' retries
+ * @param whole requests answered completely in each bucket
+ * @param triggers when something was wrong, in seconds from the run's start
+ */
+public record Series(double bucketSeconds, List<Integer> sent, List<Integer> whole, List<Stretch> triggers) {
+
+    public Series {
+        sent = List.copyOf(sent);
+        whole = List.copyOf(whole);
+        triggers = List.copyOf(triggers);
+    }
+
+    /**
+     * A stretch of a run.
+     *
+     * @param startSeconds seconds from the run's start
+     * @param endSeconds seconds from the run's start
+     */
+    public record Stretch(double startSeconds, double endSeconds) {}
+}
--- /dev/null
+++ b/load/src/main/java/org/carawaysill/load/run/LoadRun.java
@@ -0,0 +1,97 @@
+package org.carawaysill.load.run;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.carawaysill.load.audit.Audit;
+import org.carawaysill.load.client.Clients;
+import org.carawaysill.load.client.RequestRecord;
+import org.carawaysill.load.platform.BenchHttp;
+import org.carawaysill.load.platform.Faults;
+import org.carawaysill.load.platform.Readiness;
+import org.carawaysill.load.platform.RunLogs;
+import org.carawaysill.load.scenario.Window;
+
+/**
+ * Plays one scenario against a running site.
+ *
+ * <p>Not thread safe: used on one event loop.
+ */
+public final class LoadRun {
+
+    private static final long NANOS_PER_MILLISECOND = 1_000_000;
+
+    private final RunSettings settings;
+    private final Vertx vertx;
+    private final PrintStream out;
+    private final BenchHttp http;
+    private final Faults faults;
+
+    /**
+     * Creates a run.
+     *
+     * @param settings what it does
+     * @param vertx the event loop, of one thread
+     * @param out where progress lines go
+     */
+    public LoadRun(RunSettings settings, Vertx vertx, PrintStream out) {
+        this.settings = settings;
+        this.vertx = vertx;
+        this.out = out;
+        this.http = new BenchHttp(vertx);
+        this.faults = new Faults(http, settings.site());
+    }
+
+    /**
+     * Plays the scenario from the first process's readiness to the last copy's run log.
+     *
+     * @return what happened, or a {@link org.carawaysill.load.platform.BenchException}
+     */
+    public Future<RunOutcome> play() {
+        return new Readiness(vertx, http)
+                .await(settings.site(), settings.readyWithin())
+                .compose(ignored -> configurationDown(true))
+                .compose(ignored -> send())
+                .compose(outcome -> configurationDown(false).map(outcome));
+    }
+
+    private Future<Void> configurationDown(boolean down) {
+        return settings.scenario().configurationDown() ? faults.configurationDown(down) : Future.succeededFuture();
+    }
+
+    private Future<RunOutcome> send() {
+        long start = System.nanoTime();
+        Clients clients = new Clients(settings.clients(), vertx, settings.site(), start);
+        Sender sender = new Sender(vertx, clients, settings.schedule().draw(), start);
+        Progress progress = new Progress(settings, sender, start, out);
+        progress.start(vertx);
+        Future<Void> triggers = Future.all(settings.timeline().triggers().stream()
+                        .map(this::trigger)
+                        .toList())
+                .mapEmpty();
+        return Future.all(sender.run(), triggers)
+                .compose(all -> audit(all.resultAt(0)))
+                .map(audit -> new RunOutcome(settings, audit, progress.samples()));
+    }
+
+    private Future<Audit> audit(List<RequestRecord> records) {
+        return new RunLogs(http, settings.site())
+                .collect()
+                .map(log -> new Audit(settings.site().graph(), records, log));
+    }
+
+    private Future<Void> trigger(Window window) {
+        Future<Void> started =
+                at(window.startNanos(), () -> faults.start(settings.scenario().triggers()));
+        Future<Void> ended =
+                at(window.endNanos(), () -> faults.end(settings.scenario().triggers()));
+        return Future.all(started, ended).mapEmpty();
+    }
+
+    private Future<Void> at(long nanos, Supplier<Future<Void>> action) {
+        return vertx.timer(nanos / NANOS_PER_MILLISECOND, TimeUnit.MILLISECONDS).compose(ignored -> action.get());
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/carawaysill/load/schedule/package-info.java
@@ -0,0 +1,5 @@
+/** When requests are sent, worked out before the run. */
+@NullMarked
+package org.carawaysill.load.schedule;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/load/src/main/java/org/carawaysill/load/site/CallGraph.java
@@ -0,0 +1,112 @@
+package org.carawaysill.load.site;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.carawaysill.load.site.GraphOperation.Call;
+import org.carawaysill.model.identity.ServiceName;
+
+/**
+ * How the services of a site call one another.
+ *
+ * <p>Invariant: every call finds its operation. Immutable and thread safe.
+ */
+public final class CallGraph {
+
+    private final Map<ServiceName, ServiceGraph> services = new HashMap<>();
+
+    CallGraph(List<ServiceGraph> graphs) {
+        graphs.forEach(graph -> services.put(graph.service(), graph));
+        graphs.forEach(graph ->
+                graph.operations().forEach(operation -> operation.callList().forEach(this::operation)));
+    }
+
+    /**
+     * Counts how often one request runs each hop when nothing is retried.
+     *
+     * @param load the request
+     * @return the runs of each hop that it reaches
+     */
+    public Map<Hop, Integer> runs(LoadOperation load) {
+        Map<Hop, Integer> runs = new HashMap<>();
+        addRuns(entry(load), runs);
+        return Map.copyOf(runs);
+    }
+
+    /**
+     * Tells whether a hop may run more than once.
+     *
+     * @param hop the hop
+     * @return whether its graph says that it is idempotent
+     */
+    public boolean idempotent(Hop hop) {
+        return graph(hop.service()).operations().stream()
+                .filter(operation -> operation.name().equals(hop.operation()))
+                .allMatch(GraphOperation::idempotent);
+    }
+
+    /**
+     * Gives the time for which one request holds slots of a service, its deeper calls included.
+     *
+     * @param load the request
+     * @param holder the service whose slots are held
+     * @param slowed the service that works slowly
+     * @param slowdown how many times longer its work takes
+     * @return milliseconds, over all its runs there
+     */
+    public double holdMilliseconds(LoadOperation load, ServiceName holder, ServiceName slowed, double slowdown) {
+        return hold(entry(load), holder, new Slowness(slowed, slowdown));
+    }
+
+    private double hold(Call call, ServiceName holder, Slowness slowness) {
+        return call.service().equals(holder)
+                ? work(call, slowness)
+                : operation(call).callList().stream()
+                        .mapToDouble(deeper -> hold(deeper, holder, slowness))
+                        .sum();
+    }
+
+    private double work(Call call, Slowness slowness) {
+        GraphOperation operation = operation(call);
+        double own = operation.serviceMilliseconds() * slowness.factorOf(call.service());
+        return own
+                + operation.callList().stream()
+                        .mapToDouble(deeper -> work(deeper, slowness))
+                        .sum();
+    }
+
+    private void addRuns(Call call, Map<Hop, Integer> runs) {
+        GraphOperation operation = operation(call);
+        runs.merge(new Hop(call.service(), operation.name()), 1, Integer::sum);
+        operation.callList().forEach(deeper -> addRuns(deeper, runs));
+    }
+
+    private GraphOperation operation(Call call) {
+        return graph(call.service()).operations().stream()
+                .filter(operation -> operation.method().equals(call.method())
+                        && operation.path().equals(call.path()))
+                .findFirst()
+                .orElseThrow(() -> new IllegalArgumentException(
+                        "no operation of " + call.service() + " is " + call.method() + " " + call.path()));
+    }
+
+    private ServiceGraph graph(ServiceName service) {
+        ServiceGraph graph = services.get(service);
+        if (graph == null) {
+            throw new IllegalArgumentException("no graph of " + service);
+        }
+        return graph;
+    }
+
+    private static Call entry(LoadOperation load) {
+        return new Call(load.service(), load.method(), load.path());
+    }
+
+    /** Which service works slowly. Immutable and thread safe. */
+    private record Slowness(ServiceName service, double factor) {
+
+        double factorOf(ServiceName other) {
+            return service.equals(other) ? factor : 1;
+        }
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/carawaysill/load/site/GraphOperation.java
@@ -0,0 +1,36 @@
+package org.carawaysill.load.site;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.List;
+import java.util.Optional;
+import org.carawaysill.model.identity.ServiceName;
+
+/**
+ * What a copy does for one operation.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param name the operation's name
+ * @param method the HTTP method
+ * @param path the HTTP path
+ * @param idempotent whether it may run more than once
+ * @param serviceMilliseconds the mean time of the copy's own work
+ * @param calls the calls that it makes, one after the other
+ */
+@JsonIgnoreProperties(ignoreUnknown = true)
+record GraphOperation(
+        String name,
+        String method,
+        String path,
+        boolean idempotent,
+        double serviceMilliseconds,
+        @JsonProperty(required = false) Optional<List<Call>> calls) {
+
+    /** One call of a deeper service. Immutable and thread safe. */
+    record Call(ServiceName service, String method, String path) {}
+
+    List<Call> callList() {
+        return calls.orElse(List.of());
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/carawaysill/load/site/ServiceGraph.java
@@ -0,0 +1,19 @@
+package org.carawaysill.load.site;
+
+import java.util.List;
+import org.carawaysill.model.identity.ServiceName;
+
+/**
+ * What the copies of one service do.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param service the service
+ * @param operations its operations
+ */
+record ServiceGraph(ServiceName service, List<GraphOperation> operations) {
+
+    ServiceGraph {
+        operations = List.copyOf(operations);
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/carawaysill/load/site/SiteService.java
@@ -0,0 +1,22 @@
+package org.carawaysill.load.site;
+
+import org.carawaysill.model.identity.ServiceName;
+
+/**
+ * One service of a site.
+ *
+ * <p>Invariant: every number is positive. Immutable and thread safe.
+ *
+ * @param name the service
+ * @param copies how many copies it has
+ * @param slots requests that one copy works on at a time
+ * @param connections requests that one copy holds at a time, those that wait included
+ */
+public record SiteService(ServiceName name, int copies, int slots, int connections) {
+
+    public SiteService {
+        Checks.positive("copies", copies);
+        Checks.positive("slots", slots);
+        Checks.positive("connections", connections);
+    }
+}
