--- a/load/src/main/java/org/carawaysill/load/command/RunCommand.java
+++ b/load/src/main/java/org/carawaysill/load/command/RunCommand.java
@@ -5,11 +5,14 @@
 import io.vertx.core.VertxOptions;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.ExecutionException;
 import org.carawaysill.load.client.ClientSettings;
 import org.carawaysill.load.platform.BenchException;
+import org.carawaysill.load.plot.GoodputPlot;
 import org.carawaysill.load.report.ReportBuilder;
 import org.carawaysill.load.report.ReportFiles;
 import org.carawaysill.load.report.RunReport;
@@ -64,6 +67,9 @@
     @Option(name = "--report", required = true, metaVar = "FILE", usage = "where to write the report, as JSON")
     private Path report;
 
+    @Option(name = "--plot", metaVar = "FILE", usage = "where to draw goodput over time, as SVG")
+    private Path plot;
+
     @Option(name = "--help", help = true, usage = "print this help")
     private boolean help;
 
@@ -79,6 +85,9 @@
         try {
             RunReport result = new ReportBuilder(play(settings, vertx, out)).build();
             ReportFiles.write(report, result);
+            if (plot != null) {
+                Files.writeString(plot, new GoodputPlot(List.of(result)).svg());
+            }
         } finally {
             vertx.close();
         }
--- a/load/src/main/java/org/carawaysill/load/command/TableCommand.java
+++ b/load/src/main/java/org/carawaysill/load/command/TableCommand.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import org.carawaysill.load.plot.GoodputPlot;
 import org.carawaysill.load.report.Comparison;
 import org.carawaysill.load.report.ComparisonTable;
 import org.carawaysill.load.report.ReportFiles;
@@ -22,6 +25,9 @@
     @Option(name = "--report", metaVar = "FILE", usage = "where to write both reports, as one JSON document")
     private Path report;
 
+    @Option(name = "--plot", metaVar = "FILE", usage = "where to draw goodput over time, as SVG")
+    private Path plot;
+
     @Option(name = "--help", help = true, usage = "print this help")
     private boolean help;
 
@@ -37,5 +43,9 @@
         if (report != null) {
             ReportFiles.write(report, comparison);
         }
+        if (plot != null) {
+            GoodputPlot drawing = new GoodputPlot(List.of(comparison.baseline(), comparison.carawaysill()));
+            Files.writeString(plot, drawing.svg());
+        }
     }
 }
--- /dev/null
+++ b/load/src/main/java/org/carawaysill/load/plot/package-info.java
@@ -0,0 +1,5 @@
+/** Drawings of goodput over time. */
+@NullMarked
+package org.carawaysill.load.plot;
+
+import org.jspecify.annotations.NullMarked;
