--- a/load/src/main/java/org/carawaysill/load/site/CallGraph.java
+++ b/load/src/main/java/org/carawaysill/load/site/CallGraph.java
@@ -18,7 +18,7 @@
     CallGraph(List<ServiceGraph> graphs) {
         graphs.forEach(graph -> services.put(graph.service(), graph));
         graphs.forEach(graph ->
-                graph.operations().forEach(operation -> operation.callList().forEach(this::operation)));
+                graph.operations().forEach(operation -> operation.calls().forEach(this::operation)));
     }
 
     /**
@@ -61,7 +61,7 @@
     private double hold(Call call, ServiceName holder, Slowness slowness) {
         return call.service().equals(holder)
                 ? work(call, slowness)
-                : operation(call).callList().stream()
+                : operation(call).calls().stream()
                         .mapToDouble(deeper -> hold(deeper, holder, slowness))
                         .sum();
     }
@@ -70,7 +70,7 @@
         GraphOperation operation = operation(call);
         double own = operation.serviceMilliseconds() * slowness.factorOf(call.service());
         return own
-                + operation.callList().stream()
+                + operation.calls().stream()
                         .mapToDouble(deeper -> work(deeper, slowness))
                         .sum();
     }
@@ -78,7 +78,7 @@
     private void addRuns(Call call, Map<Hop, Integer> runs) {
         GraphOperation operation = operation(call);
         runs.merge(new Hop(call.service(), operation.name()), 1, Integer::sum);
-        operation.callList().forEach(deeper -> addRuns(deeper, runs));
+        operation.calls().forEach(deeper -> addRuns(deeper, runs));
     }
 
     private GraphOperation operation(Call call) {
--- a/load/src/main/java/org/carawaysill/load/site/GraphOperation.java
+++ b/load/src/main/java/org/carawaysill/load/site/GraphOperation.java
@@ -1,10 +1,9 @@
 package org.carawaysill.load.site;
 
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
-import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
-import java.util.Optional;
 import org.carawaysill.model.identity.ServiceName;
+import org.jspecify.annotations.Nullable;
 
 /**
  * What a copy does for one operation.
@@ -25,12 +24,12 @@
         String path,
         boolean idempotent,
         double serviceMilliseconds,
-        @JsonProperty(required = false) Optional<List<Call>> calls) {
+        @Nullable List<Call> calls) {
+
+    GraphOperation {
+        calls = calls == null ? List.of() : List.copyOf(calls);
+    }
 
     /** One call of a deeper service. Immutable and thread safe. */
     record Call(ServiceName service, String method, String path) {}
-
-    List<Call> callList() {
-        return calls.orElse(List.of());
-    }
 }
--- a/load/src/main/java/org/carawaysill/load/site/SiteReader.java
+++ b/load/src/main/java/org/carawaysill/load/site/SiteReader.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.PropertyNamingStrategies;
 import com.fasterxml.jackson.databind.deser.std.FromStringDeserializer;
 import com.fasterxml.jackson.databind.module.SimpleModule;
@@ -34,11 +35,13 @@
     private static final TomlMapper MAPPER = TomlMapper.builder()
             .propertyNamingStrategy(PropertyNamingStrategies.KEBAB_CASE)
             .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
-            .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
-            .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
             .addModule(identities())
             .build();
 
+    private static final ObjectReader SITE =
+            MAPPER.readerFor(SiteDocument.class).with(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES);
+    private static final ObjectReader GRAPH = MAPPER.readerFor(ServiceGraph.class);
+
     private SiteReader() {}
 
     /**
@@ -51,11 +54,11 @@
      */
     public static Site read(Path sites, String name) throws SiteException {
         Path file = sites.resolve(name).resolve(FILE_NAME);
-        SiteDocument document = read(file, SiteDocument.class);
+        SiteDocument document = read(file, SITE);
         List<ServiceGraph> graphs = new ArrayList<>();
         for (SiteService service : document.services()) {
             Path graph = sites.resolve(name).resolve(GRAPHS).resolve(service.name() + ".toml");
-            graphs.add(read(graph, ServiceGraph.class));
+            graphs.add(read(graph, GRAPH));
         }
         try {
             return new Site(
@@ -70,9 +73,9 @@
         }
     }
 
-    private static <T> T read(Path file, Class<T> type) throws SiteException {
+    private static <T> T read(Path file, ObjectReader reader) throws SiteException {
         try {
-            return MAPPER.readValue(Files.readString(file), type);
+            return reader.readValue(Files.readString(file));
         } catch (JsonMappingException e) {
             throw new SiteException(file, line(e), key(e), cause(e));
         } catch (JsonProcessingException e) {
