Serve a request through the whole chain of processes

Cause: the policy woke never, since a wake-up time before any start overflowed the duty's comparison. Ruled out: the reader and the duty; both waited for the policy.

--- a/node/src/main/java/org/carawaysill/node/NodeMain.java
+++ b/node/src/main/java/org/carawaysill/node/NodeMain.java
@@ -14,7 +14,7 @@
 import org.carawaysill.node.lifecycle.NodeProcess;
 import org.carawaysill.node.lifecycle.SignalStop;
 import org.carawaysill.node.observation.StateLog;
-import org.carawaysill.node.policy.ForwardingPolicy;
+import org.carawaysill.node.policy.ChosenPolicyFactory;
 import org.carawaysill.node.policy.NodePolicyFactory;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -31,7 +31,7 @@
 
     private static final int FAILED = 1;
 
-    private static final NodePolicyFactory POLICIES = (settings, start, random) -> new ForwardingPolicy();
+    private static final NodePolicyFactory POLICIES = new ChosenPolicyFactory();
 
     private NodeMain() {}
 
--- a/node/src/main/java/org/carawaysill/node/platform/PlatformReader.java
+++ b/node/src/main/java/org/carawaysill/node/platform/PlatformReader.java
@@ -144,15 +144,17 @@
         }
         requireOk(answer);
         return switch (ServiceConfigurationParser.parse(answer.text(), answer.version())) {
-            case ParseResult.Valid<ServiceConfiguration> valid -> read(service, valid.value(), answer.text());
+            case ParseResult.Valid<ServiceConfiguration> valid ->
+                read(service, answer.version(), valid.value(), answer.text());
             case ParseResult.Invalid<ServiceConfiguration> invalid ->
-                failed(service, "version " + answer.version() + " is invalid: " + invalid.faults());
+                new Event.ConfigurationRefused(
+                        service, answer.version(), invalid.faults().toString());
         };
     }
 
-    private static Event read(ServiceName service, ServiceConfiguration read, String text) {
+    private static Event read(ServiceName service, long version, ServiceConfiguration read, String text) {
         if (!read.service().equals(service)) {
-            return failed(service, "the document is that of " + read.service());
+            return new Event.ConfigurationRefused(service, version, "the document is that of " + read.service());
         }
         return new Event.ConfigurationRead(read, text);
     }
@@ -168,10 +170,6 @@
         return new Event.VmListRead(VmListFormat.parse(answer.text()));
     }
 
-    private static Event failed(ServiceName service, String message) {
-        return new Event.ConfigurationReadFailed(service, Step.CONFIGURATION, message);
-    }
-
     private static Event failed(ServiceName service, Step step, Throwable failure) {
         return new Event.ConfigurationReadFailed(service, step, String.valueOf(failure.getMessage()));
     }
--- a/node/src/main/java/org/carawaysill/node/policy/ForwardingPolicy.java
+++ b/node/src/main/java/org/carawaysill/node/policy/ForwardingPolicy.java
@@ -45,6 +45,7 @@
             case Event.PeerUnsent ignored -> List.of();
             case Event.ConfigurationRead ignored -> List.of();
             case Event.ConfigurationUnchanged ignored -> List.of();
+            case Event.ConfigurationRefused ignored -> List.of();
             case Event.ConfigurationReadFailed ignored -> List.of();
             case Event.VmListRead ignored -> List.of();
         };
--- a/policy/src/main/java/org/carawaysill/policy/engine/BaselinePolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/BaselinePolicy.java
@@ -60,6 +60,7 @@
     private final Map<WorkOrigin.FromPeer, AttemptIdentifier> byPeer = new HashMap<>();
     private final PriorityQueue<Timeout> timeouts = new PriorityQueue<>(Comparator.comparingLong(Timeout::dueNanos));
     private long nextStatusNanos;
+    private long lastNanos;
     private boolean draining;
     private boolean stopped;
 
@@ -88,10 +89,12 @@
         identifiers = parts.identifiers();
         directory = parts.directory();
         nextStatusNanos = start.nanos();
+        lastNanos = start.nanos();
     }
 
     @Override
     public List<Effect> decide(Moment now, Event event) {
+        lastNanos = now.nanos();
         if (!control.carriesWork(event)) {
             control.handle(now, event);
             control.refreshStates(now);
@@ -283,7 +286,7 @@
     @Override
     public long nextWakeNanos() {
         long due = timeouts.isEmpty() ? Long.MAX_VALUE : timeouts.peek().dueNanos();
-        return Math.min(Math.min(due, nextStatusNanos), control.nextWakeNanos());
+        return Math.max(lastNanos, Math.min(Math.min(due, nextStatusNanos), control.nextWakeNanos()));
     }
 
     private static Outcome notRun(RefusalReason reason) {
--- a/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
@@ -43,6 +43,7 @@
     private final CopyCalls copyCalls;
     private final PeerRequests peerRequests;
     private long nextStatusNanos;
+    private long lastNanos;
     private long mayStopNanos = Long.MAX_VALUE;
     private boolean stopped;
     private int breachesCounted;
@@ -79,10 +80,12 @@
         copyCalls = new CopyCalls(parts, runner);
         peerRequests = new PeerRequests(parts, runner);
         nextStatusNanos = start.nanos();
+        lastNanos = start.nanos();
     }
 
     @Override
     public List<Effect> decide(Moment now, Event event) {
+        lastNanos = now.nanos();
         if (!control.carriesWork(event)) {
             control.handle(now, event).forEach(document -> adopt(now, document));
             control.refreshStates(now).forEach(peer -> runner.peerSuspected(now, peer));
@@ -218,6 +221,6 @@
     public long nextWakeNanos() {
         long policyWake = Math.min(admission.nextWakeNanos(), parts.timers().nextNanos());
         long controlWake = Math.min(control.nextWakeNanos(), holder.nextWakeNanos());
-        return Math.min(Math.min(policyWake, controlWake), nextStatusNanos);
+        return Math.max(lastNanos, Math.min(Math.min(policyWake, controlWake), nextStatusNanos));
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/engine/Ownership.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/Ownership.java
@@ -92,14 +92,14 @@
     }
 
     /** Remembers the outcome of held work; work that was not run may be claimed again. */
-    void finished(Moment now, Work work, Outcome outcome) {
+    void finished(Work work, Outcome outcome) {
         if (!work.held()) {
             return;
         }
         if (outcome instanceof Outcome.NotRun) {
             holder.notRun(work.facts().request());
         } else {
-            holder.finished(now, work.facts().request(), outcome);
+            holder.finished(work.facts().request(), outcome);
         }
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/engine/RetryDecision.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/RetryDecision.java
@@ -50,6 +50,7 @@
                     NO_LEASE,
                     IDENTIFIER_TOO_OLD,
                     DUPLICATE,
+                    HOLDER_FULL,
                     CANCELLED -> Optional.empty();
         };
     }
--- a/policy/src/main/java/org/carawaysill/policy/engine/WorkRunner.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/WorkRunner.java
@@ -355,7 +355,7 @@
                 : outcome;
         table.remove(work);
         work.finish();
-        ownership.finished(now, work, told);
+        ownership.finished(work, told);
         delivery.deliver(now.nanos(), work, told);
     }
 
--- a/policy/src/test/java/org/carawaysill/policy/ownership/OwnershipWorld.java
+++ b/policy/src/test/java/org/carawaysill/policy/ownership/OwnershipWorld.java
@@ -10,7 +10,6 @@
 import java.util.Random;
 import java.util.Set;
 import org.carawaysill.model.configuration.CopyEntry;
-import org.carawaysill.model.configuration.Labels;
 import org.carawaysill.model.configuration.ServiceConfiguration;
 import org.carawaysill.model.identity.AvailabilityZone;
 import org.carawaysill.model.identity.NodeName;
@@ -171,8 +170,9 @@
                         1,
                         1))
                 .toList();
-        return new ServiceConfiguration(
-                SERVICE, version, Labels.NONE, List.of(), copies, List.of(), List.of(), List.of(), TERMS);
+        return ServiceConfiguration.builder(SERVICE, version, copies)
+                .defaults(TERMS)
+                .build();
     }
 
     private void scheduleWake(SimulatedNode node) {
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/Codes.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/Codes.java
@@ -7,7 +7,9 @@
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
+import org.carawaysill.policy.message.PeerMessage.LeaseVerdict;
 import org.carawaysill.policy.message.PeerMessage.Purpose;
+import org.carawaysill.protocol.generated.LeaseVerdictCode;
 import org.carawaysill.protocol.generated.PurposeCode;
 import org.carawaysill.protocol.generated.RefusalCode;
 import org.carawaysill.protocol.generated.StepCode;
@@ -26,6 +28,7 @@
     private static final Map<UnknownCode, UnknownReason> UNKNOWNS = inverse(UnknownReason.values(), Codes::of);
     private static final Map<StepCode, Step> STEPS = inverse(Step.values(), Codes::of);
     private static final Map<PurposeCode, Purpose> PURPOSES = inverse(Purpose.values(), Codes::of);
+    private static final Map<LeaseVerdictCode, LeaseVerdict> VERDICTS = inverse(LeaseVerdict.values(), Codes::of);
 
     private Codes() {}
 
@@ -45,6 +48,20 @@
         return known(PURPOSES.get(code), "purpose");
     }
 
+    static LeaseVerdict verdict(LeaseVerdictCode code) throws ProtocolFault {
+        return known(VERDICTS.get(code), "lease verdict");
+    }
+
+    static LeaseVerdictCode of(LeaseVerdict verdict) {
+        return switch (verdict) {
+            case GRANTED -> LeaseVerdictCode.LEASE_GRANTED;
+            case GRANTED_FOR_UNMOVED -> LeaseVerdictCode.LEASE_GRANTED_FOR_UNMOVED;
+            case REFUSED -> LeaseVerdictCode.LEASE_REFUSED;
+            case UNKNOWN_ROSTER -> LeaseVerdictCode.LEASE_UNKNOWN_ROSTER;
+            case CLOCKS_APART -> LeaseVerdictCode.LEASE_CLOCKS_APART;
+        };
+    }
+
     static PurposeCode of(Purpose purpose) {
         return switch (purpose) {
             case RUN -> PurposeCode.PURPOSE_RUN;
@@ -60,6 +77,9 @@
             case TRUNCATED -> UnknownCode.UNKNOWN_TRUNCATED;
             case RESTARTED -> UnknownCode.UNKNOWN_RESTARTED;
             case EARLIER_ATTEMPT -> UnknownCode.UNKNOWN_EARLIER_ATTEMPT;
+            case IDENTIFIER_TIME -> UnknownCode.UNKNOWN_IDENTIFIER_TIME;
+            case HOLDER_UNREACHABLE -> UnknownCode.UNKNOWN_HOLDER_UNREACHABLE;
+            case NO_LEASE -> UnknownCode.UNKNOWN_NO_LEASE;
         };
     }
 
@@ -86,6 +106,7 @@
             case IDENTIFIER_TOO_OLD -> RefusalCode.REFUSAL_IDENTIFIER_TOO_OLD;
             case DUPLICATE -> RefusalCode.REFUSAL_DUPLICATE;
             case CANCELLED -> RefusalCode.REFUSAL_CANCELLED;
+            case HOLDER_FULL -> RefusalCode.REFUSAL_HOLDER_FULL;
         };
     }
 
