--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/configuration/CompiledOperation.java
@@ -0,0 +1,28 @@
+package org.carawaysill.model.configuration;
+
+/**
+ * An operation with its path compiled.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param operation the operation
+ * @param path its path
+ * @param index its place in published order, from 0
+ */
+record CompiledOperation(Operation operation, PathPattern path, int index) {
+
+    static final String ANY_METHOD = "*";
+
+    boolean matches(String method, String requestPath) {
+        return matchesMethod(method) && path.matches(requestPath);
+    }
+
+    /** Tells whether this operation matches each request that another one matches. */
+    boolean covers(CompiledOperation other) {
+        return matchesMethod(other.operation.method()) && path.covers(other.path);
+    }
+
+    private boolean matchesMethod(String method) {
+        return operation.method().equals(ANY_METHOD) || operation.method().equals(method);
+    }
+}
--- a/model/src/main/java/org/carawaysill/model/configuration/OperationsReader.java
+++ b/model/src/main/java/org/carawaysill/model/configuration/OperationsReader.java
@@ -17,12 +17,13 @@
  */
 final class OperationsReader {
 
-    static final String ANY_METHOD = "*";
+    private static final int MAXIMUM_OPERATIONS = 1_000;
+    private static final NameFormat<String> NAME = new NameFormat<>(text -> text);
     private static final Pattern METHOD = Pattern.compile("[A-Z]{1,20}");
 
     private final DistinctValues<String> names;
     private final LabelsReader labels;
-    private final List<ReadOperation> earlier = new ArrayList<>();
+    private final OperationIndex earlier = new OperationIndex();
 
     OperationsReader(FaultCollector faults) {
         names = new DistinctValues<>("operation name", faults);
@@ -31,61 +32,40 @@
 
     List<Operation> read(TableReader document) {
         List<Operation> operations = new ArrayList<>();
-        for (TableReader table : document.tables("operations")) {
+        for (TableReader table : document.tables("operations", MAXIMUM_OPERATIONS)) {
             readOperation(table).ifPresent(operations::add);
         }
         return operations;
     }
 
     private Optional<Operation> readOperation(TableReader table) {
-        Optional<Located<String>> name = table.requiredValue("name", new NameFormat<>(text -> text));
+        Optional<Located<String>> name = table.requiredValue("name", NAME);
         Optional<Located<String>> method = table.requiredValue("method", OperationsReader::method);
-        Optional<Located<ReadPath>> path = table.requiredValue("path", ReadPath::parse);
+        Optional<Located<PathPattern>> path = table.requiredValue("path", PathPattern::new);
         Labels read = labels.read(table);
         table.reportUnknownKeys();
         name.ifPresent(names::add);
-        if (method.isPresent() && path.isPresent()) {
-            checkReachable(table, new ReadOperation(method.get().value(), path.get()));
-        }
         if (name.isEmpty() || method.isEmpty() || path.isEmpty()) {
             return Optional.empty();
         }
-        return Optional.of(new Operation(
-                name.get().value(), method.get().value(), path.get().value().text(), read));
+        PathPattern pattern = path.get().value();
+        Operation operation = new Operation(name.get().value(), method.get().value(), pattern.text(), read);
+        checkReachable(table, new CompiledOperation(operation, pattern, 0));
+        return Optional.of(operation);
     }
 
     private static String method(String text) {
-        if (!text.equals(ANY_METHOD) && !METHOD.matcher(text).matches()) {
+        if (!text.equals(CompiledOperation.ANY_METHOD) && !METHOD.matcher(text).matches()) {
             throw new IllegalArgumentException("expected an HTTP method in capitals or *, found \"" + text + '"');
         }
         return text;
     }
 
-    private void checkReachable(TableReader table, ReadOperation operation) {
-        earlier.stream()
-                .filter(other -> other.covers(operation))
-                .findFirst()
-                .ifPresent(other -> table.fault(
+    private void checkReachable(TableReader table, CompiledOperation operation) {
+        earlier.cover(operation)
+                .ifPresent(cover -> table.fault(
                         "path",
-                        "never matches, for the operation at line " + other.path.line()
-                                + " matches all of its requests first"));
+                        "never matches, for operation " + cover.operation().name() + " takes all of its requests"));
         earlier.add(operation);
     }
-
-    /** A path as written and as compiled. */
-    private record ReadPath(String text, PathPattern pattern) {
-
-        private static ReadPath parse(String text) {
-            return new ReadPath(text, new PathPattern(text));
-        }
-    }
-
-    /** What decides which requests an operation matches. */
-    private record ReadOperation(String method, Located<ReadPath> path) {
-
-        private boolean covers(ReadOperation other) {
-            boolean methodCovered = method.equals(ANY_METHOD) || method.equals(other.method);
-            return methodCovered && path.value().pattern.covers(other.path.value().pattern);
-        }
-    }
 }
--- a/model/src/main/java/org/carawaysill/model/configuration/PathPattern.java
+++ b/model/src/main/java/org/carawaysill/model/configuration/PathPattern.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.Locale;
+import java.util.Optional;
 
 /**
  * A pattern for paths: a segment {@code *} matches one segment, a last segment {@code **} any rest, also none.
@@ -15,6 +16,7 @@
     static final String REST = "**";
     private static final char SEPARATOR = '/';
 
+    private final String text;
     private final String[] segments;
     private final boolean openEnded;
 
@@ -30,6 +32,7 @@
                     "expected a path that starts with / and has neither query, fragment nor space, found \"" + pattern
                             + '"');
         }
+        text = pattern;
         String[] written = pattern.substring(1).split("/", -1);
         for (int i = 0; i < written.length; i++) {
             checkSegment(written[i], i == written.length - 1);
@@ -49,6 +52,22 @@
         }
     }
 
+    /** Gives the pattern as written. */
+    String text() {
+        return text;
+    }
+
+    /** Gives the first segment that each matching path has, if there is one. */
+    Optional<String> firstLiteral() {
+        return segments.length == 0 || segments[0].equals(ONE) ? Optional.empty() : Optional.of(segments[0]);
+    }
+
+    /** Gives the first segment of a path, with or without its query; empty where the path has none. */
+    static String firstSegment(String path) {
+        int end = endOfPath(path);
+        return end == 0 ? "" : path.substring(1, endOfSegment(path, 1, end));
+    }
+
     /**
      * Matches a path.
      *
--- a/model/src/main/java/org/carawaysill/model/configuration/RosterReader.java
+++ b/model/src/main/java/org/carawaysill/model/configuration/RosterReader.java
@@ -20,6 +20,8 @@
  */
 final class RosterReader {
 
+    private static final String COPIES = "copies";
+    private static final int MAXIMUM_COPIES = 1_000;
     private static final int MAXIMUM_SLOTS = 100_000;
     private static final int MAXIMUM_CONNECTIONS = 1_000_000;
     private static final AddressFormat ADDRESS = new AddressFormat(AddressFormat.Use.CONNECT);
@@ -34,11 +36,12 @@
 
     List<CopyEntry> read(TableReader document) {
         List<CopyEntry> copies = new ArrayList<>();
-        for (TableReader table : document.tables("copies")) {
-            readCopy(table).ifPresent(copies::add);
+        List<TableReader> tables = document.tables(COPIES, MAXIMUM_COPIES);
+        if (tables.isEmpty()) {
+            document.fault(COPIES, "the roster is empty: state at least one copy under [[copies]]");
         }
-        if (!document.hasElements("copies")) {
-            document.fault("copies", "the roster is empty: state at least one copy under [[copies]]");
+        for (TableReader table : tables) {
+            readCopy(table).ifPresent(copies::add);
         }
         return copies;
     }
--- a/model/src/main/java/org/carawaysill/model/configuration/SelectorsReader.java
+++ b/model/src/main/java/org/carawaysill/model/configuration/SelectorsReader.java
@@ -19,6 +19,7 @@
  */
 final class SelectorsReader {
 
+    private static final int MAXIMUM_SELECTORS = 1_000;
     private static final int MAXIMUM_NAME_LENGTH = 100;
     private static final String ANONYMOUS = "anonymous";
 
@@ -50,7 +51,7 @@
 
     List<Selector> read(TableReader document) {
         List<Selector> selectors = new ArrayList<>();
-        for (TableReader table : document.tables("selectors")) {
+        for (TableReader table : document.tables("selectors", MAXIMUM_SELECTORS)) {
             selectors.add(readSelector(table));
         }
         return selectors;
@@ -99,10 +100,10 @@
 
     /** Values of the service's labels are not checked, so that one list of selectors can serve several services. */
     private void checkCanMatch(TableReader table, CompiledSelector selector) {
-        if (requests.stream().noneMatch(labels -> selector.matches(RequestLabels.REQUEST, labels))) {
+        if (!selector.request().isEmpty() && requests.stream().noneMatch(selector::matchesRequest)) {
             table.fault("match", "never matches, for no operation has all of these request labels");
         }
-        if (callers.stream().noneMatch(labels -> selector.matches(RequestLabels.CALLER, labels))) {
+        if (callers.stream().noneMatch(selector::matchesCaller)) {
             table.fault("match", "never matches, for no caller has all of these caller labels");
         }
     }
--- a/model/src/main/java/org/carawaysill/model/configuration/ServiceConfigurationParser.java
+++ b/model/src/main/java/org/carawaysill/model/configuration/ServiceConfigurationParser.java
@@ -25,6 +25,7 @@
 
     private static final NameFormat<ServiceName> SERVICE = new NameFormat<>(ServiceName::new);
     private static final NameFormat<CallerName> CALLER = new NameFormat<>(CallerName::new);
+    private static final int MAXIMUM_CALLERS = 10_000;
     private static final ServiceName NO_SERVICE = new ServiceName("-");
     private static final DurationFormat KEY_LIFETIME = new DurationFormat(Duration.ofSeconds(1), Duration.ofHours(24));
 
@@ -91,7 +92,7 @@
         DistinctValues<CallerName> distinct = new DistinctValues<>("caller name", faults);
         LabelsReader labels = new LabelsReader(RequestLabels.NAME, faults);
         List<CallerEntry> callers = new ArrayList<>();
-        for (TableReader table : document.tables("callers")) {
+        for (TableReader table : document.tables("callers", MAXIMUM_CALLERS)) {
             Optional<Located<CallerName>> name = table.requiredValue("name", CALLER);
             Labels read = labels.read(table);
             table.reportUnknownKeys();
--- a/model/src/main/java/org/carawaysill/model/document/KeyLines.java
+++ b/model/src/main/java/org/carawaysill/model/document/KeyLines.java
@@ -1,33 +1,59 @@
 package org.carawaysill.model.document;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
- * The line of each key of a document.
+ * The line of a value and, below it, the lines of its fields or elements: a tree beside that of the values.
  *
- * <p>Immutable and thread safe.
- *
- * @param lines the line, from 1, by the path of the key
+ * <p>Not thread safe: {@link KeyLocator} fills it, then the readers of the same document only read it.
  */
-record KeyLines(Map<String, Integer> lines) {
+final class KeyLines {
 
     private static final int FIRST_LINE = 1;
 
-    /**
-     * Finds the line of a key, or that of the nearest table or array around it.
-     *
-     * @param path the path of the key
-     * @return the line, from 1
-     */
-    int line(String path) {
-        String nearest = path;
-        while (!nearest.isEmpty()) {
-            Integer line = lines.get(nearest);
-            if (line != null) {
-                return line;
-            }
-            nearest = KeyPath.parent(nearest);
-        }
-        return FIRST_LINE;
+    private final int line;
+    private final Map<String, KeyLines> fields = new HashMap<>();
+    private final List<KeyLines> elements = new ArrayList<>();
+
+    private KeyLines(int line) {
+        this.line = line;
+    }
+
+    static KeyLines ofDocument() {
+        return new KeyLines(FIRST_LINE);
+    }
+
+    int line() {
+        return line;
+    }
+
+    /** Gives the lines of a field; those of an unlocated one are all that of the table around it. */
+    KeyLines field(String key) {
+        KeyLines field = fields.get(key);
+        return field == null ? new KeyLines(line) : field;
+    }
+
+    /** Gives the lines of an element; those of an unlocated one are all that of the array around it. */
+    KeyLines element(int index) {
+        return index < elements.size() ? elements.get(index) : new KeyLines(line);
+    }
+
+    /** Adds a field; where it was added before, the first line counts. */
+    KeyLines addField(String key, int fieldLine) {
+        return fields.computeIfAbsent(key, added -> new KeyLines(fieldLine));
+    }
+
+    KeyLines addElement(int elementLine) {
+        KeyLines element = new KeyLines(elementLine);
+        elements.add(element);
+        return element;
+    }
+
+    /** Gives the element that a header below an array of tables means, or this where there are none. */
+    KeyLines newestElement() {
+        return elements.isEmpty() ? this : elements.getLast();
     }
 }
--- a/model/src/main/java/org/carawaysill/model/document/KeyLocator.java
+++ b/model/src/main/java/org/carawaysill/model/document/KeyLocator.java
@@ -1,9 +1,7 @@
 package org.carawaysill.model.document;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 
 /**
  * Finds the line of each key of a TOML document that Jackson has accepted.
@@ -19,8 +17,7 @@
     private static final String BARE_VALUE_ENDS = ",]}#\n";
 
     private final TextCursor cursor;
-    private final Map<String, Integer> lines = new HashMap<>();
-    private final Map<String, Integer> tablesInArray = new HashMap<>();
+    private final KeyLines document = KeyLines.ofDocument();
 
     private KeyLocator(String text) {
         cursor = new TextCursor(text);
@@ -30,16 +27,16 @@
      * Finds the lines of a document.
      *
      * @param text a document that is valid TOML
-     * @return the line of each key
+     * @return the lines of its keys
      */
     static KeyLines locate(String text) {
         KeyLocator locator = new KeyLocator(text);
         locator.readDocument();
-        return new KeyLines(locator.lines);
+        return locator.document;
     }
 
     private void readDocument() {
-        String table = KeyPath.ROOT;
+        KeyLines table = document;
         cursor.skipBlank();
         while (!cursor.atEnd()) {
             if (cursor.peek() == '[') {
@@ -51,43 +48,28 @@
         }
     }
 
-    private String readHeader() {
+    private KeyLines readHeader() {
         int line = cursor.line();
         cursor.advance();
-        boolean arrayElement = cursor.peek() == '[';
-        if (arrayElement) {
-            cursor.advance();
-        }
+        boolean heading = cursor.skipIf('[');
         List<String> keys = readKeys();
         cursor.skipLine();
-        String path = KeyPath.ROOT;
+        KeyLines parent = document;
         for (String key : keys.subList(0, keys.size() - 1)) {
-            path = newestElement(KeyPath.child(path, key));
-        }
-        path = KeyPath.child(path, keys.getLast());
-        if (arrayElement) {
-            lines.putIfAbsent(path, line);
-            tablesInArray.merge(path, 1, Integer::sum);
-            path = newestElement(path);
+            parent = parent.addField(key, line).newestElement();
         }
-        lines.put(path, line);
-        return path;
-    }
-
-    private String newestElement(String path) {
-        Integer count = tablesInArray.get(path);
-        return count == null ? path : KeyPath.element(path, count - 1);
+        KeyLines table = parent.addField(keys.getLast(), line);
+        return heading ? table.addElement(line) : table;
     }
 
-    private void readField(String table) {
+    private void readField(KeyLines table) {
         int line = cursor.line();
-        String path = table;
+        KeyLines field = table;
         for (String key : readKeys()) {
-            path = KeyPath.child(path, key);
-            lines.putIfAbsent(path, line);
+            field = field.addField(key, line);
         }
         cursor.skipPast('=');
-        readValue(path);
+        readValue(field);
     }
 
     private List<String> readKeys() {
@@ -100,37 +82,31 @@
         return keys;
     }
 
-    private void readValue(String path) {
+    private void readValue(KeyLines value) {
         cursor.skipSpaces();
         switch (cursor.peek()) {
-            case '[' -> readArray(path);
-            case '{' -> readInlineTable(path);
+            case '[' -> readArray(value);
+            case '{' -> readInlineTable(value);
             case '"', '\'' -> cursor.skipString();
             default -> cursor.skipUntilAny(BARE_VALUE_ENDS);
         }
     }
 
-    private void readArray(String path) {
+    private void readArray(KeyLines array) {
         cursor.advance();
         cursor.skipBlank();
-        for (int i = 0; !cursor.atEnd() && !cursor.skipIf(']'); i++) {
-            String element = KeyPath.element(path, i);
-            lines.put(element, cursor.line());
-            readValue(element);
-            cursor.skipBlank();
-            cursor.skipIf(',');
-            cursor.skipBlank();
+        while (!cursor.atEnd() && !cursor.skipIf(']')) {
+            readValue(array.addElement(cursor.line()));
+            cursor.skipSeparator();
         }
     }
 
-    private void readInlineTable(String path) {
+    private void readInlineTable(KeyLines table) {
         cursor.advance();
         cursor.skipBlank();
         while (!cursor.atEnd() && !cursor.skipIf('}')) {
-            readField(path);
-            cursor.skipBlank();
-            cursor.skipIf(',');
-            cursor.skipBlank();
+            readField(table);
+            cursor.skipSeparator();
         }
     }
 }
--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/document/LocatedNode.java
@@ -0,0 +1,37 @@
+package org.carawaysill.model.document;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A value as Jackson read it, with its place in the document.
+ *
+ * <p>Not changed once the document is read.
+ *
+ * @param node the value
+ * @param lines its lines
+ * @param path the path of its key
+ */
+record LocatedNode(JsonNode node, KeyLines lines, String path) {
+
+    private static final int MAXIMUM_WRITTEN = 60;
+
+    LocatedNode field(String key) {
+        return new LocatedNode(node.path(key), lines.field(key), KeyPath.child(path, key));
+    }
+
+    List<LocatedNode> elements() {
+        List<LocatedNode> elements = new ArrayList<>(node.size());
+        for (int i = 0; i < node.size(); i++) {
+            elements.add(new LocatedNode(node.get(i), lines.element(i), KeyPath.element(path, i)));
+        }
+        return elements;
+    }
+
+    /** Writes the value for a fault, shortened, so that a fault stays one line. */
+    String written() {
+        String text = node.toString();
+        return text.length() <= MAXIMUM_WRITTEN ? text : text.substring(0, MAXIMUM_WRITTEN) + "...";
+    }
+}
--- a/model/src/main/java/org/carawaysill/model/document/TableReader.java
+++ b/model/src/main/java/org/carawaysill/model/document/TableReader.java
@@ -3,10 +3,12 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 
 /**
@@ -17,15 +19,13 @@
  */
 public final class TableReader {
 
-    private final JsonNode table;
-    private final String path;
-    private final DocumentReading reading;
-    private final TreeSet<String> knownKeys = new TreeSet<>();
+    private final LocatedNode table;
+    private final FaultCollector faults;
+    private final Set<String> knownKeys = new HashSet<>();
 
-    TableReader(JsonNode table, String path, DocumentReading reading) {
+    TableReader(LocatedNode table, FaultCollector faults) {
         this.table = table;
-        this.path = path;
-        this.reading = reading;
+        this.faults = faults;
     }
 
     /**
@@ -34,7 +34,7 @@
      * @param message what is wrong
      */
     public void fault(String message) {
-        reading.fault(path, message);
+        fault(table, message);
     }
 
     /**
@@ -44,7 +44,7 @@
      * @param message what is wrong
      */
     public void fault(String key, String message) {
-        reading.fault(KeyPath.child(path, key), message);
+        fault(table.field(key), message);
     }
 
     /**
@@ -54,27 +54,48 @@
      * @return true if it is, faulty or not
      */
     public boolean has(String key) {
-        return table.has(key);
+        return table.node().has(key);
     }
 
     /**
-     * Tells whether a field holds anything.
+     * Reads a text of a format.
      *
      * @param key the field's key
-     * @return true if it is a list with elements, or no list at all
+     * @param format the format
+     * @param <T> the type of the value
+     * @return the value, if the field is there and is of the format
+     */
+    public <T> Optional<Located<T>> value(String key, TextFormat<T> format) {
+        return field(key).flatMap(field -> formatted(field, format));
+    }
+
+    /**
+     * Reads a text of a format that must be there.
+     *
+     * @param key the field's key
+     * @param format the format
+     * @param <T> the type of the value
+     * @return the value, if the field is there and is of the format
      */
-    public boolean hasElements(String key) {
-        return table.has(key) && !(table.get(key).isArray() && table.get(key).isEmpty());
+    public <T> Optional<Located<T>> requiredValue(String key, TextFormat<T> format) {
+        reportIfMissing(key);
+        return value(key, format);
     }
 
     /**
-     * Reads a text.
+     * Reads a list of texts of a format.
      *
      * @param key the field's key
-     * @return the text, if the field is there and is a text
+     * @param format the format
+     * @param <T> the type of the values
+     * @return the values that are of the format, in order; empty where the field is absent
      */
-    public Optional<Located<String>> text(String key) {
-        return value(key, text -> text);
+    public <T> List<Located<T>> values(String key, TextFormat<T> format) {
+        List<Located<T>> values = new ArrayList<>();
+        for (LocatedNode element : elements(key, "expected a list of texts")) {
+            formatted(element, format).ifPresent(values::add);
+        }
+        return values;
     }
 
     /**
@@ -86,19 +107,15 @@
      * @return the number, if the field is there and in range
      */
     public Optional<Integer> wholeNumber(String key, int minimum, int maximum) {
-        Optional<JsonNode> node = field(key);
-        if (node.isEmpty()) {
-            return Optional.empty();
-        }
-        JsonNode value = node.get();
-        if (!value.isIntegralNumber()
-                || !value.canConvertToInt()
-                || value.intValue() < minimum
-                || value.intValue() > maximum) {
-            fault(key, "expected a whole number from " + minimum + " to " + maximum + ", found " + value);
-            return Optional.empty();
+        Optional<LocatedNode> field = field(key);
+        Optional<Integer> number = field.map(LocatedNode::node)
+                .filter(node -> node.isIntegralNumber() && node.canConvertToInt())
+                .map(JsonNode::intValue)
+                .filter(value -> value >= minimum && value <= maximum);
+        if (field.isPresent() && number.isEmpty()) {
+            faultFound(field.get(), "expected a whole number from " + minimum + " to " + maximum);
         }
-        return Optional.of(value.intValue());
+        return number;
     }
 
     /**
@@ -110,17 +127,15 @@
      * @return the number, if the field is there and in range
      */
     public Optional<Double> number(String key, double minimum, double maximum) {
-        Optional<JsonNode> node = field(key);
-        if (node.isEmpty()) {
-            return Optional.empty();
+        Optional<LocatedNode> field = field(key);
+        Optional<Double> number = field.map(LocatedNode::node)
+                .filter(JsonNode::isNumber)
+                .map(JsonNode::doubleValue)
+                .filter(value -> value >= minimum && value <= maximum);
+        if (field.isPresent() && number.isEmpty()) {
+            faultFound(field.get(), "expected a number from " + minimum + " to " + maximum);
         }
-        double value = node.get().asDouble(Double.NaN);
-        boolean inRange = node.get().isNumber() && value >= minimum && value <= maximum;
-        if (!inRange) {
-            fault(key, "expected a number from " + minimum + " to " + maximum + ", found " + node.get());
-            return Optional.empty();
-        }
-        return Optional.of(value);
+        return number;
     }
 
     /**
@@ -130,42 +145,13 @@
      * @return the value, if the field is there and is one of the two
      */
     public Optional<Boolean> truth(String key) {
-        Optional<JsonNode> node = field(key);
-        if (node.isPresent() && !node.get().isBoolean()) {
-            fault(key, "expected true or false, found " + node.get());
-            return Optional.empty();
-        }
-        return node.map(JsonNode::booleanValue);
-    }
-
-    /**
-     * Reads a text of a format.
-     *
-     * @param key the field's key
-     * @param format the format
-     * @param <T> the type of the value
-     * @return the value, if the field is there and is of the format
-     */
-    public <T> Optional<Located<T>> value(String key, TextFormat<T> format) {
-        return field(key).flatMap(node -> formatted(node, KeyPath.child(path, key), format));
-    }
-
-    /**
-     * Reads a list of texts of a format.
-     *
-     * @param key the field's key
-     * @param format the format
-     * @param <T> the type of the values
-     * @return the values that are of the format, in order; empty where the field is absent
-     */
-    public <T> List<Located<T>> values(String key, TextFormat<T> format) {
-        List<Located<T>> values = new ArrayList<>();
-        String array = KeyPath.child(path, key);
-        List<JsonNode> elements = elements(key, "expected a list of texts");
-        for (int i = 0; i < elements.size(); i++) {
-            formatted(elements.get(i), KeyPath.element(array, i), format).ifPresent(values::add);
+        Optional<LocatedNode> field = field(key);
+        Optional<Boolean> truth =
+                field.map(LocatedNode::node).filter(JsonNode::isBoolean).map(JsonNode::booleanValue);
+        if (field.isPresent() && truth.isEmpty()) {
+            faultFound(field.get(), "expected true or false");
         }
-        return values;
+        return truth;
     }
 
     /**
@@ -177,9 +163,8 @@
     public Map<String, Located<String>> textTable(String key) {
         Map<String, Located<String>> texts = new LinkedHashMap<>();
         Optional<TableReader> inner = table(key);
-        inner.ifPresent(reader -> reader.table
-                .fieldNames()
-                .forEachRemaining(name -> reader.text(name).ifPresent(text -> texts.put(name, text))));
+        inner.ifPresent(reader -> reader.keys()
+                .forEach(name -> reader.value(name, text -> text).ifPresent(text -> texts.put(name, text))));
         return texts;
     }
 
@@ -190,55 +175,33 @@
      * @return its reader, if the field is there and is a table
      */
     public Optional<TableReader> table(String key) {
-        Optional<JsonNode> node = field(key);
-        if (node.isPresent() && !node.get().isObject()) {
-            fault(key, "expected a table");
-            return Optional.empty();
-        }
-        return node.map(value -> new TableReader(value, KeyPath.child(path, key), reading));
-    }
-
-    /**
-     * Reads an array of tables.
-     *
-     * @param key the field's key
-     * @return a reader for each element that is a table; empty where the field is absent
-     */
-    public List<TableReader> tables(String key) {
-        List<TableReader> readers = new ArrayList<>();
-        List<JsonNode> elements = elements(key, "expected tables, each headed [[" + KeyPath.child(path, key) + "]]");
-        for (int i = 0; i < elements.size(); i++) {
-            String element = KeyPath.element(KeyPath.child(path, key), i);
-            if (elements.get(i).isObject()) {
-                readers.add(new TableReader(elements.get(i), element, reading));
-            } else {
-                reading.fault(element, "expected a table");
-            }
-        }
-        return readers;
+        return field(key).flatMap(this::asTable);
     }
 
     /**
-     * Reads a text of a format that must be there.
+     * Reads a table that must be there.
      *
      * @param key the field's key
-     * @param format the format
-     * @param <T> the type of the value
-     * @return the value, if the field is there and is of the format
+     * @return its reader; one of an empty table where the field is absent or no table
      */
-    public <T> Optional<Located<T>> requiredValue(String key, TextFormat<T> format) {
-        reportIfMissing(key);
-        return value(key, format);
+    public TableReader requiredTable(String key) {
+        return table(key).orElseGet(() -> emptyTable(table.field(key)));
     }
 
     /**
-     * Reads a table that must be there.
+     * Reads an array of tables.
      *
      * @param key the field's key
-     * @return its reader; one of an empty table where the field is absent or no table
+     * @param maximum how many there may be
+     * @return a reader for each element that is a table; empty where the field is absent
      */
-    public TableReader requiredTable(String key) {
-        return table(key).orElseGet(() -> emptyTable(key));
+    public List<TableReader> tables(String key, int maximum) {
+        List<LocatedNode> elements = elements(key, "expected tables, each headed [[" + key + "]]");
+        if (elements.size() > maximum) {
+            fault(key, "expected at most " + maximum + ", found " + elements.size());
+            return List.of();
+        }
+        return elements.stream().map(this::asTable).flatMap(Optional::stream).toList();
     }
 
     /**
@@ -247,52 +210,72 @@
      * @param key the field's key
      */
     public void reportIfMissing(String key) {
-        if (!table.has(key)) {
-            reading.fault(path, "missing key: " + KeyPath.child(path, key));
+        if (!has(key)) {
+            fault("missing key: " + table.field(key).path());
         }
     }
 
     /** Reports each key that was not asked for. */
     public void reportUnknownKeys() {
-        table.fieldNames().forEachRemaining(key -> {
+        for (String key : keys()) {
             if (!knownKeys.contains(key)) {
-                fault(key, "unknown key; known here: " + String.join(", ", knownKeys));
+                fault(key, "unknown key; known here: " + String.join(", ", new TreeSet<>(knownKeys)));
             }
-        });
+        }
+    }
+
+    private List<String> keys() {
+        List<String> keys = new ArrayList<>();
+        table.node().fieldNames().forEachRemaining(keys::add);
+        return keys;
     }
 
-    private List<JsonNode> elements(String key, String expected) {
-        Optional<JsonNode> node = field(key);
-        if (node.isPresent() && !node.get().isArray()) {
-            fault(key, expected);
+    private Optional<LocatedNode> field(String key) {
+        knownKeys.add(key);
+        return has(key) ? Optional.of(table.field(key)) : Optional.empty();
+    }
+
+    private List<LocatedNode> elements(String key, String expected) {
+        Optional<LocatedNode> field = field(key);
+        if (field.isPresent() && !field.get().node().isArray()) {
+            fault(field.get(), expected);
             return List.of();
         }
-        List<JsonNode> elements = new ArrayList<>();
-        node.ifPresent(array -> array.forEach(elements::add));
-        return elements;
+        return field.map(LocatedNode::elements).orElse(List.of());
+    }
+
+    private Optional<TableReader> asTable(LocatedNode value) {
+        if (!value.node().isObject()) {
+            faultFound(value, "expected a table");
+            return Optional.empty();
+        }
+        return Optional.of(new TableReader(value, faults));
+    }
+
+    private TableReader emptyTable(LocatedNode place) {
+        JsonNode empty = JsonNodeFactory.instance.objectNode();
+        return new TableReader(new LocatedNode(empty, place.lines(), place.path()), faults);
     }
 
-    private <T> Optional<Located<T>> formatted(JsonNode node, String valuePath, TextFormat<T> format) {
-        if (!node.isTextual()) {
-            reading.fault(valuePath, "expected a text in quotes, found " + node);
+    private <T> Optional<Located<T>> formatted(LocatedNode value, TextFormat<T> format) {
+        if (!value.node().isTextual()) {
+            faultFound(value, "expected a text in quotes");
             return Optional.empty();
         }
         try {
-            T value = format.parse(node.textValue());
-            return Optional.of(new Located<>(value, reading.lines().line(valuePath), valuePath));
+            T parsed = format.parse(value.node().textValue());
+            return Optional.of(new Located<>(parsed, value.lines().line(), value.path()));
         } catch (IllegalArgumentException e) {
-            reading.fault(valuePath, e.getMessage());
+            fault(value, e.getMessage());
             return Optional.empty();
         }
     }
 
-    private TableReader emptyTable(String key) {
-        JsonNode empty = JsonNodeFactory.instance.objectNode();
-        return new TableReader(empty, KeyPath.child(path, key), reading);
+    private void faultFound(LocatedNode value, String expected) {
+        fault(value, expected + ", found " + value.written());
     }
 
-    private Optional<JsonNode> field(String key) {
-        knownKeys.add(key);
-        return Optional.ofNullable(table.get(key));
+    private void fault(LocatedNode value, String message) {
+        faults.add(value.lines().line(), value.path(), message);
     }
 }
--- a/model/src/main/java/org/carawaysill/model/document/TextCursor.java
+++ b/model/src/main/java/org/carawaysill/model/document/TextCursor.java
@@ -80,6 +80,13 @@
         }
     }
 
+    /** Skips what stands between two elements: blanks and a comma. */
+    void skipSeparator() {
+        skipBlank();
+        skipIf(',');
+        skipBlank();
+    }
+
     /** Reads one part of a key, bare or quoted; always moves on. */
     String readKey() {
         char quote = peek();
--- a/model/src/main/java/org/carawaysill/model/document/TomlDocument.java
+++ b/model/src/main/java/org/carawaysill/model/document/TomlDocument.java
@@ -29,8 +29,8 @@
         }
         try {
             JsonNode tree = MAPPER.readTree(text);
-            return Optional.of(
-                    new TableReader(tree, KeyPath.ROOT, new DocumentReading(KeyLocator.locate(text), faults)));
+            LocatedNode document = new LocatedNode(tree, KeyLocator.locate(text), KeyPath.ROOT);
+            return Optional.of(new TableReader(document, faults));
         } catch (JsonProcessingException e) {
             int line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
             faults.add(line, KeyPath.ROOT, "not valid TOML: " + e.getOriginalMessage());
