--- /dev/null
+++ b/control/src/main/java/org/carawaysill/control/fleet/package-info.java
@@ -0,0 +1,5 @@
+/** Work with running nodes through their admin ports. */
+@NullMarked
+package org.carawaysill.control.fleet;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/control/src/main/java/org/carawaysill/control/options/ExplainOptions.java
@@ -0,0 +1,81 @@
+package org.carawaysill.control.options;
+
+import java.nio.file.Path;
+import org.carawaysill.model.identity.CallerName;
+import org.kohsuke.args4j.Option;
+
+/** The command line of {@code explain}. Filled once by its parser, then read only; not thread safe. */
+public final class ExplainOptions implements CommandOptions {
+
+    /** The word on the command line. */
+    public static final String COMMAND = "explain";
+
+    private static final String ANONYMOUS = "anonymous";
+
+    @Option(name = "--configuration", metaVar = "FILE", required = true, usage = "the document of the service")
+    private Path configuration = Path.of("");
+
+    @Option(name = "--method", metaVar = "METHOD", usage = "the HTTP method of the request; GET if not given")
+    private String method = "GET";
+
+    @Option(name = "--path", metaVar = "PATH", required = true, usage = "the path of the request")
+    private String path = "";
+
+    @Option(name = "--caller", metaVar = "NAME", usage = "who asks; anonymous if not given")
+    private String caller = ANONYMOUS;
+
+    @Option(name = "--help", help = true, usage = "show this help")
+    private boolean help;
+
+    @Override
+    public String command() {
+        return COMMAND;
+    }
+
+    @Override
+    public String purpose() {
+        return "Tells what a request would be: its operation and labels, the selectors that match, and the selector that"
+                + " grants each term.";
+    }
+
+    @Override
+    public boolean helpWanted() {
+        return help;
+    }
+
+    /**
+     * Gives the document.
+     *
+     * @return its file
+     */
+    public Path configuration() {
+        return configuration;
+    }
+
+    /**
+     * Gives the method.
+     *
+     * @return the HTTP method
+     */
+    public String method() {
+        return method;
+    }
+
+    /**
+     * Gives the path.
+     *
+     * @return the path, with or without its query
+     */
+    public String path() {
+        return path;
+    }
+
+    /**
+     * Gives the caller.
+     *
+     * @return the caller's name
+     */
+    public CallerName caller() {
+        return new CallerName(caller.isBlank() ? ANONYMOUS : caller);
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/carawaysill/control/options/ServiceVersionHandler.java
@@ -0,0 +1,31 @@
+package org.carawaysill.control.options;
+
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.OptionDef;
+import org.kohsuke.args4j.spi.OneArgumentOptionHandler;
+import org.kohsuke.args4j.spi.Setter;
+
+/** Reads an option's service and version. Confined to its parser. */
+public final class ServiceVersionHandler extends OneArgumentOptionHandler<ServiceVersion> {
+
+    /**
+     * Called by the parser.
+     *
+     * @param parser the parser
+     * @param option the option
+     * @param setter receives the service and version
+     */
+    public ServiceVersionHandler(CmdLineParser parser, OptionDef option, Setter<? super ServiceVersion> setter) {
+        super(parser, option, setter);
+    }
+
+    @Override
+    protected ServiceVersion parse(String text) throws CmdLineException {
+        try {
+            return ServiceVersion.parse(text);
+        } catch (IllegalArgumentException e) {
+            throw new CmdLineException(owner, option + ": " + e.getMessage(), e);
+        }
+    }
+}
--- a/model/src/main/java/org/carawaysill/model/configuration/CompiledSelector.java
+++ b/model/src/main/java/org/carawaysill/model/configuration/CompiledSelector.java
@@ -1,7 +1,10 @@
 package org.carawaysill.model.configuration;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * A selector with its patterns compiled, by scope.
@@ -36,10 +39,25 @@
         return allMatch(caller, labels);
     }
 
+    /**
+     * Finds what keeps the selector from matching.
+     *
+     * @param labels all labels of a request
+     * @return each pattern that does not match, by scoped key in the order of names
+     */
+    List<SelectorMismatch> mismatches(Map<String, String> labels) {
+        return Stream.of(service, request, caller)
+                .flatMap(List::stream)
+                .filter(keyed -> !keyed.matches(labels))
+                .map(keyed -> new SelectorMismatch(
+                        keyed.key, selector.match().get(keyed.key), Optional.ofNullable(labels.get(keyed.key))))
+                .sorted(Comparator.comparing(SelectorMismatch::key))
+                .toList();
+    }
+
     private static boolean allMatch(List<KeyedPattern> patterns, Map<String, String> labels) {
         for (KeyedPattern keyed : patterns) {
-            String value = labels.get(keyed.key);
-            if (value == null || !keyed.pattern.matches(value)) {
+            if (!keyed.matches(labels)) {
                 return false;
             }
         }
@@ -54,5 +72,11 @@
     }
 
     /** A pattern and the scoped key of the label that it must match. */
-    private record KeyedPattern(String key, LabelPattern pattern) {}
+    private record KeyedPattern(String key, LabelPattern pattern) {
+
+        private boolean matches(Map<String, String> labels) {
+            String value = labels.get(key);
+            return value != null && pattern.matches(value);
+        }
+    }
 }
--- a/model/src/main/java/org/carawaysill/model/configuration/ServiceConfiguration.java
+++ b/model/src/main/java/org/carawaysill/model/configuration/ServiceConfiguration.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.carawaysill.model.identity.CallerName;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.RequestTerms;
@@ -63,4 +64,14 @@
     public Optional<CopyEntry> copy(NodeName node) {
         return copies.stream().filter(copy -> copy.node().equals(node)).findFirst();
     }
+
+    /**
+     * Finds a caller that the operators know.
+     *
+     * @param name the caller's name
+     * @return its entry
+     */
+    public Optional<CallerEntry> caller(CallerName name) {
+        return callers.stream().filter(caller -> caller.caller().equals(name)).findFirst();
+    }
 }
--- a/model/src/main/java/org/carawaysill/model/document/Fault.java
+++ b/model/src/main/java/org/carawaysill/model/document/Fault.java
@@ -13,6 +13,6 @@
 
     @Override
     public String toString() {
-        return line + ": " + key + ": " + message;
+        return key.isEmpty() ? line + ": " + message : line + ": " + key + ": " + message;
     }
 }
