--- a/model/src/main/java/org/carawaysill/model/configuration/CompiledSelector.java
+++ b/model/src/main/java/org/carawaysill/model/configuration/CompiledSelector.java
@@ -1,37 +1,82 @@
 package org.carawaysill.model.configuration;
 
-import java.util.HashMap;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
- * A selector with its patterns compiled.
+ * A selector with its patterns compiled, by scope.
  *
  * <p>Immutable and thread safe.
  *
  * @param selector the selector
- * @param patterns its label patterns by scoped key
+ * @param service what the service's labels must match
+ * @param request what the operation's labels must match
+ * @param caller what the caller's labels must match
  */
-record CompiledSelector(Selector selector, Map<String, LabelPattern> patterns) {
+record CompiledSelector(
+        Selector selector, List<KeyedPattern> service, List<KeyedPattern> request, List<KeyedPattern> caller) {
 
     static CompiledSelector compile(Selector selector) {
-        Map<String, LabelPattern> patterns = new HashMap<>();
-        selector.match().forEach((key, pattern) -> patterns.put(key, new LabelPattern(pattern)));
-        return new CompiledSelector(selector, Map.copyOf(patterns));
+        return new CompiledSelector(
+                selector,
+                patterns(selector, RequestLabels.SERVICE),
+                patterns(selector, RequestLabels.REQUEST),
+                patterns(selector, RequestLabels.CALLER));
+    }
+
+    boolean matchesService(Map<String, String> labels) {
+        return allMatch(service, labels);
+    }
+
+    boolean matchesRequest(Map<String, String> labels) {
+        return allMatch(request, labels);
+    }
+
+    boolean matchesCaller(Map<String, String> labels) {
+        return allMatch(caller, labels);
     }
 
     /**
-     * Matches the labels of one scope.
+     * Finds what keeps the selector from matching.
      *
-     * @param scope the beginning of the scope's keys
-     * @param labels labels by scoped key
-     * @return whether each pattern of the scope matches a label that is there
+     * @param labels all labels of a request
+     * @return each pattern that does not match, by scoped key in the order of names
      */
-    boolean matches(String scope, Map<String, String> labels) {
-        return patterns.entrySet().stream()
+    List<SelectorMismatch> mismatches(Map<String, String> labels) {
+        return Stream.of(service, request, caller)
+                .flatMap(List::stream)
+                .filter(keyed -> !keyed.matches(labels))
+                .map(keyed -> new SelectorMismatch(
+                        keyed.key, selector.match().get(keyed.key), Optional.ofNullable(labels.get(keyed.key))))
+                .sorted(Comparator.comparing(SelectorMismatch::key))
+                .toList();
+    }
+
+    private static boolean allMatch(List<KeyedPattern> patterns, Map<String, String> labels) {
+        for (KeyedPattern keyed : patterns) {
+            if (!keyed.matches(labels)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static List<KeyedPattern> patterns(Selector selector, String scope) {
+        return selector.match().entrySet().stream()
                 .filter(entry -> entry.getKey().startsWith(scope))
-                .allMatch(entry -> {
-                    String value = labels.get(entry.getKey());
-                    return value != null && entry.getValue().matches(value);
-                });
+                .map(entry -> new KeyedPattern(entry.getKey(), new LabelPattern(entry.getValue())))
+                .toList();
+    }
+
+    /** A pattern and the scoped key of the label that it must match. */
+    private record KeyedPattern(String key, LabelPattern pattern) {
+
+        private boolean matches(Map<String, String> labels) {
+            String value = labels.get(key);
+            return value != null && pattern.matches(value);
+        }
     }
 }
