Distribute configuration by elected readers, pushed line edits and version exchange

Cause: 3,500 nodes that watch for themselves exceed what the platform serves, and a restarted node may read an old replica. Each service elects two readers per document among the nodes that hear one another, the others get it from nodes; a starting node holds back what it read until all others, or after 3 s a majority, have told their versions.

The property over random publications, cuts, pauses, restarts and outages found a fault on the way, which is mended: a node that had refused an invalid version ignored the last good one below it, and so never got ready after a restart. Ruled out as unsolvable here and left to operators: the newest value is invalid and no process of a service remembers the last good one.

--- a/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
+++ b/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
@@ -1,7 +1,9 @@
 package org.carawaysill.policy.distribution;
 
+import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,26 +12,40 @@
 import org.carawaysill.model.configuration.ServiceConfiguration;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
-import org.carawaysill.model.request.Step;
+import org.carawaysill.model.request.ConfigurationCount;
 import org.carawaysill.policy.effect.Effect;
 import org.carawaysill.policy.event.Event;
+import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.PeerMessage.ConfigurationChange;
+import org.carawaysill.policy.message.PeerMessage.ConfigurationDocument;
+import org.carawaysill.policy.message.PeerMessage.ConfigurationWanted;
+import org.carawaysill.policy.message.PeerMessage.Heartbeat;
 import org.carawaysill.policy.time.Moment;
 
 /**
- * Brings the documents of a node's own service and of the services that it calls into force.
+ * Brings the documents of a node's own service and of the services that it calls into force: a few elected nodes of each
+ * service watch them at the platform, the others get them from nodes.
  *
- * <p>Invariant: the version in force of a service never falls. Not thread safe: one thread owns it.
+ * <p>Invariant: the version in force of a service never falls, and nothing is in force before the node knows what its peers
+ * have in force. Not thread safe: one thread owns it.
  */
 public final class ConfigurationDistribution {
 
-    private static final long RETRY_NANOS = 1_000_000_000L;
+    private static final long ELECTION_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final NodeName self;
-    private final ServiceName own;
     private final DistributionSettings settings;
-    private final Map<ServiceName, ServiceConfiguration> inForce = new HashMap<>();
-    private final Map<ServiceName, Long> nextReads = new HashMap<>();
-    private final Map<ServiceName, RefusedDocument> refused = new HashMap<>();
+    private final DocumentSet documents;
+    private final PeerExchange exchange;
+    private final PlatformReads reads;
+    private final StartingGate gate;
+    private final Adoption adoption;
+    private boolean started;
+
+    /** Whether the event at hand bears on the elections, the reads or the gate. */
+    private boolean reconsider;
+
+    private long nextWakeNanos = Long.MIN_VALUE;
 
     /**
      * Creates the distribution of a node that has just started and knows nothing.
@@ -47,9 +63,12 @@
             DistributionSettings settings,
             RandomGenerator random) {
         this.self = self;
-        this.own = own;
         this.settings = settings;
-        nextReads.put(own, Long.MIN_VALUE);
+        this.documents = new DocumentSet(own);
+        this.exchange = new PeerExchange(documents, random);
+        this.reads = new PlatformReads(settings, random);
+        this.gate = new StartingGate(self, settings.startingBound());
+        this.adoption = new Adoption(self, parser, documents, gate);
     }
 
     /**
@@ -60,58 +79,174 @@
      * @return what to do
      */
     public List<Effect> handle(Moment now, Event event) {
-        List<Effect> effects = new ArrayList<>();
-        switch (event) {
-            case Event.ConfigurationRead read -> adopt(now, read.configuration());
-            case Event.ConfigurationUnchanged unchanged -> nextReads.put(unchanged.service(), now.nanos());
-            case Event.ConfigurationRefused refusal -> {
-                refused.put(refusal.service(), new RefusedDocument(refusal.version(), refusal.message()));
-                nextReads.put(refusal.service(), now.nanos() + RETRY_NANOS);
-                effects.add(new Effect.LogChange(Step.CONFIGURATION, self, refusal.message()));
+        if (!started) {
+            started = true;
+            reads.start(now.nanos(), documents.own());
+        }
+        reconsider = true;
+        List<Effect> effects = new ArrayList<>(dispatch(now.nanos(), event));
+        if (reconsider || now.nanos() >= nextWakeNanos) {
+            effects.addAll(wakeUp(now.nanos()));
+        }
+        return effects;
+    }
+
+    private List<Effect> dispatch(long now, Event event) {
+        return switch (event) {
+            case Event.ConfigurationRead read -> read(now, read);
+            case Event.ConfigurationUnchanged unchanged -> {
+                reads.schedule(unchanged.service()).gotNothing(now);
+                yield List.of();
+            }
+            case Event.ConfigurationRefused refusal -> refused(now, refusal);
+            case Event.ConfigurationReadFailed failed -> {
+                reads.schedule(failed.service()).failed(now);
+                yield List.of(new Effect.Count(ConfigurationCount.READ_FAILED));
+            }
+            case Event.VmListRead read -> {
+                gate.vmList(read.list());
+                reads.fleet(now, read.list().states().size());
+                yield List.of();
+            }
+            case Event.PeerConnected peer -> {
+                exchange.connected(now, peer.peer());
+                yield List.of();
+            }
+            case Event.PeerLost peer -> {
+                exchange.lost(peer.peer());
+                yield List.of();
+            }
+            case Event.PeerReceived received -> {
+                reconsider = false;
+                exchange.heard(now, received.from());
+                yield message(now, received.from(), received.message());
             }
-            case Event.ConfigurationReadFailed failed -> nextReads.put(failed.service(), now.nanos() + RETRY_NANOS);
             case Event.CallerRequest _,
                     Event.CopyCall _,
                     Event.ExchangeClosed _,
                     Event.CopyAnswered _,
-                    Event.PeerReceived _,
-                    Event.PeerConnected _,
-                    Event.PeerLost _,
                     Event.PeerUnsent _,
-                    Event.VmListRead _,
                     Event.DrainOrdered _,
-                    Event.WakeUp _ -> {}
+                    Event.WakeUp _ -> {
+                reconsider = false;
+                yield List.of();
+            }
+        };
+    }
+
+    private List<Effect> message(long now, NodeName from, PeerMessage message) {
+        return switch (message) {
+            case Heartbeat heartbeat -> {
+                reconsider |= !gate.isOpen();
+                yield exchange.told(now, from, heartbeat.versions());
+            }
+            case ConfigurationWanted wanted ->
+                exchange.answer(from, wanted).stream().toList();
+            case ConfigurationDocument document -> document(from, document);
+            case ConfigurationChange change -> change(now, from, change);
+            case PeerMessage.PeerRequest _,
+                    PeerMessage.PeerAnswer _,
+                    PeerMessage.CancelAttempt _,
+                    PeerMessage.DrainNotice _,
+                    PeerMessage.LeaseRequest _,
+                    PeerMessage.LeaseReply _,
+                    PeerMessage.HolderHandover _ -> List.of();
+        };
+    }
+
+    private List<Effect> read(long now, Event.ConfigurationRead read) {
+        ServiceName service = read.configuration().service();
+        long held = documents.of(service).version();
+        if (read.configuration().version() < held) {
+            reads.schedule(service).failed(now);
+            return List.of(new Effect.Count(ConfigurationCount.STALE_READ));
         }
-        readWhatIsDue(now, effects);
-        return effects;
+        if (read.configuration().version() == held) {
+            reads.schedule(service).gotNothing(now);
+            return List.of();
+        }
+        reads.schedule(service).gotNewer(now);
+        return withPush(service, adoption.hold(read.configuration(), read.text()));
     }
 
-    private void adopt(Moment now, ServiceConfiguration configuration) {
-        ServiceName service = configuration.service();
-        nextReads.put(service, now.nanos());
-        if (configuration.version() <= versionOf(service)) {
-            return;
+    private List<Effect> refused(long now, Event.ConfigurationRefused refusal) {
+        ServiceName service = refusal.service();
+        if (refusal.version() > documents.of(service).settledVersion()) {
+            reads.schedule(service).gotNewer(now);
+        } else {
+            reads.schedule(service).failed(now);
+        }
+        return adoption.refuse(service, new RefusedDocument(refusal.version(), refusal.message()));
+    }
+
+    private List<Effect> document(NodeName from, ConfigurationDocument document) {
+        reconsider = true;
+        exchange.received(from, document.service(), document.version());
+        return withPush(document.service(), adoption.check(document.service(), document.version(), document.text()));
+    }
+
+    private List<Effect> change(long now, NodeName from, ConfigurationChange change) {
+        reconsider = true;
+        ServiceName service = change.service();
+        exchange.received(from, service, change.version());
+        if (!adoption.isNews(service, change.version())) {
+            return List.of();
+        }
+        FollowedDocument document = documents.of(service);
+        if (change.baseVersion() != document.version()) {
+            return List.of(exchange.ask(now, from, service, document.version()));
         }
-        inForce.put(service, configuration);
-        if (service.equals(own)) {
-            configuration.calls().forEach(called -> nextReads.putIfAbsent(called, now.nanos()));
+        Optional<String> text = document.history().apply(change);
+        if (text.isEmpty()) {
+            return List.of(new Effect.Count(ConfigurationCount.BAD_CHANGE), exchange.ask(now, from, service, 0));
         }
+        return withPush(service, adoption.check(service, change.version(), text.get()));
     }
 
-    private void readWhatIsDue(Moment now, List<Effect> effects) {
-        nextReads.replaceAll((service, due) -> {
-            if (due > now.nanos()) {
-                return due;
-            }
-            effects.add(new Effect.ReadConfiguration(service, versionOf(service), settings.patience()));
-            return Long.MAX_VALUE;
-        });
+    /** Passes a document on after it was taken in; nodes that have it already are left out. */
+    private List<Effect> withPush(ServiceName service, List<Effect> adopted) {
+        reads.follow(documents.followed());
+        List<Effect> effects = new ArrayList<>(adopted);
+        effects.addAll(exchange.push(service));
+        return effects;
+    }
+
+    private List<Effect> wakeUp(long now) {
+        electReaders(now);
+        List<Effect> effects = new ArrayList<>(exchange.askAgain(now));
+        if (gate.tryOpen(now, documents.newestOwn(), exchange::answered, exchange.behind(now))) {
+            effects.addAll(adoption.bringAllIntoForce());
+        }
+        effects.addAll(reads.start(
+                now,
+                documents.own(),
+                service -> mayRead(now, service),
+                service -> documents.of(service).settledVersion()));
+        nextWakeNanos = Math.min(
+                Math.min(now + ELECTION_INTERVAL_NANOS, gate.nextWakeNanos(now)),
+                Math.min(reads.nextWakeNanos(), exchange.nextWakeNanos()));
+        return effects;
+    }
+
+    /** A node that is just getting its first document from another needn't read the same. */
+    private boolean mayRead(long now, ServiceName service) {
+        return documents.of(service).newest().isPresent() || !exchange.pulling(now, service);
     }
 
-    private long versionOf(ServiceName service) {
-        return Optional.ofNullable(inForce.get(service))
-                .map(ServiceConfiguration::version)
-                .orElse(0L);
+    private void electReaders(long now) {
+        Optional<ServiceConfiguration> own = documents.newestOwn();
+        if (own.isEmpty()) {
+            return;
+        }
+        Collection<NodeName> candidates = new HashSet<>(exchange.neighbours(now));
+        candidates.add(self);
+        reads.neighbours(now, candidates.size());
+        for (ServiceName service : documents.followed()) {
+            boolean elected = ReaderElection.elect(service, own.get(), candidates, settings.readersPerService())
+                    .contains(self);
+            boolean broughtByCalled = !service.equals(documents.own()) && exchange.hearsCalled(now, service);
+            reads.role(now, service, elected && !broughtByCalled);
+        }
     }
 
     /**
@@ -121,7 +256,7 @@
      * @return its configuration; empty before the node is ready to serve
      */
     public Optional<ServiceConfiguration> inForce(ServiceName service) {
-        return Optional.ofNullable(inForce.get(service));
+        return documents.follows(service) ? documents.of(service).inForce() : Optional.empty();
     }
 
     /**
@@ -132,7 +267,7 @@
      * @return its configuration
      */
     public Optional<ServiceConfiguration> newest(ServiceName service) {
-        return inForce(service);
+        return documents.follows(service) ? documents.of(service).newest() : Optional.empty();
     }
 
     /**
@@ -142,27 +277,33 @@
      */
     public Map<ServiceName, Long> versions() {
         Map<ServiceName, Long> versions = new TreeMap<>();
-        inForce.forEach((service, configuration) -> versions.put(service, configuration.version()));
+        for (ServiceName service : documents.followed()) {
+            inForce(service).ifPresent(configuration -> versions.put(service, configuration.version()));
+        }
         return versions;
     }
 
     /**
-     * Gives the versions that a heartbeat to a node should carry: those of the documents that both follow.
+     * Gives the versions that a heartbeat to a node should carry.
      *
      * @param peer the other node
-     * @return the version by service, 0 where this node has none yet
+     * @return the version held by service, 0 where this node has none yet
      */
     public Map<ServiceName, Long> versionsFor(NodeName peer) {
-        return versions();
+        return exchange.versionsFor(peer);
     }
 
     /**
-     * Gives the last refused document of each service, as long as no newer one is in force.
+     * Gives the last refused document of each service, as long as no newer one is held.
      *
      * @return the refused document by service
      */
     public Map<ServiceName, RefusedDocument> refused() {
-        return Map.copyOf(refused);
+        Map<ServiceName, RefusedDocument> refused = new TreeMap<>();
+        for (ServiceName service : documents.followed()) {
+            documents.of(service).refused().ifPresent(document -> refused.put(service, document));
+        }
+        return refused;
     }
 
     /**
@@ -171,7 +312,7 @@
      * @return whether this node has learned what its peers have in force
      */
     public boolean readyToServe() {
-        return inForce.containsKey(own);
+        return gate.isOpen();
     }
 
     /**
@@ -180,6 +321,6 @@
      * @return nanoseconds on the monotonic clock
      */
     public long nextWakeNanos() {
-        return nextReads.values().stream().mapToLong(Long::longValue).min().orElse(Long.MAX_VALUE);
+        return nextWakeNanos;
     }
 }
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/distribution/LineDifference.java
@@ -0,0 +1,158 @@
+package org.carawaysill.policy.distribution;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.carawaysill.policy.message.PeerMessage.LineEdit;
+
+/**
+ * Finds and applies the difference between two texts by lines.
+ *
+ * <p>Invariant: applying the edits found between two texts to the first gives the second. The edits are short for a few
+ * scattered changes and never cost more than a fixed number of comparisons: where that is spent, one edit replaces the
+ * rest. No shared state; thread safe.
+ */
+final class LineDifference {
+
+    /** Equal lines in a row that count as the texts running together again. */
+    private static final int RUN = 3;
+
+    /** How many lines one change may remove and add together before the rest is replaced. */
+    private static final int WINDOW = 400;
+
+    private static final int COMPARISONS = 500_000;
+
+    private final List<String> base;
+    private final List<String> target;
+    private final int baseEnd;
+    private final int targetEnd;
+    private final List<LineEdit> edits = new ArrayList<>();
+    private int comparisonsLeft = COMPARISONS;
+
+    private LineDifference(List<String> base, List<String> target) {
+        this.base = base;
+        this.target = target;
+        int suffix = commonSuffix();
+        this.baseEnd = base.size() - suffix;
+        this.targetEnd = target.size() - suffix;
+    }
+
+    /**
+     * Splits a text such that {@link #join(List)} gives it back.
+     *
+     * @param text the text
+     * @return its lines
+     */
+    static List<String> split(String text) {
+        return List.of(text.split("\n", -1));
+    }
+
+    /**
+     * Joins lines to the text that they were split from.
+     *
+     * @param lines the lines
+     * @return the text
+     */
+    static String join(List<String> lines) {
+        return String.join("\n", lines);
+    }
+
+    /**
+     * Finds the edits that lead from one text to another.
+     *
+     * @param base the lines before
+     * @param target the lines after
+     * @return the replaced ranges, in rising order
+     */
+    static List<LineEdit> between(List<String> base, List<String> target) {
+        return new LineDifference(base, target).find();
+    }
+
+    /**
+     * Applies edits.
+     *
+     * @param base the lines before
+     * @param edits the replaced ranges, in rising order
+     * @return the lines after; empty if the edits don't fit the base
+     */
+    static Optional<List<String>> apply(List<String> base, List<LineEdit> edits) {
+        List<String> result = new ArrayList<>(base.size());
+        int position = 0;
+        for (LineEdit edit : edits) {
+            if (edit.fromLine() < position
+                    || edit.removedLines() < 0
+                    || edit.removedLines() > base.size() - edit.fromLine()) {
+                return Optional.empty();
+            }
+            result.addAll(base.subList(position, edit.fromLine()));
+            result.addAll(edit.addedLines());
+            position = edit.fromLine() + edit.removedLines();
+        }
+        result.addAll(base.subList(position, base.size()));
+        return Optional.of(result);
+    }
+
+    private int commonSuffix() {
+        int limit = Math.min(base.size(), target.size());
+        int suffix = 0;
+        while (suffix < limit && base.get(base.size() - 1 - suffix).equals(target.get(target.size() - 1 - suffix))) {
+            suffix++;
+        }
+        return suffix;
+    }
+
+    private List<LineEdit> find() {
+        Position position = new Position(0, 0);
+        while (position.inBase < baseEnd || position.inTarget < targetEnd) {
+            if (sameLine(position.inBase, position.inTarget)) {
+                position = new Position(position.inBase + 1, position.inTarget + 1);
+            } else {
+                position = replaceFrom(position);
+            }
+        }
+        return edits;
+    }
+
+    private Position replaceFrom(Position from) {
+        Position next = whereTextsMeet(from);
+        edits.add(new LineEdit(
+                from.inBase, next.inBase - from.inBase, List.copyOf(target.subList(from.inTarget, next.inTarget))));
+        return next;
+    }
+
+    private Position whereTextsMeet(Position from) {
+        for (int distance = 1; distance <= WINDOW; distance++) {
+            for (int removed = 0; removed <= distance; removed++) {
+                Position candidate = new Position(from.inBase + removed, from.inTarget + distance - removed);
+                if (comparisonsLeft <= 0) {
+                    return new Position(baseEnd, targetEnd);
+                }
+                if (runsTogether(candidate)) {
+                    return candidate;
+                }
+            }
+        }
+        return new Position(baseEnd, targetEnd);
+    }
+
+    private boolean runsTogether(Position candidate) {
+        for (int i = 0; i < RUN; i++) {
+            int inBase = candidate.inBase + i;
+            int inTarget = candidate.inTarget + i;
+            if (inBase == baseEnd && inTarget == targetEnd) {
+                return true;
+            }
+            comparisonsLeft--;
+            if (!sameLine(inBase, inTarget)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean sameLine(int inBase, int inTarget) {
+        return inBase < baseEnd && inTarget < targetEnd && base.get(inBase).equals(target.get(inTarget));
+    }
+
+    private record Position(int inBase, int inTarget) {}
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/distribution/PeerVersions.java
@@ -0,0 +1,111 @@
+package org.carawaysill.policy.distribution;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+
+/**
+ * Which documents the connected nodes follow, in which version as far as is known, and when each was last heard.
+ *
+ * <p>Invariant: only connected nodes are held, in the order of their names. Not thread safe: one thread owns it.
+ */
+final class PeerVersions {
+
+    private final Map<NodeName, Peer> peers = new TreeMap<>();
+    private final Set<NodeName> answered = new HashSet<>();
+
+    void connected(long now, NodeName node) {
+        peers.put(node, new Peer(now));
+    }
+
+    void lost(NodeName node) {
+        peers.remove(node);
+    }
+
+    void heard(long now, NodeName node) {
+        Peer peer = peers.get(node);
+        if (peer != null) {
+            peer.lastHeardNanos = now;
+        }
+    }
+
+    /**
+     * Takes in the versions that a node told.
+     *
+     * @param node the node
+     * @param versions its versions by service, which replace what was assumed
+     */
+    void told(NodeName node, Map<ServiceName, Long> versions) {
+        answered.add(node);
+        Peer peer = peers.get(node);
+        if (peer != null) {
+            peer.versions.putAll(versions);
+        }
+    }
+
+    /**
+     * Notes a version that a node has or is about to have.
+     *
+     * @param node the node
+     * @param service the document's service
+     * @param version the version
+     */
+    void assume(NodeName node, ServiceName service, long version) {
+        Peer peer = peers.get(node);
+        if (peer != null) {
+            peer.versions.merge(service, version, Math::max);
+        }
+    }
+
+    boolean connected(NodeName node) {
+        return peers.containsKey(node);
+    }
+
+    /** Whether a node told its versions since this process started, also if it is no longer connected. */
+    boolean answered(NodeName node) {
+        return answered.contains(node);
+    }
+
+    List<NodeName> heardSince(long since, Collection<NodeName> nodes) {
+        return nodes.stream().filter(node -> heardSince(since, node)).toList();
+    }
+
+    boolean heardSince(long since, NodeName node) {
+        Peer peer = peers.get(node);
+        return peer != null && peer.lastHeardNanos >= since;
+    }
+
+    OptionalLong version(NodeName node, ServiceName service) {
+        Peer peer = peers.get(node);
+        Long version = peer == null ? null : peer.versions.get(service);
+        return version == null ? OptionalLong.empty() : OptionalLong.of(version);
+    }
+
+    List<NodeName> following(ServiceName service, Predicate<Long> version) {
+        return peers.entrySet().stream()
+                .filter(entry -> {
+                    Long known = entry.getValue().versions.get(service);
+                    return known != null && version.test(known);
+                })
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    private static final class Peer {
+
+        private final Map<ServiceName, Long> versions = new HashMap<>();
+        private long lastHeardNanos;
+
+        private Peer(long now) {
+            lastHeardNanos = now;
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/distribution/Pulls.java
@@ -0,0 +1,60 @@
+package org.carawaysill.policy.distribution;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+
+/**
+ * The documents that this node has asked other nodes for.
+ *
+ * <p>Invariant: each document is asked of one node at a time. Not thread safe: one thread owns it.
+ */
+final class Pulls {
+
+    /** A node that was asked and then died or was cut off would keep the document away; after this time another is asked. */
+    private static final long TIMEOUT_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private final Map<ServiceName, Pull> open = new HashMap<>();
+
+    boolean open(long now, ServiceName service) {
+        Pull pull = open.get(service);
+        return pull != null && now < pull.expiresNanos;
+    }
+
+    void opened(long now, ServiceName service, NodeName node) {
+        open.put(service, new Pull(node, now + TIMEOUT_NANOS));
+    }
+
+    void answered(ServiceName service, NodeName node) {
+        open.computeIfPresent(service, (_, pull) -> pull.node.equals(node) ? null : pull);
+    }
+
+    void lost(NodeName node) {
+        open.values().removeIf(pull -> pull.node.equals(node));
+    }
+
+    /**
+     * Forgets what has expired.
+     *
+     * @param now nanoseconds on the monotonic clock
+     * @return the services whose document must be asked of another node
+     */
+    List<ServiceName> takeExpired(long now) {
+        List<ServiceName> expired = open.entrySet().stream()
+                .filter(entry -> now >= entry.getValue().expiresNanos)
+                .map(Map.Entry::getKey)
+                .sorted()
+                .toList();
+        expired.forEach(open::remove);
+        return expired;
+    }
+
+    long nextWakeNanos() {
+        return open.values().stream().mapToLong(Pull::expiresNanos).min().orElse(Long.MAX_VALUE);
+    }
+
+    private record Pull(NodeName node, long expiresNanos) {}
+}
