--- a/protocol/src/main/java/org/carawaysill/protocol/link/LinkCounters.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/LinkCounters.java
@@ -1,5 +1,6 @@
 package org.carawaysill.protocol.link;
 
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicLongArray;
 
 /**
@@ -15,6 +16,8 @@
     private final AtomicLongArray receivedFrames = new AtomicLongArray(TrafficKind.values().length);
     private final AtomicLongArray receivedBytes = new AtomicLongArray(TrafficKind.values().length);
 
+    private final AtomicLong blockedFrames = new AtomicLong();
+
     LinkCounters() {}
 
     /**
@@ -67,6 +70,19 @@
         return receivedBytes.get(kind.ordinal());
     }
 
+    /**
+     * Tells how many frames were dropped, either way, because their peer is blocked.
+     *
+     * @return the count
+     */
+    public long blockedFrames() {
+        return blockedFrames.get();
+    }
+
+    void blocked() {
+        blockedFrames.incrementAndGet();
+    }
+
     void fault(LinkFaultKind kind) {
         faults.incrementAndGet(kind.ordinal());
     }
--- a/protocol/src/main/java/org/carawaysill/protocol/link/PeerConnection.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/PeerConnection.java
@@ -1,10 +1,7 @@
 package org.carawaysill.protocol.link;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.util.concurrent.Future;
@@ -26,7 +23,7 @@
  * <p>Invariants: it carries messages only while open; it ends once, and then for good; a fault ends it and touches no
  * other connection. Confined to the event loop thread.
  */
-final class PeerConnection extends ChannelInboundHandlerAdapter {
+final class PeerConnection {
 
     private static final Frame PROBE =
             Frame.newBuilder().setProbe(Probe.getDefaultInstance()).build();
@@ -48,7 +45,7 @@
     private State state = State.GREETING;
     private Optional<LinkIdentity> peer = Optional.empty();
     private Optional<Future<?>> greetingTimer = Optional.empty();
-    private boolean probing;
+    private Optional<Future<?>> probeTimer = Optional.empty();
 
     /**
      * Handles a channel.
@@ -66,7 +63,7 @@
 
     /** Sets the channel's handlers up. */
     void install() {
-        channel.pipeline().addLast(FrameBytes.decoder(Greeting.MAXIMUM_BYTES)).addLast(this);
+        channel.pipeline().addLast(FrameBytes.decoder(Greeting.MAXIMUM_BYTES)).addLast(new ConnectionHandler(this));
     }
 
     /** Gives the peer, which is known once it has greeted. */
@@ -83,12 +80,8 @@
         return peer.map(LinkIdentity::name).or(() -> dialled);
     }
 
-    boolean isOpen() {
-        return state == State.OPEN;
-    }
-
-    @Override
-    public void channelActive(ChannelHandlerContext context) {
+    /** Starts the greeting. */
+    void began() {
         table.began(this);
         // Guards against a half-open connection, whose other side never greets: it would hold a socket for ever.
         greetingTimer = Optional.of(after(table.limits().greetingLimit(), this::greetingOverdue));
@@ -101,34 +94,30 @@
         end(LinkFaultKind.NO_HELLO, "no greeting in " + table.limits().greetingLimit());
     }
 
-    @Override
-    public void channelRead(ChannelHandlerContext context, Object received) {
-        ByteBuf buffer = (ByteBuf) received;
-        try {
-            handle(buffer);
-        } catch (ProtocolFault fault) {
-            end(state == State.GREETING ? LinkFaultKind.WRONG_MAGIC : LinkFaultKind.MALFORMED, fault.getMessage());
-        } finally {
-            buffer.release();
-        }
+    /** Tells whether a frame that arrives is looked at: not behind the fault that ended the connection. */
+    boolean isReading() {
+        return state != State.ENDED;
     }
 
-    private void handle(ByteBuf buffer) throws ProtocolFault {
-        // What arrives behind the fault that ended a connection is not read.
-        if (state == State.ENDED || isBlocked()) {
+    void received(Frame frame, int bytes) throws ProtocolFault {
+        if (isBlocked()) {
+            table.counters().blocked();
             return;
         }
-        Frame frame = FrameBytes.read(buffer);
-        table.counters().received(TrafficKind.of(frame), buffer.readableBytes());
+        table.counters().received(TrafficKind.of(frame), bytes);
         if (state == State.GREETING) {
             greeted(frame);
         } else if (state == State.GREETED) {
             answered(frame);
         } else {
-            received(frame);
+            handle(frame);
         }
     }
 
+    void malformed(ProtocolFault fault) {
+        end(state == State.GREETING ? LinkFaultKind.WRONG_MAGIC : LinkFaultKind.MALFORMED, fault.getMessage());
+    }
+
     private boolean isBlocked() {
         return name().filter(table::isBlocked).isPresent();
     }
@@ -196,8 +185,9 @@
         table.opened(this, peer.orElseThrow());
     }
 
-    private void received(Frame frame) throws ProtocolFault {
-        probing = false;
+    private void handle(Frame frame) throws ProtocolFault {
+        probeTimer.ifPresent(timer -> timer.cancel(false));
+        probeTimer = Optional.empty();
         switch (frame.getKindCase()) {
             case PROBE -> writeAndFlush(PROBE_REPLY);
             case PROBE_REPLY -> {
@@ -258,20 +248,19 @@
      * every new connection would be refused as a duplicate until the operating system gives up, which takes minutes.
      */
     void probe() {
-        if (probing || state != State.OPEN) {
+        if (probeTimer.isPresent() || state != State.OPEN) {
             return;
         }
-        probing = true;
+        probeTimer = Optional.of(after(table.limits().probeLimit(), this::probeOverdue));
         if (!isBlocked()) {
             writeAndFlush(PROBE);
         }
-        after(table.limits().probeLimit(), () -> {
-            if (probing) {
-                end(
-                        LinkFaultKind.UNRESPONSIVE,
-                        "no reply to a probe in " + table.limits().probeLimit());
-            }
-        });
+    }
+
+    private void probeOverdue() {
+        end(
+                LinkFaultKind.UNRESPONSIVE,
+                "no reply to a probe in " + table.limits().probeLimit());
     }
 
     /**
@@ -317,17 +306,12 @@
         return new LinkFault(kind, name(), channel.remoteAddress() + ": " + detail);
     }
 
-    @Override
-    public void channelInactive(ChannelHandlerContext context) {
+    /** Ends with the channel. */
+    void cutOff() {
         boolean greetingCutOff = dialled.isPresent() && (state == State.GREETING || state == State.GREETED);
         end(greetingCutOff ? Optional.of(fault(LinkFaultKind.BROKEN, "closed during the greeting")) : Optional.empty());
     }
 
-    @Override
-    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        end(LinkFaultKind.of(cause), String.valueOf(cause));
-    }
-
     private void writeAndFlush(Frame frame) {
         outbound.write(frame);
         channel.flush();
--- a/protocol/src/main/java/org/carawaysill/protocol/link/SendRing.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/SendRing.java
@@ -81,6 +81,7 @@
     private Optional<PeerConnection> write(Outgoing outgoing) {
         Optional<PeerConnection> connection = table.open(outgoing.peer());
         if (connection.isPresent() && table.isBlocked(outgoing.peer())) {
+            table.counters().blocked();
             return Optional.empty();
         }
         Optional<PeerConnection> taken = connection.filter(open -> open.send(outgoing.message()));
--- /dev/null
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/PeerMessageCodecTest.java
@@ -0,0 +1,235 @@
+package org.carawaysill.protocol.codec;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.CallerName;
+import org.carawaysill.model.identity.RequestIdentifier;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.Body;
+import org.carawaysill.model.request.Header;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.Priority;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.RequestContent;
+import org.carawaysill.model.request.Step;
+import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.PeerMessage.ConfigurationDocument;
+import org.carawaysill.policy.message.PeerMessage.Heartbeat;
+import org.carawaysill.policy.message.PeerMessage.LoadReport;
+import org.carawaysill.policy.message.PeerMessage.PeerAnswer;
+import org.carawaysill.policy.message.PeerMessage.PeerRequest;
+import org.carawaysill.policy.message.PeerMessage.Purpose;
+import org.carawaysill.protocol.codec.ProtocolFault.Kind;
+import org.carawaysill.protocol.generated.Frame;
+import org.carawaysill.protocol.generated.PeerRequestFrame;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PeerMessageCodecTest {
+
+    private static final ServiceName SERVICE = new ServiceName("manifests");
+    private static final LoadReport LOAD = new LoadReport(3, 10, 1, 128);
+
+    private static PeerRequest request(long remainingNanos) {
+        RequestContent content = new RequestContent(
+                "POST", "/bills/7/issue", List.of(new Header("traceparent", "00-1-2-01")), Body.ofText("{}"));
+        return new PeerRequest(
+                new AttemptIdentifier(1, 2),
+                new RequestIdentifier(3, 4),
+                SERVICE,
+                "issue",
+                new CallerName("quay-gate"),
+                new Priority(400),
+                false,
+                Optional.of("a key"),
+                2,
+                remainingNanos,
+                1,
+                Purpose.HOLD,
+                content);
+    }
+
+    private static PeerAnswer answer(Duration retryAfter) {
+        Outcome outcome = new Outcome.NotRun(RefusalReason.OVERLOAD, retryAfter, Step.ADMISSION, Optional.empty());
+        return new PeerAnswer(new AttemptIdentifier(1, 2), outcome, 1, LOAD, List.of());
+    }
+
+    private static void assertFault(Kind kind, String field, Frame frame) {
+        ProtocolFault fault = assertThrows(ProtocolFault.class, () -> PeerMessageCodec.decode(frame));
+        assertEquals(kind, fault.kind());
+        assertEquals(field, fault.field());
+    }
+
+    private static void assertRequestFault(Kind kind, String field, Consumer<PeerRequestFrame.Builder> change) {
+        PeerRequestFrame.Builder altered = PeerMessageCodec.encode(request(1)).getPeerRequest().toBuilder();
+        change.accept(altered);
+        assertFault(kind, field, Frame.newBuilder().setPeerRequest(altered).build());
+    }
+
+    private static PeerMessage passedOn(PeerMessage message) throws ProtocolFault {
+        return PeerMessageCodec.decode(PeerMessageCodec.encode(message));
+    }
+
+    @Nested
+    class Durations {
+
+        /**
+         * Every request between two nodes is lost for a moment under overload. A request's deadline passes between the
+         * decision to send it and the sending, its remaining time is negative, and the receiver takes it for hostile
+         * input and closes the connection with all that is in flight on it.
+         */
+        @Test
+        void aDeadlineThatHasPassedTravelsAsNoTimeLeft() throws ProtocolFault {
+            assertEquals(request(0), passedOn(request(-5)));
+        }
+
+        @Test
+        void theLongestDurationsAreShortenedBeforeTheyTravel() throws ProtocolFault {
+            Duration longest = Duration.ofDays(30);
+            assertEquals(request(longest.toNanos()), passedOn(request(Long.MAX_VALUE)));
+            assertEquals(answer(longest), passedOn(answer(Duration.ofSeconds(Long.MAX_VALUE))));
+        }
+    }
+
+    @Nested
+    class MalformedRequests {
+
+        @Test
+        void anIdentifierIsNeeded() {
+            assertRequestFault(Kind.MISSING, "attempt", PeerRequestFrame.Builder::clearAttempt);
+            assertRequestFault(Kind.MISSING, "request", PeerRequestFrame.Builder::clearRequest);
+        }
+
+        @Test
+        void namesAreNeeded() {
+            assertRequestFault(Kind.MISSING, "service", frame -> frame.setService(" "));
+            assertRequestFault(Kind.MISSING, "caller", PeerRequestFrame.Builder::clearCaller);
+        }
+
+        @Test
+        void numbersKeepTheirRange() {
+            assertRequestFault(Kind.OUT_OF_RANGE, "priority", frame -> frame.setPriority(Priority.MAXIMUM + 1));
+            assertRequestFault(Kind.OUT_OF_RANGE, "priority", frame -> frame.setPriority(-1));
+            assertRequestFault(Kind.OUT_OF_RANGE, "retry credits", frame -> frame.setRetryCredits(-1));
+            assertRequestFault(Kind.OUT_OF_RANGE, "depth", frame -> frame.setDepth(Integer.MIN_VALUE));
+            assertRequestFault(Kind.OUT_OF_RANGE, "remaining time", frame -> frame.setRemainingNanos(-1));
+            assertRequestFault(Kind.OUT_OF_RANGE, "remaining time", frame -> frame.setRemainingNanos(Long.MAX_VALUE));
+        }
+
+        @Test
+        void purposesAreKnown() {
+            assertRequestFault(Kind.UNKNOWN_CODE, "purpose", PeerRequestFrame.Builder::clearPurpose);
+            assertRequestFault(Kind.UNKNOWN_CODE, "purpose", frame -> frame.setPurposeValue(99));
+        }
+
+        @Test
+        void aBodyHasItsLengthAndItsChecksum() {
+            assertRequestFault(Kind.MISSING, "content", PeerRequestFrame.Builder::clearContent);
+            assertRequestFault(
+                    Kind.MISSING,
+                    "body",
+                    frame -> frame.setContent(frame.getContent().toBuilder().clearBody()));
+            Frame frame = PeerMessageCodec.encode(request(1));
+            assertFault(Kind.WRONG_LENGTH, "body", Frames.withBody(frame, new byte[] {'{'}));
+            assertFault(Kind.WRONG_CHECKSUM, "body", Frames.withBody(frame, new byte[] {'{', '['}));
+        }
+
+        /**
+         * An upstream copy runs a request that no caller made. A header's value from another node holds a line end and a
+         * second request, and is written to the copy as it stands.
+         */
+        @Test
+        void headersAndPathsCarryNoLineEnds() {
+            assertContentFault("path", "/a HTTP/1.1\r\nX: y", "name", "value");
+            assertContentFault("header name", "/a", "name\n", "value");
+            assertContentFault("header value", "/a", "name", "value\r\n\r\nPOST /bills HTTP/1.1");
+        }
+
+        private void assertContentFault(String field, String path, String name, String value) {
+            RequestContent content = new RequestContent("GET", path, List.of(new Header(name, value)), Body.EMPTY);
+            assertRequestFault(Kind.BAD_TEXT, field, frame -> frame.setContent(ContentCodec.encode(content)));
+        }
+    }
+
+    @Nested
+    class OtherMalformedFrames {
+
+        @Test
+        void greetingsAndEmptyFramesAreNoMessages() {
+            assertFault(Kind.UNEXPECTED_FRAME, "KIND_NOT_SET", Frame.getDefaultInstance());
+        }
+
+        @Test
+        void anAnswerHasAnOutcomeAndALoad() {
+            Frame frame = PeerMessageCodec.encode(answer(Duration.ZERO));
+            assertFault(
+                    Kind.MISSING,
+                    "outcome",
+                    frame.toBuilder()
+                            .setPeerAnswer(frame.getPeerAnswer().toBuilder().clearOutcome())
+                            .build());
+            assertFault(
+                    Kind.MISSING,
+                    "load",
+                    frame.toBuilder()
+                            .setPeerAnswer(frame.getPeerAnswer().toBuilder().clearLoad())
+                            .build());
+        }
+
+        @Test
+        void refusalsHaveAKnownReason() {
+            Frame frame = PeerMessageCodec.encode(answer(Duration.ZERO));
+            var outcome = frame.getPeerAnswer().getOutcome().toBuilder();
+            outcome.setNotRun(outcome.getNotRun().toBuilder().setReasonValue(1000));
+            assertFault(
+                    Kind.UNKNOWN_CODE,
+                    "refusal reason",
+                    frame.toBuilder()
+                            .setPeerAnswer(frame.getPeerAnswer().toBuilder().setOutcome(outcome))
+                            .build());
+        }
+
+        @Test
+        void aDocumentIsWellFormedText() {
+            Frame frame = PeerMessageCodec.encode(new ConfigurationDocument(SERVICE, 3, "x"));
+            var broken = BodyCodec.encode(new byte[] {(byte) 0xc3});
+            assertFault(
+                    Kind.BAD_TEXT,
+                    "text",
+                    frame.toBuilder()
+                            .setConfigurationDocument(
+                                    frame.getConfigurationDocument().toBuilder().setText(broken))
+                            .build());
+        }
+
+        @Test
+        void versionsAreNotNegativeAndOfANamedService() {
+            Frame frame = PeerMessageCodec.encode(new Heartbeat(1, LOAD, Map.of(SERVICE, 4L)));
+            assertFault(
+                    Kind.OUT_OF_RANGE,
+                    "version",
+                    frame.toBuilder()
+                            .setHeartbeat(frame.getHeartbeat().toBuilder().putVersions("manifests", -4))
+                            .build());
+            assertFault(
+                    Kind.MISSING,
+                    "service",
+                    frame.toBuilder()
+                            .setHeartbeat(frame.getHeartbeat().toBuilder().putVersions("", 4))
+                            .build());
+        }
+
+        @Test
+        void aNodeMayAdmitNothing() throws ProtocolFault {
+            LoadReport closed = new LoadReport(0, 1, 0, Priority.MAXIMUM + 1);
+            assertEquals(new Heartbeat(1, closed, Map.of()), passedOn(new Heartbeat(1, closed, Map.of())));
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/test/java/org/carawaysill/protocol/link/HostileInputTest.java
@@ -0,0 +1,221 @@
+package org.carawaysill.protocol.link;
+
+import static org.carawaysill.protocol.link.PeerLinkTest.exchange;
+import static org.carawaysill.protocol.link.PeerLinkTest.heartbeat;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.SocketException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.protocol.codec.PeerMessageCodec;
+import org.carawaysill.protocol.generated.Frame;
+import org.carawaysill.protocol.link.RecordingListener.Report;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * What a broken or hostile process can send.
+ *
+ * <p>The story of each: one process of the fleet, an operator's tool or a port scanner sends what no node would; without
+ * the guard the node's event loop dies or fills up, and every caller of its copy sees timeouts. So each test ends with a
+ * look at another connection, which must not be touched.
+ */
+@Timeout(120)
+class HostileInputTest {
+
+    private TestNode node;
+    private TestNode bystander;
+
+    @BeforeEach
+    void start() {
+        start(TestNode.PATIENT);
+    }
+
+    private void start(LinkLimits limits) {
+        node = new TestNode("manifests-1", 1, limits);
+        bystander = TestNode.start("tracker-9");
+        bystander.connect(node);
+    }
+
+    @AfterEach
+    void stop() {
+        exchange(node, bystander, 1);
+        assertEquals(0, node.losses(bystander.name));
+        bystander.close();
+        node.close();
+    }
+
+    private void startImpatient() {
+        stop();
+        start(TestNode.patient().greetingLimit(Duration.ofMillis(500)).build());
+    }
+
+    private void assertFaultAndClose(LinkFaultKind kind, RawPeer peer) throws IOException {
+        node.heard.awaitFault(kind);
+        peer.awaitClosed();
+        assertTrue(node.link.counters().faults(kind) > 0);
+        peer.close();
+    }
+
+    @Nested
+    class InTheGreeting {
+
+        @Test
+        void anotherProtocolIsRefused() throws IOException {
+            RawPeer peer = RawPeer.dial(node);
+            peer.writeRaw("GET /status HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertFaultAndClose(LinkFaultKind.OVERSIZE, peer);
+        }
+
+        @Test
+        void aFrameThatIsNoGreetingIsRefused() throws IOException {
+            RawPeer peer = RawPeer.dial(node);
+            peer.write(PeerMessageCodec.encode(heartbeat(1)));
+            assertFaultAndClose(LinkFaultKind.WRONG_MAGIC, peer);
+            assertEquals(
+                    0,
+                    node.heard.fault(LinkFaultKind.WRONG_MAGIC).stream()
+                            .filter(fault -> fault.peer().isPresent())
+                            .count());
+        }
+
+        @Test
+        void bytesThatAreNoFrameAreRefused() throws IOException {
+            RawPeer peer = RawPeer.dial(node);
+            peer.writeBytes(new byte[] {(byte) 0xff, (byte) 0xff, (byte) 0xff});
+            assertFaultAndClose(LinkFaultKind.WRONG_MAGIC, peer);
+        }
+
+        @Test
+        void anotherVersionIsRefusedAndTold() throws IOException {
+            RawPeer peer = RawPeer.dial(node);
+            Frame hello = RawPeer.hello("tracker-1", 1);
+            peer.write(Frame.newBuilder()
+                    .setHello(hello.getHello().toBuilder().setVersion(Greeting.VERSION + 1))
+                    .build());
+            assertEquals(
+                    LinkFaultKind.WRONG_VERSION.name(), peer.read().getRefused().getReason());
+            assertFaultAndClose(LinkFaultKind.WRONG_VERSION, peer);
+        }
+
+        @Test
+        void aGreetingWithoutANameIsRefused() throws IOException {
+            RawPeer peer = RawPeer.dial(node);
+            Frame hello = RawPeer.hello("tracker-1", 1);
+            peer.write(Frame.newBuilder()
+                    .setHello(hello.getHello().toBuilder().setNode(" "))
+                    .build());
+            assertFaultAndClose(LinkFaultKind.MALFORMED, peer);
+        }
+
+        @Test
+        void aDialledServerThatNeverGreetsIsLeftAndDialledAgain() throws IOException {
+            startImpatient();
+            try (ServerSocket silent = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+                node.link.connect(new NodeName("tracker-1"), "127.0.0.1", silent.getLocalPort());
+                RawPeer first = new RawPeer(silent.accept());
+                assertFaultAndClose(LinkFaultKind.NO_HELLO, first);
+                new RawPeer(silent.accept()).close();
+            }
+        }
+
+        @Test
+        void aConnectionThatNeverGreetsIsClosed() throws IOException {
+            startImpatient();
+            assertFaultAndClose(LinkFaultKind.NO_HELLO, RawPeer.dial(node));
+        }
+
+        @Test
+        void messagesRightBehindTheGreetingAreTakenOnceItIsDone() throws IOException {
+            RawPeer peer = RawPeer.dial(node);
+            byte[] hello = RawPeer.hello("tracker-1", 1).toByteArray();
+            byte[] message = PeerMessageCodec.encode(heartbeat(5)).toByteArray();
+            ByteBuffer both = ByteBuffer.allocate(2 * Integer.BYTES + hello.length + message.length);
+            peer.writeRaw(both.putInt(hello.length)
+                    .put(hello)
+                    .putInt(message.length)
+                    .put(message)
+                    .array());
+            node.heard.await(new Report.Received(new NodeName("tracker-1"), heartbeat(5)));
+            peer.close();
+        }
+    }
+
+    @Nested
+    class AfterTheGreeting {
+
+        @Test
+        void anOversizeFrameClosesItsConnection() throws IOException {
+            RawPeer peer = RawPeer.greet(node, "tracker-1", 1);
+            peer.writeRaw(ByteBuffer.allocate(Integer.BYTES)
+                    .putInt(TestNode.PATIENT.maximumFrameBytes() + 1)
+                    .array());
+            assertFaultAndClose(LinkFaultKind.OVERSIZE, peer);
+        }
+
+        @Test
+        void aMalformedMessageClosesItsConnection() throws IOException {
+            RawPeer peer = RawPeer.greet(node, "tracker-1", 1);
+            peer.writeBytes(new byte[0]);
+            LinkFault fault = node.heard.awaitFault(LinkFaultKind.MALFORMED);
+            assertEquals(new NodeName("tracker-1"), fault.peer().orElseThrow());
+            assertFaultAndClose(LinkFaultKind.MALFORMED, peer);
+            node.heard.await(new Report.Lost(new NodeName("tracker-1")));
+        }
+
+        @Test
+        void aSecondGreetingClosesItsConnection() throws IOException {
+            RawPeer peer = RawPeer.greet(node, "tracker-1", 1);
+            peer.write(RawPeer.hello("tracker-9", 9));
+            assertFaultAndClose(LinkFaultKind.MALFORMED, peer);
+        }
+    }
+
+    @Nested
+    class Fuzzing {
+
+        private static final int ROUNDS = 300;
+
+        @Test
+        void randomBytesCloseOnlyTheirConnection() throws IOException {
+            SplittableRandom random = new SplittableRandom(11);
+            for (int i = 0; i < ROUNDS; i++) {
+                byte[] bytes = new byte[1 + random.nextInt(200)];
+                random.nextBytes(bytes);
+                writeAndLeave(RawPeer.dial(node), bytes);
+            }
+        }
+
+        @Test
+        void alteredFramesCloseOnlyTheirConnection() throws IOException {
+            SplittableRandom random = new SplittableRandom(12);
+            byte[] message = PeerMessageCodec.encode(heartbeat(7)).toByteArray();
+            for (int i = 0; i < ROUNDS; i++) {
+                byte[] altered = ByteBuffer.allocate(Integer.BYTES + message.length)
+                        .putInt(message.length)
+                        .put(message)
+                        .array();
+                altered[random.nextInt(altered.length)] ^= (byte) (1 << random.nextInt(Byte.SIZE));
+                writeAndLeave(RawPeer.greet(node, "tracker-1", i), altered);
+            }
+        }
+
+        private void writeAndLeave(RawPeer peer, byte[] bytes) throws IOException {
+            try (peer) {
+                peer.writeRaw(bytes);
+            } catch (SocketException e) {
+                // The node has closed the connection already.
+            }
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/test/java/org/carawaysill/protocol/link/LossTest.java
@@ -0,0 +1,240 @@
+package org.carawaysill.protocol.link;
+
+import static org.carawaysill.protocol.link.PeerLinkTest.exchange;
+import static org.carawaysill.protocol.link.PeerLinkTest.heartbeat;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.EOFException;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.PeerMessage.ConfigurationDocument;
+import org.carawaysill.protocol.codec.PeerMessageCodec;
+import org.carawaysill.protocol.codec.ProtocolFault;
+import org.carawaysill.protocol.link.RecordingListener.Report;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Connections that end, and what becomes of the messages on them. */
+@Timeout(120)
+class LossTest {
+
+    private static final NodeName PEER = new NodeName("tracker-1");
+
+    /** A large message that can be told from others. */
+    private static PeerMessage document(int version, int bytes) {
+        return new ConfigurationDocument(new ServiceName("manifests"), version, "x".repeat(bytes));
+    }
+
+    private static List<Long> versions(List<PeerMessage> messages) {
+        return messages.stream()
+                .map(ConfigurationDocument.class::cast)
+                .map(ConfigurationDocument::version)
+                .toList();
+    }
+
+    @Nested
+    class Unsent {
+
+        @Test
+        void messagesToAPeerWithoutConnectionComeBack() {
+            try (TestNode a = TestNode.start("manifests-1")) {
+                a.link.send(PEER, heartbeat(1));
+                a.heard.await(new Report.Unsent(PEER, heartbeat(1)));
+            }
+        }
+
+        @Test
+        void messagesToAClosedLinkComeBack() {
+            TestNode a = TestNode.start("manifests-1");
+            a.close();
+            a.link.send(PEER, heartbeat(1));
+            assertEquals(List.of(heartbeat(1)), a.heard.unsentMessages());
+        }
+
+        @Test
+        void aMessageLargerThanAFrameComesBackAndLeavesTheConnection() {
+            try (TestNode a = TestNode.start("manifests-1");
+                    TestNode b = TestNode.start("tracker-1")) {
+                a.connect(b);
+                PeerMessage large = document(1, TestNode.PATIENT.maximumFrameBytes());
+                a.send(b, large);
+                a.heard.await(new Report.Unsent(b.name, large));
+                a.heard.awaitFault(LinkFaultKind.OVERSIZE);
+                exchange(a, b, 2);
+            }
+        }
+
+        /**
+         * A posting runs twice. The peer freezes, the connection ends, and a request is reported as unsent, so that it is
+         * tried elsewhere; but it had been given to the operating system, and the peer runs it when it wakes. No message
+         * that the peer can still read may be reported as unsent; all others must be, but for one cut in the middle.
+         */
+        @Test
+        void afterAFrozenPeerWakesNothingUnsentHasArrived() throws IOException, ProtocolFault {
+            LinkLimits limits =
+                    TestNode.patient().drainLimit(Duration.ofMillis(300)).build();
+            try (TestNode a = new TestNode("manifests-1", 1, limits);
+                    RawPeer frozen = RawPeer.greet(a, "tracker-1", 1)) {
+                List<PeerMessage> sent = IntStream.range(0, 100)
+                        .mapToObj(version -> document(version, 50_000))
+                        .toList();
+                sent.forEach(message -> a.link.send(PEER, message));
+                assertEquals(
+                        PEER,
+                        a.heard.awaitFault(LinkFaultKind.SLOW_READER).peer().orElseThrow());
+                a.heard.await(new Report.Lost(PEER));
+                List<Long> all = versions(sent);
+                List<Long> arrived = versions(readAll(frozen));
+                List<Long> unsent = versions(a.heard.unsentMessages());
+                assertFalse(arrived.isEmpty());
+                assertFalse(unsent.isEmpty());
+                assertEquals(all.subList(0, arrived.size()), arrived);
+                int cutOff = sent.size() - arrived.size() - unsent.size();
+                assertTrue(cutOff == 0 || cutOff == 1, cutOff + " neither arrived nor unsent");
+                assertEquals(all.subList(arrived.size() + cutOff, all.size()), unsent);
+                assertEquals(new Report.Lost(PEER), a.heard.reports().getLast());
+            }
+        }
+
+        private List<PeerMessage> readAll(RawPeer peer) throws IOException, ProtocolFault {
+            List<PeerMessage> messages = new ArrayList<>();
+            try {
+                while (true) {
+                    messages.add(PeerMessageCodec.decode(peer.read()));
+                }
+            } catch (EOFException | InvalidProtocolBufferException e) {
+                return messages;
+            }
+        }
+
+        /**
+         * A node's memory grows until it dies, while one of its peers is frozen. Messages to that peer pile up for as
+         * long as the connection looks alive.
+         */
+        @Test
+        void aPeerThatDoesNotReadGetsNoMoreThanTheHighWaterMark() throws IOException {
+            LinkLimits limits = TestNode.patient().highWaterMarkBytes(200_000).build();
+            try (TestNode a = new TestNode("manifests-1", 1, limits);
+                    RawPeer _ = RawPeer.greet(a, "tracker-1", 1)) {
+                IntStream.range(0, 200).forEach(version -> a.link.send(PEER, document(version, 50_000)));
+                a.heard.await(_ -> a.heard.unsentMessages().contains(document(199, 50_000)));
+                assertEquals(0, a.losses(PEER));
+            }
+        }
+
+        @Test
+        void everyMessageIsDeliveredOrComesBackWhenTheRingIsFull() {
+            LinkLimits limits = TestNode.patient().ringCapacity(2).build();
+            try (TestNode a = new TestNode("manifests-1", 1, limits);
+                    TestNode b = TestNode.start("tracker-1")) {
+                a.connect(b);
+                int sent = 20_000;
+                IntStream.range(0, sent).forEach(i -> a.send(b, heartbeat(i)));
+                b.heard.await(_ -> b.heard.receivedMessages().size()
+                                + a.heard.unsentMessages().size()
+                        == sent);
+                assertFalse(a.heard.unsentMessages().isEmpty());
+            }
+        }
+    }
+
+    @Nested
+    class Lost {
+
+        /**
+         * A caller gets a part of an answer. The peer dies while it writes a message, and the part that came is taken for
+         * the whole.
+         */
+        @Test
+        void aMessageCutInTheMiddleIsNotReceived() throws IOException {
+            try (TestNode a = TestNode.start("manifests-1")) {
+                RawPeer peer = RawPeer.greet(a, "tracker-1", 1);
+                peer.write(PeerMessageCodec.encode(heartbeat(1)));
+                byte[] frame = PeerMessageCodec.encode(document(2, 5000)).toByteArray();
+                peer.writeRaw(new byte[] {0, 0, (byte) (frame.length >> 8), (byte) frame.length});
+                peer.writeRaw(Arrays.copyOf(frame, 3000));
+                a.heard.await(new Report.Received(PEER, heartbeat(1)));
+                peer.close();
+                a.heard.await(new Report.Lost(PEER));
+                assertEquals(List.of(heartbeat(1)), a.heard.receivedMessages());
+            }
+        }
+
+        @Test
+        void connectedAndLostAlternate() {
+            try (TestNode a = TestNode.start("manifests-1");
+                    TestNode b = TestNode.start("tracker-1")) {
+                a.dial(b);
+                b.dial(a);
+                for (int i = 1; i <= 10; i++) {
+                    int rounds = i;
+                    a.heard.await(_ -> a.connections(b.name) == rounds && a.isConnected(b.name));
+                    b.heard.await(_ -> b.connections(a.name) >= rounds && b.isConnected(a.name));
+                    a.link.disconnect(b.name);
+                    a.heard.await(_ -> a.losses(b.name) == rounds);
+                    a.dial(b);
+                }
+                List<Report> turns = a.heard.reports().stream()
+                        .filter(report -> report instanceof Report.Connected || report instanceof Report.Lost)
+                        .toList();
+                for (int i = 0; i < turns.size(); i++) {
+                    assertEquals(i % 2 == 0, turns.get(i) instanceof Report.Connected);
+                }
+            }
+        }
+    }
+
+    @Nested
+    class Closing {
+
+        /**
+         * A planned stop cuts off answers. The node gives its last answers to its link, closes it at once, and the peer
+         * is still sending: the operating system resets the connection and the answers are gone.
+         */
+        @Test
+        void whatWasSentBeforeTheCloseArrives() {
+            try (TestNode b = TestNode.start("tracker-1");
+                    TestNode a = TestNode.start("manifests-1")) {
+                a.connect(b);
+                List<PeerMessage> answers = IntStream.range(0, 100)
+                        .mapToObj(version -> document(version, 20_000))
+                        .toList();
+                answers.forEach(message -> {
+                    b.send(a, message);
+                    a.send(b, message);
+                });
+                a.close();
+                b.heard.await(new Report.Lost(a.name));
+                assertEquals(versions(answers), versions(b.heard.receivedMessages()));
+                assertEquals(List.of(), a.heard.unsentMessages());
+            }
+        }
+
+        @Test
+        void aDisconnectedPeerIsLostOnBothSidesAndNotDialledAgain() {
+            try (TestNode a = TestNode.start("manifests-1");
+                    TestNode b = TestNode.start("tracker-1")) {
+                a.connect(b);
+                a.send(b, heartbeat(1));
+                a.link.disconnect(b.name);
+                a.heard.await(new Report.Lost(b.name));
+                b.heard.await(new Report.Lost(a.name));
+                assertEquals(List.of(heartbeat(1)), b.heard.receivedMessages());
+                b.dial(a);
+                b.awaitConnected(a);
+                assertEquals(1, b.losses(a.name));
+            }
+        }
+    }
+}
