--- a/node/src/main/java/org/carawaysill/node/copy/CopyClient.java
+++ b/node/src/main/java/org/carawaysill/node/copy/CopyClient.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpVersion;
 import io.vertx.core.http.PoolOptions;
 import java.util.HashMap;
@@ -13,6 +14,7 @@
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.request.Invariant;
 import org.carawaysill.model.request.Outcome;
+import org.carawaysill.node.observation.ConnectionFault;
 import org.carawaysill.node.observation.Counters;
 import org.carawaysill.node.policy.PolicyInbox;
 import org.carawaysill.policy.effect.Effect;
@@ -58,7 +60,17 @@
         this.settings = settings;
         this.inbox = registry.require(PolicyInbox.NAME, PolicyInbox.class);
         this.counters = registry.require(Counters.NAME, Counters.class);
-        this.client = settings.vertx().createHttpClient(options(settings), poolOptions());
+        this.client = settings.vertx()
+                .httpClientBuilder()
+                .with(options(settings))
+                .with(poolOptions())
+                .withConnectHandler(this::connected)
+                .build();
+    }
+
+    /** Counts what breaks a connection outside an exchange, such as an answer that nobody asked for; it is closed then. */
+    private void connected(HttpConnection connection) {
+        connection.exceptionHandler(ignored -> counters.count(ConnectionFault.COPY_BROKEN));
     }
 
     private static HttpClientOptions options(CopyClientSettings settings) {
--- a/node/src/main/java/org/carawaysill/node/copy/CopyExchange.java
+++ b/node/src/main/java/org/carawaysill/node/copy/CopyExchange.java
@@ -72,25 +72,34 @@
     }
 
     private void connected(HttpClientRequest request) {
+        request.exceptionHandler(ignored -> lost());
         if (finished) {
             request.connection().close();
         } else if (remainingNanos() <= 0) {
             // Guards against a process that was paused and hands over late work when it wakes: the copy would run what
             // its caller has given up. The deadline is checked last, right before the write.
-            request.connection().close();
             notRun(RefusalReason.DEADLINE, Step.COPY_WRITE);
+            request.connection().close();
         } else {
             write(request);
         }
     }
 
+    private void lost() {
+        if (written.isPresent()) {
+            unknown(UnknownReason.COPY_LOST);
+        } else {
+            notRun(RefusalReason.COPY_UNREACHABLE, Step.COPY_CONNECT);
+        }
+    }
+
     private void write(HttpClientRequest request) {
         RequestContent content = effect.content();
         try {
             content.headers().forEach(header -> request.headers().add(header.name(), header.value()));
         } catch (IllegalArgumentException unwritable) {
-            request.connection().close();
             notRun(RefusalReason.BAD_REQUEST, Step.COPY_WRITE);
+            request.connection().close();
             return;
         }
         request.putHeader(CarawaysillHeaders.ATTEMPT, effect.attempt().toString());
--- a/node/src/main/java/org/carawaysill/node/exchange/ExchangeServer.java
+++ b/node/src/main/java/org/carawaysill/node/exchange/ExchangeServer.java
@@ -24,11 +24,14 @@
 import org.carawaysill.model.request.RequestContent;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.node.observation.BadRequest;
+import org.carawaysill.node.observation.ConnectionFault;
 import org.carawaysill.node.observation.Counters;
 import org.carawaysill.node.observation.ExchangeResult;
 import org.carawaysill.node.observation.ExchangeSide;
+import org.carawaysill.node.observation.StateLog;
 import org.carawaysill.node.policy.PolicyInbox;
 import org.carawaysill.policy.event.Event;
+import org.jspecify.annotations.Nullable;
 
 /**
  * An HTTP server that turns whole requests into events: the ingress for callers, or the egress for the local copy.
@@ -152,13 +155,28 @@
     private void read(HttpServerRequest request) {
         ConnectionWatch watch = guard.watch(request.connection());
         watch.bodyExpected();
-        reader.read(request).thenAccept(result -> {
-            switch (result) {
-                case ReadResult.Whole whole -> open(request, watch, whole.content());
-                case ReadResult.Bad bad -> refuse(request, watch, bad.kind(), bad.detail());
-                case ReadResult.Gone ignored -> counters.exchangeEnded(side, ExchangeResult.CLOSED);
-            }
-        });
+        reader.read(request)
+                .thenAccept(result -> received(request, watch, result))
+                .exceptionally(failure -> abandon(request, failure));
+    }
+
+    private void received(HttpServerRequest request, ConnectionWatch watch, ReadResult result) {
+        switch (result) {
+            case ReadResult.Whole whole -> open(request, watch, whole.content());
+            case ReadResult.Bad bad -> refuse(request, watch, bad.kind(), bad.detail());
+            case ReadResult.Gone ignored -> counters.exchangeEnded(side, ExchangeResult.CLOSED);
+        }
+    }
+
+    /**
+     * Guards against a fault of the node itself at one request, which would show as a caller that waits for ever: the
+     * connection is closed, so that the caller knows and the policy cancels what there is to cancel.
+     */
+    private @Nullable Void abandon(HttpServerRequest request, Throwable failure) {
+        StateLog.fault(Step.INGRESS, Optional.empty(), "a request was abandoned: " + failure);
+        counters.count(ConnectionFault.BROKEN);
+        request.connection().close();
+        return null;
     }
 
     private void open(HttpServerRequest request, ConnectionWatch watch, RequestContent content) {
@@ -188,13 +206,19 @@
         counters.count(kind);
         counters.exchangeEnded(side, ExchangeResult.NOT_RUN);
         watch.answerWriting();
-        request.handler(ignored -> {});
+        discardRest(request);
         request.response().putHeader(HttpHeaders.CONNECTION, "close");
         OutcomeWriter.writeBad(request.response(), kind, detail).onComplete(ignored -> closeAfterRefusal(request));
     }
 
+    private static void discardRest(HttpServerRequest request) {
+        if (!request.isEnded()) {
+            request.handler(ignored -> {});
+        }
+    }
+
     private void closeAfterRefusal(HttpServerRequest request) {
-        if (request.isEnded()) {
+        if (request.isEnded() && request.decoderResult().isSuccess()) {
             request.connection().close();
         } else {
             // A connection closed while the client still sends is reset, and the reset can overtake the refusal.
--- a/node/src/main/java/org/carawaysill/node/observation/ConnectionFault.java
+++ b/node/src/main/java/org/carawaysill/node/observation/ConnectionFault.java
@@ -11,5 +11,7 @@
     /** The answer was not read in time. */
     SLOW_READER,
     /** What came is no HTTP, or breaks its framing. */
-    BROKEN
+    BROKEN,
+    /** The local copy broke the protocol or the connection. */
+    COPY_BROKEN
 }
--- /dev/null
+++ b/node/src/test/java/org/carawaysill/node/copy/CopyClientTest.java
@@ -0,0 +1,288 @@
+package org.carawaysill.node.copy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.NetworkAddress;
+import org.carawaysill.model.request.AnswerContent;
+import org.carawaysill.model.request.Body;
+import org.carawaysill.model.request.Header;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.RequestContent;
+import org.carawaysill.model.request.Step;
+import org.carawaysill.model.request.UnknownReason;
+import org.carawaysill.model.settings.SizeLimits;
+import org.carawaysill.node.testing.AdapterBench;
+import org.carawaysill.node.testing.RawConnection;
+import org.carawaysill.node.testing.RawCopy;
+import org.carawaysill.policy.effect.Effect;
+import org.carawaysill.policy.event.Event;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+@Timeout(120)
+class CopyClientTest {
+
+    private static final AttemptIdentifier FIRST = new AttemptIdentifier(1, 1);
+
+    private static final AttemptIdentifier SECOND = new AttemptIdentifier(2, 2);
+
+    private static final SizeLimits SIZES = new SizeLimits(4096, 4096);
+
+    private final AdapterBench bench = new AdapterBench();
+
+    private final RawCopy copy = new RawCopy();
+
+    /** Leaps of the clock, one for each time it is read. */
+    private final Deque<Long> leaps = new ArrayDeque<>();
+
+    private final CopyClient client = clientOf(copy.address());
+
+    private CopyClient clientOf(NetworkAddress address) {
+        return new CopyClient(
+                new CopyClientSettings(bench.vertx, bench.eventLoop, address, SIZES, this::clock), bench.registry);
+    }
+
+    private long clock() {
+        return System.nanoTime() + Optional.ofNullable(leaps.poll()).orElse(0L);
+    }
+
+    @AfterEach
+    void close() {
+        client.stop().join();
+        copy.close();
+        bench.close();
+    }
+
+    private void hand(CopyClient to, AttemptIdentifier attempt, String method) {
+        RequestContent content = new RequestContent(
+                method, "/bills/7?full=true", List.of(new Header("X-Desk", "gate")), Body.ofText("hello"));
+        to.hand(new Effect.HandToCopy(
+                attempt, content, System.nanoTime() + Duration.ofMinutes(1).toNanos()));
+    }
+
+    private RawConnection handAndAccept(AttemptIdentifier attempt) {
+        hand(client, attempt, "POST");
+        RawConnection connection = copy.accept();
+        connection.readMessage();
+        return connection;
+    }
+
+    private Outcome outcomeOf(AttemptIdentifier attempt) {
+        Event.CopyAnswered answered = bench.next(Event.CopyAnswered.class);
+        assertEquals(attempt, answered.attempt());
+        return answered.outcome();
+    }
+
+    private AnswerContent answerOf(AttemptIdentifier attempt) {
+        return assertInstanceOf(Outcome.Answered.class, outcomeOf(attempt)).content();
+    }
+
+    private static String textOf(AnswerContent content) {
+        return new String(content.body().bytes(), StandardCharsets.UTF_8);
+    }
+
+    private void expectUnknown(AttemptIdentifier attempt, UnknownReason reason) {
+        assertEquals(
+                reason,
+                assertInstanceOf(Outcome.Unknown.class, outcomeOf(attempt)).reason());
+    }
+
+    private void expectNotRun(AttemptIdentifier attempt, RefusalReason reason) {
+        assertEquals(
+                reason,
+                assertInstanceOf(Outcome.NotRun.class, outcomeOf(attempt)).reason());
+    }
+
+    @Nested
+    class Passing {
+
+        @Test
+        void passesTheRequestWithItsAttemptAndDeadline() {
+            hand(client, FIRST, "POST");
+            String request = copy.accept().readMessage();
+            assertTrue(request.startsWith("POST /bills/7?full=true HTTP/1.1\r\n"), request);
+            assertTrue(request.contains("X-Desk: gate\r\n"), request);
+            assertTrue(request.contains("Carawaysill-Attempt: " + FIRST + "\r\n"), request);
+            assertTrue(request.matches("(?s).*Carawaysill-Deadline-Milliseconds: [1-9]\\d*\r\n.*"), request);
+            assertTrue(request.endsWith("hello"), request);
+        }
+
+        /*
+         * A caller is told "not run" although its request ran: the copy passed on the mark of a call that it made
+         * itself. The node takes such marks, and what concerns one connection only, off each answer of a copy.
+         */
+        @Test
+        void takesMarksAndConnectionHeadersOffTheAnswer() {
+            handAndAccept(FIRST)
+                    .write("HTTP/1.1 502 Bad Gateway\r\nContent-Length: 2\r\nCarawaysill-Outcome: not-run\r\n"
+                            + "Connection: X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=5\r\nX-Kept: 1\r\n\r\nok");
+            AnswerContent answer = answerOf(FIRST);
+            assertEquals(502, answer.status());
+            assertEquals(List.of(new Header("X-Kept", "1")), answer.headers());
+            assertEquals("ok", textOf(answer));
+        }
+
+        @Test
+        void keepsTheLengthThatAnAnswerToHeadStates() {
+            hand(client, FIRST, "HEAD");
+            RawConnection connection = copy.accept();
+            connection.readHead();
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n");
+            assertEquals(
+                    List.of(new Header("Content-Length", "77")), answerOf(FIRST).headers());
+        }
+
+        @Test
+        void usesAConnectionAgainAfterACompleteAnswer() {
+            RawConnection connection = handAndAccept(FIRST).write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+            assertEquals("a", textOf(answerOf(FIRST)));
+            hand(client, SECOND, "POST");
+            assertTrue(connection.readMessage().contains(SECOND.toString()));
+            connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n\r\n");
+            assertEquals("b", textOf(answerOf(SECOND)));
+        }
+    }
+
+    @Nested
+    class NotRun {
+
+        @Test
+        void isSaidWhenNothingListens() {
+            copy.close();
+            hand(client, FIRST, "POST");
+            expectNotRun(FIRST, RefusalReason.COPY_UNREACHABLE);
+        }
+
+        /*
+         * A clerk is told that a request was given up, and it runs all the same: the process was paused between the
+         * decision and the write and woke up after the deadline. The clock leaps while the connection is opened; the
+         * copy must see no byte.
+         */
+        @Test
+        void isSaidWhenThePauseEndsAfterTheDeadline() {
+            leaps.addAll(List.of(0L, Duration.ofMinutes(2).toNanos()));
+            hand(client, FIRST, "POST");
+            expectNotRun(FIRST, RefusalReason.DEADLINE);
+            assertEquals("", copy.accept().readToEnd());
+        }
+    }
+
+    @Nested
+    class Unknown {
+
+        @Test
+        void isSaidWhenTheCopyClosesWithoutAnAnswer() {
+            handAndAccept(FIRST).close();
+            expectUnknown(FIRST, UnknownReason.COPY_LOST);
+        }
+
+        /*
+         * A forwarder reads half a manifest as if it were whole: the copy died in the middle of its answer, or the
+         * answer states no length at all, so that its end can't be told from a death.
+         */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "Content-Length: 10\r\n\r\nshort",
+                    "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+                    "Transfer-Encoding: chunked\r\n\r\nzz\r\nshort\r\n",
+                    "X-No-Length: 1\r\n\r\nshort",
+                    "Content-Length: 5000\r\n\r\n"
+                })
+        void isSaidOfATruncatedAnswer(String rest) {
+            RawConnection connection = handAndAccept(FIRST).write("HTTP/1.1 200 OK\r\n" + rest);
+            if (rest.contains("5000")) {
+                connection.write("x".repeat(5000));
+            }
+            connection.close();
+            expectUnknown(FIRST, UnknownReason.TRUNCATED);
+        }
+
+        @Test
+        void isSaidOfAnAnswerThatNamesAnotherAttempt() {
+            RawConnection connection = handAndAccept(FIRST)
+                    .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nCarawaysill-Attempt: " + SECOND + "\r\n\r\n");
+            expectUnknown(FIRST, UnknownReason.COPY_LOST);
+            assertEquals("", connection.readToEnd());
+            assertEquals(1, bench.counted("breaches", "own_answer"));
+        }
+
+        @Test
+        void isSaidOfAnAnswerThatIsNoHttp() {
+            handAndAccept(FIRST).write("220 mail.example ESMTP\r\n\r\n");
+            expectUnknown(FIRST, UnknownReason.COPY_LOST);
+        }
+    }
+
+    @Nested
+    class OwnAnswer {
+
+        /*
+         * An agent sees another agent's bill: the first request was given up, its answer came late, and the next
+         * request on the same connection took it for its own. A cancelled exchange closes its connection.
+         */
+        @Test
+        void isNotTheLateOneOfACancelledExchange() {
+            RawConnection connection = handAndAccept(FIRST);
+            client.cancel(FIRST);
+            expectUnknown(FIRST, UnknownReason.COPY_LOST);
+            assertEquals("", connection.readToEnd());
+            handAndAccept(SECOND).write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+            assertEquals("own", textOf(answerOf(SECOND)));
+        }
+
+        /*
+         * The same, but the copy answers one request twice; the second answer lies in the connection when the next
+         * request is to be written. That one may be told "unknown", when it meets the connection as it closes, but never
+         * gets the stray answer.
+         */
+        @Test
+        void isNotTheSecondOneToTheRequestBefore() {
+            handAndAccept(FIRST)
+                    .write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+                            + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+            assertEquals("one", textOf(answerOf(FIRST)));
+            Thread.ofVirtual().start(this::answerOnANewConnection);
+            Outcome outcome = new Outcome.Unknown(UnknownReason.COPY_LOST, Step.COPY_WAIT, Optional.empty());
+            for (int i = 0; outcome instanceof Outcome.Unknown; i++) {
+                AttemptIdentifier attempt = new AttemptIdentifier(3, i);
+                hand(client, attempt, "POST");
+                outcome = outcomeOf(attempt);
+            }
+            assertEquals(
+                    "own",
+                    textOf(assertInstanceOf(Outcome.Answered.class, outcome).content()));
+        }
+
+        private void answerOnANewConnection() {
+            RawConnection connection = copy.accept();
+            connection.readMessage();
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+        }
+
+        @Test
+        void staysWithOneOfTwoHandoversOfAnAttempt() {
+            RawConnection connection = handAndAccept(FIRST);
+            hand(client, FIRST, "POST");
+            AdapterBench.await(() -> bench.counted("breaches", "at_most_once") == 1);
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none");
+            assertEquals("one", textOf(answerOf(FIRST)));
+            assertFalse(bench.inbox.ring().poll().isPresent());
+        }
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/carawaysill/node/testing/AdapterBench.java
@@ -0,0 +1,89 @@
+package org.carawaysill.node.testing;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
+import io.prometheus.metrics.model.snapshots.Labels;
+import io.prometheus.metrics.model.snapshots.MetricSnapshot;
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import org.carawaysill.kernel.service.ServiceRegistry;
+import org.carawaysill.node.observation.Counters;
+import org.carawaysill.node.policy.Arrival;
+import org.carawaysill.node.policy.PolicyInbox;
+import org.carawaysill.node.policy.StatusBoard;
+import org.carawaysill.policy.event.Event;
+
+/** What an adapter needs around it, with the test in the place of the policy. Confined to the test's thread. */
+public final class AdapterBench implements AutoCloseable {
+
+    private static final long GENEROUS_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+    public final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+
+    public final Context eventLoop = vertx.getOrCreateContext();
+
+    public final ServiceRegistry registry = new ServiceRegistry();
+
+    public final Counters counters = registry.register(new Counters(new PrometheusRegistry()));
+
+    public final StatusBoard board = registry.register(new StatusBoard());
+
+    public final PolicyInbox inbox = registry.register(new PolicyInbox(vertx));
+
+    /** Waits for the next event and expects its type. */
+    public <T extends Event> T next(Class<T> type) {
+        return assertInstanceOf(type, next());
+    }
+
+    private Event next() {
+        long start = System.nanoTime();
+        while (System.nanoTime() - start < GENEROUS_NANOS) {
+            Optional<Arrival> arrival = inbox.ring().poll();
+            if (arrival.isPresent()) {
+                return arrival.get().event();
+            }
+            inbox.ring().await(0, GENEROUS_NANOS);
+        }
+        throw new AssertionError("no event came");
+    }
+
+    /** Reads a counter by the end of its name and the value of its last label. */
+    public double counted(String name, String label) {
+        double sum = 0;
+        for (MetricSnapshot snapshot : counters.registry().scrape(name("carawaysill_" + name))) {
+            for (CounterSnapshot.CounterDataPointSnapshot point : ((CounterSnapshot) snapshot).getDataPoints()) {
+                Labels labels = point.getLabels();
+                sum += labels.getValue(labels.size() - 1).equals(label) ? point.getValue() : 0;
+            }
+        }
+        return sum;
+    }
+
+    private static Predicate<String> name(String wanted) {
+        return wanted::equals;
+    }
+
+    /** Waits until something holds. */
+    public static void await(BooleanSupplier condition) {
+        long start = System.nanoTime();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - start > GENEROUS_NANOS) {
+                throw new AssertionError("it did not happen");
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    @Override
+    public void close() {
+        registry.stop().join();
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/carawaysill/node/testing/RawConnection.java
@@ -0,0 +1,110 @@
+package org.carawaysill.node.testing;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/** A connection of which the test writes and reads every byte. Reads wait up to a generous limit. Not thread safe. */
+public final class RawConnection implements AutoCloseable {
+
+    private static final int GENEROUS_MILLIS = 30_000;
+
+    private static final String HEAD_END = "\r\n\r\n";
+
+    private final Socket socket;
+
+    public RawConnection(Socket socket) {
+        this.socket = socket;
+    }
+
+    public static RawConnection to(int port) {
+        try {
+            return new RawConnection(new Socket("127.0.0.1", port));
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    public RawConnection write(String text) {
+        try {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().flush();
+            return this;
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    /** Writes until the other side closes or resets the connection. */
+    public void writeUntilRefused(String text) {
+        try {
+            while (true) {
+                socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            }
+        } catch (IOException refused) {
+            return;
+        }
+    }
+
+    public String readHead() {
+        StringBuilder head = new StringBuilder();
+        while (!head.toString().endsWith(HEAD_END)) {
+            int next = read();
+            if (next < 0) {
+                return head.toString();
+            }
+            head.append((char) next);
+        }
+        return head.toString();
+    }
+
+    /** Reads a message with a stated length. */
+    public String readMessage() {
+        String head = readHead();
+        int length = head.lines()
+                .filter(line -> line.toLowerCase(Locale.ROOT).startsWith("content-length:"))
+                .mapToInt(line ->
+                        Integer.parseInt(line.substring(line.indexOf(':') + 1).strip()))
+                .findFirst()
+                .orElse(0);
+        StringBuilder message = new StringBuilder(head);
+        for (int i = 0; i < length; i++) {
+            message.append((char) read());
+        }
+        return message.toString();
+    }
+
+    /** Reads until the other side closes or resets the connection. */
+    public String readToEnd() {
+        StringBuilder text = new StringBuilder();
+        for (int next = read(); next >= 0; next = read()) {
+            text.append((char) next);
+        }
+        return text.toString();
+    }
+
+    private int read() {
+        try {
+            socket.setSoTimeout(GENEROUS_MILLIS);
+            InputStream input = socket.getInputStream();
+            return input.read();
+        } catch (SocketTimeoutException late) {
+            throw new AssertionError("nothing came and the connection stayed open", late);
+        } catch (IOException reset) {
+            return -1;
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            socket.close();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+}
