--- a/node/src/main/java/org/carawaysill/node/NodeMain.java
+++ b/node/src/main/java/org/carawaysill/node/NodeMain.java
@@ -13,6 +13,8 @@
 import org.carawaysill.model.settings.NodeSettingsParser;
 import org.carawaysill.node.lifecycle.NodeProcess;
 import org.carawaysill.node.lifecycle.SignalStop;
+import org.carawaysill.node.observation.Counters;
+import org.carawaysill.node.observation.LibraryLog;
 import org.carawaysill.node.observation.StateLog;
 import org.carawaysill.node.policy.ForwardingPolicy;
 import org.carawaysill.node.policy.NodePolicyFactory;
@@ -72,6 +74,7 @@
 
     private static void run(NodeSettings settings) {
         NodeProcess process = NodeProcess.builder(settings, POLICIES).build();
+        LibraryLog.install(process.services().require(Counters.NAME, Counters.class));
         try {
             process.start().join();
         } catch (CompletionException failure) {
--- a/node/src/main/java/org/carawaysill/node/observation/Counters.java
+++ b/node/src/main/java/org/carawaysill/node/observation/Counters.java
@@ -41,10 +41,10 @@
 
     private final Map<ExchangeSide, Map<ExchangeResult, CounterDataPoint>> exchanges = new HashMap<>();
 
-    private final Counter linkFaults;
-
     private final CounterDataPoint policyFailures;
 
+    private final CounterDataPoint libraryWarnings;
+
     private final DistributionDataPoint handoff;
 
     /**
@@ -62,9 +62,10 @@
         addReasons("connections_closed", "HTTP connections that the node closed", ConnectionFault.values());
         addReasons("lost_messages", "Messages and answers that the node dropped", LostMessage.values());
         addExchanges();
-        linkFaults = counter("link_faults", "Faults of connections between nodes", "reason");
         policyFailures =
                 counter("policy_failures", "Events at which the policy failed").labelValues();
+        libraryWarnings =
+                counter("library_warnings", "Warnings that libraries logged").labelValues();
         handoff = handoffHistogram();
     }
 
@@ -178,20 +179,16 @@
         exchanges.get(side).get(result).inc();
     }
 
-    /**
-     * Counts a fault of a connection between nodes.
-     *
-     * @param kind its kind
-     */
-    public void linkFault(Enum<?> kind) {
-        linkFaults.labelValues(labelValue(kind)).inc();
-    }
-
     /** Counts an event at which the policy failed. */
     public void policyFailure() {
         policyFailures.inc();
     }
 
+    /** Counts a warning that a library logged. */
+    public void libraryWarning() {
+        libraryWarnings.inc();
+    }
+
     /**
      * Observes how long an event waited for the policy.
      *
--- a/node/src/main/java/org/carawaysill/node/observation/StateLog.java
+++ b/node/src/main/java/org/carawaysill/node/observation/StateLog.java
@@ -42,6 +42,16 @@
         Logger.warn(ENTRY, step, name(peer), oneLine(message));
     }
 
+    /**
+     * Logs the first warning of a library.
+     *
+     * @param logger the library's logger
+     * @param message the warning
+     */
+    static void library(String logger, String message) {
+        Logger.warn("step={} peer={} {}: {}", NO_PEER, NO_PEER, logger, oneLine(message));
+    }
+
     /** Waits until all entries are written. The log takes none after that. */
     public static void flush() {
         try {
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/peer/LinkMetrics.java
@@ -0,0 +1,76 @@
+package org.carawaysill.node.peer;
+
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Locale;
+import org.carawaysill.node.observation.Counters;
+import org.carawaysill.protocol.link.LinkCounters;
+import org.carawaysill.protocol.link.LinkFaultKind;
+import org.carawaysill.protocol.link.TrafficKind;
+
+/** Shows what the link between nodes counts. Invariant: costs nothing between reads. Thread safe. */
+final class LinkMetrics {
+
+    private static final String SENT = "sent";
+
+    private static final String RECEIVED = "received";
+
+    private final LinkCounters counters;
+
+    private LinkMetrics(LinkCounters counters) {
+        this.counters = counters;
+    }
+
+    /**
+     * Registers the metrics.
+     *
+     * @param counters what the link counts
+     * @param registry where to register
+     */
+    static void register(LinkCounters counters, PrometheusRegistry registry) {
+        LinkMetrics metrics = new LinkMetrics(counters);
+        counter("link_faults", "Faults of connections between nodes", "reason")
+                .callback(metrics::callFaults)
+                .register(registry);
+        counter("link_frames", "Frames between nodes", "direction", "kind")
+                .callback(metrics::callFrames)
+                .register(registry);
+        counter("link_bytes", "Bytes between nodes", "direction", "kind")
+                .callback(metrics::callBytes)
+                .register(registry);
+        counter("link_blocked_frames", "Frames dropped by an injected fault")
+                .callback(callback -> callback.call(counters.blockedFrames()))
+                .register(registry);
+    }
+
+    private static CounterWithCallback.Builder counter(String name, String help, String... labels) {
+        return CounterWithCallback.builder()
+                .name(Counters.PREFIX + name)
+                .help(help)
+                .labelNames(labels);
+    }
+
+    private void callFaults(CounterWithCallback.Callback callback) {
+        for (LinkFaultKind kind : LinkFaultKind.values()) {
+            callback.call(counters.faults(kind), labelValue(kind));
+        }
+    }
+
+    private void callFrames(CounterWithCallback.Callback callback) {
+        for (TrafficKind kind : TrafficKind.values()) {
+            callback.call(counters.sentFrames(kind), SENT, labelValue(kind));
+            callback.call(counters.receivedFrames(kind), RECEIVED, labelValue(kind));
+        }
+    }
+
+    private void callBytes(CounterWithCallback.Callback callback) {
+        for (TrafficKind kind : TrafficKind.values()) {
+            callback.call(counters.sentBytes(kind), SENT, labelValue(kind));
+            callback.call(counters.receivedBytes(kind), RECEIVED, labelValue(kind));
+        }
+    }
+
+    private static String labelValue(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/node/src/main/java/org/carawaysill/node/peer/PeerAdapter.java
+++ b/node/src/main/java/org/carawaysill/node/peer/PeerAdapter.java
@@ -73,6 +73,7 @@
                 .limits(limits(settings))
                 .listener(this)
                 .build();
+        LinkMetrics.register(link.counters(), counters.registry());
     }
 
     private static LinkLimits limits(NodeSettings settings) {
@@ -196,7 +197,6 @@
 
     @Override
     public void fault(LinkFault fault) {
-        counters.linkFault(fault.kind());
         faults.note(fault);
     }
 }
--- a/node/src/test/java/org/carawaysill/node/copy/CopyClientTest.java
+++ b/node/src/test/java/org/carawaysill/node/copy/CopyClientTest.java
@@ -54,7 +54,8 @@
 
     private CopyClient clientOf(NetworkAddress address) {
         return new CopyClient(
-                new CopyClientSettings(bench.vertx, bench.eventLoop, address, SIZES, this::clock), bench.registry);
+                new CopyClientSettings(bench.vertx(), bench.eventLoop(), address, SIZES, this::clock),
+                bench.registry());
     }
 
     private long clock() {
@@ -282,7 +283,7 @@
             AdapterBench.await(() -> bench.counted("breaches", "at_most_once") == 1);
             connection.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none");
             assertEquals("one", textOf(answerOf(FIRST)));
-            assertFalse(bench.inbox.ring().poll().isPresent());
+            assertFalse(bench.inbox().ring().poll().isPresent());
         }
     }
 }
--- a/node/src/test/java/org/carawaysill/node/exchange/ExchangeServerTest.java
+++ b/node/src/test/java/org/carawaysill/node/exchange/ExchangeServerTest.java
@@ -48,17 +48,18 @@
 
     private final AdapterBench bench = new AdapterBench();
 
-    private final ExchangeTable table = bench.registry.register(
-            new ExchangeTable(bench.eventLoop, new IdentifierSource(new Random(1)), BODY_BUDGET, bench.registry));
+    private final ExchangeTable table = bench.registry()
+            .register(new ExchangeTable(
+                    bench.eventLoop(), new IdentifierSource(new Random(1)), BODY_BUDGET, bench.registry()));
 
     private ExchangeServer server = start(new ConnectionLimits(8, LONG, LONG, LONG, LONG));
 
     private ExchangeServerSettings settings(ConnectionLimits limits) {
-        return new ExchangeServerSettings(bench.vertx, new NetworkAddress("127.0.0.1", 0), SIZES, limits);
+        return new ExchangeServerSettings(bench.vertx(), new NetworkAddress("127.0.0.1", 0), SIZES, limits);
     }
 
     private ExchangeServer start(ConnectionLimits limits) {
-        ExchangeServer started = ExchangeServer.ingress(settings(limits), bench.registry);
+        ExchangeServer started = ExchangeServer.ingress(settings(limits), bench.registry());
         started.start().join();
         return started;
     }
@@ -150,8 +151,8 @@
 
         @Test
         void refusesAtOnceWhenTheRingIsFull() {
-            while (bench.inbox.offerWork(new Event.WakeUp()) == Offer.ACCEPTED) {
-                assertTrue(bench.inbox.ring().size() <= bench.inbox.ring().capacity());
+            while (bench.inbox().offerWork(new Event.WakeUp()) == Offer.ACCEPTED) {
+                assertTrue(bench.inbox().ring().size() <= bench.inbox().ring().capacity());
             }
             String answer = send("GET /bill HTTP/1.1").readMessage();
             assertTrue(answer.startsWith("HTTP/1.1 503 ") && answer.contains("\"reason\":\"ring_full\""), answer);
@@ -165,7 +166,7 @@
         @ParameterizedTest
         @CsvSource({"/services/parties/p/7?x=1,/p/7?x=1", "/services/parties,/", "/services/parties?x=1,/?x=1"})
         void takesServiceAndParentOfTheCopysCall(String path, String rest) {
-            server = ExchangeServer.egress(settings(ConnectionLimits.DEFAULTS), bench.registry);
+            server = ExchangeServer.egress(settings(ConnectionLimits.DEFAULTS), bench.registry());
             server.start().join();
             send("GET " + path + " HTTP/1.1\r\nCarawaysill-Attempt: " + new AttemptIdentifier(5, 6));
             Event.CopyCall call = bench.next(Event.CopyCall.class);
@@ -176,7 +177,7 @@
 
         @Test
         void refusesACallThatNamesNoService() {
-            server = ExchangeServer.egress(settings(ConnectionLimits.DEFAULTS), bench.registry);
+            server = ExchangeServer.egress(settings(ConnectionLimits.DEFAULTS), bench.registry());
             server.start().join();
             assertTrue(send("GET /services/ HTTP/1.1").readToEnd().startsWith("HTTP/1.1 404 "));
             assertEquals(1, bench.counted("bad_requests", "no_service_in_path"));
--- a/node/src/test/java/org/carawaysill/node/testing/AdapterBench.java
+++ b/node/src/test/java/org/carawaysill/node/testing/AdapterBench.java
@@ -25,19 +25,45 @@
 
     private static final long GENEROUS_NANOS = TimeUnit.SECONDS.toNanos(30);
 
-    public final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
 
-    public final Context eventLoop = vertx.getOrCreateContext();
+    private final Context eventLoop = vertx.getOrCreateContext();
 
-    public final ServiceRegistry registry = new ServiceRegistry();
+    private final ServiceRegistry registry = new ServiceRegistry();
 
-    public final Counters counters = registry.register(new Counters(new PrometheusRegistry()));
+    private final Counters counters = registry.register(new Counters(new PrometheusRegistry()));
 
-    public final StatusBoard board = registry.register(new StatusBoard());
+    private final StatusBoard board = registry.register(new StatusBoard());
 
-    public final PolicyInbox inbox = registry.register(new PolicyInbox(vertx));
+    private final PolicyInbox inbox = registry.register(new PolicyInbox(vertx));
 
-    /** Waits for the next event and expects its type. */
+    public Vertx vertx() {
+        return vertx;
+    }
+
+    public Context eventLoop() {
+        return eventLoop;
+    }
+
+    public ServiceRegistry registry() {
+        return registry;
+    }
+
+    public StatusBoard board() {
+        return board;
+    }
+
+    public PolicyInbox inbox() {
+        return inbox;
+    }
+
+    /**
+     * Waits for the next event and expects its type.
+     *
+     * @param <T> the type expected
+     * @param type the type expected
+     * @return the event
+     */
     public <T extends Event> T next(Class<T> type) {
         return assertInstanceOf(type, next());
     }
@@ -54,7 +80,13 @@
         throw new AssertionError("no event came");
     }
 
-    /** Reads a counter by the end of its name and the value of its last label. */
+    /**
+     * Reads a counter.
+     *
+     * @param name its name after the prefix
+     * @param label the value of its last label
+     * @return the sum over its other labels
+     */
     public double counted(String name, String label) {
         double sum = 0;
         for (MetricSnapshot snapshot : counters.registry().scrape(name("carawaysill_" + name))) {
@@ -70,7 +102,11 @@
         return wanted::equals;
     }
 
-    /** Waits until something holds. */
+    /**
+     * Waits until something holds.
+     *
+     * @param condition what must hold
+     */
     public static void await(BooleanSupplier condition) {
         long start = System.nanoTime();
         while (!condition.getAsBoolean()) {
--- a/node/src/test/java/org/carawaysill/node/testing/RawConnection.java
+++ b/node/src/test/java/org/carawaysill/node/testing/RawConnection.java
@@ -39,7 +39,11 @@
         }
     }
 
-    /** Writes until the other side closes or resets the connection. */
+    /**
+     * Writes until the other side closes or resets the connection.
+     *
+     * @param text what is written again and again
+     */
     public void writeUntilRefused(String text) {
         try {
             while (true) {
@@ -62,7 +66,11 @@
         return head.toString();
     }
 
-    /** Reads a message with a stated length. */
+    /**
+     * Reads a message with a stated length.
+     *
+     * @return the head and the body
+     */
     public String readMessage() {
         String head = readHead();
         int length = head.lines()
@@ -78,7 +86,11 @@
         return message.toString();
     }
 
-    /** Reads until the other side closes or resets the connection. */
+    /**
+     * Reads until the other side closes or resets the connection.
+     *
+     * @return all that came
+     */
     public String readToEnd() {
         StringBuilder text = new StringBuilder();
         for (int next = read(); next >= 0; next = read()) {
