--- a/load/src/main/java/org/carawaysill/load/command/CommandLine.java
+++ b/load/src/main/java/org/carawaysill/load/command/CommandLine.java
@@ -47,6 +47,7 @@
                   layout   write the settings of a site's processes on loopback, and the list of them
                   run      play one scenario against a running site and write a report
                   table    put the reports of two policies side by side
+                  latency  measure the latency that nodes in the path add
 
                 %1$s SUBCOMMAND --help tells the flags.
                 """.formatted(PROGRAM);
@@ -70,6 +71,7 @@
             case "layout" -> new LayoutCommand();
             case "run" -> new RunCommand();
             case "table" -> new TableCommand();
+            case "latency" -> new LatencyCommand();
             default -> throw new UsageException("\"" + name + "\" is not a sub-command; see " + PROGRAM + " --help");
         };
     }
--- a/load/src/main/java/org/carawaysill/load/command/RunCommand.java
+++ b/load/src/main/java/org/carawaysill/load/command/RunCommand.java
@@ -1,15 +1,11 @@
 package org.carawaysill.load.command;
 
-import io.vertx.core.Promise;
-import io.vertx.core.Vertx;
-import io.vertx.core.VertxOptions;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.ExecutionException;
 import org.carawaysill.load.client.ClientSettings;
 import org.carawaysill.load.platform.BenchException;
 import org.carawaysill.load.plot.GoodputPlot;
@@ -81,32 +77,11 @@
     @Override
     public void run(PrintStream out) throws SiteException, IOException, BenchException {
         RunSettings settings = settings();
-        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
-        try {
-            RunReport result = new ReportBuilder(play(settings, vertx, out)).build();
-            ReportFiles.write(report, result);
-            if (plot != null) {
-                Files.writeString(plot, new GoodputPlot(List.of(result)).svg());
-            }
-        } finally {
-            vertx.close();
-        }
-    }
-
-    private static RunOutcome play(RunSettings settings, Vertx vertx, PrintStream out) throws BenchException {
-        LoadRun run = new LoadRun(settings, vertx, out);
-        Promise<RunOutcome> outcome = Promise.promise();
-        vertx.runOnContext(ignored -> run.play().onComplete(outcome));
-        try {
-            return outcome.future().toCompletionStage().toCompletableFuture().get();
-        } catch (ExecutionException e) {
-            if (e.getCause() instanceof BenchException failure) {
-                throw failure;
-            }
-            throw new IllegalStateException(e.getCause());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IllegalStateException("interrupted", e);
+        RunOutcome outcome = EventLoop.run(vertx -> new LoadRun(settings, vertx, out).play());
+        RunReport result = new ReportBuilder(outcome).build();
+        ReportFiles.write(report, result);
+        if (plot != null) {
+            Files.writeString(plot, new GoodputPlot(List.of(result)).svg());
         }
     }
 
