--- /dev/null
+++ b/launcher/processes.sh
@@ -0,0 +1,85 @@
+# Sourced by the launcher: starts the processes of a site, and leaves none behind.
+processes=()
+work=""
+stop_seconds=5
+
+# Ends every process on the way out, whether the launcher is done, fails or is interrupted. Each process is a job with a
+# process group of its own, so that a Ctrl-C at the terminal reaches the launcher alone, which then ends them in order.
+leave_nothing_behind() {
+  set -m
+  work=$(mktemp -d)
+  trap clean_up EXIT
+  trap 'exit 130' INT
+  trap 'exit 143' TERM HUP
+}
+
+clean_up() {
+  trap '' INT TERM HUP
+  stop_processes
+  rm -rf "$work"
+}
+
+start_process() {
+  local log=$1
+  shift
+  "$@" >"$log" 2>&1 </dev/null &
+  processes+=($!)
+}
+
+# Starts the processes that a layout lists: name, program and arguments, with tabs between. For each process the command
+# extra_flags, if there is one, prints more flags of the virtual machine.
+start_site() {
+  local logs=$1 layout=$2 line fields words extra
+  require_free_port
+  while IFS= read -r line; do
+    IFS=$'\t' read -r -a fields <<<"$line"
+    extra=()
+    if declare -F extra_flags >/dev/null; then
+      mapfile -t extra < <(extra_flags "${fields[0]}")
+    fi
+    java_words "${fields[1]}" "${extra[@]}"
+    start_process "$logs/${fields[0]}.log" "${words[@]}" "${fields[@]:2}"
+  done <"$layout/processes"
+}
+
+require_free_port() {
+  if (exec 3<>/dev/tcp/127.0.0.1/20001) 2>/dev/null; then
+    echo "carawaysill: port 20001 is in use; is a site running already?" >&2
+    exit 1
+  fi
+}
+
+# Runs a program in the foreground, but so that the clean-up ends it too.
+run_program() {
+  local words status=0
+  java_words "$1"
+  "${words[@]}" "${@:2}" &
+  processes+=($!)
+  wait $! || status=$?
+  unset 'processes[-1]'
+  return $status
+}
+
+stop_processes() {
+  local process
+  for process in "${processes[@]}"; do
+    kill -TERM "$process" 2>/dev/null || true
+  done
+  for ((tenth = 0; tenth < stop_seconds * 10; tenth++)); do
+    any_alive || break
+    sleep 0.1
+  done
+  for process in "${processes[@]}"; do
+    kill -KILL "$process" 2>/dev/null || true
+    wait "$process" 2>/dev/null || true
+  done
+  processes=()
+}
+
+any_alive() {
+  local process
+  for process in "${processes[@]}"; do
+    ! kill -0 "$process" 2>/dev/null || return 0
+  done
+  return 1
+}
--- a/load/src/main/java/org/carawaysill/load/command/CommandLine.java
+++ b/load/src/main/java/org/carawaysill/load/command/CommandLine.java
@@ -45,6 +45,7 @@
                 Usage: %1$s SUBCOMMAND [FLAGS]
 
                   layout   write the settings of a site's processes on loopback, and the list of them
+                  await    wait until every process of a site serves
                   run      play one scenario against a running site and write a report
                   table    put the reports of two policies side by side
                   latency  measure the latency that nodes in the path add
@@ -69,6 +70,7 @@
     private static Subcommand subcommand(String name) {
         return switch (name) {
             case "layout" -> new LayoutCommand();
+            case "await" -> new AwaitCommand();
             case "run" -> new RunCommand();
             case "table" -> new TableCommand();
             case "latency" -> new LatencyCommand();
--- a/load/src/main/java/org/carawaysill/load/command/Subcommand.java
+++ b/load/src/main/java/org/carawaysill/load/command/Subcommand.java
@@ -8,7 +8,7 @@
  *
  * <p>Not thread safe: used by the main thread only.
  */
-public sealed interface Subcommand permits LayoutCommand, RunCommand, TableCommand, LatencyCommand {
+public sealed interface Subcommand permits LayoutCommand, AwaitCommand, RunCommand, TableCommand, LatencyCommand {
 
     /**
      * Tells whether only the help is wanted.
