--- a/policy/src/main/java/org/carawaysill/policy/engine/ControlPlane.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/ControlPlane.java
@@ -115,7 +115,7 @@
                 .newest(identity.service())
                 .map(ServiceConfiguration::copies)
                 .orElse(List.of());
-        out.addAll(membership.watch(now, own, selector.wanted()));
+        out.addAll(membership.watch(own, selector.wanted()));
     }
 
     /**
--- a/policy/src/test/java/org/carawaysill/policy/distribution/TestDocuments.java
+++ b/policy/src/test/java/org/carawaysill/policy/distribution/TestDocuments.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.carawaysill.model.configuration.CopyEntry;
-import org.carawaysill.model.configuration.Labels;
 import org.carawaysill.model.configuration.ServiceConfiguration;
 import org.carawaysill.model.identity.AvailabilityZone;
 import org.carawaysill.model.identity.NodeName;
@@ -44,8 +43,10 @@
                 }
             }
         }
-        return new Verdict.Valid(new ServiceConfiguration(
-                service, version, Labels.NONE, calls, copies, List.of(), List.of(), List.of(), TERMS));
+        return new Verdict.Valid(ServiceConfiguration.builder(service, version, copies)
+                .calls(calls)
+                .defaults(TERMS)
+                .build());
     }
 
     private static CopyEntry copy(String node, String zone) {
--- a/protocol/src/test/java/org/carawaysill/protocol/codec/PeerMessageArbitraries.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/PeerMessageArbitraries.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -32,11 +33,14 @@
 import org.carawaysill.policy.message.PeerMessage.HolderHandover;
 import org.carawaysill.policy.message.PeerMessage.LeaseReply;
 import org.carawaysill.policy.message.PeerMessage.LeaseRequest;
+import org.carawaysill.policy.message.PeerMessage.LeaseVerdict;
 import org.carawaysill.policy.message.PeerMessage.LineEdit;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 import org.carawaysill.policy.message.PeerMessage.PeerAnswer;
 import org.carawaysill.policy.message.PeerMessage.PeerRequest;
 import org.carawaysill.policy.message.PeerMessage.Purpose;
+import org.carawaysill.policy.message.PeerMessage.RosterMember;
+import org.carawaysill.policy.message.PeerMessage.RosterView;
 import org.carawaysill.policy.message.PeerMessage.ServiceCut;
 
 /** Generates every kind of message with all its values. Stateless and thread safe. */
@@ -113,22 +117,78 @@
     private static Arbitrary<PeerMessage> leaseRequests() {
         return Combinators.combine(
                         services(),
-                        versions(),
-                        versions(),
-                        versions(),
-                        durations().map(Duration::toNanos))
-                .as(LeaseRequest::new);
+                        rosterMembers(),
+                        versions().list().ofSize(6),
+                        Arbitraries.longs(),
+                        Arbitraries.longs(),
+                        rosterViews())
+                .as((service, member, numbers, digest, previous, rosters) -> new LeaseRequest(
+                        service,
+                        member,
+                        numbers.get(0),
+                        numbers.get(1),
+                        numbers.get(2),
+                        numbers.get(3),
+                        numbers.get(4),
+                        digest,
+                        previous,
+                        numbers.get(5),
+                        rosters));
     }
 
     private static Arbitrary<PeerMessage> leaseReplies() {
-        return Combinators.combine(services(), versions(), versions(), Arbitraries.of(true, false), versions())
-                .as(LeaseReply::new);
+        return Combinators.combine(
+                        services(),
+                        rosterMembers(),
+                        versions().list().ofSize(5),
+                        Arbitraries.of(LeaseVerdict.class),
+                        Arbitraries.of(true, false),
+                        rosterViews())
+                .as((service, member, numbers, verdict, recovering, rosters) -> new LeaseReply(
+                        service,
+                        member,
+                        numbers.get(0),
+                        verdict,
+                        recovering,
+                        numbers.get(1),
+                        numbers.get(2),
+                        numbers.get(3),
+                        numbers.get(4),
+                        rosters));
+    }
+
+    private static Arbitrary<RosterMember> rosterMembers() {
+        return Combinators.combine(
+                        names().map(NodeName::new),
+                        names(),
+                        Arbitraries.integers().between(1, 65_535))
+                .as(RosterMember::new);
+    }
+
+    private static Arbitrary<List<RosterView>> rosterViews() {
+        return Combinators.combine(versions(), rosterMembers().list().ofMaxSize(4))
+                .as(RosterView::new)
+                .list()
+                .ofMaxSize(3);
     }
 
     private static Arbitrary<PeerMessage> handovers() {
-        Arbitrary<HolderEntry> entries =
-                Combinators.combine(requestIdentifiers(), outcomes().optional()).as(HolderEntry::new);
-        return Combinators.combine(services(), entries.list().ofMaxSize(5), Arbitraries.of(true, false))
+        Arbitrary<OptionalLong> minted =
+                versions().optional().map(time -> time.map(OptionalLong::of).orElseGet(OptionalLong::empty));
+        Arbitrary<HolderEntry> entries = Combinators.combine(
+                        requestIdentifiers(),
+                        minted,
+                        Arbitraries.integers(),
+                        outcomes().optional())
+                .as(HolderEntry::new);
+        return Combinators.combine(
+                        services(),
+                        Arbitraries.longs(),
+                        versions(),
+                        versions(),
+                        counts(),
+                        counts(),
+                        entries.list().ofMaxSize(5))
                 .as(HolderHandover::new);
     }
 
