--- a/policy/src/main/java/org/carawaysill/policy/engine/PeerRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/PeerRequests.java
@@ -27,6 +27,7 @@
     private final WorkTable table;
     private final WorkRunner runner;
     private final OutcomeDelivery delivery;
+    private final SeenAttempts seenAttempts = new SeenAttempts();
     private boolean draining;
 
     PeerRequests(EngineParts parts, WorkRunner runner) {
@@ -43,7 +44,7 @@
     }
 
     void accept(Moment now, NodeName from, PeerRequest request) {
-        if (table.byPeer(from, request.attempt()).isPresent()) {
+        if (table.byPeer(from, request.attempt()).isPresent() || seenBefore(now, from, request)) {
             return;
         }
         WorkOrigin origin = new WorkOrigin.FromPeer(from, request.attempt());
@@ -58,6 +59,15 @@
                         () -> start(now, origin, request));
     }
 
+    /**
+     * A message that arrives a second time after its first has been answered would run again what must run at most once.
+     * Its sender has one answer already and waits for no other, so the second is dropped.
+     */
+    private boolean seenBefore(Moment now, NodeName from, PeerRequest request) {
+        return !request.idempotent()
+                && !seenAttempts.add(now.nanos(), new WorkOrigin.FromPeer(from, request.attempt()));
+    }
+
     private Optional<RefusalReason> refusal(PeerRequest request) {
         if (!request.service().equals(identity.service())) {
             return Optional.of(RefusalReason.UNKNOWN_SERVICE);
--- a/soak/src/main/java/org/carawaysill/soak/Journal.java
+++ b/soak/src/main/java/org/carawaysill/soak/Journal.java
@@ -13,14 +13,18 @@
  */
 final class Journal {
 
-    private static final int LINES_KEPT = 60;
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    private final int linesKept;
     private final Deque<String> lines = new ArrayDeque<>();
     private final List<String> breaches = new ArrayList<>();
 
+    Journal(int linesKept) {
+        this.linesKept = linesKept;
+    }
+
     void note(long now, String line) {
-        if (lines.size() == LINES_KEPT) {
+        if (lines.size() == linesKept) {
             lines.removeFirst();
         }
         lines.addLast(now / NANOS_PER_MILLI + " ms: " + line);
--- a/soak/src/main/java/org/carawaysill/soak/Schedule.java
+++ b/soak/src/main/java/org/carawaysill/soak/Schedule.java
@@ -29,9 +29,9 @@
 
     private final RandomGenerator random;
     private final Agenda agenda = new Agenda();
-    private final Journal journal = new Journal();
+    private final Journal journal;
     private final Documents documents = new Documents();
-    private final RunLog runLog = new RunLog(agenda, journal);
+    private final RunLog runLog;
     private final SimulatedPlatform platform = new SimulatedPlatform(agenda, documents);
     private final SimulatedNetwork network;
     private final Clients clients;
@@ -42,8 +42,10 @@
     private double copyFailureRate;
     private double slowness = 1;
 
-    Schedule(long seed) {
+    Schedule(long seed, int linesKept) {
         random = new SplittableRandom(seed);
+        journal = new Journal(linesKept);
+        runLog = new RunLog(agenda, journal);
         network = new SimulatedNetwork(agenda, random);
         clients = new Clients(this, random);
     }
--- a/soak/src/main/java/org/carawaysill/soak/SimulatedNode.java
+++ b/soak/src/main/java/org/carawaysill/soak/SimulatedNode.java
@@ -20,6 +20,7 @@
 import org.carawaysill.policy.engine.OverloadPolicy;
 import org.carawaysill.policy.engine.PolicySettings;
 import org.carawaysill.policy.event.Event;
+import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.RosterMember;
 import org.carawaysill.policy.time.Moment;
 
@@ -32,6 +33,8 @@
 
     private static final long EPOCH_MILLIS = 1_790_000_000_000L;
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final long STOP_LIMIT_NANOS = 20_000_000_000L;
+    private static final long STOP_CHECK_NANOS = 20_000_000L;
     private static final long EARLIEST_WAKE_NANOS = 100_000L;
 
     private final NodeName name;
@@ -188,7 +191,7 @@
             case Effect.HandToCopy hand -> copy.run(hand, moment().nanos());
             case Effect.CancelAtCopy cancel -> copy.cancel(cancel.attempt());
             case Effect.AnswerExchange answer -> answer(answer);
-            case Effect.SendToPeer send -> schedule.network().send(this, send.peer(), send.message());
+            case Effect.SendToPeer send -> send(send);
             case Effect.ConnectPeer connect -> schedule.network().connect(name, connect.peer());
             case Effect.DisconnectPeer disconnect -> schedule.network().disconnect(name, disconnect.peer());
             case Effect.ReadConfiguration read -> schedule.platform().read(this, read);
@@ -202,6 +205,19 @@
         }
     }
 
+    private void send(Effect.SendToPeer send) {
+        if (send.message() instanceof PeerMessage.PeerRequest request) {
+            schedule.journal()
+                    .note(
+                            schedule.now(),
+                            name + " sends " + request.purpose() + " " + request.attempt() + " of "
+                                    + request.content()
+                                            .header(Clients.KEY_HEADER)
+                                            .orElse("") + " to " + send.peer());
+        }
+        schedule.network().send(this, send.peer(), send.message());
+    }
+
     private void answer(Effect.AnswerExchange answer) {
         Consumer<Optional<Outcome>> waiter = exchanges.remove(answer.exchange());
         if (waiter != null) {
@@ -223,10 +239,15 @@
         });
     }
 
+    /** The process ends once the requests that arrived while the policy decided to stop are answered too. */
     private void stop() {
-        if (!exchanges.isEmpty() || copy.busy()) {
+        if (copy.busy() || schedule.now() - drainedAt > STOP_LIMIT_NANOS) {
             schedule.journal()
                     .breach(schedule.now(), Invariant.GRACEFUL_STOP, name + " stopped with requests in flight");
+        } else if (!exchanges.isEmpty()) {
+            long stopping = incarnation;
+            schedule.agenda().in(STOP_CHECK_NANOS, () -> execute(stopping, new Effect.StopProcess()));
+            return;
         }
         kill();
     }
--- a/soak/src/main/java/org/carawaysill/soak/SimulatedPlatform.java
+++ b/soak/src/main/java/org/carawaysill/soak/SimulatedPlatform.java
@@ -45,9 +45,7 @@
         version++;
         published.put(service, new Document(version, text));
         if (!down && !servesStale) {
-            List<Watch> waiting = List.copyOf(watches);
-            watches.clear();
-            waiting.forEach(this::answer);
+            answerWaiting();
         }
     }
 
@@ -55,14 +53,24 @@
         return published.get(service).version();
     }
 
+    /** An outage fails the waiting watches too. */
     void down(boolean isDown) {
         down = isDown;
+        answerWaiting();
     }
 
+    /** A replica that has caught up answers the watches that waited meanwhile. */
     void stale(boolean isStale) {
         servesStale = isStale;
         stale.clear();
         stale.putAll(published);
+        answerWaiting();
+    }
+
+    private void answerWaiting() {
+        List<Watch> waiting = List.copyOf(watches);
+        watches.clear();
+        waiting.forEach(this::answer);
     }
 
     void listed(NodeName node) {
--- a/soak/src/main/java/org/carawaysill/soak/SoakMain.java
+++ b/soak/src/main/java/org/carawaysill/soak/SoakMain.java
@@ -15,6 +15,7 @@
 
     private static final int BREACH = 1;
     private static final int USAGE = 2;
+    private static final int END_LINES = 60;
 
     @Option(name = "--seeds", usage = "how many schedules to run, with seeds from --first on")
     private long seeds = 1000;
@@ -25,6 +26,9 @@
     @Option(name = "--seed", usage = "replay one schedule and print its end")
     private long seed;
 
+    @Option(name = "--about", usage = "with --seed: print every line of the schedule that contains this text")
+    private String about = "";
+
     @Option(name = "--help", help = true, usage = "print this help")
     private boolean help;
 
@@ -52,9 +56,10 @@
     }
 
     private int replay() {
-        Schedule.Result result = new Schedule(seed).run();
+        int linesKept = about.isEmpty() ? END_LINES : Integer.MAX_VALUE;
+        Schedule.Result result = new Schedule(seed, linesKept).run();
         print(seed, result);
-        result.end().forEach(System.out::println);
+        result.end().stream().filter(line -> line.contains(about)).forEach(System.out::println);
         return result.breaches().isEmpty() ? 0 : BREACH;
     }
 
@@ -63,7 +68,7 @@
         AtomicLong sent = new AtomicLong();
         AtomicLong answered = new AtomicLong();
         LongStream.range(first, first + seeds).parallel().forEach(each -> {
-            Schedule.Result result = new Schedule(each).run();
+            Schedule.Result result = new Schedule(each, END_LINES).run();
             sent.addAndGet(result.calmSent());
             answered.addAndGet(result.calmAnswered());
             if (!result.breaches().isEmpty()) {
