--- a/policy/src/main/java/org/carawaysill/policy/engine/CallerRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/CallerRequests.java
@@ -25,6 +25,7 @@
 final class CallerRequests {
 
     private static final String NO_OPERATION = "";
+    private static final Duration DRAINING_RETRY_AFTER = Duration.ofMillis(100);
     private static final Duration NOT_READY_RETRY_AFTER = Duration.ofSeconds(1);
 
     private final NodeIdentity identity;
@@ -36,6 +37,7 @@
     private final WorkRunner runner;
     private final OutcomeDelivery delivery;
     private final IdentifierSource identifiers;
+    private long refuseFromNanos = Long.MAX_VALUE;
 
     CallerRequests(EngineParts parts, WorkRunner runner) {
         identity = parts.identity();
@@ -49,8 +51,17 @@
         this.runner = runner;
     }
 
+    /** From then on new requests are refused, since callers that never stop would keep the node from ever ending. */
+    void refuseFrom(long nanos) {
+        refuseFromNanos = nanos;
+    }
+
     void accept(Moment now, Event.CallerRequest request) {
         WorkOrigin origin = new WorkOrigin.FromCaller(request.exchange());
+        if (now.nanos() >= refuseFromNanos) {
+            refuse(now, origin, NO_OPERATION, RefusalReason.DRAINING, DRAINING_RETRY_AFTER);
+            return;
+        }
         if (!control.readyToServe()) {
             refuse(now, origin, NO_OPERATION, RefusalReason.NO_CONFIGURATION, NOT_READY_RETRY_AFTER);
             return;
--- a/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
@@ -171,6 +171,7 @@
             return;
         }
         mayStopNanos = now.nanos() + DRAIN_GRACE_NANOS;
+        callerRequests.refuseFrom(mayStopNanos);
         runner.drain();
         peerRequests.drain();
         out.addAll(holder.handover(now));
--- a/soak/src/main/java/org/carawaysill/soak/Schedule.java
+++ b/soak/src/main/java/org/carawaysill/soak/Schedule.java
@@ -136,7 +136,7 @@
             agenda.in(random.nextLong(3 * SECOND), () -> platform.leaving(node.name()));
             agenda.in(8 * SECOND + length, () -> {
                 if (node.alive() && node.draining()) {
-                    journal.breach(agenda.now(), Invariant.GRACEFUL_STOP, node.name() + " never stopped");
+                    journal.breach(agenda.now(), Invariant.GRACEFUL_STOP, "never stopped: " + node.describe());
                     node.kill();
                 }
                 if (!node.alive()) {
--- a/soak/src/main/java/org/carawaysill/soak/SimulatedCopy.java
+++ b/soak/src/main/java/org/carawaysill/soak/SimulatedCopy.java
@@ -41,6 +41,10 @@
         this.random = random;
     }
 
+    int running() {
+        return running.size();
+    }
+
     boolean busy() {
         return !running.isEmpty();
     }
--- a/soak/src/main/java/org/carawaysill/soak/SimulatedNode.java
+++ b/soak/src/main/java/org/carawaysill/soak/SimulatedNode.java
@@ -44,6 +44,7 @@
     private final Map<ExchangeIdentifier, Consumer<Optional<Outcome>>> exchanges = new HashMap<>();
     private final Map<ServiceName, Long> versions = new HashMap<>();
     private Optional<NodePolicy> policy = Optional.empty();
+    private String status = "";
     private long incarnation;
     private long monotonicOrigin;
     private long skewMillis;
@@ -70,6 +71,11 @@
         return policy.isPresent();
     }
 
+    /** Describes the node for the journal. */
+    String describe() {
+        return name + " with " + exchanges.size() + " exchanges, " + copy.running() + " runs, " + status;
+    }
+
     boolean draining() {
         return drainedAt != Long.MAX_VALUE;
     }
@@ -225,8 +231,9 @@
         }
     }
 
-    private void checkVersions(NodeStatus status) {
-        status.versions().forEach((service, version) -> {
+    private void checkVersions(NodeStatus published) {
+        status = published.toString();
+        published.versions().forEach((service, version) -> {
             long before = versions.getOrDefault(service, 0L);
             if (version < before) {
                 schedule.journal()
