--- a/model/src/main/java/org/carawaysill/model/settings/NodeAddresses.java
+++ b/model/src/main/java/org/carawaysill/model/settings/NodeAddresses.java
@@ -14,8 +14,8 @@
  * @param copy where the local copy listens, HTTP
  */
 public record NodeAddresses(
-        NetworkAddress ingress,
-        NetworkAddress egress,
-        NetworkAddress peer,
-        NetworkAddress admin,
-        NetworkAddress copy) {}
+        NetworkAddress ingress, NetworkAddress egress, NetworkAddress peer, NetworkAddress admin, NetworkAddress copy) {
+
+    /** Where operators connect if the settings state nothing: only from the node's own VM. */
+    public static final NetworkAddress DEFAULT_ADMIN = new NetworkAddress("127.0.0.1", 21003);
+}
--- a/model/src/main/java/org/carawaysill/model/settings/NodeSettingsParser.java
+++ b/model/src/main/java/org/carawaysill/model/settings/NodeSettingsParser.java
@@ -26,6 +26,7 @@
     private static final AddressFormat LISTEN = new AddressFormat(AddressFormat.Use.LISTEN);
     private static final AddressFormat CONNECT = new AddressFormat(AddressFormat.Use.CONNECT);
     private static final NetworkAddress NO_ADDRESS = new NetworkAddress("0.0.0.0", 0);
+    private static final String ADMIN = "admin";
     private static final String NO_NAME = "-";
     private static final int MINIMUM_HEADER_BYTES = 1 << 10;
     private static final int MAXIMUM_HEADER_BYTES = 1 << 20;
@@ -79,7 +80,7 @@
                 address(table, "ingress", LISTEN),
                 address(table, "egress", LISTEN),
                 address(table, "peer", LISTEN),
-                address(table, "admin", LISTEN),
+                adminAddress(table),
                 address(table, "copy", CONNECT));
         table.reportUnknownKeys();
         return read;
@@ -107,6 +108,10 @@
         return faults;
     }
 
+    private NetworkAddress adminAddress(TableReader table) {
+        return table.has(ADMIN) ? address(table, ADMIN, LISTEN) : NodeAddresses.DEFAULT_ADMIN;
+    }
+
     private NetworkAddress address(TableReader table, String key, AddressFormat format) {
         Optional<Located<NetworkAddress>> address = table.requiredValue(key, format);
         address.filter(located -> located.value().port() != 0).ifPresent(addresses::add);
--- a/model/src/test/java/org/carawaysill/model/configuration/SiteDocumentsTest.java
+++ b/model/src/test/java/org/carawaysill/model/configuration/SiteDocumentsTest.java
@@ -43,6 +43,14 @@
         assertEquals(14, copies("tengri"));
     }
 
+    @Test
+    void areExplainedByAnExampleThatHolds() {
+        String page = Documents.file(Path.of("..", "docs", "operators", "first-configuration.md"));
+        String example = page.split("```toml\n")[1].split("```")[0];
+
+        assertEquals(4, Documents.valid(example).selectors().size());
+    }
+
     private static int copies(String site) throws IOException {
         return read(site).stream().mapToInt(service -> service.copies().size()).sum();
     }
