Check the documents of several services together; align the key lifetime with the holders' table

Cause: nodes see only their own service's documents and those it calls, so a node name or an address in two documents, or calls that lead back, would show only in service. The key lifetime is now 1m to 24h, 1h if not stated, as the table of holders has it.

--- a/control/src/main/java/org/carawaysill/control/document/DocumentCheck.java
+++ b/control/src/main/java/org/carawaysill/control/document/DocumentCheck.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
 import org.carawaysill.control.ExitStatus;
 import org.carawaysill.control.options.CheckOptions;
@@ -12,14 +13,16 @@
 import org.carawaysill.model.settings.NodeSettingsParser;
 
 /**
- * Checks documents as the nodes do. Not thread safe.
+ * Checks documents as the nodes do, and whether those of several services fit together. Not thread safe.
  */
 public final class DocumentCheck {
 
     private static final int UNPUBLISHED = 0;
 
     private final PrintStream output;
+    private final PrintStream errors;
     private final DocumentFile files;
+    private final SiteCheck site = new SiteCheck();
 
     /**
      * Prepares a check.
@@ -29,6 +32,7 @@
      */
     public DocumentCheck(PrintStream output, PrintStream errors) {
         this.output = output;
+        this.errors = errors;
         this.files = new DocumentFile(errors);
     }
 
@@ -41,22 +45,24 @@
     public ExitStatus run(CheckOptions options) {
         boolean faultless = true;
         for (Path file : options.files()) {
-            Optional<String> summary = files.read(file)
-                    .flatMap(text -> options.nodeSettings() ? settings(file, text) : service(file, text));
+            Optional<String> summary = files.read(file).flatMap(text -> check(file, text, options.nodeSettings()));
             summary.ifPresent(line -> output.println(file + ": " + line));
             faultless &= summary.isPresent();
         }
-        return faultless ? ExitStatus.DONE : ExitStatus.WRONG_INPUT;
+        List<String> siteFaults = site.faults();
+        siteFaults.forEach(errors::println);
+        return faultless && siteFaults.isEmpty() ? ExitStatus.DONE : ExitStatus.WRONG_INPUT;
+    }
+
+    private Optional<String> check(Path file, String text, boolean nodeSettings) {
+        return nodeSettings ? settings(file, text) : service(file, text);
     }
 
     private Optional<String> service(Path file, String text) {
-        return switch (ServiceConfigurationParser.parse(text, UNPUBLISHED)) {
-            case ParseResult.Valid<ServiceConfiguration> valid -> Optional.of(summary(valid.value()));
-            case ParseResult.Invalid<ServiceConfiguration> invalid -> {
-                files.complain(file, invalid.faults());
-                yield Optional.empty();
-            }
-        };
+        Optional<ServiceConfiguration> service =
+                files.valueOrComplaints(file, ServiceConfigurationParser.parse(text, UNPUBLISHED));
+        service.ifPresent(configuration -> site.add(file, configuration));
+        return service.map(DocumentCheck::summary);
     }
 
     private static String summary(ServiceConfiguration service) {
@@ -68,14 +74,8 @@
     }
 
     private Optional<String> settings(Path file, String text) {
-        return switch (NodeSettingsParser.parse(text)) {
-            case ParseResult.Valid<NodeSettings> valid ->
-                Optional.of("ok, node " + valid.value().node() + " of service "
-                        + valid.value().service());
-            case ParseResult.Invalid<NodeSettings> invalid -> {
-                files.complain(file, invalid.faults());
-                yield Optional.empty();
-            }
-        };
+        ParseResult<NodeSettings> result = NodeSettingsParser.parse(text);
+        return files.valueOrComplaints(file, result)
+                .map(settings -> "ok, node " + settings.node() + " of service " + settings.service());
     }
 }
--- a/control/src/main/java/org/carawaysill/control/document/DocumentFile.java
+++ b/control/src/main/java/org/carawaysill/control/document/DocumentFile.java
@@ -6,9 +6,8 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.Optional;
-import org.carawaysill.model.document.Fault;
+import org.carawaysill.model.document.ParseResult;
 
 /**
  * Reads files for an operator and complains in one line each. Thread safe as far as the error stream is.
@@ -37,13 +36,21 @@
     }
 
     /**
-     * Writes faults, each as {@code FILE:LINE: KEY: MESSAGE}.
+     * Gives what a document states, or writes its faults, each as {@code FILE:LINE: KEY: MESSAGE}.
      *
-     * @param file where they are
-     * @param faults the faults
+     * @param file the document's file
+     * @param result what reading it came to
+     * @param <T> the type of what it states
+     * @return what it states, or empty after the complaints
      */
-    public void complain(Path file, List<Fault> faults) {
-        faults.forEach(fault -> errors.println(file + ":" + fault));
+    public <T> Optional<T> valueOrComplaints(Path file, ParseResult<T> result) {
+        return switch (result) {
+            case ParseResult.Valid<T> valid -> Optional.of(valid.value());
+            case ParseResult.Invalid<T> invalid -> {
+                invalid.faults().forEach(fault -> errors.println(file + ":" + fault));
+                yield Optional.empty();
+            }
+        };
     }
 
     private void complain(Path file, String message) {
--- a/control/src/main/java/org/carawaysill/control/document/RequestReport.java
+++ b/control/src/main/java/org/carawaysill/control/document/RequestReport.java
@@ -1,6 +1,7 @@
 package org.carawaysill.control.document;
 
 import java.io.PrintStream;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -15,7 +16,6 @@
 import org.carawaysill.model.configuration.ServiceConfiguration;
 import org.carawaysill.model.configuration.ServiceConfigurationParser;
 import org.carawaysill.model.document.DurationFormat;
-import org.carawaysill.model.document.ParseResult;
 import org.carawaysill.model.request.RequestTerms;
 
 /**
@@ -48,17 +48,11 @@
      * @return {@link ExitStatus#NOT_SO} if no operation matches
      */
     public ExitStatus run(ExplainOptions options) {
-        Optional<String> text = files.read(options.configuration());
-        if (text.isEmpty()) {
-            return ExitStatus.WRONG_INPUT;
-        }
-        return switch (ServiceConfigurationParser.parse(text.get(), UNPUBLISHED)) {
-            case ParseResult.Valid<ServiceConfiguration> valid -> report(valid.value(), options);
-            case ParseResult.Invalid<ServiceConfiguration> invalid -> {
-                files.complain(options.configuration(), invalid.faults());
-                yield ExitStatus.WRONG_INPUT;
-            }
-        };
+        Path file = options.configuration();
+        return files.read(file)
+                .flatMap(text -> files.valueOrComplaints(file, ServiceConfigurationParser.parse(text, UNPUBLISHED)))
+                .map(service -> report(service, options))
+                .orElse(ExitStatus.WRONG_INPUT);
     }
 
     private ExitStatus report(ServiceConfiguration service, ExplainOptions options) {
--- a/control/src/main/java/org/carawaysill/control/fleet/FleetStatus.java
+++ b/control/src/main/java/org/carawaysill/control/fleet/FleetStatus.java
@@ -11,9 +11,7 @@
 import org.carawaysill.control.document.DocumentFile;
 import org.carawaysill.control.options.ServiceVersion;
 import org.carawaysill.control.options.StatusOptions;
-import org.carawaysill.model.document.ParseResult;
 import org.carawaysill.model.identity.NetworkAddress;
-import org.carawaysill.model.settings.NodeSettings;
 import org.carawaysill.model.settings.NodeSettingsParser;
 
 /**
@@ -73,14 +71,8 @@
     }
 
     private Optional<NetworkAddress> admin(Path file, String text) {
-        return switch (NodeSettingsParser.parse(text)) {
-            case ParseResult.Valid<NodeSettings> valid ->
-                Optional.of(valid.value().addresses().admin());
-            case ParseResult.Invalid<NodeSettings> invalid -> {
-                files.complain(file, invalid.faults());
-                yield Optional.empty();
-            }
-        };
+        return files.valueOrComplaints(file, NodeSettingsParser.parse(text))
+                .map(settings -> settings.addresses().admin());
     }
 
     private ExitStatus show(List<NodeAnswer> answers) {
--- a/control/src/test/java/org/carawaysill/control/CommandLineTest.java
+++ b/control/src/test/java/org/carawaysill/control/CommandLineTest.java
@@ -3,7 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
 import org.approvaltests.Approvals;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -75,6 +80,39 @@
         }
     }
 
+    @Nested
+    class CheckOfSeveralDocuments {
+
+        @ParameterizedTest
+        @ValueSource(strings = {"trinacria", "tengri"})
+        void findsThatTheSitesFitTogether(String site) throws IOException {
+            List<String> words = new ArrayList<>(List.of("check"));
+            try (Stream<Path> files = Files.list(Path.of("..", "sites", site, "configuration"))) {
+                files.sorted().map(Path::toString).forEach(words::add);
+            }
+
+            Run run = Run.of(words.toArray(String[]::new));
+
+            assertEquals(List.of(), run.errors());
+            assertEquals(ExitStatus.DONE, run.status());
+        }
+
+        @Test
+        void findsWhatStandsTwiceAndCallsThatLeadBack() {
+            String file = resource("clashing.toml");
+            Run run = Run.of("check", TRACKER, file);
+
+            assertEquals(2, run.status().code());
+            assertEquals(
+                    List.of(
+                            file + ": copies: tracker-2 stands in " + TRACKER + " too",
+                            file + ": copies: 127.0.0.1:21012 stands in " + TRACKER + " too",
+                            TRACKER + ": calls: the calls of tracker lead back to itself",
+                            file + ": calls: the calls of parties lead back to itself"),
+                    run.errors());
+        }
+    }
+
     @Nested
     class Explain {
 
@@ -95,4 +133,8 @@
             assertEquals(1, run.errors().size());
         }
     }
+
+    private static String resource(String name) {
+        return Path.of("src", "test", "resources", name).toString();
+    }
 }
--- a/model/src/main/java/org/carawaysill/model/configuration/ServiceConfigurationParser.java
+++ b/model/src/main/java/org/carawaysill/model/configuration/ServiceConfigurationParser.java
@@ -27,7 +27,7 @@
     private static final NameFormat<CallerName> CALLER = new NameFormat<>(CallerName::new);
     private static final int MAXIMUM_CALLERS = 10_000;
     private static final ServiceName NO_SERVICE = new ServiceName("-");
-    private static final DurationFormat KEY_LIFETIME = new DurationFormat(Duration.ofSeconds(1), Duration.ofHours(24));
+    private static final DurationFormat KEY_LIFETIME = new DurationFormat(Duration.ofMinutes(1), Duration.ofHours(24));
 
     private final long version;
     private final FaultCollector faults = new FaultCollector();
--- a/model/src/main/java/org/carawaysill/model/configuration/ServiceLimits.java
+++ b/model/src/main/java/org/carawaysill/model/configuration/ServiceLimits.java
@@ -13,7 +13,7 @@
 public record ServiceLimits(double retryBudget, Duration keyLifetime) {
 
     /** What holds where the document states nothing. */
-    public static final ServiceLimits DEFAULTS = new ServiceLimits(0.1, Duration.ofMinutes(10));
+    public static final ServiceLimits DEFAULTS = new ServiceLimits(0.1, Duration.ofHours(1));
 
     public ServiceLimits {
         if (!(retryBudget >= 0 && retryBudget <= 1) || keyLifetime.isNegative() || keyLifetime.isZero()) {
