--- a/node/src/main/java/org/carawaysill/node/admin/AdminServer.java
+++ b/node/src/main/java/org/carawaysill/node/admin/AdminServer.java
@@ -8,7 +8,6 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.json.DecodeException;
-import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
@@ -32,6 +31,7 @@
 import org.carawaysill.node.observation.StateLog;
 import org.carawaysill.node.peer.PeerAdapter;
 import org.carawaysill.node.policy.StatusBoard;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The HTTP server for operators and metrics.
@@ -161,19 +161,26 @@
     }
 
     private void faults(RoutingContext routing) {
-        try {
-            Set<NodeName> blocked = blockedPeers(routing.body().asJsonObject());
-            peers.block(blocked);
-            StateLog.change(Step.MEMBERSHIP, Optional.empty(), "traffic dropped of " + blocked);
-            routing.response().setStatusCode(NO_CONTENT).end();
-        } catch (DecodeException | ClassCastException | NullPointerException malformed) {
-            routing.response().setStatusCode(BAD_REQUEST).end("expected {\"blockedPeers\": [names]}\n");
-        }
+        Optional<Set<NodeName>> blocked = blockedPeers(routing.body().buffer());
+        blocked.ifPresent(names -> {
+            peers.block(names);
+            StateLog.change(Step.MEMBERSHIP, Optional.empty(), "traffic dropped of " + names);
+        });
+        routing.response()
+                .setStatusCode(blocked.isPresent() ? NO_CONTENT : BAD_REQUEST)
+                .end();
     }
 
-    private static Set<NodeName> blockedPeers(JsonObject body) {
-        return body.getJsonArray("blockedPeers").stream()
-                .map(name -> new NodeName((String) name))
-                .collect(Collectors.toUnmodifiableSet());
+    /** Reads {@code {"blockedPeers": [names]}}; empty where the body is anything else. */
+    private static Optional<Set<NodeName>> blockedPeers(@Nullable Buffer body) {
+        try {
+            return Optional.ofNullable(body)
+                    .map(text -> text.toJsonObject().getJsonArray("blockedPeers"))
+                    .map(names -> names.stream()
+                            .map(name -> new NodeName((String) name))
+                            .collect(Collectors.toUnmodifiableSet()));
+        } catch (DecodeException | ClassCastException | IllegalArgumentException malformed) {
+            return Optional.empty();
+        }
     }
 }
--- /dev/null
+++ b/node/src/test/java/org/carawaysill/node/policy/PolicyInboxTest.java
@@ -0,0 +1,51 @@
+package org.carawaysill.node.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.stream.IntStream;
+import org.carawaysill.kernel.ring.Offer;
+import org.carawaysill.model.identity.ExchangeIdentifier;
+import org.carawaysill.node.testing.AdapterBench;
+import org.carawaysill.policy.event.Event;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(120)
+class PolicyInboxTest {
+
+    private static final int MORE_THAN_THE_RING_HOLDS = 20_000;
+
+    private final AdapterBench bench = new AdapterBench();
+
+    @AfterEach
+    void close() {
+        bench.close();
+    }
+
+    /*
+     * A slot of the copy is never free again, or a node that went is still taken for connected: the ring was full when
+     * the end of the request, or the loss of the connection, was to be told. Such events wait and keep their order; new
+     * work is refused until they have passed.
+     */
+    @Test
+    void losesNothingThatIsDeliveredAndKeepsItsOrder() {
+        IntStream.range(0, MORE_THAN_THE_RING_HOLDS)
+                .forEach(i -> bench.inbox().deliver(new Event.ExchangeClosed(new ExchangeIdentifier(0, i))));
+        assertEquals(Offer.FULL, bench.inbox().offerWork(new Event.WakeUp()));
+        assertEquals(Offer.FULL, bench.inbox().offerNotice(new Event.WakeUp()));
+        for (int i = 0; i < MORE_THAN_THE_RING_HOLDS; i++) {
+            assertEquals(i, bench.next(Event.ExchangeClosed.class).exchange().low());
+        }
+        AdapterBench.await(() -> bench.inbox().offerWork(new Event.WakeUp()) == Offer.ACCEPTED);
+    }
+
+    @Test
+    void keepsHalfOfTheRingForWhatEndsWork() {
+        while (bench.inbox().offerWork(new Event.WakeUp()) == Offer.ACCEPTED) {
+            Thread.onSpinWait();
+        }
+        assertEquals(bench.inbox().ring().capacity() / 2, bench.inbox().ring().size());
+        assertEquals(Offer.ACCEPTED, bench.inbox().offerNotice(new Event.WakeUp()));
+    }
+}
--- a/node/src/test/java/org/carawaysill/node/testing/AdapterBench.java
+++ b/node/src/test/java/org/carawaysill/node/testing/AdapterBench.java
@@ -58,7 +58,7 @@
     }
 
     /**
-     * Waits for the next event and expects its type.
+     * Waits for the next event and expects its type; passes over wake-ups, with which tests fill the ring.
      *
      * @param <T> the type expected
      * @param type the type expected
@@ -72,10 +72,12 @@
         long start = System.nanoTime();
         while (System.nanoTime() - start < GENEROUS_NANOS) {
             Optional<Arrival> arrival = inbox.ring().poll();
-            if (arrival.isPresent()) {
+            if (arrival.isPresent() && !(arrival.get().event() instanceof Event.WakeUp)) {
                 return arrival.get().event();
             }
-            inbox.ring().await(0, GENEROUS_NANOS);
+            if (arrival.isEmpty()) {
+                inbox.ring().await(0, GENEROUS_NANOS);
+            }
         }
         throw new AssertionError("no event came");
     }
