--- a/load/src/main/java/org/carawaysill/load/run/LoadRun.java
+++ b/load/src/main/java/org/carawaysill/load/run/LoadRun.java
@@ -78,7 +78,7 @@
     }
 
     private Future<Audit> audit(List<RequestRecord> records) {
-        return new RunLogs(http, settings.site())
+        return new RunLogs(vertx, http, settings.site())
                 .collect()
                 .map(log -> new Audit(settings.site().graph(), records, log));
     }
