--- a/load/src/main/java/org/carawaysill/load/client/HttpTry.java
+++ b/load/src/main/java/org/carawaysill/load/client/HttpTry.java
@@ -56,12 +56,12 @@
     }
 
     private void write(HttpClientRequest request) {
+        request.exceptionHandler(this::lose);
         if (result.future().isComplete()) {
             request.reset();
             return;
         }
         sent = Optional.of(request);
-        request.exceptionHandler(this::lose);
         request.send().onComplete(this::read, this::lose);
     }
 
