--- a/standin/src/main/java/org/carawaysill/standin/StandinMain.java
+++ b/standin/src/main/java/org/carawaysill/standin/StandinMain.java
@@ -6,9 +6,9 @@
 import io.vertx.core.file.FileSystemOptions;
 import io.vertx.core.http.HttpServer;
 import java.io.PrintStream;
-import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
 import org.carawaysill.standin.command.CommandLine;
 import org.carawaysill.standin.command.ConfigurationCommand;
 import org.carawaysill.standin.command.Subcommand;
@@ -31,6 +31,7 @@
     private static final int SUCCESS = 0;
     private static final int FAILURE = 1;
     private static final int USAGE = 2;
+    private static final long GRACE_SECONDS = 10;
 
     private StandinMain() {}
 
@@ -63,7 +64,7 @@
                 return OptionalInt.of(SUCCESS);
             }
             return serve(arguments.getFirst(), subcommand, errors);
-        } catch (UsageException | IllegalArgumentException | UncheckedIOException e) {
+        } catch (UsageException | IllegalArgumentException e) {
             errors.println(PREFIX + e.getMessage());
             return OptionalInt.of(USAGE);
         }
@@ -73,9 +74,12 @@
         Vertx vertx = oneEventLoop();
         try {
             HttpServer server = listen(vertx, subcommand).await();
+            if (subcommand instanceof UpstreamCommand) {
+                Runtime.getRuntime().addShutdownHook(new Thread(() -> finishRequests(server), "shutdown"));
+            }
             Logger.info("{} listens at port {}", name, server.actualPort());
             return OptionalInt.empty();
-        } catch (UsageException | IllegalArgumentException | UncheckedIOException e) {
+        } catch (UsageException | IllegalArgumentException e) {
             vertx.close();
             throw e;
         } catch (Exception e) {
@@ -93,6 +97,14 @@
         };
     }
 
+    /**
+     * Lets a copy's requests in flight finish before the process ends on a signal. Guards against a planned stop that cuts them
+     * off: without it their callers see reset connections. Holds because the server takes nothing new meanwhile.
+     */
+    private static void finishRequests(HttpServer server) {
+        server.shutdown(GRACE_SECONDS, TimeUnit.SECONDS).await();
+    }
+
     private static Vertx oneEventLoop() {
         FileSystemOptions files =
                 new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false);
--- a/standin/src/main/java/org/carawaysill/standin/command/CommandLine.java
+++ b/standin/src/main/java/org/carawaysill/standin/command/CommandLine.java
@@ -72,8 +72,9 @@
      */
     public static String help(Subcommand subcommand) {
         StringWriter lines = new StringWriter();
-        parser(subcommand).printUsage(lines, null, OptionHandlerFilter.ALL);
-        return "Usage: " + PROGRAM + " " + name(subcommand) + " FLAGS\n\n" + lines;
+        String name = name(subcommand);
+        parser(subcommand(name)).printUsage(lines, null, OptionHandlerFilter.ALL);
+        return "Usage: " + PROGRAM + " " + name + " FLAGS\n\n" + lines;
     }
 
     private static Subcommand subcommand(String name) {
--- a/standin/src/main/java/org/carawaysill/standin/command/UpstreamCommand.java
+++ b/standin/src/main/java/org/carawaysill/standin/command/UpstreamCommand.java
@@ -13,10 +13,10 @@
 @NullUnmarked
 public final class UpstreamCommand implements Subcommand {
 
-    @Option(name = "--name", required = true, metaVar = "NAME", usage = "the copy's name")
+    @Option(name = "--name", required = true, metaVar = "NAME", usage = "the copy's name (required)")
     private String name;
 
-    @Option(name = "--service", required = true, metaVar = "SERVICE", usage = "the service, as in the graph")
+    @Option(name = "--service", required = true, metaVar = "SERVICE", usage = "the service, as in the graph (required)")
     private String service;
 
     @Option(
@@ -24,10 +24,14 @@
             required = true,
             metaVar = "HOST:PORT",
             handler = SocketAddressHandler.class,
-            usage = "where to listen; port 0 takes a free one")
+            usage = "where to listen; port 0 takes a free one (required)")
     private SocketAddress listen;
 
-    @Option(name = "--graph", required = true, metaVar = "FILE", usage = "TOML file with operations and calls")
+    @Option(
+            name = "--graph",
+            required = true,
+            metaVar = "FILE",
+            usage = "TOML file with operations and calls (required)")
     private Path graph;
 
     @Option(
@@ -37,10 +41,14 @@
             usage = "the egress port of the copy's node; needed where the graph has calls")
     private SocketAddress nodeEgress;
 
-    @Option(name = "--slots", required = true, metaVar = "N", usage = "how many requests run at a time")
+    @Option(name = "--slots", required = true, metaVar = "N", usage = "how many requests run at a time (required)")
     private int slots;
 
-    @Option(name = "--connections", required = true, metaVar = "N", usage = "how many requests run or wait at a time")
+    @Option(
+            name = "--connections",
+            required = true,
+            metaVar = "N",
+            usage = "how many requests run or wait at a time (required)")
     private int connections;
 
     @Option(
@@ -65,7 +73,7 @@
             name = "--run-log-entries",
             metaVar = "N",
             usage = "how many pairs of trace and operation the run log remembers")
-    private int runLogEntries = 500_000;
+    private int runLogEntries = UpstreamSettings.DEFAULT_RUN_LOG_ENTRIES;
 
     @Option(name = "--help", help = true, usage = "print this help")
     private boolean help;
--- a/standin/src/main/java/org/carawaysill/standin/command/VmListCommand.java
+++ b/standin/src/main/java/org/carawaysill/standin/command/VmListCommand.java
@@ -16,7 +16,7 @@
             required = true,
             metaVar = "HOST:PORT",
             handler = SocketAddressHandler.class,
-            usage = "where to listen; port 0 takes a free one")
+            usage = "where to listen; port 0 takes a free one (required)")
     private SocketAddress listen;
 
     @Option(name = "--lag-milliseconds", metaVar = "N", usage = "how long after a change readers see it")
--- a/standin/src/main/java/org/carawaysill/standin/configuration/ConfigurationServer.java
+++ b/standin/src/main/java/org/carawaysill/standin/configuration/ConfigurationServer.java
@@ -75,6 +75,9 @@
     }
 
     private void answerOrWait(RoutingContext context, ReadRequest request) {
+        if (context.response().closed()) {
+            return;
+        }
         Optional<PublishedDocument> document = visible(request.service());
         if (document.isEmpty()) {
             HttpStandin.answer(context, NOT_FOUND, "no configuration of " + request.service());
--- a/standin/src/main/java/org/carawaysill/standin/configuration/DocumentDirectory.java
+++ b/standin/src/main/java/org/carawaysill/standin/configuration/DocumentDirectory.java
@@ -1,7 +1,6 @@
 package org.carawaysill.standin.configuration;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -22,7 +21,7 @@
      *
      * @param directory where they are, one {@code SERVICE.toml} each
      * @return the texts by service, in the order of the names
-     * @throws UncheckedIOException if one can't be read
+     * @throws IllegalArgumentException if one can't be read
      */
     static SequencedMap<ServiceName, String> read(Path directory) {
         SequencedMap<ServiceName, String> texts = new TreeMap<>();
@@ -33,7 +32,7 @@
                 texts.put(service, Files.readString(file));
             }
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            throw new IllegalArgumentException("can't read the documents of " + directory, e);
         }
         return texts;
     }
--- a/standin/src/main/java/org/carawaysill/standin/http/HttpStandin.java
+++ b/standin/src/main/java/org/carawaysill/standin/http/HttpStandin.java
@@ -1,5 +1,6 @@
 package org.carawaysill.standin.http;
 
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
@@ -9,6 +10,7 @@
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
+import java.util.Optional;
 
 /**
  * Starts the HTTP server of a stand-in and answers as all of them do.
@@ -91,6 +93,9 @@
             return;
         }
         int status = context.statusCode() > 0 ? context.statusCode() : INTERNAL_ERROR;
-        answer(context, status, "failed: " + context.failure());
+        String reason = Optional.ofNullable(context.failure())
+                .map(Throwable::toString)
+                .orElseGet(() -> HttpResponseStatus.valueOf(status).reasonPhrase());
+        answer(context, status, reason);
     }
 }
--- a/standin/src/main/java/org/carawaysill/standin/upstream/EgressClient.java
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/EgressClient.java
@@ -15,7 +15,8 @@
 /**
  * Calls deeper services through the egress port of the copy's own node.
  *
- * <p>Invariant: has a connection for each slot, so that a call never waits for one. Not thread safe: used on the event
+ * <p>Takes the plain client of Vert.x, since that of Vert.x Web can't cancel a request. Invariant: has a connection for
+ * each slot, so that a call never waits for one. Not thread safe: used on the event
  * loop only.
  */
 final class EgressClient {
@@ -38,9 +39,9 @@
      *
      * @param call which, and how
      * @param request the request on whose behalf
-     * @param running gets told the answer's body or why there is none
+     * @param running the call, by which it can be cancelled
      * @param nowNanos the monotonic time
-     * @return the answer
+     * @return the answer's body, or a {@link DeeperCallException}
      */
     Future<Buffer> call(GraphCall call, CopyRequest request, DeeperCall running, long nowNanos) {
         String path = call.egressPath(request.match().segments(), request.traceText());
--- a/standin/src/main/java/org/carawaysill/standin/upstream/GraphCall.java
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/GraphCall.java
@@ -1,5 +1,6 @@
 package org.carawaysill.standin.upstream;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
 
 /**
@@ -11,7 +12,10 @@
  * @param method the HTTP method
  * @param path the path at that service; each segment {@code *} takes the text that the operation's own path matched
  */
-record GraphCall(String service, String method, String path) {
+record GraphCall(
+        @JsonProperty(required = true) String service,
+        @JsonProperty(required = true) String method,
+        @JsonProperty(required = true) String path) {
 
     /**
      * Writes the path of one call.
--- a/standin/src/main/java/org/carawaysill/standin/upstream/Run.java
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/Run.java
@@ -29,6 +29,7 @@
     private final UpstreamCopy copy;
     private final HttpServerRequest exchange;
     private final CopyRequest request;
+    private final RunLog log;
     private final List<String> chains = new ArrayList<>(2);
     private State state = State.WAITING;
     private OptionalLong workTimer = OptionalLong.empty();
@@ -38,6 +39,7 @@
         this.copy = copy;
         this.exchange = exchange;
         this.request = request;
+        this.log = copy.log();
     }
 
     CopyRequest request() {
@@ -47,7 +49,7 @@
     /** Begins the work; the run counts as started from here on. */
     void begin() {
         state = State.RUNNING;
-        copy.log().started(request.trace(), request.match().index());
+        log.started(request.trace(), request.match().index());
         long nanos = copy.drawWork(request.match().operation());
         long milliseconds = TimeUnit.NANOSECONDS.toMillis(nanos + TimeUnit.MILLISECONDS.toNanos(1) / 2);
         if (milliseconds == 0) {
@@ -69,7 +71,9 @@
             return;
         }
         if (state == State.RUNNING) {
-            copy.log().cancelled();
+            log.cancelled();
+        } else {
+            log.withdrawn();
         }
         workTimer.ifPresent(copy.vertx()::cancelTimer);
         deeperCall.ifPresent(DeeperCall::cancel);
@@ -101,7 +105,7 @@
         Optional<AnswerBody> own =
                 AnswerBody.decode(body).filter(answer -> answer.trace().equals(request.traceText()));
         if (own.isEmpty()) {
-            copy.log().foreignAnswer();
+            log.foreignAnswer();
             fail(Optional.empty());
             return;
         }
@@ -116,7 +120,7 @@
     }
 
     private void complete() {
-        copy.log().completed();
+        log.completed();
         GraphOperation operation = request.match().operation();
         AnswerBody body = new AnswerBody(request.traceText(), operation.name(), copy.chain(chains));
         exchange.response().putHeader("Content-Type", "application/json").end(body.encode(operation.answerBytes()));
@@ -124,7 +128,7 @@
     }
 
     private void fail(Optional<String> outcome) {
-        copy.log().failed();
+        log.failed();
         // Relays the deeper node's word as a careless service would; the copy itself did run, so a node that passed the
         // word on would tell the caller an untruth.
         outcome.ifPresent(value -> exchange.response().putHeader(DeeperCall.OUTCOME, value));
--- a/standin/src/main/java/org/carawaysill/standin/upstream/RunLog.java
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/RunLog.java
@@ -8,18 +8,20 @@
 /**
  * What ran in a copy. A run counts as started when work begins.
  *
- * <p>Invariant: started = completed + failed + cancelled + those that run. Counts are exact as long as {@code overflowed}
- * is false. Not thread safe: used on the event loop only.
+ * <p>Invariants: started = completed + failed + cancelled + those that still run; what is said of traces is exact as
+ * long as {@code overflowed} is false, and too little afterwards. Not thread safe: used on the event loop only.
  */
 final class RunLog {
 
     private final List<GraphOperation> operations;
-    private final int capacity;
-    private RunTable runs;
+    private final RunTable runs;
     private long started;
     private long completed;
     private long failed;
     private long cancelled;
+    private long refused;
+    private long shed;
+    private long withdrawn;
     private long untraced;
     private long foreignAnswers;
     private int maximumRunsPerTrace;
@@ -33,7 +35,6 @@
      */
     RunLog(List<GraphOperation> operations, int capacity) {
         this.operations = operations;
-        this.capacity = capacity;
         this.runs = new RunTable(capacity);
     }
 
@@ -60,6 +61,21 @@
         cancelled++;
     }
 
+    /** Counts a request that found no connection free, or the copy draining. */
+    void refused() {
+        refused++;
+    }
+
+    /** Counts a request whose deadline had passed when its slot became free. */
+    void shed() {
+        shed++;
+    }
+
+    /** Counts a request whose caller went away while it waited. */
+    void withdrawn() {
+        withdrawn++;
+    }
+
     /** Counts an answer of a deeper service that was another request's or not complete. */
     void foreignAnswer() {
         foreignAnswers++;
@@ -76,6 +92,9 @@
                 .put("completed", completed)
                 .put("failed", failed)
                 .put("cancelled", cancelled)
+                .put("refused", refused)
+                .put("shed", shed)
+                .put("withdrawn", withdrawn)
                 .put("untraced", untraced)
                 .put("foreignAnswers", foreignAnswers)
                 .put("overflowed", overflowed)
@@ -91,19 +110,6 @@
                 .put("runs", table.runs(entry));
     }
 
-    /** Forgets everything; what runs at that moment still counts as finished later. */
-    void reset() {
-        runs = new RunTable(capacity);
-        started = 0;
-        completed = 0;
-        failed = 0;
-        cancelled = 0;
-        untraced = 0;
-        foreignAnswers = 0;
-        maximumRunsPerTrace = 0;
-        overflowed = false;
-    }
-
     private JsonArray duplicates() {
         JsonArray duplicates = new JsonArray();
         for (int i = 0; i < runs.size(); i++) {
--- a/standin/src/main/java/org/carawaysill/standin/upstream/RunLogWriter.java
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/RunLogWriter.java
@@ -20,11 +20,11 @@
     private final JsonObject summary;
     private final HttpServerResponse response;
 
-    RunLogWriter(RunLog log, JsonObject summary, HttpServerResponse response) {
+    RunLogWriter(RunLog log, HttpServerResponse response) {
         this.log = log;
         this.runs = log.runs();
         this.size = runs.size();
-        this.summary = summary;
+        this.summary = log.toJson();
         this.response = response;
     }
 
--- a/standin/src/main/java/org/carawaysill/standin/upstream/ServiceGraphFile.java
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/ServiceGraphFile.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JacksonException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.PropertyNamingStrategies;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
@@ -36,6 +37,7 @@
         TomlMapper mapper = TomlMapper.builder()
                 .propertyNamingStrategy(PropertyNamingStrategies.KEBAB_CASE)
                 .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
                 .build();
         try {
             return mapper.readValue(text, ServiceGraph.class);
--- a/standin/src/main/java/org/carawaysill/standin/upstream/UpstreamCopy.java
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/UpstreamCopy.java
@@ -20,12 +20,9 @@
     private final UpstreamSettings settings;
     private final SlotPool<Run> pool;
     private final ServiceTime serviceTime;
-    private final RunLog log;
+    private RunLog log;
     private final Optional<EgressClient> egress;
     private Behaviour behaviour = Behaviour.NORMAL;
-    private long refused;
-    private long shed;
-    private long withdrawn;
 
     UpstreamCopy(Vertx vertx, UpstreamSettings settings) {
         this.vertx = vertx;
@@ -33,7 +30,7 @@
         this.pool = new SlotPool<>(settings.slots(), settings.connections());
         this.serviceTime = new ServiceTime(
                 new SplittableRandom(settings.seed()), settings.coldStartMilliseconds(), System.nanoTime());
-        this.log = new RunLog(settings.graph().operations(), settings.runLogEntries());
+        this.log = emptyLog();
         this.egress = settings.nodeEgress().map(address -> new EgressClient(vertx, address, settings.slots()));
     }
 
@@ -45,6 +42,11 @@
         return log;
     }
 
+    /** Starts an empty log; what runs at this moment still counts in the one in which it started. */
+    void resetLog() {
+        log = emptyLog();
+    }
+
     Behaviour behaviour() {
         return behaviour;
     }
@@ -74,16 +76,16 @@
     void accept(HttpServerRequest exchange, ServiceGraph.Match match) {
         Run run = new Run(this, exchange, CopyRequest.of(exchange, match, System.nanoTime()));
         if (behaviour.draining()) {
-            refused++;
+            log.refused();
             run.refuse();
             return;
         }
         exchange.response().closeHandler(closed -> run.cancel());
         SlotPool.Offer offer = pool.offer(run);
         if (offer == SlotPool.Offer.RUN) {
-            run.begin();
+            beginOrShed(Optional.of(run));
         } else if (offer == SlotPool.Offer.REFUSED) {
-            refused++;
+            log.refused();
             run.refuse();
         }
     }
@@ -94,14 +96,18 @@
      * @param run the request that leaves
      */
     void left(Run run) {
-        Optional<Run> next = pool.leave(run);
+        beginOrShed(pool.leave(run));
+    }
+
+    private void beginOrShed(Optional<Run> first) {
+        Optional<Run> next = first;
         while (next.isPresent()) {
             Run candidate = next.get();
             if (!candidate.request().isTooLate(System.nanoTime())) {
                 candidate.begin();
                 return;
             }
-            shed++;
+            log.shed();
             candidate.refuse();
             next = pool.leave(candidate);
         }
@@ -128,7 +134,7 @@
                 .put("slots", settings.slots());
     }
 
-    JsonObject runs() {
-        return log.toJson().put("refused", refused).put("shed", shed).put("withdrawn", withdrawn);
+    private RunLog emptyLog() {
+        return new RunLog(settings.graph().operations(), settings.runLogEntries());
     }
 }
--- a/standin/src/main/java/org/carawaysill/standin/upstream/UpstreamServer.java
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/UpstreamServer.java
@@ -76,14 +76,14 @@
 
     private void runs(RoutingContext context) {
         if (context.queryParam("full").contains("true")) {
-            new RunLogWriter(copy.log(), copy.runs(), context.response()).write();
+            new RunLogWriter(copy.log(), context.response()).write();
         } else {
-            HttpStandin.answer(context, copy.runs());
+            HttpStandin.answer(context, copy.log().toJson());
         }
     }
 
     private void resetRuns(RoutingContext context) {
-        copy.log().reset();
-        HttpStandin.answer(context, copy.runs());
+        copy.resetLog();
+        HttpStandin.answer(context, copy.log().toJson());
     }
 }
--- a/standin/src/main/java/org/carawaysill/standin/upstream/UpstreamSettings.java
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/UpstreamSettings.java
@@ -10,6 +10,9 @@
  */
 public final class UpstreamSettings {
 
+    /** How many pairs of trace and operation the run log remembers; this takes about 17 MB when full. */
+    public static final int DEFAULT_RUN_LOG_ENTRIES = 500_000;
+
     private final Builder values;
 
     private UpstreamSettings(Builder values) {
@@ -80,7 +83,7 @@
         private long coldStartMilliseconds;
         private long seed = 1;
         private boolean falseLoad;
-        private int runLogEntries = 500_000;
+        private int runLogEntries = DEFAULT_RUN_LOG_ENTRIES;
 
         private Builder(ServiceGraph graph, String name, SocketAddress listen) {
             this.graph = graph;
@@ -177,6 +180,10 @@
             if (slots < 1 || connections < slots) {
                 throw new IllegalArgumentException("slots must be at least 1, and connections at least as many");
             }
+            if (coldStartMilliseconds < 0 || runLogEntries < 1) {
+                throw new IllegalArgumentException(
+                        "the cold start must be at least 0 milliseconds, and the run log at least 1 entry");
+            }
             if (graph.callsDeeper() && nodeEgress.isEmpty()) {
                 throw new IllegalArgumentException(
                         "the graph calls deeper services, so the egress address of the node is needed");
--- a/standin/src/main/java/org/carawaysill/standin/vmlist/VmListFile.java
+++ b/standin/src/main/java/org/carawaysill/standin/vmlist/VmListFile.java
@@ -3,7 +3,6 @@
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -23,8 +22,7 @@
      *
      * @param file a JSON file in the form of the answer to {@code GET /vms}
      * @return its VMs
-     * @throws UncheckedIOException if the file can't be read
-     * @throws IllegalArgumentException if it has another form
+     * @throws IllegalArgumentException if the file can't be read or has another form; the message is one line
      */
     static List<ListedVm> read(Path file) {
         try {
@@ -35,7 +33,7 @@
                     .map(VmListFile::vm)
                     .toList();
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            throw new IllegalArgumentException("can't read " + file, e);
         } catch (DecodeException | ClassCastException | NullPointerException | IllegalArgumentException e) {
             throw new IllegalArgumentException(
                     file + " must hold {\"vms\":[{\"name\",\"zone\",\"host\",\"state\"},...]}: " + e.getMessage(), e);
