--- a/node/src/main/java/org/carawaysill/node/NodeMain.java
+++ b/node/src/main/java/org/carawaysill/node/NodeMain.java
@@ -33,8 +33,6 @@
 
     private static final int FAILED = 1;
 
-    private static final NodePolicyFactory POLICIES = new ChosenPolicyFactory();
-
     private NodeMain() {}
 
     /**
@@ -43,6 +41,10 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
+        run(arguments, new ChosenPolicyFactory());
+    }
+
+    static void run(String[] arguments, NodePolicyFactory policies) {
         NodeOptions options = new NodeOptions();
         CmdLineParser parser = new CmdLineParser(options);
         try {
@@ -52,7 +54,7 @@
             parser.printUsage(System.err);
             System.exit(WRONG_USAGE);
         }
-        readSettings(options.settings(), System.err).ifPresentOrElse(NodeMain::run, () -> System.exit(WRONG_USAGE));
+        readSettings(options.settings(), System.err).ifPresentOrElse(settings -> run(settings, policies), () -> System.exit(WRONG_USAGE));
     }
 
     static Optional<NodeSettings> readSettings(Path file, PrintStream errors) {
@@ -72,8 +74,8 @@
         }
     }
 
-    private static void run(NodeSettings settings) {
-        NodeProcess process = NodeProcess.builder(settings, POLICIES).build();
+    private static void run(NodeSettings settings, NodePolicyFactory policies) {
+        NodeProcess process = NodeProcess.builder(settings, policies).build();
         LibraryLog.install(process.services().require(Counters.NAME, Counters.class));
         try {
             process.start().join();
--- /dev/null
+++ b/node/src/test/java/org/carawaysill/node/ForwardingNodeMain.java
@@ -0,0 +1,13 @@
+package org.carawaysill.node;
+
+import org.carawaysill.node.policy.ForwardingPolicy;
+
+/** The node's program with a policy that needs no configuration. Thread safe. */
+public final class ForwardingNodeMain {
+
+    private ForwardingNodeMain() {}
+
+    public static void main(String[] arguments) {
+        NodeMain.run(arguments, (settings, start, random) -> new ForwardingPolicy());
+    }
+}
--- a/node/src/test/java/org/carawaysill/node/lifecycle/NodeProcessTest.java
+++ b/node/src/test/java/org/carawaysill/node/lifecycle/NodeProcessTest.java
@@ -19,7 +19,7 @@
 import java.util.stream.Collectors;
 import org.approvaltests.Approvals;
 import org.approvaltests.core.Options;
-import org.carawaysill.node.NodeMain;
+import org.carawaysill.node.ForwardingNodeMain;
 import org.carawaysill.node.admin.AdminServer;
 import org.carawaysill.node.exchange.ExchangeServer;
 import org.carawaysill.node.policy.ForwardingPolicy;
@@ -174,7 +174,7 @@
                             "-Xmx32m",
                             "-cp",
                             System.getProperty("java.class.path"),
-                            NodeMain.class.getName(),
+                            ForwardingNodeMain.class.getName(),
                             "--settings",
                             file.toString())
                     .redirectErrorStream(true)
--- a/node/src/test/java/org/carawaysill/node/peer/PeerAdapterTest.java
+++ b/node/src/test/java/org/carawaysill/node/peer/PeerAdapterTest.java
@@ -82,7 +82,7 @@
         while (bench.inbox().offerNotice(new Event.WakeUp()) == Offer.ACCEPTED) {
             Thread.onSpinWait();
         }
-        adapter.received(PEER, new PeerMessage.LeaseReply(REQUEST.service(), 1, 1, true, 1));
+        adapter.received(PEER, new PeerMessage.ConfigurationWanted(REQUEST.service(), 1));
         assertEquals(1, bench.counted("lost_messages", "peer_notice"));
         adapter.received(PEER, new PeerMessage.CancelAttempt(REQUEST.attempt()));
         adapter.lost(PEER);
--- a/node/src/test/java/org/carawaysill/node/platform/PlatformReaderTest.java
+++ b/node/src/test/java/org/carawaysill/node/platform/PlatformReaderTest.java
@@ -117,18 +117,21 @@
         }
 
         @Test
-        void failWithLineAndKeyWhereTheyAreInvalid() {
+        void areRefusedWithVersionLineAndKeyWhereTheyAreInvalid() {
             body = DOCUMENT.replace("slots = 60", "slots = -1");
             read(0, Duration.ZERO);
-            String message = failure().message();
-            assertTrue(message.contains("version 5") && message.contains("6: copies[0].slots"), message);
+            Event.ConfigurationRefused refused = bench.next(Event.ConfigurationRefused.class);
+            assertEquals(5, refused.version());
+            assertTrue(refused.message().contains("6: copies[0].slots"), refused.message());
         }
 
         @Test
-        void failWhereTheyAreThoseOfAnotherService() {
+        void areRefusedWhereTheyAreThoseOfAnotherService() {
             body = DOCUMENT.replace("\"tracker\"", "\"parties\"");
             read(0, Duration.ZERO);
-            assertTrue(failure().message().contains("parties"));
+            Event.ConfigurationRefused refused = bench.next(Event.ConfigurationRefused.class);
+            assertEquals(5, refused.version());
+            assertTrue(refused.message().contains("parties"), refused.message());
         }
 
         @Test
--- a/protocol/src/test/java/org/carawaysill/protocol/codec/PeerMessageArbitraries.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/PeerMessageArbitraries.java
@@ -118,21 +118,22 @@
         return Combinators.combine(
                         services(),
                         rosterMembers(),
-                        versions().list().ofSize(6),
+                        versions().list().ofSize(5),
+                        durations().map(Duration::toNanos),
                         Arbitraries.longs(),
                         Arbitraries.longs(),
                         rosterViews())
-                .as((service, member, numbers, digest, previous, rosters) -> new LeaseRequest(
+                .as((service, member, numbers, duration, digest, previous, rosters) -> new LeaseRequest(
                         service,
                         member,
                         numbers.get(0),
                         numbers.get(1),
                         numbers.get(2),
+                        duration,
                         numbers.get(3),
-                        numbers.get(4),
                         digest,
                         previous,
-                        numbers.get(5),
+                        numbers.get(4),
                         rosters));
     }
 
