Let the rate climb in the warm-up; report the bench's own lateness and the nodes' counters

In trials on a machine that others kept busy (load average 60 on 12 processors) cold processes met the full rate at once and the bench sent late by seconds; such figures say nothing about a policy. The report now tells by how much the bench was late.

--- a/load/src/main/java/org/carawaysill/load/audit/Audit.java
+++ b/load/src/main/java/org/carawaysill/load/audit/Audit.java
@@ -19,8 +19,9 @@
  * @param graph how the services call one another
  * @param records every request of the run
  * @param runLog what the copies ran
+ * @param counters what the nodes counted
  */
-public record Audit(CallGraph graph, List<RequestRecord> records, RunLog runLog) {
+public record Audit(CallGraph graph, List<RequestRecord> records, RunLog runLog, NodeCounters counters) {
 
     public Audit {
         records = List.copyOf(records);
--- a/load/src/main/java/org/carawaysill/load/client/ImpatientClient.java
+++ b/load/src/main/java/org/carawaysill/load/client/ImpatientClient.java
@@ -30,6 +30,7 @@
     private final List<TryResult> tries = new ArrayList<>();
     private final Promise<RequestRecord> done = Promise.promise();
     private final long startNanos;
+    private long sentNanos;
 
     ImpatientClient(
             ClientSettings settings, Vertx vertx, HttpClient http, Arrival arrival, List<Integer> ports, long start) {
@@ -45,6 +46,7 @@
     }
 
     Future<RequestRecord> run() {
+        sentNanos = now();
         next();
         return done.future();
     }
@@ -58,13 +60,16 @@
     private void tried(TryResult result) {
         tries.add(result);
         if (result instanceof Whole || tries.size() >= settings.tries()) {
-            done.complete(
-                    new RequestRecord(arrival, identity.traceIdentifier(), tries, System.nanoTime() - startNanos));
+            done.complete(new RequestRecord(arrival, identity.traceIdentifier(), sentNanos, tries, now()));
             return;
         }
         vertx.setTimer(pause(result).toMillis(), ignored -> next());
     }
 
+    private long now() {
+        return System.nanoTime() - startNanos;
+    }
+
     private Duration pause(TryResult result) {
         long shortest = settings.minimumRetryDelay().toMillis();
         long longest = settings.maximumRetryDelay().toMillis();
--- a/load/src/main/java/org/carawaysill/load/client/RequestRecord.java
+++ b/load/src/main/java/org/carawaysill/load/client/RequestRecord.java
@@ -12,10 +12,12 @@
  *
  * @param arrival what was meant to be sent
  * @param traceIdentifier what run logs know it by
+ * @param sentNanos when it was sent first, in nanoseconds from the run's start
  * @param tries what each try came to, in order
  * @param finishedNanos when its client had the answer or gave up, in nanoseconds from the run's start
  */
-public record RequestRecord(Arrival arrival, String traceIdentifier, List<TryResult> tries, long finishedNanos) {
+public record RequestRecord(
+        Arrival arrival, String traceIdentifier, long sentNanos, List<TryResult> tries, long finishedNanos) {
 
     public RequestRecord {
         tries = List.copyOf(tries);
@@ -39,6 +41,15 @@
         return tries.stream().allMatch(NotRun.class::isInstance);
     }
 
+    /**
+     * Gives the time by which the bench itself was late.
+     *
+     * @return nanoseconds from the intended sending to the first
+     */
+    public long lateNanos() {
+        return sentNanos - arrival.atNanos();
+    }
+
     /**
      * Gives the time that its client waited, the time before the first sending included.
      *
--- a/load/src/main/java/org/carawaysill/load/platform/BenchHttp.java
+++ b/load/src/main/java/org/carawaysill/load/platform/BenchHttp.java
@@ -45,6 +45,20 @@
                 .map(HttpResponse::bodyAsJsonObject);
     }
 
+    /**
+     * Reads a text.
+     *
+     * @param port the process's port
+     * @param path the path
+     * @return the text, or a {@link BenchException}
+     */
+    public Future<String> text(int port, String path) {
+        return request(HttpMethod.GET, port, path)
+                .send()
+                .compose(response -> checked(response, port, path))
+                .map(HttpResponse::bodyAsString);
+    }
+
     /**
      * Checks whether a process answers with success.
      *
--- a/load/src/main/java/org/carawaysill/load/report/ComparisonTable.java
+++ b/load/src/main/java/org/carawaysill/load/report/ComparisonTable.java
@@ -27,6 +27,11 @@
         FIGURES.forEach(figure -> rows.add(row(comparison, figure)));
         addCounts(rows, comparison, "violation: ", RunReport::violationsByKind);
         addCounts(rows, comparison, "refused: ", RunReport::refusalsByReason);
+        addCounts(
+                rows,
+                comparison,
+                "retried by a node: ",
+                report -> report.nodes().retries());
         int width = rows.stream().mapToInt(row -> row.name().length()).max().orElse(0);
         return heading(comparison.carawaysill())
                 + rows.stream().map(row -> row.text(width)).collect(Collectors.joining());
@@ -45,6 +50,7 @@
             new Figure("tries per client, mean", report -> number(report.triesPerRequest(), 2)),
             new Figure("latency of whole requests, p50 ms", report -> triggerLatency(report, Latency::p50)),
             new Figure("latency of whole requests, p99 ms", report -> triggerLatency(report, Latency::p99)),
+            new Figure("bench late, p99 ms", report -> number(report.sentLateMillisecondsP99(), 0)),
             new Figure("processors busy, most", report -> percent(report.processorsBusyMax(), 0)),
             new Figure("violations", report -> String.valueOf(report.violations())));
 
@@ -61,15 +67,19 @@
     }
 
     private static void addCounts(
-            List<Row> rows, Comparison comparison, String prefix, Function<RunReport, Map<String, Integer>> counts) {
-        Map<String, Integer> baseline = counts.apply(comparison.baseline());
-        Map<String, Integer> carawaysill = counts.apply(comparison.carawaysill());
+            List<Row> rows,
+            Comparison comparison,
+            String prefix,
+            Function<RunReport, ? extends Map<String, ? extends Number>> counts) {
+        Map<String, ? extends Number> baseline = counts.apply(comparison.baseline());
+        Map<String, ? extends Number> carawaysill = counts.apply(comparison.carawaysill());
         TreeSet<String> names = new TreeSet<>(baseline.keySet());
         names.addAll(carawaysill.keySet());
-        names.forEach(name -> rows.add(new Row(
-                prefix + name,
-                String.valueOf(baseline.getOrDefault(name, 0)),
-                String.valueOf(carawaysill.getOrDefault(name, 0)))));
+        names.forEach(name -> rows.add(new Row(prefix + name, count(baseline, name), count(carawaysill, name))));
+    }
+
+    private static String count(Map<String, ? extends Number> counts, String name) {
+        return counts.containsKey(name) ? String.valueOf(counts.get(name)) : "0";
     }
 
     private static String recovery(RunReport report) {
--- a/load/src/main/java/org/carawaysill/load/report/ReportBuilder.java
+++ b/load/src/main/java/org/carawaysill/load/report/ReportBuilder.java
@@ -6,12 +6,12 @@
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 import java.util.stream.DoubleStream;
 import java.util.stream.Stream;
 import org.HdrHistogram.Histogram;
 import org.carawaysill.load.audit.Audit;
-import org.carawaysill.load.audit.Violation;
 import org.carawaysill.load.client.RequestRecord;
 import org.carawaysill.load.client.TryResult;
 import org.carawaysill.load.client.TryResult.NotRun;
@@ -58,7 +58,7 @@
      * @return the report
      */
     public RunReport build() {
-        Map<Violation, Integer> violations = audit.violations();
+        Map<String, Integer> violations = violations();
         List<Recovery> recoveries = recoveries();
         return new RunReport(
                 settings.policy(),
@@ -83,11 +83,13 @@
                 records.stream().mapToInt(audit::mostRunsOfOneHop).max().orElse(0),
                 answeredRatio(request -> request.arrival().operation().important()),
                 violations.values().stream().mapToInt(Integer::intValue).sum(),
-                byText(violations),
+                violations,
                 refusals(),
                 counted(tries().map(TryResult::countedAs)),
+                audit.counters(),
                 latencies(),
                 answeredByOperation(),
+                sentLate().p99(),
                 busy().max().orElse(0),
                 busy().average().orElse(0),
                 buckets.series());
@@ -161,11 +163,19 @@
     }
 
     private Latency latency(Predicate<RequestRecord> which) {
+        return times(RequestRecord::latencyNanos, request -> request.whole() && which.test(request));
+    }
+
+    private Latency sentLate() {
+        return times(RequestRecord::lateNanos, this::sentInTrigger);
+    }
+
+    private Latency times(ToLongFunction<RequestRecord> nanos, Predicate<RequestRecord> which) {
         Histogram histogram = new Histogram(SIGNIFICANT_DIGITS);
         records.stream()
-                .filter(RequestRecord::whole)
                 .filter(which)
-                .forEach(request -> histogram.recordValue(request.latencyNanos() / NANOS_PER_MICROSECOND));
+                .mapToLong(nanos)
+                .forEach(time -> histogram.recordValue(Math.max(0, time) / NANOS_PER_MICROSECOND));
         return Latency.of(histogram);
     }
 
@@ -175,10 +185,13 @@
                 .mapToDouble(ProcessorSample::busyRatio);
     }
 
-    private static Map<String, Integer> byText(Map<Violation, Integer> violations) {
-        Map<String, Integer> byText = new TreeMap<>();
-        violations.forEach((kind, count) -> byText.put(kind.text(), count));
-        return byText;
+    private Map<String, Integer> violations() {
+        Map<String, Integer> byKind = new TreeMap<>();
+        audit.violations().forEach((kind, count) -> byKind.put(kind.text(), count));
+        audit.counters()
+                .breaches()
+                .forEach((invariant, count) -> byKind.put("noticed by a node: " + invariant, Math.toIntExact(count)));
+        return byKind;
     }
 
     private static Map<String, Integer> counted(Stream<String> names) {
--- a/load/src/main/java/org/carawaysill/load/report/RunReport.java
+++ b/load/src/main/java/org/carawaysill/load/report/RunReport.java
@@ -1,6 +1,7 @@
 package org.carawaysill.load.report;
 
 import java.util.Map;
+import org.carawaysill.load.audit.NodeCounters;
 
 /**
  * What one run came to, as written to a file.
@@ -25,12 +26,14 @@
  * @param attemptsPerRequestMean the same on average
  * @param runsPerHopMax the most runs of one request at one hop of the chain
  * @param importantAnsweredRatio share of important and critical requests sent during the triggers that were answered
- * @param violations how many promises were broken
+ * @param violations how many promises were broken, as seen from outside or noticed by the nodes themselves
  * @param violationsByKind the same by kind
  * @param refusalsByReason refusals that clients saw, by reason
  * @param triesByResult all tries by what they came to
+ * @param nodes what the nodes counted
  * @param latencyMilliseconds time to a whole answer, by phase
  * @param answeredByOperation share of requests sent during the triggers that were answered, by kind
+ * @param sentLateMillisecondsP99 by how much the bench itself was late, at the 99th percentile of the triggers' requests
  * @param processorsBusyMax the busy share of the machine's processors in its busiest second of the triggers
  * @param processorsBusyMean the same on average
  * @param series goodput over time
@@ -58,8 +61,10 @@
         Map<String, Integer> violationsByKind,
         Map<String, Integer> refusalsByReason,
         Map<String, Integer> triesByResult,
+        NodeCounters nodes,
         Map<String, Latency> latencyMilliseconds,
         Map<String, Double> answeredByOperation,
+        double sentLateMillisecondsP99,
         double processorsBusyMax,
         double processorsBusyMean,
         Series series) {}
--- a/load/src/main/java/org/carawaysill/load/run/LoadRun.java
+++ b/load/src/main/java/org/carawaysill/load/run/LoadRun.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.carawaysill.load.audit.Audit;
+import org.carawaysill.load.audit.NodeCounters;
 import org.carawaysill.load.client.Clients;
 import org.carawaysill.load.client.RequestRecord;
 import org.carawaysill.load.platform.BenchHttp;
@@ -14,6 +15,8 @@
 import org.carawaysill.load.platform.Readiness;
 import org.carawaysill.load.platform.RunLogs;
 import org.carawaysill.load.scenario.Window;
+import org.carawaysill.load.site.CallGraph;
+import org.carawaysill.load.site.SiteCopy.Port;
 
 /**
  * Plays one scenario against a running site.
@@ -78,9 +81,20 @@
     }
 
     private Future<Audit> audit(List<RequestRecord> records) {
+        CallGraph graph = settings.site().graph();
         return new RunLogs(vertx, http, settings.site())
                 .collect()
-                .map(log -> new Audit(settings.site().graph(), records, log));
+                .compose(log -> nodeCounters().map(counters -> new Audit(graph, records, log, counters)));
+    }
+
+    private Future<NodeCounters> nodeCounters() {
+        List<Future<String>> metrics = settings.site().copies().stream()
+                .map(copy -> http.text(copy.number(Port.ADMIN), "/metrics"))
+                .toList();
+        return Future.all(metrics)
+                .map(all -> all.<String>list().stream()
+                        .map(NodeCounters::parse)
+                        .reduce(NodeCounters.none(), NodeCounters::plus));
     }
 
     private Future<Void> trigger(Window window) {
--- a/load/src/main/java/org/carawaysill/load/schedule/Rates.java
+++ b/load/src/main/java/org/carawaysill/load/schedule/Rates.java
@@ -6,7 +6,8 @@
 import org.carawaysill.load.site.Site;
 
 /**
- * How often each operation is asked for. In a surge only the operations that surge grow, so that the others keep fitting
+ * How often each operation is asked for. The rate climbs during the first half of the warm-up, so that processes that have
+ * compiled little yet don't start with an overload of their own. In a surge only the operations that surge grow, so that the others keep fitting
  * what the bottleneck serves.
  *
  * <p>Immutable and thread safe.
@@ -18,6 +19,7 @@
 public record Rates(Site site, Scenario scenario, Timeline timeline) {
 
     private static final double NORMAL_UTILISATION = 0.7;
+    private static final double FIRST_SHARE = 0.1;
 
     /**
      * Gives the normal rate of the whole traffic.
@@ -36,7 +38,7 @@
      * @return requests a second
      */
     public double perSecond(LoadOperation operation, long atNanos) {
-        double normal = normalPerSecond() * operation.share();
+        double normal = normalPerSecond() * operation.share() * warmUpShare(atNanos);
         return operation.surges() && timeline.triggered(atNanos) ? normal * surgeMultiple() : normal;
     }
 
@@ -52,6 +54,11 @@
                 .sum();
     }
 
+    private double warmUpShare(long atNanos) {
+        double climbed = 2.0 * atNanos / timeline.warmUp().endNanos();
+        return Math.min(1, FIRST_SHARE + (1 - FIRST_SHARE) * climbed);
+    }
+
     private double surgeMultiple() {
         return scenario.surgeFactor().map(this::surgeMultiple).orElse(1.0);
     }
--- a/load/src/main/java/org/carawaysill/load/site/SiteReader.java
+++ b/load/src/main/java/org/carawaysill/load/site/SiteReader.java
@@ -103,7 +103,7 @@
     private static String cause(JsonMappingException e) {
         return e.getCause() instanceof IllegalArgumentException fault
                 ? String.valueOf(fault.getMessage())
-                : e.getOriginalMessage();
+                : String.valueOf(e.getOriginalMessage()).split(";|\\(")[0].strip();
     }
 
     private static SimpleModule identities() {
