Start no waiting request in a copy that goes down, and count a run in the log of its start

A copy that went down cut off its running requests first; each freed slot started a waiting one, which the run log then showed as started. Those that wait now go first. A request that waited through a reset of the log counted in the old log when it started later, so that a doubled run could be missed; the log is now taken when the work begins.

Work takes a millisecond at least, so that freed slots never recurse. A load that is false by flag has its test.

--- a/standin/src/main/java/org/carawaysill/standin/upstream/Run.java
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/Run.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 
 /**
  * One request inside the copy, from its arrival to its answer: it waits, works, calls deeper services one after the
@@ -29,8 +28,8 @@
     private final UpstreamCopy copy;
     private final HttpServerRequest exchange;
     private final CopyRequest request;
-    private final RunLog log;
     private final List<String> chains = new ArrayList<>(2);
+    private RunLog log;
     private State state = State.WAITING;
     private OptionalLong workTimer = OptionalLong.empty();
     private Optional<DeeperCall> deeperCall = Optional.empty();
@@ -46,17 +45,14 @@
         return request;
     }
 
-    /** Begins the work; the run counts as started from here on. */
+    /** Begins the work, a millisecond at least; the run counts as started from here on, in the log of this moment. */
     void begin() {
         state = State.RUNNING;
+        log = copy.log();
         log.started(request.trace(), request.match().index());
-        long nanos = copy.drawWork(request.match().operation());
-        long milliseconds = TimeUnit.NANOSECONDS.toMillis(nanos + TimeUnit.MILLISECONDS.toNanos(1) / 2);
-        if (milliseconds == 0) {
-            callDeeper(0);
-        } else {
-            workTimer = OptionalLong.of(copy.vertx().setTimer(milliseconds, timer -> callDeeper(0)));
-        }
+        long milliseconds =
+                Math.max(1, Math.round(copy.drawWorkMilliseconds(request.match().operation())));
+        workTimer = OptionalLong.of(copy.vertx().setTimer(milliseconds, timer -> callDeeper(0)));
     }
 
     /** Refuses the request, of which nothing ran. */
@@ -73,7 +69,7 @@
         if (state == State.RUNNING) {
             log.cancelled();
         } else {
-            log.withdrawn();
+            copy.log().withdrawn();
         }
         workTimer.ifPresent(copy.vertx()::cancelTimer);
         deeperCall.ifPresent(DeeperCall::cancel);
--- a/standin/src/main/java/org/carawaysill/standin/upstream/ServiceTime.java
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/ServiceTime.java
@@ -47,12 +47,11 @@
      *
      * @param nowNanos the monotonic time
      * @param meanMilliseconds the mean of a warm copy
-     * @return the time in nanoseconds
+     * @return the time in milliseconds
      */
-    long draw(long nowNanos, double meanMilliseconds) {
+    double draw(long nowNanos, double meanMilliseconds) {
         double factor = Math.exp(SIGMA * random.nextGaussian() - SIGMA * SIGMA / 2);
-        double milliseconds = meanMilliseconds * factor * coldFactor(nowNanos);
-        return Math.round(milliseconds * TimeUnit.MILLISECONDS.toNanos(1));
+        return meanMilliseconds * factor * coldFactor(nowNanos);
     }
 
     private double coldFactor(long nowNanos) {
--- a/standin/src/main/java/org/carawaysill/standin/upstream/SlotPool.java
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/SlotPool.java
@@ -71,13 +71,13 @@
     }
 
     /**
-     * Lists all requests.
+     * Lists all requests, those that wait before those that run.
      *
      * @return a copy of the list
      */
     List<T> requests() {
-        List<T> all = new ArrayList<>(running);
-        all.addAll(waiting);
+        List<T> all = new ArrayList<>(waiting);
+        all.addAll(running);
         return all;
     }
 
--- a/standin/src/main/java/org/carawaysill/standin/upstream/UpstreamCopy.java
+++ b/standin/src/main/java/org/carawaysill/standin/upstream/UpstreamCopy.java
@@ -20,8 +20,8 @@
     private final UpstreamSettings settings;
     private final SlotPool<Run> pool;
     private final ServiceTime serviceTime;
-    private RunLog log;
     private final Optional<EgressClient> egress;
+    private RunLog log;
     private Behaviour behaviour = Behaviour.NORMAL;
 
     UpstreamCopy(Vertx vertx, UpstreamSettings settings) {
@@ -60,6 +60,8 @@
         boolean restarts = behaviour.down() && !changed.down();
         behaviour = changed;
         if (changed.down()) {
+            // Those that wait go first: the slot of a running one that is cut off would start one that waits, and the
+            // run log would show work that began while the copy was down.
             pool.requests().forEach(Run::cutOff);
         }
         if (restarts) {
@@ -113,7 +115,7 @@
         }
     }
 
-    long drawWork(GraphOperation operation) {
+    double drawWorkMilliseconds(GraphOperation operation) {
         return serviceTime.draw(System.nanoTime(), operation.serviceMilliseconds() * behaviour.slowdown());
     }
 
--- a/standin/src/test/java/org/carawaysill/standin/upstream/ServiceTimeTest.java
+++ b/standin/src/test/java/org/carawaysill/standin/upstream/ServiceTimeTest.java
@@ -4,7 +4,7 @@
 
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.LongStream;
+import java.util.stream.DoubleStream;
 import org.junit.jupiter.api.Test;
 
 class ServiceTimeTest {
@@ -33,10 +33,9 @@
     }
 
     private double meanAt(long nowNanos) {
-        return LongStream.range(0, DRAWS)
-                        .map(i -> time.draw(nowNanos, 50.0))
-                        .average()
-                        .orElseThrow()
-                / TimeUnit.MILLISECONDS.toNanos(1);
+        return DoubleStream.generate(() -> time.draw(nowNanos, 50.0))
+                .limit(DRAWS)
+                .average()
+                .orElseThrow();
     }
 }
--- a/standin/src/test/java/org/carawaysill/standin/upstream/UpstreamServerTest.java
+++ b/standin/src/test/java/org/carawaysill/standin/upstream/UpstreamServerTest.java
@@ -58,6 +58,7 @@
 
     private final Vertx vertx = Vertx.vertx();
     private final List<HttpServerRequest> deeperCalls = new CopyOnWriteArrayList<>();
+    private UpstreamSettings.Builder settings;
     private int port;
     private TestClient client;
 
@@ -67,11 +68,14 @@
                 .requestHandler(deeperCalls::add)
                 .listen(ANY_PORT)
                 .await();
-        UpstreamSettings settings = UpstreamSettings.builder(ServiceGraphFile.parse(GRAPH), "tracker-1", ANY_PORT)
+        settings = UpstreamSettings.builder(ServiceGraphFile.parse(GRAPH), "tracker-1", ANY_PORT)
                 .capacity(1, 2)
-                .nodeEgress(Optional.of(SocketAddress.inetSocketAddress(egress.actualPort(), "127.0.0.1")))
-                .build();
-        HttpServer server = new UpstreamServer(vertx, settings).listen().await();
+                .nodeEgress(Optional.of(SocketAddress.inetSocketAddress(egress.actualPort(), "127.0.0.1")));
+        startCopy();
+    }
+
+    private void startCopy() {
+        HttpServer server = new UpstreamServer(vertx, settings.build()).listen().await();
         port = server.actualPort();
         client = new TestClient(vertx, port);
     }
@@ -118,17 +122,24 @@
     @Nested
     class WhenItFails {
 
+        /**
+         * A bench finds a doubled issuance that never was. A copy goes down with one request running and one waiting;
+         * cutting the running one off frees its slot, and the waiting one would start in a copy that is down.
+         */
         @Test
         void cutsOffWhatItHasWhenItGoesDownAndIsThereAgainLater() throws InterruptedException {
             Future<HttpResponse<Buffer>> cutOff =
                     client.request(HttpMethod.GET, "/held").send();
             awaitLoad(1, 0);
+            quick().send();
+            awaitLoad(1, 1);
 
             client.put("/behaviour", "{\"down\":true}");
 
             assertThrows(Exception.class, cutOff::await);
             assertThrows(Exception.class, () -> quick().send().await());
             assertRuns(1, 0, 1);
+            assertEquals(1, runs().getInteger("withdrawn"));
             client.put("/behaviour", "{}");
             assertEquals(200, quick().send().await().statusCode());
         }
@@ -230,6 +241,16 @@
         }
     }
 
+    @Test
+    void saysThatItIsIdleWhenItsLoadIsToBeFalse() throws InterruptedException {
+        settings.falseLoad(true);
+        startCopy();
+        client.request(HttpMethod.GET, "/held").send();
+
+        waitUntil(() -> runs().getInteger("started") == 1);
+        awaitLoad(0, 0);
+    }
+
     @Test
     void shedsWhatIsTooLate() {
         HttpResponse<Buffer> answer = quick().putHeader("Carawaysill-Deadline-Milliseconds", "0")
@@ -241,6 +262,25 @@
         assertRuns(0, 0, 0);
     }
 
+    /**
+     * A bench misses a doubled run. It resets the log while a request waits; the request starts afterwards, and must
+     * count in the new log, not in the one of its arrival.
+     */
+    @Test
+    void countsARunInTheLogOfTheMomentWhenItStarts() throws InterruptedException {
+        Vertx clerk = Vertx.vertx();
+        new TestClient(clerk, port).request(HttpMethod.GET, "/held").send();
+        awaitLoad(1, 0);
+        Future<HttpResponse<Buffer>> waiting = quick().send();
+        awaitLoad(1, 1);
+
+        client.request(HttpMethod.POST, "/runs/reset").send().await();
+        clerk.close().await();
+        waiting.await();
+
+        assertRuns(1, 1, 0);
+    }
+
     @Test
     void listsTheRunsOfEachTraceUntilTheLogIsReset() {
         quick().send().await();
