--- a/node/src/main/java/org/carawaysill/node/NodeMain.java
+++ b/node/src/main/java/org/carawaysill/node/NodeMain.java
@@ -54,7 +54,8 @@
             parser.printUsage(System.err);
             System.exit(WRONG_USAGE);
         }
-        readSettings(options.settings(), System.err).ifPresentOrElse(settings -> run(settings, policies), () -> System.exit(WRONG_USAGE));
+        readSettings(options.settings(), System.err)
+                .ifPresentOrElse(settings -> run(settings, policies), () -> System.exit(WRONG_USAGE));
     }
 
     static Optional<NodeSettings> readSettings(Path file, PrintStream errors) {
