Let only the holder say 'not run' of keyed work that must run at most once

Cause: a node without configuration, a draining one, or one that can't reach the holder refused with 'not run' although an earlier attempt under the same key had run; a caller that trusts it runs the work twice under a new key. Found once the schedules checked each refusal against what had run by then. Ruled out: remembering keys at every node; a caller can always come to one that never saw it.

--- a/policy/src/main/java/org/carawaysill/policy/engine/CallerRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/CallerRequests.java
@@ -9,6 +9,7 @@
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.RequestTerms;
 import org.carawaysill.model.request.Step;
+import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.policy.admission.ChainCuts;
 import org.carawaysill.policy.admission.ChainRefusal;
 import org.carawaysill.policy.event.Event;
@@ -59,11 +60,11 @@
     void accept(Moment now, Event.CallerRequest request) {
         WorkOrigin origin = new WorkOrigin.FromCaller(request.exchange());
         if (now.nanos() >= refuseFromNanos) {
-            refuse(now, origin, NO_OPERATION, RefusalReason.DRAINING, DRAINING_RETRY_AFTER);
+            refuseUnasked(now, origin, request, RefusalReason.DRAINING, DRAINING_RETRY_AFTER);
             return;
         }
         if (!control.readyToServe()) {
-            refuse(now, origin, NO_OPERATION, RefusalReason.NO_CONFIGURATION, NOT_READY_RETRY_AFTER);
+            refuseUnasked(now, origin, request, RefusalReason.NO_CONFIGURATION, NOT_READY_RETRY_AFTER);
             return;
         }
         Optional<Classification> classification = directory.classify(
@@ -122,6 +123,25 @@
         }
     }
 
+    /** Whether an earlier attempt may have run is then known to the holder alone, which refuses in its own name. */
+    private static boolean onlyHolderKnows(Event.CallerRequest request, RequestTerms terms) {
+        return request.key().isPresent() && !terms.idempotent();
+    }
+
+    /**
+     * Refuses without asking the holder. Under a key an earlier attempt may have run: "not run" could be false, and a
+     * caller that trusts it would run the work twice under a new key.
+     */
+    private void refuseUnasked(
+            Moment now, WorkOrigin origin, Event.CallerRequest request, RefusalReason reason, Duration retryAfter) {
+        if (request.key().isEmpty()) {
+            refuse(now, origin, NO_OPERATION, reason, retryAfter);
+        } else {
+            Outcome outcome = new Outcome.Unknown(UnknownReason.HOLDER_UNREACHABLE, Step.INGRESS, Optional.empty());
+            delivery.deliver(now.nanos(), origin, NO_OPERATION, outcome, 0);
+        }
+    }
+
     private void refuse(Moment now, WorkOrigin origin, String operation, RefusalReason reason, Duration retryAfter) {
         Outcome outcome = new Outcome.NotRun(reason, retryAfter, Step.INGRESS, Optional.empty());
         delivery.deliver(now.nanos(), origin, operation, outcome, 0);
--- a/policy/src/main/java/org/carawaysill/policy/engine/EngineAssembly.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/EngineAssembly.java
@@ -63,7 +63,7 @@
                 control,
                 admission,
                 chainCuts,
-                new Ownership(holder, table, delivery),
+                new Ownership(holder, table, delivery, chainCuts),
                 new ClientRetries(identity, directory),
                 new RetryGate(identity, control, new RetryBudget(settings.budget()), new Backoff(random), out),
                 delivery,
--- a/policy/src/main/java/org/carawaysill/policy/engine/Ownership.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/Ownership.java
@@ -1,7 +1,10 @@
 package org.carawaysill.policy.engine;
 
 import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
+import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.RequestIdentifier;
 import org.carawaysill.model.request.Outcome;
@@ -9,6 +12,8 @@
 import org.carawaysill.model.request.RequestContent;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
+import org.carawaysill.policy.admission.ChainCuts;
+import org.carawaysill.policy.admission.ChainRefusal;
 import org.carawaysill.policy.ownership.Claim;
 import org.carawaysill.policy.ownership.Holder;
 import org.carawaysill.policy.ownership.KeyReader;
@@ -23,17 +28,26 @@
  */
 final class Ownership {
 
+    private static final int MOST_LATE_RUNS = 1000;
     private static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
     private final Holder holder;
     private final WorkTable table;
     private final OutcomeDelivery delivery;
+    private final ChainCuts chainCuts;
+    private final Map<AttemptIdentifier, RequestIdentifier> lateRuns = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<AttemptIdentifier, RequestIdentifier> eldest) {
+            return size() > MOST_LATE_RUNS;
+        }
+    };
     private Optional<WorkRunner> runner = Optional.empty();
 
-    Ownership(Holder holder, WorkTable table, OutcomeDelivery delivery) {
+    Ownership(Holder holder, WorkTable table, OutcomeDelivery delivery, ChainCuts chainCuts) {
         this.holder = holder;
         this.table = table;
         this.delivery = delivery;
+        this.chainCuts = chainCuts;
     }
 
     /** Breaks the circle between this object and the runner, which need each other. */
@@ -73,6 +87,19 @@
         }
     }
 
+    /** The claim shows that no earlier attempt ran, so a refusal here is a true "not run". */
+    private void startUnlessHopeless(Moment now, WorkOrigin origin, RequestFacts facts, int credits) {
+        Optional<ChainRefusal> refusal = chainCuts.check(now.nanos(), facts.operation(), facts.priority());
+        if (refusal.isPresent()) {
+            holder.notRun(facts.request());
+            Outcome outcome = new Outcome.NotRun(
+                    RefusalReason.OVERLOAD_BELOW, refusal.get().retryAfter(), Step.OWNERSHIP, Optional.empty());
+            deliver(now, origin, facts, outcome, credits);
+        } else {
+            runner.orElseThrow().start(now, new Work(facts, new RequestLedger(credits), Work.Scope.HELD, origin));
+        }
+    }
+
     /**
      * A repeat of a request that is running waits for the same outcome; where the run has outlived its deadline, it is
      * not known what it came to.
@@ -103,6 +130,23 @@
         }
     }
 
+    /**
+     * Remembers a run that outlives the deadline of its caller, who was told that it is unknown: a repeat that comes after
+     * the copy's answer gets that answer.
+     */
+    void awaitLate(Work work, AttemptIdentifier attempt) {
+        if (work.held()) {
+            lateRuns.put(attempt, work.facts().request());
+        }
+    }
+
+    void endedLate(AttemptIdentifier attempt, Outcome outcome) {
+        RequestIdentifier request = lateRuns.remove(attempt);
+        if (request != null && outcome instanceof Outcome.Answered) {
+            holder.finished(request, outcome);
+        }
+    }
+
     private static int contentHash(RequestContent content) {
         return 31 * (31 * content.method().hashCode() + content.path().hashCode())
                 + content.body().hashCode();
--- a/policy/src/main/java/org/carawaysill/policy/engine/PeerRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/PeerRequests.java
@@ -7,6 +7,7 @@
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
+import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.policy.message.PeerMessage.PeerRequest;
 import org.carawaysill.policy.message.PeerMessage.Purpose;
 import org.carawaysill.policy.retry.RequestLedger;
@@ -54,11 +55,19 @@
                                 now.nanos(),
                                 origin,
                                 request.operation(),
-                                new Outcome.NotRun(reason, RETRY_AFTER, Step.ADMISSION, Optional.of(identity.node())),
+                                refused(request, reason),
                                 request.retryCredits()),
                         () -> start(now, origin, request));
     }
 
+    /** As the holder this node can say "not run" only after it has looked into its table. */
+    private Outcome refused(PeerRequest request, RefusalReason reason) {
+        Optional<NodeName> self = Optional.of(identity.node());
+        return request.purpose() == Purpose.HOLD
+                ? new Outcome.Unknown(UnknownReason.HOLDER_UNREACHABLE, Step.OWNERSHIP, self)
+                : new Outcome.NotRun(reason, RETRY_AFTER, Step.ADMISSION, self);
+    }
+
     /**
      * A message that arrives a second time after its first has been answered would run again what must run at most once.
      * Its sender has one answer already and waits for no other, so the second is dropped.
--- a/policy/src/main/java/org/carawaysill/policy/engine/RetryGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/RetryGate.java
@@ -31,7 +31,11 @@
         this.out = out;
     }
 
+    /** What another node asked for was counted there. */
     void firstAttempt(Moment now, Work work) {
+        if (!mayTryElsewhere(work)) {
+            return;
+        }
         budget.firstAttempt(now.nanos(), work.facts().caller(), work.facts().service());
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/engine/WorkRunner.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/WorkRunner.java
@@ -61,6 +61,7 @@
     /** Takes in work that is not yet in the table. */
     void start(Moment now, Work work) {
         table.add(work);
+        retryGate.firstAttempt(now, work);
         timers.add(work.facts().deadlineNanos(), work);
         tryNext(now, work);
     }
@@ -111,7 +112,8 @@
     private void sendToHolder(Moment now, Work work) {
         Optional<NodeName> holder = ownership.holder(work.facts().request());
         if (holder.isEmpty() || !control.connected(holder.get())) {
-            finish(now, work, notRun(RefusalReason.HOLDER_UNREACHABLE, Step.OWNERSHIP));
+            // This attempt did not run, but an earlier one under the same key may have, and only the holder knows.
+            finish(now, work, new Outcome.Unknown(UnknownReason.HOLDER_UNREACHABLE, Step.OWNERSHIP, holder));
             return;
         }
         send(now, work, holder.get(), Purpose.HOLD);
@@ -228,10 +230,11 @@
         table.byAttempt(attempt).ifPresent(work -> {
             control.failed(now, peer);
             work.ledger().returned(attempt, Integer.MAX_VALUE);
-            RefusalReason reason = work.scope() == Work.Scope.AT_HOLDER
-                    ? RefusalReason.HOLDER_UNREACHABLE
-                    : RefusalReason.PEER_UNREACHABLE;
-            ended(now, attempt, new Outcome.NotRun(reason, SHORTEST_RETRY_AFTER, Step.PEER_SEND, Optional.of(peer)));
+            Outcome outcome = work.scope() == Work.Scope.AT_HOLDER
+                    ? new Outcome.Unknown(UnknownReason.HOLDER_UNREACHABLE, Step.PEER_SEND, Optional.of(peer))
+                    : new Outcome.NotRun(
+                            RefusalReason.PEER_UNREACHABLE, SHORTEST_RETRY_AFTER, Step.PEER_SEND, Optional.of(peer));
+            ended(now, attempt, outcome);
         });
     }
 
@@ -265,6 +268,7 @@
     private void ended(Moment now, AttemptIdentifier attempt, Outcome outcome) {
         Optional<Work> found = table.byAttempt(attempt);
         if (found.isEmpty()) {
+            ownership.endedLate(attempt, outcome);
             return;
         }
         Work work = found.get();
@@ -320,7 +324,9 @@
             case Attempt.Queued queued -> apply(now, admission.withdraw(now.nanos(), queued.identifier()));
             case Attempt.AtCopy atCopy -> {
                 work.markMayHaveRun();
-                if (work.facts().idempotent()) {
+                if (!work.facts().idempotent()) {
+                    ownership.awaitLate(work, atCopy.identifier());
+                } else {
                     out.add(new Effect.CancelAtCopy(atCopy.identifier()));
                     apply(now, admission.withdraw(now.nanos(), atCopy.identifier()));
                 }
--- a/soak/src/main/java/org/carawaysill/soak/Clients.java
+++ b/soak/src/main/java/org/carawaysill/soak/Clients.java
@@ -82,6 +82,13 @@
         schedule.journal().note(schedule.now(), request.key + " try " + tryNumber + " gets " + outcome);
         boolean notRun = outcome.filter(Outcome.NotRun.class::isInstance).isPresent();
         request.onlyRefused &= notRun;
+        if (notRun && request.post && schedule.runLog().count(request.key) > 0) {
+            schedule.journal()
+                    .breach(
+                            schedule.now(),
+                            Invariant.NOT_RUN_IS_TRUE,
+                            request.key + " is refused after it ran: " + outcome.get());
+        }
         if (outcome.isPresent() && outcome.get() instanceof Outcome.Answered(AnswerContent answer)) {
             checkOwn(request.key, answer);
             request.answered |= answer.status() == OK;
--- a/soak/src/main/java/org/carawaysill/soak/SimulatedNetwork.java
+++ b/soak/src/main/java/org/carawaysill/soak/SimulatedNetwork.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -27,7 +29,7 @@
     private final RandomGenerator random;
     private final Map<NodeName, SimulatedNode> nodes = new HashMap<>();
     private final Set<Direction> wanted = new HashSet<>();
-    private final Map<Pair, Long> connections = new HashMap<>();
+    private final Map<Pair, Long> connections = new LinkedHashMap<>();
     private final Map<NodeName, Integer> sides = new HashMap<>();
     private long connectionSequence;
     private double lossRate;
@@ -51,7 +53,7 @@
     void partition(Map<NodeName, Integer> newSides) {
         sides.clear();
         sides.putAll(newSides);
-        Map<Pair, Long> silenced = new HashMap<>(connections);
+        Map<Pair, Long> silenced = new LinkedHashMap<>(connections);
         silenced.keySet().removeIf(pair -> hear(pair.first(), pair.second()));
         silenced.forEach(
                 (pair, connection) -> agenda.in(SILENCE_BEFORE_BREAK_NANOS, () -> breakIfSilent(pair, connection)));
@@ -88,7 +90,7 @@
 
     void processEnded(NodeName node) {
         wanted.removeIf(direction -> direction.from().equals(node));
-        Set.copyOf(connections.keySet()).stream()
+        List.copyOf(connections.keySet()).stream()
                 .filter(pair -> pair.first().equals(node) || pair.second().equals(node))
                 .forEach(this::breakConnection);
     }
