Split the handshake from the connection; lower the limits of what waits for a peer

A frozen peer may now hold 2 MiB in place of 8, since a node has 128 MB in all. A close behind a disconnect no longer cuts the orderly one short.

--- a/protocol/src/main/java/org/carawaysill/protocol/link/Greeting.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/Greeting.java
@@ -3,12 +3,10 @@
 import java.util.Optional;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
-import org.carawaysill.protocol.generated.Accepted;
 import org.carawaysill.protocol.generated.Frame;
 import org.carawaysill.protocol.generated.Hello;
-import org.carawaysill.protocol.generated.Refused;
 
-/** Writes and checks the frames with which a connection begins. Stateless and thread safe. */
+/** Checks the frame with which the other side begins a connection. Stateless and thread safe. */
 final class Greeting {
 
     /** The largest frame that is read before the other side has greeted. */
@@ -17,9 +15,6 @@
     static final long MAGIC = 0x6361_7261_7761_7953L;
     static final int VERSION = 1;
 
-    static final Frame ACCEPTED =
-            Frame.newBuilder().setAccepted(Accepted.getDefaultInstance()).build();
-
     private Greeting() {}
 
     /** What the first frame of the other side amounts to. */
@@ -32,24 +27,6 @@
         record Faulty(LinkFaultKind kind, String detail) implements Result {}
     }
 
-    static Frame hello(LinkIdentity self, long connection) {
-        Hello hello = Hello.newBuilder()
-                .setMagic(MAGIC)
-                .setVersion(VERSION)
-                .setNode(self.name().value())
-                .setService(self.service().value())
-                .setIncarnation(self.incarnation())
-                .setConnection(connection)
-                .build();
-        return Frame.newBuilder().setHello(hello).build();
-    }
-
-    static Frame refused(LinkFaultKind reason) {
-        return Frame.newBuilder()
-                .setRefused(Refused.newBuilder().setReason(reason.name()))
-                .build();
-    }
-
     static Result check(Frame frame, LinkIdentity self, Optional<NodeName> expected) {
         if (frame.getKindCase() == Frame.KindCase.REFUSED) {
             return new Result.Faulty(
--- a/protocol/src/main/java/org/carawaysill/protocol/link/LinkLimits.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/LinkLimits.java
@@ -77,8 +77,8 @@
     /** Collects limits; what is not set keeps its default. Not thread safe. */
     public static final class Builder {
 
-        private int maximumFrameBytes = 4 * MEBIBYTE;
-        private int highWaterMarkBytes = 8 * MEBIBYTE;
+        private int maximumFrameBytes = 2 * MEBIBYTE;
+        private int highWaterMarkBytes = 2 * MEBIBYTE;
         private int socketBufferBytes = 256 * KIBIBYTE;
         private int ringCapacity = 8192;
         private Duration connectLimit = Duration.ofSeconds(2);
--- a/protocol/src/main/java/org/carawaysill/protocol/link/PeerConnection.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/PeerConnection.java
@@ -4,18 +4,14 @@
 import io.netty.channel.Channel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.protocol.codec.PeerMessageCodec;
 import org.carawaysill.protocol.codec.ProtocolFault;
 import org.carawaysill.protocol.generated.Frame;
-import org.carawaysill.protocol.generated.Probe;
-import org.carawaysill.protocol.generated.ProbeReply;
 
 /**
  * One TCP connection to another node, from its greeting to its end.
@@ -25,14 +21,8 @@
  */
 final class PeerConnection {
 
-    private static final Frame PROBE =
-            Frame.newBuilder().setProbe(Probe.getDefaultInstance()).build();
-    private static final Frame PROBE_REPLY =
-            Frame.newBuilder().setProbeReply(ProbeReply.getDefaultInstance()).build();
-
     private enum State {
         GREETING,
-        GREETED,
         OPEN,
         CLOSING,
         ENDED
@@ -41,11 +31,13 @@
     private final Channel channel;
     private final PeerTable table;
     private final Optional<NodeName> dialled;
+    private final Handshake handshake;
     private final OutboundFrames outbound;
+    private final Deadline greetingDeadline;
+    private final Deadline probeDeadline;
+    private final Deadline closingDeadline;
     private State state = State.GREETING;
-    private Optional<LinkIdentity> peer = Optional.empty();
-    private Optional<Future<?>> greetingTimer = Optional.empty();
-    private Optional<Future<?>> probeTimer = Optional.empty();
+    private String address = "";
 
     /**
      * Handles a channel.
@@ -58,7 +50,12 @@
         this.channel = channel;
         this.table = table;
         this.dialled = dialled;
+        handshake = new Handshake(this, table, dialled);
         outbound = new OutboundFrames(channel, table.counters());
+        LinkLimits limits = table.limits();
+        greetingDeadline = new Deadline(channel.eventLoop(), limits.greetingLimit(), this::greetingOverdue);
+        probeDeadline = new Deadline(channel.eventLoop(), limits.probeLimit(), this::probeOverdue);
+        closingDeadline = new Deadline(channel.eventLoop(), limits.closingLimit(), () -> end(Optional.empty()));
     }
 
     /** Sets the channel's handlers up. */
@@ -68,7 +65,7 @@
 
     /** Gives the peer, which is known once it has greeted. */
     Optional<LinkIdentity> peer() {
-        return peer;
+        return handshake.peer();
     }
 
     /** Tells whether the peer is, or was dialled as, the named one. */
@@ -77,16 +74,18 @@
     }
 
     private Optional<NodeName> name() {
-        return peer.map(LinkIdentity::name).or(() -> dialled);
+        return peer().map(LinkIdentity::name).or(() -> dialled);
     }
 
     /** Starts the greeting. */
     void began() {
+        // Kept, since a closed channel no longer knows it.
+        address = String.valueOf(channel.remoteAddress());
         table.began(this);
         // Guards against a half-open connection, whose other side never greets: it would hold a socket for ever.
-        greetingTimer = Optional.of(after(table.limits().greetingLimit(), this::greetingOverdue));
-        if (dialled.isPresent() && !isBlocked()) {
-            writeAndFlush(Greeting.hello(table.self(), table.randomLong()));
+        greetingDeadline.start();
+        if (!isBlocked()) {
+            handshake.begin();
         }
     }
 
@@ -106,52 +105,28 @@
         }
         table.counters().received(TrafficKind.of(frame), bytes);
         if (state == State.GREETING) {
-            greeted(frame);
-        } else if (state == State.GREETED) {
-            answered(frame);
+            handshake.received(frame);
         } else {
             handle(frame);
         }
     }
 
     void malformed(ProtocolFault fault) {
-        end(state == State.GREETING ? LinkFaultKind.WRONG_MAGIC : LinkFaultKind.MALFORMED, fault.getMessage());
+        end(peer().isEmpty() ? LinkFaultKind.WRONG_MAGIC : LinkFaultKind.MALFORMED, fault.getMessage());
     }
 
     private boolean isBlocked() {
         return name().filter(table::isBlocked).isPresent();
     }
 
-    private void greeted(Frame frame) {
-        switch (Greeting.check(frame, table.self(), dialled)) {
-            case Greeting.Result.Faulty faulty -> refuse(faulty.kind(), faulty.detail());
-            case Greeting.Result.Greeted greeted
-            when table.isBlocked(greeted.peer().name()) -> {
-                // Dropped like all traffic of a blocked peer: the greeting runs into its limit.
-            }
-            case Greeting.Result.Greeted greeted -> greetBack(greeted);
-        }
-    }
-
-    private void greetBack(Greeting.Result.Greeted greeted) {
-        peer = Optional.of(greeted.peer());
-        if (!mayOpen()) {
-            return;
-        }
-        state = State.GREETED;
-        if (dialled.isEmpty()) {
-            outbound.write(Greeting.hello(table.self(), greeted.connection()));
-        }
-        if (table.self().choosesAgainst(greeted.peer())) {
-            outbound.write(Greeting.ACCEPTED);
-            open();
-        }
-        channel.flush();
-        admitLargeFrames();
+    /** Takes the connection into use. */
+    void open(LinkIdentity peer) {
+        greetingDeadline.stop();
+        state = State.OPEN;
+        table.opened(this, peer);
     }
 
-    /** Comes last in the greeting, since the bytes already received go through the new decoder at once. */
-    private void admitLargeFrames() {
+    void admitLargeFrames() {
         channel.pipeline()
                 .replace(
                         LengthFieldBasedFrameDecoder.class,
@@ -159,51 +134,19 @@
                         FrameBytes.decoder(table.limits().maximumFrameBytes()));
     }
 
-    private void answered(Frame frame) throws ProtocolFault {
-        switch (frame.getKindCase()) {
-            case ACCEPTED -> {
-                if (mayOpen()) {
-                    open();
-                }
-            }
-            case REFUSED ->
-                end(LinkFaultKind.REFUSED_BY_PEER, frame.getRefused().getReason());
-            default -> throw unexpected(frame);
-        }
-    }
-
-    private boolean mayOpen() {
-        LinkIdentity greeted = peer.orElseThrow();
-        Optional<LinkFaultKind> objection = table.objection(greeted);
-        objection.ifPresent(kind -> refuse(kind, "incarnation " + greeted.incarnation()));
-        return objection.isEmpty();
-    }
-
-    private void open() {
-        greetingTimer.ifPresent(timer -> timer.cancel(false));
-        state = State.OPEN;
-        table.opened(this, peer.orElseThrow());
-    }
-
     private void handle(Frame frame) throws ProtocolFault {
-        probeTimer.ifPresent(timer -> timer.cancel(false));
-        probeTimer = Optional.empty();
+        probeDeadline.stop();
         switch (frame.getKindCase()) {
-            case PROBE -> writeAndFlush(PROBE_REPLY);
+            case PROBE -> writeAndFlush(LinkFrames.PROBE_REPLY);
             case PROBE_REPLY -> {
                 // That it arrived is all that it says.
             }
             case REFUSED ->
                 end(LinkFaultKind.REFUSED_BY_PEER, frame.getRefused().getReason());
-            default -> table.received(peer.orElseThrow().name(), PeerMessageCodec.decode(frame));
+            default -> table.received(peer().orElseThrow().name(), PeerMessageCodec.decode(frame));
         }
     }
 
-    private static ProtocolFault unexpected(Frame frame) {
-        return new ProtocolFault(
-                ProtocolFault.Kind.UNEXPECTED_FRAME, frame.getKindCase().name());
-    }
-
     /**
      * Writes a message without flushing.
      *
@@ -248,12 +191,12 @@
      * every new connection would be refused as a duplicate until the operating system gives up, which takes minutes.
      */
     void probe() {
-        if (probeTimer.isPresent() || state != State.OPEN) {
+        if (probeDeadline.isRunning() || state != State.OPEN) {
             return;
         }
-        probeTimer = Optional.of(after(table.limits().probeLimit(), this::probeOverdue));
+        probeDeadline.start();
         if (!isBlocked()) {
-            writeAndFlush(PROBE);
+            writeAndFlush(LinkFrames.PROBE);
         }
     }
 
@@ -269,22 +212,18 @@
      * lose what was already written to it.
      */
     void closeInOrder() {
+        if (state == State.CLOSING) {
+            return;
+        }
         if (state != State.OPEN) {
             end(Optional.empty());
             return;
         }
         state = State.CLOSING;
-        after(table.limits().closingLimit(), () -> end(Optional.empty()));
+        closingDeadline.start();
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> ((SocketChannel) channel).shutdownOutput());
     }
 
-    private void refuse(LinkFaultKind kind, String detail) {
-        if (kind != LinkFaultKind.REFUSED_BY_PEER) {
-            writeAndFlush(Greeting.refused(kind));
-        }
-        end(kind, detail);
-    }
-
     void end(LinkFaultKind kind, String detail) {
         end(Optional.of(fault(kind, detail)));
     }
@@ -294,7 +233,9 @@
             return;
         }
         state = State.ENDED;
-        greetingTimer.ifPresent(timer -> timer.cancel(false));
+        greetingDeadline.stop();
+        probeDeadline.stop();
+        closingDeadline.stop();
         // Closed before the frames are looked at: from here on no byte can be written behind the report.
         channel.close();
         List<PeerMessage> unsent = outbound.untouched();
@@ -303,21 +244,21 @@
     }
 
     private LinkFault fault(LinkFaultKind kind, String detail) {
-        return new LinkFault(kind, name(), channel.remoteAddress() + ": " + detail);
+        return new LinkFault(kind, name(), address + ": " + detail);
     }
 
     /** Ends with the channel. */
     void cutOff() {
-        boolean greetingCutOff = dialled.isPresent() && (state == State.GREETING || state == State.GREETED);
+        boolean greetingCutOff = dialled.isPresent() && state == State.GREETING;
         end(greetingCutOff ? Optional.of(fault(LinkFaultKind.BROKEN, "closed during the greeting")) : Optional.empty());
     }
 
-    private void writeAndFlush(Frame frame) {
+    void write(Frame frame) {
         outbound.write(frame);
-        channel.flush();
     }
 
-    private Future<?> after(Duration delay, Runnable task) {
-        return channel.eventLoop().schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+    void writeAndFlush(Frame frame) {
+        outbound.write(frame);
+        channel.flush();
     }
 }
--- /dev/null
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
@@ -0,0 +1,191 @@
+package org.carawaysill.protocol.codec;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.CallerName;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.RequestIdentifier;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.AnswerContent;
+import org.carawaysill.model.request.Body;
+import org.carawaysill.model.request.Header;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.Priority;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.RequestContent;
+import org.carawaysill.model.request.Step;
+import org.carawaysill.model.request.UnknownReason;
+import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.PeerMessage.CancelAttempt;
+import org.carawaysill.policy.message.PeerMessage.ConfigurationChange;
+import org.carawaysill.policy.message.PeerMessage.ConfigurationDocument;
+import org.carawaysill.policy.message.PeerMessage.ConfigurationWanted;
+import org.carawaysill.policy.message.PeerMessage.DrainNotice;
+import org.carawaysill.policy.message.PeerMessage.Heartbeat;
+import org.carawaysill.policy.message.PeerMessage.HolderEntry;
+import org.carawaysill.policy.message.PeerMessage.HolderHandover;
+import org.carawaysill.policy.message.PeerMessage.LeaseReply;
+import org.carawaysill.policy.message.PeerMessage.LeaseRequest;
+import org.carawaysill.policy.message.PeerMessage.LineEdit;
+import org.carawaysill.policy.message.PeerMessage.LoadReport;
+import org.carawaysill.policy.message.PeerMessage.PeerAnswer;
+import org.carawaysill.policy.message.PeerMessage.PeerRequest;
+import org.carawaysill.policy.message.PeerMessage.Purpose;
+import org.carawaysill.policy.message.PeerMessage.ServiceCut;
+
+/** Draws messages of every kind with all their values, the least and the greatest more often than others. */
+record RandomMessages(RandomGenerator random) {
+
+    private static final long LONGEST_NANOS = Duration.ofDays(30).toNanos();
+    private static final String CHARACTERS = "\u0000\t\r\n aZ0\u00e8\u0416\u20ac\uffff";
+
+    PeerMessage next() {
+        return switch (random.nextInt(11)) {
+            case 0 -> request();
+            case 1 -> answer();
+            case 2 -> new CancelAttempt(attempt());
+            case 3 -> new DrainNotice();
+            case 4 -> new Heartbeat(version(), load(), versions());
+            case 5 -> new LeaseRequest(service(), version(), version(), version(), nanos());
+            case 6 -> new LeaseReply(service(), version(), version(), random.nextBoolean(), version());
+            case 7 -> new HolderHandover(service(), several(this::entry), random.nextBoolean());
+            case 8 -> new ConfigurationWanted(service(), version());
+            case 9 -> new ConfigurationDocument(service(), version(), text());
+            default -> new ConfigurationChange(service(), version(), version(), several(this::edit), random.nextInt());
+        };
+    }
+
+    PeerRequest request() {
+        return new PeerRequest(
+                attempt(),
+                requestIdentifier(),
+                service(),
+                text(),
+                new CallerName(word()),
+                new Priority(random.nextInt(Priority.MAXIMUM + 1)),
+                random.nextBoolean(),
+                maybe(this::text),
+                count(),
+                nanos(),
+                count(),
+                any(Purpose.values()),
+                new RequestContent(word(), "/" + word(), several(this::header), body()));
+    }
+
+    PeerAnswer answer() {
+        return new PeerAnswer(attempt(), outcome(), count(), load(), several(this::cut));
+    }
+
+    private Outcome outcome() {
+        return switch (random.nextInt(3)) {
+            case 0 -> new Outcome.Answered(new AnswerContent(100 + random.nextInt(500), several(this::header), body()));
+            case 1 ->
+                new Outcome.NotRun(
+                        any(RefusalReason.values()), Duration.ofNanos(nanos()), any(Step.values()), maybe(this::node));
+            default -> new Outcome.Unknown(any(UnknownReason.values()), any(Step.values()), maybe(this::node));
+        };
+    }
+
+    private HolderEntry entry() {
+        return new HolderEntry(requestIdentifier(), maybe(this::outcome));
+    }
+
+    private LineEdit edit() {
+        return new LineEdit(count(), count(), several(this::text));
+    }
+
+    private ServiceCut cut() {
+        return new ServiceCut(service(), level());
+    }
+
+    private LoadReport load() {
+        return new LoadReport(count(), count(), count(), level());
+    }
+
+    private Map<ServiceName, Long> versions() {
+        Map<ServiceName, Long> versions = new HashMap<>();
+        several(this::service).forEach(service -> versions.put(service, version()));
+        return versions;
+    }
+
+    private Header header() {
+        return new Header(word(), word());
+    }
+
+    private Body body() {
+        byte[] bytes = new byte[random.nextInt(3000)];
+        random.nextBytes(bytes);
+        return Body.wrap(bytes);
+    }
+
+    private AttemptIdentifier attempt() {
+        return new AttemptIdentifier(random.nextLong(), random.nextLong());
+    }
+
+    private RequestIdentifier requestIdentifier() {
+        return new RequestIdentifier(random.nextLong(), random.nextLong());
+    }
+
+    private ServiceName service() {
+        return new ServiceName(word());
+    }
+
+    private NodeName node() {
+        return new NodeName(word());
+    }
+
+    private int level() {
+        return (int) upTo(Priority.MAXIMUM + 1);
+    }
+
+    private int count() {
+        return (int) upTo(Integer.MAX_VALUE);
+    }
+
+    private long version() {
+        return upTo(Long.MAX_VALUE);
+    }
+
+    private long nanos() {
+        return upTo(LONGEST_NANOS);
+    }
+
+    private long upTo(long greatest) {
+        return switch (random.nextInt(6)) {
+            case 0 -> 0;
+            case 1 -> greatest;
+            default -> random.nextLong(greatest);
+        };
+    }
+
+    private String word() {
+        return random.ints(1 + random.nextInt(20), '!', '~' + 1)
+                .collect(StringBuilder::new, StringBuilder::appendCodePoint, StringBuilder::append)
+                .toString();
+    }
+
+    private String text() {
+        return random.ints(random.nextInt(60), 0, CHARACTERS.length())
+                .collect(StringBuilder::new, (text, at) -> text.append(CHARACTERS.charAt(at)), StringBuilder::append)
+                .toString();
+    }
+
+    private <T> Optional<T> maybe(Supplier<T> values) {
+        return random.nextBoolean() ? Optional.of(values.get()) : Optional.empty();
+    }
+
+    private <T> List<T> several(Supplier<T> values) {
+        return Stream.generate(values).limit(random.nextInt(6)).toList();
+    }
+
+    private <T> T any(T[] constants) {
+        return constants[random.nextInt(constants.length)];
+    }
+}
