End what HTTP can't carry, and the process whose policy thread died

An odd method or header from another node left an attempt without an end; an answer with an odd header name left its caller waiting. A policy that fails at each wake-up no longer logs a line a millisecond.

--- a/kernel/src/main/java/org/carawaysill/kernel/duty/Duty.java
+++ b/kernel/src/main/java/org/carawaysill/kernel/duty/Duty.java
@@ -69,6 +69,15 @@
         return stopped;
     }
 
+    /**
+     * Tells of the end of the thread, whether it was asked to end or not.
+     *
+     * @return completes when the thread has done its last item; fails with what the work threw
+     */
+    public CompletableFuture<Void> ended() {
+        return stopped.copy();
+    }
+
     private void run() {
         try {
             while (!(stopping && ring.isEmpty())) {
--- a/node/src/main/java/org/carawaysill/node/NodeMain.java
+++ b/node/src/main/java/org/carawaysill/node/NodeMain.java
@@ -24,8 +24,8 @@
 /**
  * Runs a node: {@code carawaysill-node --settings FILE}.
  *
- * <p>Exit status: 0 after a planned stop, 1 where the node can't start or its stop takes too long, 2 where the command
- * line or the settings are wrong. Thread safe.
+ * <p>Exit status: 0 after a planned stop; 1 where the node can't start, its policy's thread died or its stop takes too
+ * long; 2 where the command line or the settings are wrong. Thread safe.
  */
 public final class NodeMain {
 
@@ -83,7 +83,12 @@
             System.exit(FAILED);
         }
         SignalStop.install(process);
-        process.mayEnd().join();
+        try {
+            process.mayEnd().join();
+        } catch (CompletionException failure) {
+            StateLog.fault(Step.ADMISSION, Optional.empty(), "the policy's thread ended: " + failure.getCause());
+            System.exit(FAILED);
+        }
         System.exit(0);
     }
 }
--- a/node/src/main/java/org/carawaysill/node/copy/CopyExchange.java
+++ b/node/src/main/java/org/carawaysill/node/copy/CopyExchange.java
@@ -56,6 +56,26 @@
     }
 
     void start(HttpClient client) {
+        guarded(() -> connect(client));
+    }
+
+    /**
+     * Runs a step up to the write. Guards against a request that HTTP can't carry, such as a method that is no token:
+     * the attempt would never finish, and its slot never be free.
+     */
+    private void guarded(Runnable step) {
+        try {
+            step.run();
+        } catch (IllegalArgumentException unwritable) {
+            if (written.isEmpty()) {
+                notRun(RefusalReason.BAD_REQUEST, Step.COPY_WRITE);
+            } else {
+                unknown(UnknownReason.COPY_LOST);
+            }
+        }
+    }
+
+    private void connect(HttpClient client) {
         if (remainingNanos() <= 0) {
             notRun(RefusalReason.DEADLINE, Step.COPY_CONNECT);
             return;
@@ -75,11 +95,19 @@
         request.exceptionHandler(ignored -> lost());
         if (finished) {
             request.connection().close();
-        } else if (remainingNanos() <= 0) {
+            return;
+        }
+        guarded(() -> writeInTime(request));
+        if (written.isEmpty()) {
+            request.connection().close();
+        }
+    }
+
+    private void writeInTime(HttpClientRequest request) {
+        if (remainingNanos() <= 0) {
             // Guards against a process that was paused and hands over late work when it wakes: the copy would run what
             // its caller has given up. The deadline is checked last, right before the write.
             notRun(RefusalReason.DEADLINE, Step.COPY_WRITE);
-            request.connection().close();
         } else {
             write(request);
         }
@@ -95,13 +123,7 @@
 
     private void write(HttpClientRequest request) {
         RequestContent content = effect.content();
-        try {
-            content.headers().forEach(header -> request.headers().add(header.name(), header.value()));
-        } catch (IllegalArgumentException unwritable) {
-            notRun(RefusalReason.BAD_REQUEST, Step.COPY_WRITE);
-            request.connection().close();
-            return;
-        }
+        content.headers().forEach(header -> request.headers().add(header.name(), header.value()));
         request.putHeader(CarawaysillHeaders.ATTEMPT, effect.attempt().toString());
         request.putHeader(CarawaysillHeaders.DEADLINE_MILLISECONDS, Long.toString(remainingMillis()));
         written = Optional.of(request);
--- a/node/src/main/java/org/carawaysill/node/exchange/ExchangeTable.java
+++ b/node/src/main/java/org/carawaysill/node/exchange/ExchangeTable.java
@@ -10,6 +10,7 @@
 import org.carawaysill.kernel.service.ServiceRegistry;
 import org.carawaysill.model.identity.ExchangeIdentifier;
 import org.carawaysill.model.request.Outcome;
+import org.carawaysill.node.observation.ConnectionFault;
 import org.carawaysill.node.observation.Counters;
 import org.carawaysill.node.observation.ExchangeResult;
 import org.carawaysill.node.observation.LostMessage;
@@ -116,8 +117,15 @@
         }
         exchange.watch().answerWriting();
         counters.exchangeEnded(exchange.side(), resultOf(outcome));
-        OutcomeWriter.write(response, outcome)
-                .onComplete(ignored -> exchange.watch().answerWritten());
+        try {
+            OutcomeWriter.write(response, outcome)
+                    .onComplete(ignored -> exchange.watch().answerWritten());
+        } catch (RuntimeException unwritable) {
+            // Guards against an answer that HTTP can't carry, such as a header name that a copy made up: the caller
+            // would wait for ever. It sees a closed connection instead of a part of the answer.
+            counters.count(ConnectionFault.BROKEN);
+            exchange.request().connection().close();
+        }
     }
 
     private static ExchangeResult resultOf(Outcome outcome) {
--- a/node/src/main/java/org/carawaysill/node/lifecycle/NodeProcess.java
+++ b/node/src/main/java/org/carawaysill/node/lifecycle/NodeProcess.java
@@ -129,10 +129,17 @@
     /**
      * Waits for the end of a planned stop.
      *
-     * @return completes when a stop is ordered and every request is finished
+     * @return completes when a stop is ordered and every request is finished; fails where the policy's thread ended by an
+     *     error, since no request is ever finished then
      */
     public CompletableFuture<Void> mayEnd() {
-        return plannedStop.mayEnd();
+        CompletableFuture<Void> end = plannedStop.mayEnd();
+        registry.require(PolicyDuty.NAME, PolicyDuty.class).ended().whenComplete((ignored, failure) -> {
+            if (failure != null) {
+                end.completeExceptionally(failure);
+            }
+        });
+        return end;
     }
 
     /**
--- a/node/src/main/java/org/carawaysill/node/policy/PolicyDuty.java
+++ b/node/src/main/java/org/carawaysill/node/policy/PolicyDuty.java
@@ -55,4 +55,13 @@
     public CompletableFuture<Void> stop() {
         return duty.stop();
     }
+
+    /**
+     * Tells of the end of the thread.
+     *
+     * @return completes when the thread has ended; fails with the error that ended it
+     */
+    public CompletableFuture<Void> ended() {
+        return duty.ended();
+    }
 }
--- a/node/src/main/java/org/carawaysill/node/policy/PolicyWork.java
+++ b/node/src/main/java/org/carawaysill/node/policy/PolicyWork.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.carawaysill.kernel.duty.DutyWork;
 import org.carawaysill.model.identity.ExchangeIdentifier;
 import org.carawaysill.model.request.Outcome;
@@ -21,6 +22,8 @@
  */
 final class PolicyWork implements DutyWork<Arrival> {
 
+    private static final long PAUSE_AFTER_FAILURE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     private final NodePolicy policy;
 
     private final NodeClock clock;
@@ -31,6 +34,8 @@
 
     private long nextWakeNanos;
 
+    private String latestFailure = "";
+
     PolicyWork(NodePolicy policy, NodeClock clock, EffectDispatcher dispatcher, Counters counters) {
         this.policy = policy;
         this.clock = clock;
@@ -61,7 +66,8 @@
             List<Effect> effects = policy.decide(now, event);
             effects.forEach(dispatcher::dispatch);
             nextWakeNanos = policy.nextWakeNanos();
-        } catch (RuntimeException failure) {
+        } catch (RuntimeException | AssertionError failure) {
+            nextWakeNanos = now.nanos() + PAUSE_AFTER_FAILURE_NANOS;
             survive(event, failure);
         }
     }
@@ -71,9 +77,12 @@
      * connections but never answers. The exchange concerned is answered as unknown, since the effects that came before
      * the fault may have handed it to a copy; all others go on.
      */
-    private void survive(Event event, RuntimeException failure) {
+    private void survive(Event event, Throwable failure) {
         counters.policyFailure();
-        StateLog.fault(Step.ADMISSION, Optional.empty(), "the policy failed at an event: " + failure);
+        if (!failure.toString().equals(latestFailure)) {
+            latestFailure = failure.toString();
+            StateLog.fault(Step.ADMISSION, Optional.empty(), "the policy failed at an event: " + failure);
+        }
         exchangeOf(event).ifPresent(exchange -> {
             Outcome unknown = new Outcome.Unknown(UnknownReason.EARLIER_ATTEMPT, Step.ADMISSION, Optional.empty());
             dispatcher.dispatch(new Effect.AnswerExchange(exchange, unknown));
--- a/node/src/test/java/org/carawaysill/node/copy/CopyClientTest.java
+++ b/node/src/test/java/org/carawaysill/node/copy/CopyClientTest.java
@@ -32,6 +32,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 @Timeout(120)
@@ -70,8 +71,12 @@
     }
 
     private void hand(CopyClient to, AttemptIdentifier attempt, String method) {
+        hand(to, attempt, method, "gate");
+    }
+
+    private void hand(CopyClient to, AttemptIdentifier attempt, String method, String desk) {
         RequestContent content = new RequestContent(
-                method, "/bills/7?full=true", List.of(new Header("X-Desk", "gate")), Body.ofText("hello"));
+                method, "/bills/7?full=true", List.of(new Header("X-Desk", desk)), Body.ofText("hello"));
         to.hand(new Effect.HandToCopy(
                 attempt, content, System.nanoTime() + Duration.ofMinutes(1).toNanos()));
     }
@@ -183,6 +188,21 @@
         }
     }
 
+    @Nested
+    class Unwritable {
+
+        /*
+         * A slot of the copy is never free again: a request that HTTP can't carry made the client fail in the middle, and
+         * nobody was told of its end.
+         */
+        @ParameterizedTest
+        @CsvSource({"BAD METHOD, gate", "POST, 'gate\r\nX-Forged: 1'"})
+        void requestsAreNotRun(String method, String desk) {
+            hand(client, FIRST, method, desk);
+            expectNotRun(FIRST, RefusalReason.BAD_REQUEST);
+        }
+    }
+
     @Nested
     class Unknown {
 
--- a/node/src/test/java/org/carawaysill/node/exchange/ExchangeServerTest.java
+++ b/node/src/test/java/org/carawaysill/node/exchange/ExchangeServerTest.java
@@ -149,6 +149,16 @@
             assertTrue(second.readMessage().endsWith("for the second"));
         }
 
+        @Test
+        void closesTheConnectionWhenHttpCannotCarryTheAnswer() {
+            RawConnection connection = send("GET /odd HTTP/1.1");
+            table.answer(
+                    bench.next(Event.CallerRequest.class).exchange(),
+                    new Outcome.Answered(new AnswerContent(200, List.of(new Header("X Odd", "1")), Body.EMPTY)));
+            assertEquals("", connection.readToEnd());
+            expectOthersUntouched();
+        }
+
         @Test
         void refusesAtOnceWhenTheRingIsFull() {
             while (bench.inbox().offerWork(new Event.WakeUp()) == Offer.ACCEPTED) {
