--- a/model/src/main/java/org/carawaysill/model/request/RefusalReason.java
+++ b/model/src/main/java/org/carawaysill/model/request/RefusalReason.java
@@ -6,7 +6,7 @@
  * <p>Immutable and thread safe.
  */
 public enum RefusalReason implements Counted {
-    /** The bounded ring into the policy was full. */
+    /** The bounded ring into the policy, or the memory kept for bodies, was full. */
     RING_FULL,
     /** No operation of the published configuration matches. */
     UNKNOWN_OPERATION,
--- a/node/src/main/java/org/carawaysill/node/exchange/ConnectionGuard.java
+++ b/node/src/main/java/org/carawaysill/node/exchange/ConnectionGuard.java
@@ -51,7 +51,7 @@
     }
 
     ConnectionWatch watch(HttpConnection connection) {
-        return open.computeIfAbsent(connection, ignored -> new ConnectionWatch(limits));
+        return open.getOrDefault(connection, new ConnectionWatch(limits));
     }
 
     private void planSweep() {
--- a/node/src/main/java/org/carawaysill/node/observation/LostMessage.java
+++ b/node/src/main/java/org/carawaysill/node/observation/LostMessage.java
@@ -7,7 +7,5 @@
     /** A request of another node that found the ring full; it was refused. */
     PEER_REQUEST,
     /** Another message of a node that found the ring full. */
-    PEER_NOTICE,
-    /** The result of a read at the platform that found the ring full. */
-    PLATFORM_READ
+    PEER_NOTICE
 }
--- a/node/src/test/java/org/carawaysill/node/lifecycle/NodeProcessTest.java
+++ b/node/src/test/java/org/carawaysill/node/lifecycle/NodeProcessTest.java
@@ -13,6 +13,7 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -119,6 +120,20 @@
             Approvals.verify(series);
         }
 
+        @Test
+        void findEachReasonExplained() throws Exception {
+            node.start().join();
+            String page = Files.readString(Path.of("../docs/operators/counters.md"));
+            List<String> unexplained = admin("GET", "/metrics", "")
+                    .body()
+                    .lines()
+                    .filter(line -> line.contains("{reason=") && !line.contains("link_faults"))
+                    .map(line -> line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')))
+                    .filter(reason -> !page.contains("`" + reason + "`"))
+                    .toList();
+            assertEquals(List.of(), unexplained);
+        }
+
         @Test
         void seeTheState() throws Exception {
             node.start().join();
