Park at once: looking for the next event before parking gained nothing

Events of one node are mostly a millisecond or more apart, so that the look seldom meets one. The duty is simpler without.

--- a/kernel/src/main/java/org/carawaysill/kernel/duty/Duty.java
+++ b/kernel/src/main/java/org/carawaysill/kernel/duty/Duty.java
@@ -1,6 +1,5 @@
 package org.carawaysill.kernel.duty;
 
-import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -27,8 +26,6 @@
 
     private final DutyWork<T> work;
 
-    private final long spinNanos;
-
     private final Thread thread;
 
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -43,12 +40,10 @@
      * @param name the name of its thread
      * @param ring the ring from which only this duty polls
      * @param work what to do
-     * @param spin how long to look for a next item before parking; the processor time of one wake-up grows by this
      */
-    public Duty(String name, BoundedRing<T> ring, DutyWork<T> work, Duration spin) {
+    public Duty(String name, BoundedRing<T> ring, DutyWork<T> work) {
         this.ring = ring;
         this.work = work;
-        this.spinNanos = spin.toNanos();
         this.thread = Thread.ofPlatform().name(name).unstarted(this::run);
     }
 
@@ -94,7 +89,7 @@
         item.ifPresent(work::handle);
         boolean woken = wakeUpIfDue();
         if (item.isEmpty() && !woken && !stopping) {
-            ring.await(spinNanos, nanosUntilWake());
+            ring.await(nanosUntilWake());
         }
     }
 
--- a/kernel/src/main/java/org/carawaysill/kernel/ring/BoundedRing.java
+++ b/kernel/src/main/java/org/carawaysill/kernel/ring/BoundedRing.java
@@ -69,38 +69,17 @@
     /**
      * Waits until the ring holds an item; returns early where the thread is unparked for another reason.
      *
-     * @param spinNanos how long to look for an item before parking, in nanoseconds
      * @param limitNanos how long to wait at most, in nanoseconds; {@link Long#MAX_VALUE} for without limit
      */
-    public void await(long spinNanos, long limitNanos) {
-        if (spin(Math.min(spinNanos, limitNanos))) {
-            return;
-        }
+    public void await(long limitNanos) {
         parkedConsumer = Optional.of(Thread.currentThread());
         VarHandle.fullFence();
-        if (isEmpty()) {
-            park(limitNanos - spinNanos);
+        if (isEmpty() && limitNanos > 0) {
+            LockSupport.parkNanos(this, limitNanos);
         }
         parkedConsumer = Optional.empty();
     }
 
-    private boolean spin(long nanos) {
-        long start = System.nanoTime();
-        while (isEmpty()) {
-            if (System.nanoTime() - start >= nanos) {
-                return false;
-            }
-            Thread.onSpinWait();
-        }
-        return true;
-    }
-
-    private void park(long nanos) {
-        if (nanos > 0) {
-            LockSupport.parkNanos(this, nanos);
-        }
-    }
-
     /**
      * Takes the oldest item.
      *
--- a/kernel/src/test/java/org/carawaysill/kernel/duty/DutyTest.java
+++ b/kernel/src/test/java/org/carawaysill/kernel/duty/DutyTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
@@ -55,7 +54,7 @@
         }
     };
 
-    private final Duty<Integer> duty = new Duty<>("test-duty", ring, work, Duration.ZERO);
+    private final Duty<Integer> duty = new Duty<>("test-duty", ring, work);
 
     private void offerUntilAccepted(int item) {
         while (ring.offer(item) == Offer.FULL) {
--- a/node/src/main/java/org/carawaysill/node/policy/PolicyDuty.java
+++ b/node/src/main/java/org/carawaysill/node/policy/PolicyDuty.java
@@ -1,6 +1,5 @@
 package org.carawaysill.node.policy;
 
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.carawaysill.kernel.duty.Duty;
 import org.carawaysill.kernel.service.Service;
@@ -18,12 +17,6 @@
     /** The name under which the service is registered. */
     public static final String NAME = "policy";
 
-    /**
-     * How long the thread looks for a next event before it parks. Waking a parked thread takes longer than this; the
-     * processor time of an idle node grows by this for each event.
-     */
-    private static final Duration SPIN = Duration.ofNanos(20_000);
-
     private final Duty<Arrival> duty;
 
     /**
@@ -37,7 +30,7 @@
         PolicyInbox inbox = registry.require(PolicyInbox.NAME, PolicyInbox.class);
         Counters counters = registry.require(Counters.NAME, Counters.class);
         PolicyWork work = new PolicyWork(policy, clock, new EffectDispatcher(registry), counters);
-        this.duty = new Duty<>(NAME, inbox.ring(), work, SPIN);
+        this.duty = new Duty<>(NAME, inbox.ring(), work);
     }
 
     @Override
--- a/node/src/test/java/org/carawaysill/node/testing/AdapterBench.java
+++ b/node/src/test/java/org/carawaysill/node/testing/AdapterBench.java
@@ -76,7 +76,7 @@
                 return arrival.get().event();
             }
             if (arrival.isEmpty()) {
-                inbox.ring().await(0, GENEROUS_NANOS);
+                inbox.ring().await(GENEROUS_NANOS);
             }
         }
         throw new AssertionError("no event came");
