--- a/load/src/main/java/org/carawaysill/load/report/SlotUse.java
+++ b/load/src/main/java/org/carawaysill/load/report/SlotUse.java
@@ -1,10 +1,13 @@
 package org.carawaysill.load.report;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.carawaysill.load.client.RequestRecord;
 import org.carawaysill.load.scenario.Scenario;
 import org.carawaysill.load.scenario.Trigger.CopyDown;
 import org.carawaysill.load.scenario.Window;
+import org.carawaysill.load.site.LoadOperation;
 import org.carawaysill.load.site.Site;
 
 /**
@@ -12,15 +15,36 @@
  * it holds a slot, so that a policy gains nothing by preferring requests that cost little.
  *
  * <p>Immutable and thread safe.
- *
- * @param site the site
- * @param scenario what was played
- * @param triggers when something was wrong
  */
-record SlotUse(Site site, Scenario scenario, List<Window> triggers) {
+final class SlotUse {
 
     private static final double NANOS_PER_MILLISECOND = 1e6;
 
+    private final List<Window> triggers;
+    private final int slots;
+    private final Map<LoadOperation, Double> normalNanos = new HashMap<>();
+    private final Map<LoadOperation, Double> slowedNanos = new HashMap<>();
+
+    SlotUse(Site site, Scenario scenario, List<Window> triggers) {
+        this.triggers = List.copyOf(triggers);
+        this.slots = slots(site, scenario);
+        for (LoadOperation operation : site.operations()) {
+            normalNanos.put(operation, site.holdMilliseconds(operation, 1) * NANOS_PER_MILLISECOND);
+            slowedNanos.put(operation, site.holdMilliseconds(operation, scenario.slowdown()) * NANOS_PER_MILLISECOND);
+        }
+    }
+
+    private static int slots(Site site, Scenario scenario) {
+        int all = site.bottleneckSlots();
+        return scenario.triggers().contains(new CopyDown())
+                ? all
+                        - site.copiesOf(site.bottleneck().service())
+                                .getFirst()
+                                .service()
+                                .slots()
+                : all;
+    }
+
     double ratio(List<RequestRecord> records) {
         double used = 0;
         double available = 0;
@@ -29,29 +53,16 @@
                     .filter(RequestRecord::whole)
                     .mapToDouble(request -> usedNanos(request, trigger))
                     .sum();
-            available += (double) slots() * (trigger.endNanos() - trigger.startNanos());
+            available += (double) slots * (trigger.endNanos() - trigger.startNanos());
         }
         return used / available;
     }
 
-    private int slots() {
-        int slots = site.bottleneckSlots();
-        return scenario.triggers().contains(new CopyDown())
-                ? slots
-                        - site.copiesOf(site.bottleneck().service())
-                                .getFirst()
-                                .service()
-                                .slots()
-                : slots;
-    }
-
     // The request held its slot for the last part of the time up to its answer; what lies inside the trigger counts.
     private double usedNanos(RequestRecord request, Window trigger) {
-        double normal = site.holdMilliseconds(request.arrival().operation(), 1) * NANOS_PER_MILLISECOND;
-        double slowed =
-                site.holdMilliseconds(request.arrival().operation(), scenario.slowdown()) * NANOS_PER_MILLISECOND;
         boolean startedBefore = request.arrival().atNanos() < trigger.startNanos();
-        double hold = startedBefore ? normal : slowed;
+        Map<LoadOperation, Double> holds = startedBefore ? normalNanos : slowedNanos;
+        double hold = holds.getOrDefault(request.arrival().operation(), 0.0);
         double from = Math.max(trigger.startNanos(), request.finishedNanos() - hold);
         double until = Math.min(trigger.endNanos(), request.finishedNanos());
         return Math.max(0, until - from);
--- a/load/src/main/java/org/carawaysill/load/run/LoadRun.java
+++ b/load/src/main/java/org/carawaysill/load/run/LoadRun.java
@@ -15,6 +15,7 @@
 import org.carawaysill.load.platform.Readiness;
 import org.carawaysill.load.platform.RunLogs;
 import org.carawaysill.load.scenario.Window;
+import org.carawaysill.load.schedule.Arrival;
 import org.carawaysill.load.site.CallGraph;
 import org.carawaysill.load.site.SiteCopy.Port;
 
@@ -66,9 +67,10 @@
     }
 
     private Future<RunOutcome> send() {
+        List<Arrival> arrivals = settings.schedule().draw();
         long start = System.nanoTime();
         Clients clients = new Clients(settings.clients(), vertx, settings.site(), start);
-        Sender sender = new Sender(vertx, clients, settings.schedule().draw(), start);
+        Sender sender = new Sender(vertx, clients, arrivals, start);
         Progress progress = new Progress(settings, sender, start, out);
         progress.start(vertx);
         Future<Void> triggers = Future.all(settings.timeline().triggers().stream()
