--- a/launcher/build.sh
+++ b/launcher/build.sh
@@ -17,7 +17,7 @@
   sources_changed || return 0
   echo "carawaysill: building" >&2
   (cd "$home" && MAVEN_OPTS="${MAVEN_OPTS:-} --sun-misc-unsafe-memory-access=allow" \
-    mvn -B -ntp -q -DskipTests package) >&2
+    mvn -B -ntp -q -Dmaven.test.skip=true package) >&2
   rm -rf "$archives"
   mkdir -p "$home/target"
   touch "$stamp"
