--- a/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
@@ -59,8 +59,9 @@
             case 4 -> new Heartbeat(version(), load(), versions());
             case 5 -> leaseRequest();
             case 6 -> leaseReply();
-            case 7 -> new HolderHandover(
-                    service(), random.nextLong(), version(), version(), count(), count(), several(this::entry));
+            case 7 ->
+                new HolderHandover(
+                        service(), random.nextLong(), version(), version(), count(), count(), several(this::entry));
             case 8 -> new ConfigurationWanted(service(), version());
             case 9 -> new ConfigurationDocument(service(), version(), text());
             default -> new ConfigurationChange(service(), version(), version(), several(this::edit), random.nextInt());
