--- a/launcher/build.sh
+++ b/launcher/build.sh
@@ -48,6 +48,8 @@
   shift
   words=("$JAVA_HOME/bin/java" -XX:+UseSerialGC "-Xmx$(heap "$program")")
   words+=(--sun-misc-unsafe-memory-access=allow --enable-native-access=ALL-UNNAMED)
+  # Stand-ins live for a minute or so: what the second compiler takes they never earn back.
+  [ "$program" != standin ] || words+=(-XX:TieredStopAtLevel=1)
   if [ -e "$archives/$program.aot" ]; then
     words+=("-XX:AOTCache=$archives/$program.aot")
   fi
--- a/load/src/main/java/org/carawaysill/load/client/ClientSettings.java
+++ b/load/src/main/java/org/carawaysill/load/client/ClientSettings.java
@@ -27,7 +27,7 @@
      * @return the settings
      */
     public static ClientSettings impatient() {
-        return new ClientSettings(4, Duration.ofSeconds(1), Duration.ofMillis(50), Duration.ofMillis(150), 0);
+        return new ClientSettings(4, Duration.ofSeconds(2), Duration.ofMillis(50), Duration.ofMillis(150), 0);
     }
 
     /**
--- a/load/src/main/java/org/carawaysill/load/layout/SiteLayout.java
+++ b/load/src/main/java/org/carawaysill/load/layout/SiteLayout.java
@@ -96,6 +96,8 @@
                 String.valueOf(copy.service().slots()),
                 "--connections",
                 String.valueOf(copy.service().connections()),
+                "--service-milliseconds",
+                String.valueOf(copy.service().serviceMilliseconds()),
                 "--cold-start-milliseconds",
                 String.valueOf(COLD_START_MILLISECONDS),
                 "--false-load",
--- a/load/src/main/java/org/carawaysill/load/site/GraphOperation.java
+++ b/load/src/main/java/org/carawaysill/load/site/GraphOperation.java
@@ -30,6 +30,10 @@
         calls = calls == null ? List.of() : List.copyOf(calls);
     }
 
+    GraphOperation withServiceMilliseconds(double milliseconds) {
+        return new GraphOperation(name, method, path, idempotent, milliseconds, calls);
+    }
+
     /** One call of a deeper service. Immutable and thread safe. */
     record Call(ServiceName service, String method, String path) {}
 }
--- a/load/src/main/java/org/carawaysill/load/site/ServiceGraph.java
+++ b/load/src/main/java/org/carawaysill/load/site/ServiceGraph.java
@@ -16,4 +16,12 @@
     ServiceGraph {
         operations = List.copyOf(operations);
     }
+
+    ServiceGraph withServiceMilliseconds(double milliseconds) {
+        return new ServiceGraph(
+                service,
+                operations.stream()
+                        .map(operation -> operation.withServiceMilliseconds(milliseconds))
+                        .toList());
+    }
 }
--- a/load/src/main/java/org/carawaysill/load/site/SiteReader.java
+++ b/load/src/main/java/org/carawaysill/load/site/SiteReader.java
@@ -58,7 +58,8 @@
         List<ServiceGraph> graphs = new ArrayList<>();
         for (SiteService service : document.services()) {
             Path graph = sites.resolve(name).resolve(GRAPHS).resolve(service.name() + ".toml");
-            graphs.add(read(graph, GRAPH));
+            ServiceGraph published = read(graph, GRAPH);
+            graphs.add(published.withServiceMilliseconds(service.serviceMilliseconds()));
         }
         try {
             return new Site(
