Run a fleet without calls and measure what its control work costs

./carawaysill fleet starts nodes in services of at most 23 that call the next two, publishes changes and reports per node processor time, memory and bytes, reads at the platform and the time into force.

Cause found on the way: no node read its configuration. The policy asks to count each read and then to make it; the family of counters was missing, so counting failed and the read behind it was dropped.

--- a/launcher/processes.sh
+++ b/launcher/processes.sh
@@ -27,7 +27,7 @@
 }
 
 # Starts the processes that a layout lists: name, program and arguments, with tabs between. For each process the command
-# extra_flags, if there is one, prints more flags of the virtual machine.
+# extra_flags, if there is one, prints more flags of the virtual machine. The seconds start_pause pass between two starts.
 start_site() {
   local logs=$1 layout=$2 line fields words extra
   require_free_port
@@ -39,6 +39,7 @@
     fi
     java_words "${fields[1]}" "${extra[@]}"
     start_process "$logs/${fields[0]}.log" "${words[@]}" "${fields[@]:2}"
+    sleep "${start_pause:-0}"
   done <"$layout/processes"
 }
 
--- a/load/src/main/java/org/carawaysill/load/command/CommandLine.java
+++ b/load/src/main/java/org/carawaysill/load/command/CommandLine.java
@@ -50,6 +50,9 @@
                   table    put the reports of two policies side by side
                   latency  measure the latency that nodes in the path add
 
+                  fleet-layout  write the settings of a fleet on loopback, and the list of its processes
+                  fleet-watch   publish at a running fleet, and measure what its control work costs
+
                 %1$s SUBCOMMAND --help tells the flags.
                 """.formatted(PROGRAM);
     }
@@ -74,6 +77,8 @@
             case "run" -> new RunCommand();
             case "table" -> new TableCommand();
             case "latency" -> new LatencyCommand();
+            case "fleet-layout" -> new FleetLayoutCommand();
+            case "fleet-watch" -> new FleetWatchCommand();
             default -> throw new UsageException("\"" + name + "\" is not a sub-command; see " + PROGRAM + " --help");
         };
     }
--- a/load/src/main/java/org/carawaysill/load/command/EventLoop.java
+++ b/load/src/main/java/org/carawaysill/load/command/EventLoop.java
@@ -41,6 +41,40 @@
         }
     }
 
+    /**
+     * Runs a task that blocks, on the calling thread, beside an event loop.
+     *
+     * @param task what to run
+     * @param <T> the type of its result
+     * @return its result
+     * @throws BenchException if the bench did not do what the task needs
+     */
+    static <T> T beside(BlockingTask<T> task) throws BenchException {
+        Vertx vertx = oneEventLoop();
+        try {
+            return task.run(vertx);
+        } finally {
+            vertx.close();
+        }
+    }
+
+    /**
+     * A task that waits for what it asked the event loop for.
+     *
+     * @param <T> the type of its result
+     */
+    interface BlockingTask<T> {
+
+        /**
+         * Runs it.
+         *
+         * @param vertx the event loop
+         * @return its result
+         * @throws BenchException if the bench did not do what the task needs
+         */
+        T run(Vertx vertx) throws BenchException;
+    }
+
     private static Vertx oneEventLoop() {
         FileSystemOptions files =
                 new FileSystemOptions().setClassPathResolvingEnabled(false).setFileCachingEnabled(false);
--- a/load/src/main/java/org/carawaysill/load/command/Subcommand.java
+++ b/load/src/main/java/org/carawaysill/load/command/Subcommand.java
@@ -8,7 +8,14 @@
  *
  * <p>Not thread safe: used by the main thread only.
  */
-public sealed interface Subcommand permits LayoutCommand, AwaitCommand, RunCommand, TableCommand, LatencyCommand {
+public sealed interface Subcommand
+        permits LayoutCommand,
+                AwaitCommand,
+                RunCommand,
+                TableCommand,
+                LatencyCommand,
+                FleetLayoutCommand,
+                FleetWatchCommand {
 
     /**
      * Tells whether only the help is wanted.
--- a/load/src/main/java/org/carawaysill/load/layout/LayoutWriter.java
+++ b/load/src/main/java/org/carawaysill/load/layout/LayoutWriter.java
@@ -1,12 +1,9 @@
 package org.carawaysill.load.layout;
 
-import io.vertx.core.json.JsonArray;
-import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.stream.Collectors;
-import org.carawaysill.load.site.Site;
 import org.carawaysill.load.site.SiteCopy;
 
 /** Writes the files of a layout. Stateless and thread safe. */
@@ -26,7 +23,7 @@
         for (SiteCopy copy : layout.site().copies()) {
             Files.writeString(layout.settingsFile(copy), NodeSettingsText.of(copy, layout.policy()));
         }
-        Files.writeString(layout.vmFile(), vms(layout.site()).encodePrettily());
+        Files.writeString(layout.vmFile(), VmListText.of(layout.site().copies()));
         Path processes = layout.directory().resolve("processes");
         Files.writeString(processes, text(layout));
         return processes;
@@ -35,18 +32,4 @@
     private static String text(SiteLayout layout) {
         return layout.processes().stream().map(line -> line.text() + "\n").collect(Collectors.joining());
     }
-
-    private static JsonObject vms(Site site) {
-        JsonArray vms = new JsonArray();
-        site.copies().forEach(copy -> vms.add(vm(copy)));
-        return new JsonObject().put("vms", vms);
-    }
-
-    private static JsonObject vm(SiteCopy copy) {
-        return new JsonObject()
-                .put("name", copy.name().value())
-                .put("zone", copy.zone().value())
-                .put("host", Site.HOST)
-                .put("state", "live");
-    }
 }
--- a/load/src/main/java/org/carawaysill/load/layout/NodeSettingsText.java
+++ b/load/src/main/java/org/carawaysill/load/layout/NodeSettingsText.java
@@ -5,14 +5,21 @@
 import org.carawaysill.load.site.SiteCopy.Port;
 
 /** Writes a node's settings. Stateless and thread safe. */
-final class NodeSettingsText {
+public final class NodeSettingsText {
 
     private static final int MAXIMUM_BODY_BYTES = 1 << 20;
     private static final int MAXIMUM_HEADER_BYTES = 16 << 10;
 
     private NodeSettingsText() {}
 
-    static String of(SiteCopy copy, PolicyName policy) {
+    /**
+     * Writes the settings.
+     *
+     * @param copy the copy beside which the node runs
+     * @param policy the policy that it runs
+     * @return the TOML text
+     */
+    public static String of(SiteCopy copy, PolicyName policy) {
         return """
                 [node]
                 name = "%s"
--- a/load/src/main/java/org/carawaysill/load/platform/BenchHttp.java
+++ b/load/src/main/java/org/carawaysill/load/platform/BenchHttp.java
@@ -88,6 +88,21 @@
                 .mapEmpty();
     }
 
+    /**
+     * Publishes a document at a process that stands in for the platform.
+     *
+     * @param port the process's port
+     * @param path the path
+     * @param text the document
+     * @return the answer, or a {@link BenchException}
+     */
+    public Future<JsonObject> publish(int port, String path, String text) {
+        return request(HttpMethod.PUT, port, path)
+                .sendBuffer(Buffer.buffer(text))
+                .compose(response -> checked(response, port, path))
+                .map(HttpResponse::bodyAsJsonObject);
+    }
+
     private HttpRequest<Buffer> request(HttpMethod method, int port, String path) {
         return client.request(method, port, Site.HOST, path).timeout(TIMEOUT_MILLISECONDS);
     }
--- a/node/src/main/java/org/carawaysill/node/observation/Counters.java
+++ b/node/src/main/java/org/carawaysill/node/observation/Counters.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import org.carawaysill.kernel.service.Service;
+import org.carawaysill.model.request.ConfigurationCount;
 import org.carawaysill.model.request.Counted;
 import org.carawaysill.model.request.Invariant;
 import org.carawaysill.model.request.RefusalReason;
@@ -58,6 +59,7 @@
         addReasons("unknown", "Requests of which it is not known whether they ran", UnknownReason.values());
         addReasons("retries", "Requests tried again", RetryReason.values());
         addReasons("breaches", "Broken promises that the program noticed about itself", Invariant.values());
+        addReasons("configuration", "Steps of documents on their way into force", ConfigurationCount.values());
         addReasons("bad_requests", "Requests that were malformed or too large", BadRequest.values());
         addReasons("connections_closed", "HTTP connections that the node closed", ConnectionFault.values());
         addReasons("lost_messages", "Messages and answers that the node dropped", LostMessage.values());
--- a/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
@@ -113,6 +113,8 @@
     }
 
     private void adopt(Moment now, ServiceConfiguration document) {
+        // An operator who waits for a version to be in force should not wait for the next regular status too.
+        nextStatusNanos = now.nanos();
         if (document.service().equals(identity.service())) {
             document.copy(identity.node()).ifPresent(copy -> admission.slots(copy.slots()));
             out.addAll(holder.roster(now, document));
