--- a/load/src/main/java/org/carawaysill/load/fleet/FleetPlan.java
+++ b/load/src/main/java/org/carawaysill/load/fleet/FleetPlan.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import org.carawaysill.load.site.SiteCopy;
 import org.carawaysill.load.site.SiteService;
 import org.carawaysill.model.identity.AvailabilityZone;
@@ -90,18 +89,4 @@
                 .flatMap(service -> service.copies().stream())
                 .toList();
     }
-
-    /** How many other nodes a node has a connection with: of its own service, of called ones and of callers. */
-    double meanPeers() {
-        return services.stream().mapToInt(this::peersOfAll).sum() / (double) copies().size();
-    }
-
-    private int peersOfAll(FleetService service) {
-        Stream<FleetService> related = services.stream()
-                .filter(other -> other.equals(service)
-                        || service.calls().contains(other.name())
-                        || other.calls().contains(service.name()));
-        int nodes = related.mapToInt(other -> other.copies().size()).sum();
-        return service.copies().size() * (nodes - 1);
-    }
 }
--- a/load/src/main/java/org/carawaysill/load/fleet/FleetReport.java
+++ b/load/src/main/java/org/carawaysill/load/fleet/FleetReport.java
@@ -9,8 +9,8 @@
  *
  * @param nodes how many nodes
  * @param services in how many services
- * @param peersMean how many other nodes a node has a connection with, by the plan
- * @param livePeersMean how many watched nodes a node believed alive at the end, which leaves callers out
+ * @param livePeersMean how many nodes a node watched and believed alive at the end: of its own service and chosen ones of
+ *     those that it calls; callers, which choose it, come on top
  * @param readySeconds from the start of the watching to the last node's readiness, or 0 where all were ready
  * @param readsAtStart calls at the configuration stand-in until all nodes were ready
  * @param largestReadsPerSecond the most of them in any second of the run
@@ -20,7 +20,6 @@
 public record FleetReport(
         int nodes,
         int services,
-        double peersMean,
         double livePeersMean,
         double readySeconds,
         long readsAtStart,
--- a/load/src/main/java/org/carawaysill/load/fleet/FleetTable.java
+++ b/load/src/main/java/org/carawaysill/load/fleet/FleetTable.java
@@ -18,10 +18,10 @@
      */
     public static String of(FleetReport report) {
         String heading = format(
-                "%d nodes in %d services, %.0f peers each; %d reads until ready, at most %d a second; machine %.0f%% busy%n",
+                "%d nodes in %d services, %.1f watched by each; %d reads until ready, at most %d a second; machine %.0f%% busy%n",
                 report.nodes(),
                 report.services(),
-                report.peersMean(),
+                report.livePeersMean(),
                 report.readsAtStart(),
                 report.largestReadsPerSecond(),
                 PERCENT * report.processorsBusy());
--- a/load/src/main/java/org/carawaysill/load/fleet/FleetWatch.java
+++ b/load/src/main/java/org/carawaysill/load/fleet/FleetWatch.java
@@ -75,7 +75,6 @@
         return new FleetReport(
                 plan.copies().size(),
                 plan.services().size(),
-                plan.meanPeers(),
                 livePeers,
                 readySeconds,
                 readsAtStart,
