Test that the launcher leaves no process behind

Seen to fail without the trap on exit: both tests ran into their limit with the processes still alive. Recovery is now held against the rate at which requests are sent, not against the steady phase's own goodput: a policy that is broken before the trigger looked recovered at once.

--- a/load/src/main/java/org/carawaysill/load/report/Recovery.java
+++ b/load/src/main/java/org/carawaysill/load/report/Recovery.java
@@ -6,8 +6,9 @@
  * The time from a trigger's end to the return of the normal goodput.
  *
  * <p>Goodput is normal again from the first bucket from which, for a second, as many whole requests come as 95% of the
- * steady phase's, or of those sent in that second if they are fewer: arrivals are random, and a second in which few were
- * sent must not count as a failure to recover.
+ * normal rate, or of those sent in that second if they are fewer: arrivals are random, and a second in which few were sent
+ * must not count as a failure to recover. The normal rate is the one at which requests are sent; it is below what the
+ * bottleneck serves.
  *
  * <p>Immutable and thread safe.
  *
--- a/load/src/main/java/org/carawaysill/load/report/ReportBuilder.java
+++ b/load/src/main/java/org/carawaysill/load/report/ReportBuilder.java
@@ -110,7 +110,8 @@
 
     private List<Recovery> recoveries() {
         List<Recovery> recoveries = new ArrayList<>();
-        timeline.recoveries().forEach(window -> recoveries.add(Recovery.of(buckets, normalPerSecond(), window)));
+        double normal = settings.rates().normalPerSecond();
+        timeline.recoveries().forEach(window -> recoveries.add(Recovery.of(buckets, normal, window)));
         return recoveries;
     }
 
--- /dev/null
+++ b/load/src/test/java/org/carawaysill/load/launcher/LauncherTest.java
@@ -0,0 +1,90 @@
+package org.carawaysill.load.launcher;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class LauncherTest {
+
+    private static final Path HOME = Path.of("..").toAbsolutePath().normalize();
+    private static final long LIMIT_SECONDS = 60;
+
+    private static Process start(String... words) throws IOException {
+        return new ProcessBuilder(words)
+                .directory(HOME.toFile())
+                .redirectErrorStream(true)
+                .start();
+    }
+
+    private static int exitCode(Process process) throws InterruptedException {
+        assertTrue(process.waitFor(LIMIT_SECONDS, TimeUnit.SECONDS), "still running");
+        return process.exitValue();
+    }
+
+    @Nested
+    class WrongCommandLines {
+
+        @ParameterizedTest
+        @ValueSource(strings = {"fly", "demo --fast", "demo --seed", "latency --fast", "latency --rates"})
+        void getOneLine(String arguments) throws Exception {
+            Process launcher = start("bash", "-c", "./carawaysill " + arguments);
+            List<String> lines = launcher.inputReader().lines().toList();
+            assertEquals(2, exitCode(launcher));
+            assertEquals(1, lines.size(), lines.toString());
+            assertTrue(lines.getFirst().startsWith("carawaysill: "), lines.getFirst());
+        }
+    }
+
+    @Nested
+    class Processes {
+
+        private static final String TWO_PROCESSES = """
+                set -euo pipefail
+                . launcher/processes.sh
+                leave_nothing_behind
+                start_process /dev/null sleep 600
+                start_process /dev/null bash -c 'trap "" TERM; while true; do sleep 1; done'
+                echo "${processes[*]}"
+                %s
+                """;
+
+        private void leaveNothingBehind(String rest, boolean interrupted) throws Exception {
+            Process launcher = start("bash", "-c", TWO_PROCESSES.formatted(rest));
+            try (BufferedReader lines = launcher.inputReader()) {
+                List<ProcessHandle> started = List.of(lines.readLine().split(" ")).stream()
+                        .map(Long::valueOf)
+                        .flatMap(identifier -> ProcessHandle.of(identifier).stream())
+                        .toList();
+                if (interrupted) {
+                    launcher.destroy();
+                }
+                assertTrue(exitCode(launcher) > 0);
+                for (ProcessHandle process : started) {
+                    process.onExit().get(LIMIT_SECONDS, TimeUnit.SECONDS);
+                }
+            }
+        }
+
+        @Test
+        void endWithALauncherThatIsInterrupted() throws Exception {
+            // Someone stops the demo half-way. Thirty processes stay behind, hold the ports, and the next demo fails:
+            // the
+            // launcher died without ending what it had started, one of them deaf to a polite end.
+            leaveNothingBehind("wait", true);
+        }
+
+        @Test
+        void endWithALauncherThatFails() throws Exception {
+            leaveNothingBehind("false", false);
+        }
+    }
+}
