Bound the retries of a keyed request over all its callers' repeats

Ruled out: a bound per caller only; it does not hold for one request. Memory of keys at every node; it can't be complete. Now two nodes of the roster may start an idempotent key, with shares split in advance; all others pass it on, and a repeat joins a run in progress.

--- a/load/src/main/java/org/carawaysill/load/fleet/FleetPlan.java
+++ b/load/src/main/java/org/carawaysill/load/fleet/FleetPlan.java
@@ -63,7 +63,7 @@
     }
 
     private static List<SiteCopy> copies(ServiceName name, int first, int size) {
-        SiteService service = new SiteService(name, size, SLOTS, CONNECTIONS);
+        SiteService service = new SiteService(name, size, SLOTS, CONNECTIONS, 0);
         return IntStream.range(0, size)
                 .mapToObj(i -> new SiteCopy(first + i, new NodeName(name + "-" + (i + 1)), zone(first + i), service))
                 .toList();
--- a/node/src/main/java/org/carawaysill/node/exchange/ExchangeServer.java
+++ b/node/src/main/java/org/carawaysill/node/exchange/ExchangeServer.java
@@ -23,6 +23,7 @@
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.RequestContent;
 import org.carawaysill.model.request.Step;
+import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.node.observation.BadRequest;
 import org.carawaysill.node.observation.ConnectionFault;
 import org.carawaysill.node.observation.Counters;
@@ -196,12 +197,19 @@
     private void offer(ExchangeIdentifier identifier, Event event) {
         if (inbox.offerWork(event) == Offer.FULL) {
             counters.count(RefusalReason.RING_FULL);
-            table.answer(
-                    identifier,
-                    new Outcome.NotRun(RefusalReason.RING_FULL, RING_FULL_RETRY_AFTER, Step.INGRESS, Optional.empty()));
+            table.answer(identifier, unheard(event));
         }
     }
 
+    /** Under a key an earlier attempt may have run, and nobody who knows has been asked: "not run" could be false. */
+    private static Outcome unheard(Event event) {
+        boolean keyed =
+                event instanceof Event.CallerRequest request && request.key().isPresent();
+        return keyed
+                ? new Outcome.Unknown(UnknownReason.HOLDER_UNREACHABLE, Step.INGRESS, Optional.empty())
+                : new Outcome.NotRun(RefusalReason.RING_FULL, RING_FULL_RETRY_AFTER, Step.INGRESS, Optional.empty());
+    }
+
     private void refuse(HttpServerRequest request, ConnectionWatch watch, BadRequest kind, String detail) {
         counters.count(kind);
         counters.exchangeEnded(side, ExchangeResult.NOT_RUN);
--- a/node/src/main/java/org/carawaysill/node/peer/PeerAdapter.java
+++ b/node/src/main/java/org/carawaysill/node/peer/PeerAdapter.java
@@ -11,6 +11,7 @@
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
+import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.model.settings.NodeSettings;
 import org.carawaysill.node.observation.Counters;
 import org.carawaysill.node.observation.LostMessage;
@@ -175,8 +176,10 @@
     }
 
     private PeerMessage refusal(PeerMessage.PeerRequest request) {
-        Outcome outcome =
-                new Outcome.NotRun(RefusalReason.RING_FULL, RING_FULL_RETRY_AFTER, Step.PEER_WAIT, Optional.empty());
+        // The holder's table has not been looked into, so an earlier attempt may have run.
+        Outcome outcome = request.purpose() == PeerMessage.Purpose.HOLD && !request.idempotent()
+                ? new Outcome.Unknown(UnknownReason.HOLDER_UNREACHABLE, Step.OWNERSHIP, Optional.empty())
+                : new Outcome.NotRun(RefusalReason.RING_FULL, RING_FULL_RETRY_AFTER, Step.PEER_WAIT, Optional.empty());
         NodeStatus status = board.latest();
         PeerMessage.LoadReport load =
                 new PeerMessage.LoadReport(status.inFlight(), status.limit(), status.queued(), status.cut());
--- a/policy/src/main/java/org/carawaysill/policy/engine/CallerRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/CallerRequests.java
@@ -84,7 +84,7 @@
         String operation = classification.operation().name();
         Priority priority = Priority.of(terms.importance(), request.caller());
         Optional<ChainRefusal> refusal = chainCuts.check(now.nanos(), operation, priority);
-        if (refusal.isPresent()) {
+        if (refusal.isPresent() && !onlyHolderKnows(request, terms)) {
             refuse(
                     now,
                     origin,
--- a/policy/src/main/java/org/carawaysill/policy/engine/ControlPlane.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/ControlPlane.java
@@ -151,6 +151,15 @@
         return states;
     }
 
+    boolean mayGetNewWork(Moment now, NodeName node) {
+        return membership.mayGetNewWork(now.nanos(), node);
+    }
+
+    /** Whether the list of VMs says that this node is leaving, though nobody ordered it to stop. */
+    boolean isLeaving() {
+        return membership.isLeaving();
+    }
+
     boolean connected(NodeName node) {
         PeerState state = states.getOrDefault(node, PeerState.UNREACHABLE);
         return state != PeerState.UNREACHABLE;
--- a/policy/src/main/java/org/carawaysill/policy/engine/EngineAssembly.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/EngineAssembly.java
@@ -53,6 +53,7 @@
         CopyAdmission admission = new CopyAdmission(settings.admission(), SLOTS_BEFORE_CONFIGURATION);
         ChainCuts chainCuts = new ChainCuts(identity.service());
         ControlPlane control = controlPlane(out, directory, admission);
+        ClientLedgers ledgers = new ClientLedgers();
         OutcomeDelivery delivery = new OutcomeDelivery(out, new LoadView(admission, chainCuts));
         return new EngineParts(
                 identity,
@@ -63,8 +64,8 @@
                 control,
                 admission,
                 chainCuts,
-                new Ownership(holder, table, delivery, chainCuts),
-                new ClientRetries(identity, directory),
+                new Ownership(holder, table, delivery, chainCuts, ledgers),
+                new ClientRetries(identity, directory, control, table, delivery, ledgers),
                 new RetryGate(identity, control, new RetryBudget(settings.budget()), new Backoff(random), out),
                 delivery,
                 new IdentifierSource(random));
--- a/policy/src/main/java/org/carawaysill/policy/engine/OutcomeDelivery.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/OutcomeDelivery.java
@@ -27,9 +27,12 @@
 
     /**
      * Credits go back once and are then no longer here: neither a second waiter nor a late call of the copy may spend
-     * them again.
+     * them again. A node that started a keyed request keeps them for the caller's repeats.
      */
     private static int unspent(Work work, WorkOrigin origin) {
+        if (work.scope() != Work.Scope.LOCAL_COPY) {
+            return 0;
+        }
         return switch (origin) {
             case WorkOrigin.FromPeer peer -> work.ledger().grantForAttempt(peer.attempt(), Integer.MAX_VALUE);
             case WorkOrigin.FromCaller caller -> 0;
--- a/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
@@ -45,6 +45,7 @@
     private long nextStatusNanos;
     private long lastNanos;
     private long mayStopNanos = Long.MAX_VALUE;
+    private boolean leaving;
     private boolean stopped;
     private int breachesCounted;
 
@@ -174,12 +175,22 @@
         }
         mayStopNanos = now.nanos() + DRAIN_GRACE_NANOS;
         callerRequests.refuseFrom(mayStopNanos);
-        runner.drain();
-        peerRequests.drain();
+        takeNoNewWork(now);
         out.addAll(holder.handover(now));
     }
 
+    private void takeNoNewWork(Moment now) {
+        if (!leaving) {
+            leaving = true;
+            runner.drain(now.nanos());
+            peerRequests.drain();
+        }
+    }
+
     private void passTime(Moment now) {
+        if (control.isLeaving()) {
+            takeNoNewWork(now);
+        }
         runner.apply(now, admission.wakeUp(now.nanos()));
         Optional<Work> due = parts.timers().pollDue(now.nanos());
         while (due.isPresent()) {
--- a/policy/src/main/java/org/carawaysill/policy/engine/Ownership.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/Ownership.java
@@ -17,7 +17,6 @@
 import org.carawaysill.policy.ownership.Claim;
 import org.carawaysill.policy.ownership.Holder;
 import org.carawaysill.policy.ownership.KeyReader;
-import org.carawaysill.policy.retry.RequestLedger;
 import org.carawaysill.policy.time.Moment;
 
 /**
@@ -35,6 +34,7 @@
     private final WorkTable table;
     private final OutcomeDelivery delivery;
     private final ChainCuts chainCuts;
+    private final ClientLedgers ledgers;
     private final Map<AttemptIdentifier, RequestIdentifier> lateRuns = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<AttemptIdentifier, RequestIdentifier> eldest) {
@@ -43,11 +43,12 @@
     };
     private Optional<WorkRunner> runner = Optional.empty();
 
-    Ownership(Holder holder, WorkTable table, OutcomeDelivery delivery, ChainCuts chainCuts) {
+    Ownership(Holder holder, WorkTable table, OutcomeDelivery delivery, ChainCuts chainCuts, ClientLedgers ledgers) {
         this.holder = holder;
         this.table = table;
         this.delivery = delivery;
         this.chainCuts = chainCuts;
+        this.ledgers = ledgers;
     }
 
     /** Breaks the circle between this object and the runner, which need each other. */
@@ -71,8 +72,7 @@
                 .<Claim>map(key -> holder.claim(now, key, contentHash))
                 .orElseGet(() -> new Claim.Refused(RefusalReason.BAD_REQUEST, RETRY_AFTER));
         switch (claim) {
-            case Claim.Run run ->
-                runner.orElseThrow().start(now, new Work(facts, new RequestLedger(credits), Work.Scope.HELD, origin));
+            case Claim.Run run -> startUnlessHopeless(now, origin, facts, credits);
             case Claim.Running running -> joinOrRefuse(now, origin, facts, credits);
             case Claim.Known known -> deliver(now, origin, facts, known.outcome(), credits);
             case Claim.MayHaveRun(var reason) ->
@@ -96,7 +96,15 @@
                     RefusalReason.OVERLOAD_BELOW, refusal.get().retryAfter(), Step.OWNERSHIP, Optional.empty());
             deliver(now, origin, facts, outcome, credits);
         } else {
-            runner.orElseThrow().start(now, new Work(facts, new RequestLedger(credits), Work.Scope.HELD, origin));
+            runner.orElseThrow()
+                    .start(
+                            now,
+                            new Work(
+                                    facts,
+                                    ledgers.open(now.nanos(), facts.request(), credits)
+                                            .ledger(),
+                                    Work.Scope.HELD,
+                                    origin));
         }
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/engine/PeerRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/PeerRequests.java
@@ -25,6 +25,7 @@
     private final NodeIdentity identity;
     private final ControlPlane control;
     private final Ownership ownership;
+    private final ClientRetries clientRetries;
     private final WorkTable table;
     private final WorkRunner runner;
     private final OutcomeDelivery delivery;
@@ -35,6 +36,7 @@
         identity = parts.identity();
         control = parts.control();
         ownership = parts.ownership();
+        clientRetries = parts.clientRetries();
         table = parts.table();
         delivery = parts.delivery();
         this.runner = runner;
@@ -63,7 +65,7 @@
     /** As the holder this node can say "not run" only after it has looked into its table. */
     private Outcome refused(PeerRequest request, RefusalReason reason) {
         Optional<NodeName> self = Optional.of(identity.node());
-        return request.purpose() == Purpose.HOLD
+        return request.purpose() == Purpose.HOLD && !request.idempotent()
                 ? new Outcome.Unknown(UnknownReason.HOLDER_UNREACHABLE, Step.OWNERSHIP, self)
                 : new Outcome.NotRun(reason, RETRY_AFTER, Step.ADMISSION, self);
     }
@@ -104,13 +106,21 @@
                 request.depth(),
                 request.content());
         if (request.purpose() == Purpose.HOLD) {
-            ownership.hold(now, origin, facts, request.retryCredits());
+            hold(now, origin, facts, request.retryCredits());
         } else {
             RequestLedger ledger = new RequestLedger(request.retryCredits());
             runner.start(now, new Work(facts, ledger, Work.Scope.LOCAL_COPY, origin));
         }
     }
 
+    private void hold(Moment now, WorkOrigin origin, RequestFacts facts, int credits) {
+        if (facts.idempotent()) {
+            clientRetries.startHere(now, origin, facts, credits);
+        } else {
+            ownership.hold(now, origin, facts, credits);
+        }
+    }
+
     /** The other node no longer waits; work that others still wait for, or that must not be cut off, goes on. */
     void cancelled(Moment now, NodeName from, AttemptIdentifier attempt) {
         table.byPeer(from, attempt).ifPresent(work -> {
--- a/policy/src/main/java/org/carawaysill/policy/engine/RetryGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/RetryGate.java
@@ -61,7 +61,7 @@
 
     private static boolean mayTryElsewhere(Work work) {
         return switch (work.scope()) {
-            case LOCAL_COPY, AT_HOLDER -> false;
+            case LOCAL_COPY, AT_HOLDER, AT_STARTER -> false;
             case OWN_SERVICE, HELD, DEEPER_SERVICE -> true;
         };
     }
--- a/policy/src/main/java/org/carawaysill/policy/engine/Work.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/Work.java
@@ -24,6 +24,7 @@
     private Optional<Attempt> current = Optional.empty();
     private long retryDueNanos = Long.MAX_VALUE;
     private int retries;
+    private Runnable mayHaveRunListener = () -> {};
     private boolean mayHaveRun;
     private boolean finished;
 
@@ -44,6 +45,8 @@
         HELD,
         /** At the holder of the identifier, which is another node. */
         AT_HOLDER,
+        /** At one of the two nodes that may start an idempotent request under its key. */
+        AT_STARTER,
         /** At any copy of a deeper service. */
         DEEPER_SERVICE
     }
@@ -98,6 +101,12 @@
 
     void markMayHaveRun() {
         mayHaveRun = true;
+        mayHaveRunListener.run();
+    }
+
+    /** Has an action run whenever an attempt may have run. */
+    void onMayHaveRun(Runnable action) {
+        mayHaveRunListener = action;
     }
 
     boolean finished() {
--- a/policy/src/main/java/org/carawaysill/policy/engine/WorkRunner.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/WorkRunner.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.request.Invariant;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
@@ -27,6 +28,8 @@
  */
 final class WorkRunner {
 
+    private static final long NOT_LEAVING = Long.MAX_VALUE;
+    private static final long LEAVING_GRACE_NANOS = Duration.ofSeconds(5).toNanos();
     private static final Duration SHORTEST_RETRY_AFTER = Duration.ofMillis(100);
 
     private final NodeIdentity identity;
@@ -36,10 +39,12 @@
     private final CopyAdmission admission;
     private final ControlPlane control;
     private final Ownership ownership;
+    private final ClientRetries clientRetries;
     private final RetryGate retryGate;
     private final OutcomeDelivery delivery;
     private final IdentifierSource identifiers;
     private boolean draining;
+    private long leavingSinceNanos = NOT_LEAVING;
 
     WorkRunner(EngineParts parts) {
         identity = parts.identity();
@@ -49,13 +54,15 @@
         admission = parts.admission();
         control = parts.control();
         ownership = parts.ownership();
+        clientRetries = parts.clientRetries();
         retryGate = parts.retryGate();
         delivery = parts.delivery();
         identifiers = parts.identifiers();
     }
 
-    void drain() {
+    void drain(long now) {
         draining = true;
+        leavingSinceNanos = now;
     }
 
     /** Takes in work that is not yet in the table. */
@@ -71,12 +78,14 @@
         boolean local = switch (work.scope()) {
             case LOCAL_COPY -> true;
             case OWN_SERVICE, HELD -> !draining && !work.tried().contains(identity.node());
-            case AT_HOLDER, DEEPER_SERVICE -> false;
+            case AT_HOLDER, AT_STARTER, DEEPER_SERVICE -> false;
         };
         if (local) {
             offerToLocalCopy(now, work);
         } else if (work.scope() == Work.Scope.AT_HOLDER) {
             sendToHolder(now, work);
+        } else if (work.scope() == Work.Scope.AT_STARTER) {
+            sendToStarter(now, work);
         } else {
             sendToAnotherCopy(now, work);
         }
@@ -119,6 +128,14 @@
         send(now, work, holder.get(), Purpose.HOLD);
     }
 
+    private void sendToStarter(Moment now, Work work) {
+        clientRetries
+                .starter(now, work.facts())
+                .ifPresentOrElse(
+                        starter -> send(now, work, starter, Purpose.HOLD),
+                        () -> finish(now, work, notRun(RefusalReason.HOLDER_UNREACHABLE, Step.OWNERSHIP)));
+    }
+
     private void send(Moment now, Work work, NodeName peer, Purpose purpose) {
         RequestFacts facts = work.facts();
         Attempt attempt = new Attempt.AtPeer(identifiers.attempt(), peer, now.nanos());
@@ -133,7 +150,7 @@
                 facts.priority(),
                 facts.idempotent(),
                 facts.key(),
-                lend(work, attempt),
+                purpose == Purpose.HOLD ? lendAll(work, attempt) : lend(work, attempt),
                 facts.deadlineNanos() - now.nanos(),
                 facts.depth(),
                 purpose,
@@ -141,6 +158,10 @@
         out.add(new Effect.SendToPeer(peer, request));
     }
 
+    private static int lendAll(Work work, Attempt attempt) {
+        return work.ledger().grantForAttempt(attempt.identifier(), work.ledger().left());
+    }
+
     /** One credit stays here, so that an attempt whose answer is lost does not take every retry with it. */
     private static int lend(Work work, Attempt attempt) {
         return work.ledger().grantForAttempt(attempt.identifier(), work.ledger().left() - 1);
@@ -183,11 +204,22 @@
             finish(now, work, notRun(RefusalReason.NO_LEASE, Step.OWNERSHIP));
             return;
         }
+        checkHandOver(now, work);
         work.current(Optional.of(new Attempt.AtCopy(attempt)));
         out.add(new Effect.HandToCopy(
                 attempt, work.facts().content(), work.facts().deadlineNanos()));
     }
 
+    /** Counts what the guards before this step should have made impossible. */
+    private void checkHandOver(Moment now, Work work) {
+        if (!work.facts().idempotent() && work.mayHaveRun()) {
+            out.count(Invariant.AT_MOST_ONCE);
+        }
+        if (work.facts().arrivedNanos() - leavingSinceNanos > LEAVING_GRACE_NANOS && leavingSinceNanos != NOT_LEAVING) {
+            out.count(Invariant.NO_WORK_WHEN_LEAVING);
+        }
+    }
+
     /** Takes the local copy's answer, or the failure to get one. */
     void copyAnswered(Moment now, AttemptIdentifier attempt, Outcome outcome) {
         Finish finish = switch (outcome) {
@@ -362,6 +394,7 @@
         table.remove(work);
         work.finish();
         ownership.finished(work, told);
+        clientRetries.finished(work);
         delivery.deliver(now.nanos(), work, told);
     }
 
--- a/soak/src/main/java/org/carawaysill/soak/Clients.java
+++ b/soak/src/main/java/org/carawaysill/soak/Clients.java
@@ -25,6 +25,7 @@
     /** The header that carries the key through the chain, for the run log. */
     static final String KEY_HEADER = "trace";
 
+    private static final int HOPS = 2;
     private static final int MOST_TRIES = 5;
     private static final int OK = 200;
     private static final long PATIENCE_NANOS = 1_600_000_000L;
@@ -118,7 +119,7 @@
                 schedule.journal()
                         .breach(schedule.now(), Invariant.NOT_RUN_IS_TRUE, request.key + " was refused, yet it ran");
             }
-            int bound = 2 * (request.tries + Topology.RETRY_CREDITS * rosters);
+            int bound = HOPS * (1 + Topology.RETRY_CREDITS) * rosters;
             if (runs > bound) {
                 schedule.journal()
                         .breach(
--- a/soak/src/main/java/org/carawaysill/soak/SimulatedNode.java
+++ b/soak/src/main/java/org/carawaysill/soak/SimulatedNode.java
@@ -118,7 +118,8 @@
 
     void pause(long nanos) {
         schedule.journal().note(schedule.now(), name + " is paused");
-        pausedUntil = schedule.now() + nanos;
+        // A second pause never shortens the first: what waits for its end would else be overtaken.
+        pausedUntil = Math.max(pausedUntil, schedule.now() + nanos);
     }
 
     void drain() {
