--- a/node/src/test/java/org/carawaysill/node/copy/CopyClientTest.java
+++ b/node/src/test/java/org/carawaysill/node/copy/CopyClientTest.java
@@ -12,7 +12,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.carawaysill.model.identity.AttemptIdentifier;
-import org.carawaysill.model.identity.NetworkAddress;
 import org.carawaysill.model.request.AnswerContent;
 import org.carawaysill.model.request.Body;
 import org.carawaysill.model.request.Header;
@@ -48,16 +47,12 @@
 
     private final RawCopy copy = new RawCopy();
 
-    /** Leaps of the clock, one for each time it is read. */
+    /** Leaps of the clock, one for each reading. */
     private final Deque<Long> leaps = new ArrayDeque<>();
 
-    private final CopyClient client = clientOf(copy.address());
-
-    private CopyClient clientOf(NetworkAddress address) {
-        return new CopyClient(
-                new CopyClientSettings(bench.vertx(), bench.eventLoop(), address, SIZES, this::clock),
-                bench.registry());
-    }
+    private final CopyClient client = new CopyClient(
+            new CopyClientSettings(bench.vertx(), bench.eventLoop(), copy.address(), SIZES, this::clock),
+            bench.registry());
 
     private long clock() {
         return System.nanoTime() + Optional.ofNullable(leaps.poll()).orElse(0L);
@@ -70,19 +65,19 @@
         bench.close();
     }
 
-    private void hand(CopyClient to, AttemptIdentifier attempt, String method) {
-        hand(to, attempt, method, "gate");
+    private void hand(AttemptIdentifier attempt, String method) {
+        hand(attempt, method, "gate");
     }
 
-    private void hand(CopyClient to, AttemptIdentifier attempt, String method, String desk) {
+    private void hand(AttemptIdentifier attempt, String method, String desk) {
         RequestContent content = new RequestContent(
                 method, "/bills/7?full=true", List.of(new Header("X-Desk", desk)), Body.ofText("hello"));
-        to.hand(new Effect.HandToCopy(
+        client.hand(new Effect.HandToCopy(
                 attempt, content, System.nanoTime() + Duration.ofMinutes(1).toNanos()));
     }
 
     private RawConnection handAndAccept(AttemptIdentifier attempt) {
-        hand(client, attempt, "POST");
+        hand(attempt, "POST");
         RawConnection connection = copy.accept();
         connection.readMessage();
         return connection;
@@ -119,7 +114,7 @@
 
         @Test
         void passesTheRequestWithItsAttemptAndDeadline() {
-            hand(client, FIRST, "POST");
+            hand(FIRST, "POST");
             String request = copy.accept().readMessage();
             assertTrue(request.startsWith("POST /bills/7?full=true HTTP/1.1\r\n"), request);
             assertTrue(request.contains("X-Desk: gate\r\n"), request);
@@ -145,7 +140,7 @@
 
         @Test
         void keepsTheLengthThatAnAnswerToHeadStates() {
-            hand(client, FIRST, "HEAD");
+            hand(FIRST, "HEAD");
             RawConnection connection = copy.accept();
             connection.readHead();
             connection.write("HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n");
@@ -157,7 +152,7 @@
         void usesAConnectionAgainAfterACompleteAnswer() {
             RawConnection connection = handAndAccept(FIRST).write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
             assertEquals("a", textOf(answerOf(FIRST)));
-            hand(client, SECOND, "POST");
+            hand(SECOND, "POST");
             assertTrue(connection.readMessage().contains(SECOND.toString()));
             connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n\r\n");
             assertEquals("b", textOf(answerOf(SECOND)));
@@ -170,7 +165,7 @@
         @Test
         void isSaidWhenNothingListens() {
             copy.close();
-            hand(client, FIRST, "POST");
+            hand(FIRST, "POST");
             expectNotRun(FIRST, RefusalReason.COPY_UNREACHABLE);
         }
 
@@ -182,14 +177,10 @@
         @Test
         void isSaidWhenThePauseEndsAfterTheDeadline() {
             leaps.addAll(List.of(0L, Duration.ofMinutes(2).toNanos()));
-            hand(client, FIRST, "POST");
+            hand(FIRST, "POST");
             expectNotRun(FIRST, RefusalReason.DEADLINE);
             assertEquals("", copy.accept().readToEnd());
         }
-    }
-
-    @Nested
-    class Unwritable {
 
         /*
          * A slot of the copy is never free again: a request that HTTP can't carry made the client fail in the middle, and
@@ -197,8 +188,8 @@
          */
         @ParameterizedTest
         @CsvSource({"BAD METHOD, gate", "POST, 'gate\r\nX-Forged: 1'"})
-        void requestsAreNotRun(String method, String desk) {
-            hand(client, FIRST, method, desk);
+        void isSaidOfARequestThatHttpCannotCarry(String method, String desk) {
+            hand(FIRST, method, desk);
             expectNotRun(FIRST, RefusalReason.BAD_REQUEST);
         }
     }
@@ -282,7 +273,7 @@
             Outcome outcome = new Outcome.Unknown(UnknownReason.COPY_LOST, Step.COPY_WAIT, Optional.empty());
             for (int i = 0; outcome instanceof Outcome.Unknown; i++) {
                 AttemptIdentifier attempt = new AttemptIdentifier(3, i);
-                hand(client, attempt, "POST");
+                hand(attempt, "POST");
                 outcome = outcomeOf(attempt);
             }
             assertEquals(
@@ -299,7 +290,7 @@
         @Test
         void staysWithOneOfTwoHandoversOfAnAttempt() {
             RawConnection connection = handAndAccept(FIRST);
-            hand(client, FIRST, "POST");
+            hand(FIRST, "POST");
             AdapterBench.await(() -> bench.counted("breaches", "at_most_once") == 1);
             connection.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none");
             assertEquals("one", textOf(answerOf(FIRST)));
