--- a/soak/src/main/java/org/carawaysill/soak/SimulatedNode.java
+++ b/soak/src/main/java/org/carawaysill/soak/SimulatedNode.java
@@ -1,5 +1,7 @@
 package org.carawaysill.soak;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -43,7 +45,9 @@
     private final SimulatedCopy copy;
     private final Map<ExchangeIdentifier, Consumer<Optional<Outcome>>> exchanges = new HashMap<>();
     private final Map<ServiceName, Long> versions = new HashMap<>();
+    private final Deque<Runnable> backlog = new ArrayDeque<>();
     private Optional<NodePolicy> policy = Optional.empty();
+    private boolean workingOff;
     private String status = "";
     private long incarnation;
     private long monotonicOrigin;
@@ -144,25 +148,36 @@
         }
     }
 
+    /** Brings an event; a paused process takes it, in order, when it wakes. */
     void deliver(long toIncarnation, Event event) {
-        if (!alive() || toIncarnation != incarnation) {
+        backlog.addLast(() -> {
+            if (alive() && toIncarnation == incarnation) {
+                decide(event);
+            }
+        });
+        workOff();
+    }
+
+    private void workOff() {
+        if (workingOff) {
             return;
         }
-        if (schedule.now() < pausedUntil) {
-            schedule.agenda().at(pausedUntil, () -> deliver(toIncarnation, event));
-            return;
+        workingOff = true;
+        while (!backlog.isEmpty() && schedule.now() >= pausedUntil) {
+            backlog.removeFirst().run();
+        }
+        workingOff = false;
+        if (!backlog.isEmpty()) {
+            schedule.agenda().at(pausedUntil, this::workOff);
         }
-        decide(event);
     }
 
+    /** The effects of a decision go before whatever came after it; a pause may fall between any two of them. */
     private void decide(Event event) {
         long decidedBy = incarnation;
-        for (Effect effect : policy.orElseThrow().decide(moment(), event)) {
-            // A process may be paused between a decision and its execution; the rest is then carried out late.
-            schedule.agenda().at(Math.max(schedule.now(), pausedUntil), () -> execute(decidedBy, effect));
-            if (random.nextDouble() < schedule.pauseRate()) {
-                pause(random.nextLong(schedule.longestPause()));
-            }
+        List<Effect> effects = policy.orElseThrow().decide(moment(), event);
+        for (Effect effect : effects.reversed()) {
+            backlog.addFirst(() -> execute(decidedBy, effect));
         }
         scheduleWake();
     }
@@ -190,9 +205,8 @@
         if (!alive() || decidedBy != incarnation) {
             return;
         }
-        if (schedule.now() < pausedUntil) {
-            schedule.agenda().at(pausedUntil, () -> execute(decidedBy, effect));
-            return;
+        if (random.nextDouble() < schedule.pauseRate()) {
+            pause(random.nextLong(schedule.longestPause()));
         }
         switch (effect) {
             case Effect.HandToCopy hand -> copy.run(hand, moment().nanos());
