--- a/launcher/fleet.sh
+++ b/launcher/fleet.sh
@@ -41,11 +41,23 @@
   . "$home/config/find-java.sh"
   build_if_needed
   leave_nothing_behind
-  make_archives
+  # Nodes are measured as they are shipped: with their options, and without an archive of classes.
+  local archives=$work/none
   logs=${logs:-$work/logs}
   mkdir -p "$logs" "$work/fleet"
   run_program load fleet-layout "${size[@]}" --directory "$work/fleet" >/dev/null
   echo "carawaysill: starting ${size[1]} nodes"
+  extra_flags() {
+    case $1 in
+      configuration | vm-list) ;;
+      *) shipped_node_options ;;
+    esac
+  }
   start_pause=0.2 start_site "$logs" "$work/fleet"
+  unset -f extra_flags
   run_program load fleet-watch "${size[@]}" "${watch[@]}"
 }
+
+shipped_node_options() {
+  grep -v '^#' "$home/node/src/main/jvm/node.options"
+}
