--- a/launcher/demo.sh
+++ b/launcher/demo.sh
@@ -8,7 +8,7 @@
 
   --scenario NAME   surge, slow, both (the default), kill, zones, configuration-down or twice
   --site NAME       trinacria (the default) or tengri
-  --seconds N       length of the load under each policy (default 28, at least 10)
+  --seconds N       length of the load under each policy (default 24, at least 10)
   --seed N          seed of all draws (default 1)
   --report FILE     write both reports as one JSON document
   --plot FILE       draw goodput over time under both policies, as SVG
@@ -18,7 +18,7 @@
 }
 
 demo() {
-  local site=trinacria scenario=both seconds=28 seed=1 logs="" table=() policy
+  local site=trinacria scenario=both seconds=24 seed=1 logs="" table=() policy
   while [ $# -gt 0 ]; do
     case $1 in
       --help)
--- a/load/src/main/java/org/carawaysill/load/audit/Audit.java
+++ b/load/src/main/java/org/carawaysill/load/audit/Audit.java
@@ -1,6 +1,7 @@
 package org.carawaysill.load.audit;
 
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.carawaysill.load.client.AnswerFault;
@@ -54,13 +55,16 @@
     }
 
     /**
-     * Gives the attempts of one request at its busiest hop.
+     * Gives the most runs of one request at each hop.
      *
-     * @param request the request
-     * @return how often the copies of one service ran it at most
+     * @return how often the copies of the hop's service ran one request at most
      */
-    public int mostRunsOfOneHop(RequestRecord request) {
-        return most(runLog.runs(request.traceIdentifier()));
+    public Map<Hop, Integer> mostRuns() {
+        Map<Hop, Integer> most = new HashMap<>();
+        for (RequestRecord request : records) {
+            runLog.runs(request.traceIdentifier()).forEach((hop, runs) -> most.merge(hop, runs, Math::max));
+        }
+        return most;
     }
 
     private static int most(Map<Hop, Integer> runs) {
--- a/load/src/main/java/org/carawaysill/load/command/RunCommand.java
+++ b/load/src/main/java/org/carawaysill/load/command/RunCommand.java
@@ -46,7 +46,7 @@
     private long seed = 1;
 
     @Option(name = "--seconds", metaVar = "N", usage = "how long to send, at least 10")
-    private int seconds = 30;
+    private int seconds = 24;
 
     @Option(name = "--tries", metaVar = "N", usage = "how often a client sends one request at most")
     private int tries = ClientSettings.impatient().tries();
--- a/load/src/main/java/org/carawaysill/load/plot/GoodputPlot.java
+++ b/load/src/main/java/org/carawaysill/load/plot/GoodputPlot.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.carawaysill.load.report.Played;
 import org.carawaysill.load.report.RunReport;
 import org.carawaysill.load.report.Series;
 import org.carawaysill.load.report.Series.Stretch;
@@ -99,21 +100,25 @@
                 Svg.text(Frame.text(x), Frame.text(y), "start", SENT_COLOUR, "-- requests sent, without retries"));
         for (RunReport report : reports) {
             x += 260;
-            legend.append(
-                    Svg.text(Frame.text(x), Frame.text(y), "start", colour(report), "— goodput, " + report.policy()));
+            legend.append(Svg.text(
+                    Frame.text(x),
+                    Frame.text(y),
+                    "start",
+                    colour(report),
+                    "— goodput, " + report.played().policy()));
         }
         return legend.toString();
     }
 
     private String title() {
-        RunReport report = reports.getFirst();
+        Played played = reports.getFirst().played();
         String text = "Goodput of whole requests per second: site %s, scenario %s, seed %d"
-                .formatted(report.site(), report.scenario(), report.seed());
+                .formatted(played.site(), played.scenario(), played.seed());
         return Svg.text(Frame.text(Frame.LEFT), Frame.text(Frame.TOP - 20), "start", OTHER_COLOUR, text);
     }
 
     private static String colour(RunReport report) {
-        return COLOURS.getOrDefault(report.policy(), OTHER_COLOUR);
+        return COLOURS.getOrDefault(report.played().policy(), OTHER_COLOUR);
     }
 
     private static double highest(Series series, List<Integer> counts) {
--- a/load/src/main/java/org/carawaysill/load/report/ComparisonTable.java
+++ b/load/src/main/java/org/carawaysill/load/report/ComparisonTable.java
@@ -31,32 +31,39 @@
                 rows,
                 comparison,
                 "retried by a node: ",
-                report -> report.nodes().retries());
+                report -> report.chain().nodes().retries());
         int width = rows.stream().mapToInt(row -> row.name().length()).max().orElse(0);
-        return heading(comparison.carawaysill())
+        return heading(comparison.carawaysill().played())
                 + rows.stream().map(row -> row.text(width)).collect(Collectors.joining());
     }
 
     private static final List<Figure> FIGURES = List.of(
-            new Figure("offered during the trigger, requests/s", report -> number(report.offeredPerSecond(), 0)),
+            new Figure(
+                    "offered during the trigger, requests/s",
+                    report -> number(report.traffic().offeredPerSecond(), 0)),
             new Figure("goodput of whole requests, requests/s", report -> number(report.goodputPerSecond(), 0)),
             new Figure("goodput, share of what the bottleneck serves", report -> percent(report.goodputRatio(), 1)),
-            new Figure("goodput before the trigger, requests/s", report -> number(report.normalPerSecond(), 0)),
+            new Figure(
+                    "goodput before the trigger, requests/s",
+                    report -> number(report.traffic().steadyPerSecond(), 0)),
             new Figure("recovery after the trigger, s", ComparisonTable::recovery),
             new Figure("important requests answered", report -> percent(report.importantAnsweredRatio(), 2)),
             new Figure("attempts per request, mean", report -> number(report.attemptsPerRequestMean(), 2)),
             new Figure("attempts per request, most", report -> String.valueOf(report.attemptsPerRequestMax())),
-            new Figure("attempts at one hop, most", report -> String.valueOf(report.runsPerHopMax())),
-            new Figure("tries per client, mean", report -> number(report.triesPerRequest(), 2)),
+            new Figure(
+                    "attempts at one hop, most",
+                    report -> String.valueOf(report.chain().mostRunsOfOneHop())),
+            new Figure(
+                    "tries per client, mean", report -> number(report.traffic().triesPerRequest(), 2)),
             new Figure("latency of whole requests, p50 ms", report -> triggerLatency(report, Latency::p50)),
             new Figure("latency of whole requests, p99 ms", report -> triggerLatency(report, Latency::p99)),
-            new Figure("bench late, p99 ms", report -> number(report.sentLateMillisecondsP99(), 0)),
-            new Figure("processors busy, most", report -> percent(report.processorsBusyMax(), 0)),
+            new Figure("bench late, p99 ms", report -> number(report.bench().sentLateMillisecondsP99(), 0)),
+            new Figure("processors busy, most", report -> percent(report.bench().processorsBusyMax(), 0)),
             new Figure("violations", report -> String.valueOf(report.violations())));
 
-    private static String heading(RunReport report) {
+    private static String heading(Played played) {
         return "site %s, scenario %s, seed %d, %d s a policy%n"
-                .formatted(report.site(), report.scenario(), report.seed(), report.seconds());
+                .formatted(played.site(), played.scenario(), played.seed(), played.seconds());
     }
 
     private static Row row(Comparison comparison, Figure figure) {
--- a/load/src/main/java/org/carawaysill/load/report/ReportBuilder.java
+++ b/load/src/main/java/org/carawaysill/load/report/ReportBuilder.java
@@ -61,41 +61,65 @@
         Map<String, Integer> violations = violations();
         List<Recovery> recoveries = recoveries();
         return new RunReport(
-                settings.policy(),
-                settings.site().name(),
-                settings.scenario().text(),
-                settings.seed(),
-                settings.seconds(),
-                records.size(),
-                records.stream()
-                        .mapToInt(request -> request.tries().size())
-                        .average()
-                        .orElse(0),
-                settings.site().capacityPerSecond(),
-                normalPerSecond(),
-                records.stream().filter(this::sentInTrigger).count() / triggerSeconds(),
-                records.stream().filter(this::wholeInTrigger).count() / triggerSeconds(),
+                played(),
+                countPerSecond(this::wholeInTrigger),
                 new SlotUse(settings.site(), settings.scenario(), timeline.triggers()).ratio(records),
                 recoveries.stream().mapToDouble(Recovery::seconds).max().orElse(0),
                 recoveries.stream().allMatch(Recovery::complete),
                 records.stream().mapToInt(audit::attempts).max().orElse(0),
                 records.stream().mapToInt(audit::attempts).average().orElse(0),
-                records.stream().mapToInt(audit::mostRunsOfOneHop).max().orElse(0),
                 answeredRatio(request -> request.arrival().operation().important()),
                 violations.values().stream().mapToInt(Integer::intValue).sum(),
                 violations,
                 refusals(),
-                counted(tries().map(TryResult::countedAs)),
-                audit.counters(),
                 latencies(),
-                answeredByOperation(),
-                sentLate().p99(),
-                busy().max().orElse(0),
-                busy().average().orElse(0),
+                traffic(),
+                chain(),
+                bench(),
                 buckets.series());
     }
 
-    private double normalPerSecond() {
+    private Played played() {
+        return new Played(
+                settings.policy(),
+                settings.site().name(),
+                settings.scenario().text(),
+                settings.seed(),
+                settings.seconds());
+    }
+
+    private Traffic traffic() {
+        return new Traffic(
+                records.size(),
+                records.stream()
+                        .mapToInt(request -> request.tries().size())
+                        .average()
+                        .orElse(0),
+                counted(tries().map(TryResult::countedAs)),
+                settings.site().capacityPerSecond(),
+                steadyPerSecond(),
+                countPerSecond(this::sentInTrigger),
+                answeredByOperation());
+    }
+
+    private Chain chain() {
+        Map<String, Integer> mostRuns = new TreeMap<>();
+        audit.mostRuns().forEach((hop, runs) -> mostRuns.put(hop.toString(), runs));
+        return new Chain(mostRuns, audit.counters());
+    }
+
+    private BenchState bench() {
+        return new BenchState(
+                sentLate().p99(), busy().max().orElse(0), busy().average().orElse(0));
+    }
+
+    private double countPerSecond(Predicate<RequestRecord> which) {
+        double seconds =
+                timeline.triggers().stream().mapToDouble(Window::seconds).sum();
+        return records.stream().filter(which).count() / seconds;
+    }
+
+    private double steadyPerSecond() {
         Window steady = timeline.steady();
         long whole = records.stream()
                 .filter(RequestRecord::whole)
@@ -104,10 +128,6 @@
         return whole / steady.seconds();
     }
 
-    private double triggerSeconds() {
-        return timeline.triggers().stream().mapToDouble(Window::seconds).sum();
-    }
-
     private List<Recovery> recoveries() {
         List<Recovery> recoveries = new ArrayList<>();
         double normal = settings.rates().normalPerSecond();
