--- a/launcher/processes.sh
+++ b/launcher/processes.sh
@@ -1,5 +1,6 @@
 # Sourced by the launcher: starts the processes of a site, and leaves none behind.
 processes=()
+logs_of=()
 work=""
 stop_seconds=5
 
@@ -14,7 +15,9 @@
 }
 
 clean_up() {
+  local status=$?
   trap '' INT TERM HUP
+  [ $status -ne 1 ] || tell_who_ended
   stop_processes
   rm -rf "$work"
 }
@@ -24,6 +27,18 @@
   shift
   "$@" >"$log" 2>&1 </dev/null &
   processes+=($!)
+  logs_of[$!]=$log
+}
+
+# After a failure: the last lines of each process that ended by itself, which is often the cause.
+tell_who_ended() {
+  local process
+  for process in "${processes[@]}"; do
+    if ! kill -0 "$process" 2>/dev/null && [ -n "${logs_of[$process]:-}" ]; then
+      echo "carawaysill: $(basename "${logs_of[$process]}" .log) ended by itself:" >&2
+      tail -n 3 "${logs_of[$process]}" >&2
+    fi
+  done
 }
 
 # Starts the processes that a layout lists: name, program and arguments, with tabs between. For each process the command
@@ -74,6 +89,7 @@
     wait "$process" 2>/dev/null || true
   done
   processes=()
+  logs_of=()
 }
 
 any_alive() {
