--- a/policy/src/test/java/org/carawaysill/policy/routing/CopySelectorTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/routing/CopySelectorTest.java
@@ -13,7 +13,6 @@
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import org.carawaysill.model.configuration.CopyEntry;
-import org.carawaysill.model.configuration.Labels;
 import org.carawaysill.model.configuration.ServiceConfiguration;
 import org.carawaysill.model.identity.AvailabilityZone;
 import org.carawaysill.model.identity.NodeName;
@@ -60,8 +59,7 @@
                         i -> new CopyEntry(node(i), new AvailabilityZone("zone-" + i % zones), "127.0.0.1", 1, 10, 100))
                 .toList();
         RequestTerms terms = new RequestTerms(Importance.ORDINARY, true, 0, Duration.ofSeconds(1));
-        return new ServiceConfiguration(
-                SERVICE, 1, Labels.NONE, List.of(), entries, List.of(), List.of(), List.of(), terms);
+        return ServiceConfiguration.builder(SERVICE, 1, entries).defaults(terms).build();
     }
 
     private Map<NodeName, Integer> choices(long now, int count) {
--- a/policy/src/test/java/org/carawaysill/policy/routing/VirtualCopies.java
+++ b/policy/src/test/java/org/carawaysill/policy/routing/VirtualCopies.java
@@ -11,7 +11,6 @@
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import org.carawaysill.model.configuration.CopyEntry;
-import org.carawaysill.model.configuration.Labels;
 import org.carawaysill.model.configuration.ServiceConfiguration;
 import org.carawaysill.model.identity.AvailabilityZone;
 import org.carawaysill.model.identity.NodeName;
@@ -95,8 +94,7 @@
                 .mapToObj(i -> new CopyEntry(name(i), zone(i), "127.0.0.1", 1, SLOTS, 100))
                 .toList();
         RequestTerms terms = new RequestTerms(Importance.ORDINARY, true, 0, Duration.ofSeconds(1));
-        return new ServiceConfiguration(
-                service, 1, Labels.NONE, List.of(), copies, List.of(), List.of(), List.of(), terms);
+        return ServiceConfiguration.builder(service, 1, copies).defaults(terms).build();
     }
 
     Result run(Balancer.Kind kind, Duration duration) {
