--- a/policy/src/main/java/org/carawaysill/policy/admission/ChainCuts.java
+++ b/policy/src/main/java/org/carawaysill/policy/admission/ChainCuts.java
@@ -1,6 +1,5 @@
 package org.carawaysill.policy.admission;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -8,29 +7,26 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Priority;
 import org.carawaysill.policy.message.PeerMessage.ServiceCut;
 
 /**
- * What the services below this one admit at present, learned from their answers, and by which operations they are
- * reached.
+ * What the services below this one admit at present, learned from their answers, and which operations reach them.
  *
- * <p>Invariant: a cut that is not heard again has no force after {@link #LIFETIME}. Not thread safe: the policy's
- * thread owns it.
+ * <p>A request that would be refused at the last hop is refused here instead, before any copy has worked for it.
+ * An
+ * operation that no longer reaches a service is known to for another minute. Invariant: a cut that is not heard again
+ * has no force after a second. Not thread safe: the policy's thread owns it.
  */
 public final class ChainCuts {
 
-    /** How long a cut has force after it was heard. */
-    public static final Duration LIFETIME = Duration.ofSeconds(1);
-
-    private static final Duration RETRY_AFTER = Duration.ofMillis(500);
+    private static final long REACH_MEMORY_NANOS = 60_000_000_000L;
 
     private final ServiceName own;
-    private final Map<String, Set<ServiceName>> reached = new HashMap<>();
-    private final Map<ServiceName, Map<NodeName, Heard>> heard = new TreeMap<>();
+    private final Map<String, Map<ServiceName, Long>> reachedBy = new HashMap<>();
+    private final Map<ServiceName, ServiceCuts> services = new TreeMap<>();
 
     /**
      * Knows nothing yet.
@@ -42,7 +38,7 @@
     }
 
     /**
-     * Takes note of the cuts that came with an answer.
+     * Takes note of the cuts that came with an answer, of whatever outcome.
      *
      * @param now nanoseconds on the monotonic clock
      * @param operation the operation of this node's service during which the answering node was called
@@ -52,8 +48,9 @@
     public void learned(long now, String operation, NodeName from, List<ServiceCut> below) {
         for (ServiceCut cut : below) {
             if (!cut.service().equals(own)) {
-                reached.computeIfAbsent(operation, key -> new TreeSet<>()).add(cut.service());
-                heard.computeIfAbsent(cut.service(), key -> new HashMap<>()).put(from, new Heard(cut.level(), now));
+                reachedBy.computeIfAbsent(operation, key -> new TreeMap<>()).put(cut.service(), now);
+                services.computeIfAbsent(cut.service(), key -> new ServiceCuts())
+                        .heard(now, from, cut.level());
             }
         }
     }
@@ -67,11 +64,14 @@
      * @return the refusal, if a service that the operation reaches would refuse it
      */
     public Optional<ChainRefusal> check(long now, String operation, Priority priority) {
-        for (ServiceName service : reached.getOrDefault(operation, Set.of())) {
-            if (priority.level() < level(now, service)) {
-                return Optional.of(new ChainRefusal(service, RETRY_AFTER));
+        Set<ServiceName> reached = reached(now, operation);
+        for (ServiceName service : reached) {
+            ServiceCuts cuts = services.get(service);
+            if (priority.level() < cuts.level(now)) {
+                return Optional.of(new ChainRefusal(service, cuts.refused(now)));
             }
         }
+        reached.forEach(service -> services.get(service).passed(now));
         return Optional.empty();
     }
 
@@ -86,8 +86,8 @@
     public List<ServiceCut> report(long now, String operation, int ownCut) {
         List<ServiceCut> cuts = new ArrayList<>();
         cuts.add(new ServiceCut(own, ownCut));
-        for (ServiceName service : reached.getOrDefault(operation, Set.of())) {
-            cuts.add(new ServiceCut(service, level(now, service)));
+        for (ServiceName service : reached(now, operation)) {
+            cuts.add(new ServiceCut(service, services.get(service).level(now)));
         }
         return cuts;
     }
@@ -100,19 +100,13 @@
      */
     public Map<ServiceName, Integer> present(long now) {
         Map<ServiceName, Integer> levels = new TreeMap<>();
-        for (ServiceName service : heard.keySet()) {
-            levels.put(service, level(now, service));
-        }
+        services.forEach((service, cuts) -> levels.put(service, cuts.level(now)));
         return levels;
     }
 
-    private int level(long now, ServiceName service) {
-        return heard.getOrDefault(service, Map.of()).values().stream()
-                .filter(cut -> now - cut.atNanos() < LIFETIME.toNanos())
-                .mapToInt(Heard::level)
-                .min()
-                .orElse(0);
+    private Set<ServiceName> reached(long now, String operation) {
+        Map<ServiceName, Long> lastHeard = reachedBy.getOrDefault(operation, Map.of());
+        lastHeard.values().removeIf(heardNanos -> now - heardNanos > REACH_MEMORY_NANOS);
+        return lastHeard.keySet();
     }
-
-    private record Heard(int level, long atNanos) {}
 }
