--- a/policy/src/main/java/org/carawaysill/policy/detection/FixedTimeout.java
+++ b/policy/src/main/java/org/carawaysill/policy/detection/FixedTimeout.java
@@ -5,9 +5,10 @@
 /**
  * Suspects a node that has been silent for a fixed time.
  *
- * <p>Not thread safe: one thread owns it.
+ * <p>Invariant: a node is never suspected before its first sign of life, and the next one ends the suspicion. Not thread
+ * safe: one thread owns it.
  */
-public final class FixedTimeout implements FailureDetector {
+public final class FixedTimeout {
 
     private final long timeoutNanos;
     private long suspectsFromNanos = Long.MAX_VALUE;
@@ -21,13 +22,31 @@
         this.timeoutNanos = timeout.toNanos();
     }
 
-    @Override
+    /**
+     * Takes in a sign of life.
+     *
+     * @param now its arrival in nanoseconds on the monotonic clock
+     */
     public void heartbeat(long now) {
         suspectsFromNanos = now + timeoutNanos;
     }
 
-    @Override
+    /**
+     * Tells when suspicion begins if nothing more is heard.
+     *
+     * @return a time in nanoseconds on the monotonic clock, {@link Long#MAX_VALUE} before the first sign of life
+     */
     public long suspectsFromNanos() {
         return suspectsFromNanos;
     }
+
+    /**
+     * Tells whether the node is suspected.
+     *
+     * @param now nanoseconds on the monotonic clock
+     * @return whether it has been silent for too long
+     */
+    public boolean suspects(long now) {
+        return now >= suspectsFromNanos;
+    }
 }
--- a/policy/src/main/java/org/carawaysill/policy/detection/package-info.java
+++ b/policy/src/main/java/org/carawaysill/policy/detection/package-info.java
@@ -1,4 +1,4 @@
-/** Failure detectors: from when on a silent node is suspected. */
+/** The failure detector: from when on a silent node is suspected. */
 @NullMarked
 package org.carawaysill.policy.detection;
 
--- a/policy/src/main/java/org/carawaysill/policy/membership/HeartbeatPlan.java
+++ b/policy/src/main/java/org/carawaysill/policy/membership/HeartbeatPlan.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.Set;
 import org.carawaysill.model.identity.NodeName;
-import org.carawaysill.policy.detection.FailureDetector;
 import org.carawaysill.policy.detection.FixedTimeout;
 
 /**
@@ -31,12 +30,12 @@
                 : stretched(settings.intervalBetweenServices(), others);
     }
 
-    /** Heartbeats carry the configuration versions, also where other messages show life. */
+    /** Heartbeats carry the configuration versions and a copy's load, also where other messages show life. */
     long longestNanos(NodeName node) {
-        return Math.max(silenceNanos(node), settings.intervalBetweenServices().toNanos());
+        return isOwn(node) ? 2 * silenceNanos(node) : silenceNanos(node);
     }
 
-    FailureDetector detector(NodeName node) {
+    FixedTimeout detector(NodeName node) {
         return new FixedTimeout(Duration.ofNanos(
                 isOwn(node)
                         ? stretched(settings.timeout(), ownService.size())
--- a/policy/src/main/java/org/carawaysill/policy/membership/Membership.java
+++ b/policy/src/main/java/org/carawaysill/policy/membership/Membership.java
@@ -63,7 +63,7 @@
     }
 
     /**
-     * Sets the nodes to keep connections to; call it when a roster or the choice of copies changes.
+     * Sets the nodes to keep connections to; without a change nothing happens.
      *
      * @param own the nodes of the own service
      * @param called the chosen nodes of the services that this node calls
@@ -74,6 +74,10 @@
         own.forEach(copy -> next.put(copy.node(), copy));
         called.forEach(copy -> next.put(copy.node(), copy));
         next.remove(self);
+        Set<NodeName> ownService = own.stream().map(CopyEntry::node).collect(Collectors.toSet());
+        if (next.equals(watched) && ownService.equals(plan.ownService())) {
+            return List.of();
+        }
         List<Effect> effects = new ArrayList<>();
         watched.keySet().stream()
                 .filter(node -> !next.containsKey(node))
@@ -85,7 +89,7 @@
                 .forEach(effects::add);
         watched.clear();
         watched.putAll(next);
-        replan(own.stream().map(CopyEntry::node).collect(Collectors.toSet()));
+        replan(ownService);
         return effects;
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/membership/MembershipSettings.java
+++ b/policy/src/main/java/org/carawaysill/policy/membership/MembershipSettings.java
@@ -37,8 +37,8 @@
 
         private Duration interval = Duration.ofSeconds(1);
         private Duration intervalBetweenServices = Duration.ofSeconds(3);
-        private Duration timeout = Duration.ofMillis(3_500);
-        private Duration timeoutBetweenServices = Duration.ofSeconds(10);
+        private Duration timeout = Duration.ofMillis(2_500);
+        private Duration timeoutBetweenServices = Duration.ofMillis(7_500);
         private Duration vmListInterval = Duration.ofSeconds(2);
 
         private Builder() {}
--- a/policy/src/main/java/org/carawaysill/policy/membership/Peer.java
+++ b/policy/src/main/java/org/carawaysill/policy/membership/Peer.java
@@ -1,6 +1,6 @@
 package org.carawaysill.policy.membership;
 
-import org.carawaysill.policy.detection.FailureDetector;
+import org.carawaysill.policy.detection.FixedTimeout;
 import org.carawaysill.policy.effect.PeerState;
 
 /**
@@ -11,7 +11,7 @@
  */
 final class Peer {
 
-    private FailureDetector detector;
+    private FixedTimeout detector;
     private long heardNanos;
     private long incarnation = Long.MIN_VALUE;
     private boolean connected;
@@ -20,11 +20,11 @@
     private long lastHeartbeatNanos;
     private PeerState shown = PeerState.UNREACHABLE;
 
-    Peer(FailureDetector detector) {
+    Peer(FixedTimeout detector) {
         this.detector = detector;
     }
 
-    void detectBy(FailureDetector replacement) {
+    void detectBy(FixedTimeout replacement) {
         detector = replacement;
         detector.heartbeat(heardNanos);
     }
--- /dev/null
+++ b/policy/src/test/java/org/carawaysill/policy/detection/HeartbeatTrace.java
@@ -0,0 +1,66 @@
+package org.carawaysill.policy.detection;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** Heartbeats of one hour on a fixed schedule, with the times at which they were sent and arrived. */
+record HeartbeatTrace(List<Heartbeat> heartbeats) {
+
+    static final long INTERVAL = 1_000_000_000L;
+    private static final int COUNT = 3_600;
+    private static final double MILLISECOND = 1e6;
+
+    record Heartbeat(int sequence, long sent, long arrived) {}
+
+    /** What disturbs the heartbeats of a node that lives. */
+    enum Trouble {
+        CALM,
+        SHORT_PAUSES,
+        LONG_PAUSES,
+        RETRANSMISSIONS,
+        LOST_HEARTBEATS,
+        BUSY_MACHINE
+    }
+
+    static HeartbeatTrace of(Trouble trouble, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Heartbeat> heartbeats = new ArrayList<>();
+        long sent = 0;
+        long arrived = 0;
+        for (int i = 0; i < COUNT; i++) {
+            sent = Math.max(sent, i * INTERVAL + (long) senderDelay(trouble, random));
+            arrived = Math.max(arrived, sent + (long) wayDelay(trouble, random));
+            if (trouble != Trouble.LOST_HEARTBEATS || random.nextDouble() >= 0.02) {
+                heartbeats.add(new Heartbeat(i, sent, arrived));
+            }
+        }
+        return new HeartbeatTrace(heartbeats);
+    }
+
+    /** Pauses of the sender, and its late wake-ups; what was due meanwhile follows at once. */
+    private static double senderDelay(Trouble trouble, SplittableRandom random) {
+        double late = exponential(random, 2 * MILLISECOND);
+        return switch (trouble) {
+            case SHORT_PAUSES -> random.nextDouble() < 0.02 ? late + exponential(random, 300 * MILLISECOND) : late;
+            case LONG_PAUSES -> random.nextDouble() < 0.002 ? late + exponential(random, 2_000 * MILLISECOND) : late;
+            case BUSY_MACHINE -> Math.min(10_000, 10 / Math.pow(1 - random.nextDouble(), 0.7)) * MILLISECOND;
+            case CALM, RETRANSMISSIONS, LOST_HEARTBEATS -> late;
+        };
+    }
+
+    /** The way over the network; TCP sends a lost segment again after 200 ms, then twice that, and so on. */
+    private static double wayDelay(Trouble trouble, SplittableRandom random) {
+        double way = 1.5 * MILLISECOND + exponential(random, MILLISECOND);
+        double timeout = 200 * MILLISECOND;
+        while (trouble == Trouble.RETRANSMISSIONS && random.nextDouble() < 0.05) {
+            way += timeout;
+            timeout *= 2;
+        }
+        return way;
+    }
+
+    private static double exponential(SplittableRandom random, double mean) {
+        return -Math.log(1 - random.nextDouble()) * mean;
+    }
+}
