Split the distribution by what it takes in; ask at once for what peers told before it was followed

A starting node heard its peers' versions of called services before its own document told it to follow them, and asked only after their next heartbeat. It now asks whenever it reconsiders. A document that names another service is refused.

--- a/policy/src/main/java/org/carawaysill/policy/distribution/Adoption.java
+++ b/policy/src/main/java/org/carawaysill/policy/distribution/Adoption.java
@@ -44,6 +44,9 @@
             return List.of();
         }
         return switch (parser.parse(text, version)) {
+            case DocumentParser.Verdict.Valid valid
+            when !valid.configuration().service().equals(service) ->
+                refuse(service, new RefusedDocument(version, "it names another service"));
             case DocumentParser.Verdict.Valid valid -> hold(valid.configuration(), text);
             case DocumentParser.Verdict.Invalid invalid ->
                 refuse(service, new RefusedDocument(version, invalid.message()));
--- a/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
+++ b/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
@@ -12,7 +12,6 @@
 import org.carawaysill.model.configuration.ServiceConfiguration;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
-import org.carawaysill.model.request.ConfigurationCount;
 import org.carawaysill.policy.effect.Effect;
 import org.carawaysill.policy.event.Event;
 import org.carawaysill.policy.message.PeerMessage;
@@ -40,9 +39,11 @@
     private final PlatformReads reads;
     private final StartingGate gate;
     private final Adoption adoption;
+    private final PlatformAnswers answers;
+    private final PeerDocuments peerDocuments;
     private boolean started;
 
-    /** Whether the event at hand bears on the elections, the reads or the gate. */
+    /** Whether something happened that bears on the elections, the reads, the questions to others or the gate. */
     private boolean reconsider;
 
     private long nextWakeNanos = Long.MIN_VALUE;
@@ -65,10 +66,12 @@
         this.self = self;
         this.settings = settings;
         this.documents = new DocumentSet(own);
-        this.exchange = new PeerExchange(documents);
+        this.exchange = new PeerExchange(documents, random);
         this.reads = new PlatformReads(settings, random);
         this.gate = new StartingGate(self, settings.startingBound());
         this.adoption = new Adoption(self, parser, documents, gate);
+        this.answers = new PlatformAnswers(documents, adoption, exchange, reads);
+        this.peerDocuments = new PeerDocuments(documents, adoption, exchange);
     }
 
     /**
@@ -83,43 +86,36 @@
             started = true;
             reads.start(now.nanos(), documents.own());
         }
-        reconsider = true;
-        List<Effect> effects = new ArrayList<>(dispatch(now.nanos(), event));
+        List<Effect> effects = new ArrayList<>(take(now.nanos(), event));
         if (reconsider || now.nanos() >= nextWakeNanos) {
+            reconsider = false;
             effects.addAll(wakeUp(now.nanos()));
         }
         return effects;
     }
 
-    private List<Effect> dispatch(long now, Event event) {
+    private List<Effect> take(long now, Event event) {
         return switch (event) {
-            case Event.ConfigurationRead read -> read(now, read);
-            case Event.ConfigurationUnchanged unchanged -> {
-                reads.schedule(unchanged.service()).gotNothing(now);
-                yield List.of();
-            }
-            case Event.ConfigurationRefused refusal -> refused(now, refusal);
-            case Event.ConfigurationReadFailed failed -> {
-                reads.schedule(failed.service()).failed(now);
-                yield List.of(new Effect.Count(ConfigurationCount.READ_FAILED));
-            }
+            case Event.ConfigurationRead read -> reconsiderAfter(answers.take(now, read));
+            case Event.ConfigurationUnchanged unchanged -> reconsiderAfter(answers.take(now, unchanged));
+            case Event.ConfigurationRefused refusal -> reconsiderAfter(answers.take(now, refusal));
+            case Event.ConfigurationReadFailed failed -> reconsiderAfter(answers.take(now, failed));
             case Event.VmListRead read -> {
                 gate.vmList(read.list());
                 reads.fleet(now, read.list().states().size());
-                yield List.of();
+                yield reconsiderAfter(List.of());
             }
             case Event.PeerConnected peer -> {
                 exchange.connected(now, peer.peer());
-                yield List.of();
+                yield reconsiderAfter(List.of());
             }
             case Event.PeerLost peer -> {
                 exchange.lost(peer.peer());
-                yield List.of();
+                yield reconsiderAfter(List.of());
             }
             case Event.PeerReceived received -> {
-                reconsider = false;
                 exchange.heard(now, received.from());
-                yield message(now, received.from(), received.message());
+                yield take(now, received.from(), received.message());
             }
             case Event.CallerRequest _,
                     Event.CopyCall _,
@@ -127,23 +123,21 @@
                     Event.CopyAnswered _,
                     Event.PeerUnsent _,
                     Event.DrainOrdered _,
-                    Event.WakeUp _ -> {
-                reconsider = false;
-                yield List.of();
-            }
+                    Event.WakeUp _ -> List.of();
         };
     }
 
-    private List<Effect> message(long now, NodeName from, PeerMessage message) {
+    private List<Effect> take(long now, NodeName from, PeerMessage message) {
         return switch (message) {
             case Heartbeat heartbeat -> {
-                reconsider |= !gate.isOpen();
-                yield exchange.told(now, from, heartbeat.versions());
+                exchange.told(from, heartbeat.versions());
+                reconsider = !gate.isOpen() || exchange.behind(now);
+                yield List.of();
             }
             case ConfigurationWanted wanted ->
                 exchange.answer(from, wanted).stream().toList();
-            case ConfigurationDocument document -> document(from, document);
-            case ConfigurationChange change -> change(now, from, change);
+            case ConfigurationDocument document -> reconsiderAfter(peerDocuments.take(from, document));
+            case ConfigurationChange change -> reconsiderAfter(peerDocuments.take(now, from, change));
             case PeerMessage.PeerRequest _,
                     PeerMessage.PeerAnswer _,
                     PeerMessage.CancelAttempt _,
@@ -154,66 +148,15 @@
         };
     }
 
-    private List<Effect> read(long now, Event.ConfigurationRead read) {
-        ServiceName service = read.configuration().service();
-        long held = documents.of(service).version();
-        if (read.configuration().version() < held) {
-            reads.schedule(service).failed(now);
-            return List.of(new Effect.Count(ConfigurationCount.STALE_READ));
-        }
-        if (read.configuration().version() == held) {
-            reads.schedule(service).gotNothing(now);
-            return List.of();
-        }
-        reads.schedule(service).gotNewer(now);
-        return withPush(service, adoption.hold(read.configuration(), read.text()));
-    }
-
-    private List<Effect> refused(long now, Event.ConfigurationRefused refusal) {
-        ServiceName service = refusal.service();
-        if (refusal.version() > documents.of(service).settledVersion()) {
-            reads.schedule(service).gotNewer(now);
-        } else {
-            reads.schedule(service).failed(now);
-        }
-        return adoption.refuse(service, new RefusedDocument(refusal.version(), refusal.message()));
-    }
-
-    private List<Effect> document(NodeName from, ConfigurationDocument document) {
+    private List<Effect> reconsiderAfter(List<Effect> effects) {
         reconsider = true;
-        exchange.received(from, document.service(), document.version());
-        return withPush(document.service(), adoption.check(document.service(), document.version(), document.text()));
-    }
-
-    private List<Effect> change(long now, NodeName from, ConfigurationChange change) {
-        reconsider = true;
-        ServiceName service = change.service();
-        exchange.received(from, service, change.version());
-        if (!adoption.isNews(service, change.version())) {
-            return List.of();
-        }
-        FollowedDocument document = documents.of(service);
-        if (change.baseVersion() != document.version()) {
-            return List.of(exchange.ask(now, from, service, document.version()));
-        }
-        Optional<String> text = document.history().apply(change);
-        if (text.isEmpty()) {
-            return List.of(new Effect.Count(ConfigurationCount.BAD_CHANGE), exchange.ask(now, from, service, 0));
-        }
-        return withPush(service, adoption.check(service, change.version(), text.get()));
-    }
-
-    /** Passes a document on after it was taken in; nodes that have it already are left out. */
-    private List<Effect> withPush(ServiceName service, List<Effect> adopted) {
-        reads.follow(documents.followed());
-        List<Effect> effects = new ArrayList<>(adopted);
-        effects.addAll(exchange.push(service));
         return effects;
     }
 
     private List<Effect> wakeUp(long now) {
+        reads.follow(documents.followed());
         electReaders(now);
-        List<Effect> effects = new ArrayList<>();
+        List<Effect> effects = new ArrayList<>(exchange.askForWhatOthersHave(now));
         if (gate.tryOpen(now, documents.newestOwn(), exchange::answered, exchange.behind(now))) {
             effects.addAll(adoption.bringAllIntoForce());
         }
--- a/policy/src/main/java/org/carawaysill/policy/distribution/PeerExchange.java
+++ b/policy/src/main/java/org/carawaysill/policy/distribution/PeerExchange.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.random.RandomGenerator;
 import org.carawaysill.model.configuration.CopyEntry;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
@@ -34,11 +35,13 @@
     private static final int NODES_AT_INTERVAL = 32;
 
     private final DocumentSet documents;
+    private final RandomGenerator random;
     private final PeerVersions peers = new PeerVersions();
     private final Pulls pulls = new Pulls();
 
-    PeerExchange(DocumentSet documents) {
+    PeerExchange(DocumentSet documents, RandomGenerator random) {
         this.documents = documents;
+        this.random = random;
     }
 
     void connected(long now, NodeName peer) {
@@ -93,19 +96,28 @@
     /**
      * Takes in the versions of a heartbeat.
      *
-     * @param now nanoseconds on the monotonic clock
      * @param from its sender
      * @param versions its versions by service
-     * @return questions for documents in which the sender is ahead
      */
-    List<Effect> told(long now, NodeName from, Map<ServiceName, Long> versions) {
+    void told(NodeName from, Map<ServiceName, Long> versions) {
         peers.told(from, versions);
+    }
+
+    /**
+     * Asks for each document that another node has in a newer version, one of those nodes at a time.
+     *
+     * @param now nanoseconds on the monotonic clock
+     * @return the questions
+     */
+    List<Effect> askForWhatOthersHave(long now) {
         List<Effect> effects = new ArrayList<>();
-        versions.forEach((service, version) -> {
-            if (documents.follows(service) && documents.of(service).isNews(version) && !pulls.open(now, service)) {
-                effects.add(ask(now, from, service, documents.of(service).version()));
+        for (ServiceName service : documents.followed()) {
+            List<NodeName> ahead = peers.heardSince(now - SILENCE_NANOS, ahead(service));
+            if (!ahead.isEmpty() && !pulls.open(now, service)) {
+                NodeName node = ahead.get(random.nextInt(ahead.size()));
+                effects.add(ask(now, node, service, documents.of(service).version()));
             }
-        });
+        }
         return effects;
     }
 
@@ -131,6 +143,9 @@
      * @return the change or the document, if this node has a newer one
      */
     Optional<Effect> answer(NodeName from, ConfigurationWanted wanted) {
+        if (!documents.follows(wanted.service())) {
+            return Optional.empty();
+        }
         FollowedDocument document = documents.of(wanted.service());
         peers.assume(from, wanted.service(), wanted.knownVersion());
         return document.history().update(wanted.knownVersion()).map(update -> {
--- a/policy/src/main/java/org/carawaysill/policy/distribution/Pulls.java
+++ b/policy/src/main/java/org/carawaysill/policy/distribution/Pulls.java
@@ -13,10 +13,7 @@
  */
 final class Pulls {
 
-    /**
-     * A node that was asked and then died or was cut off would keep the document away; after this time the next heartbeat
-     * of any node that is ahead leads to a question again.
-     */
+    /** A node that was asked and then died or was cut off would keep the document away; after this time another is asked. */
     private static final long TIMEOUT_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final Map<ServiceName, Pull> open = new HashMap<>();
