Keep the forecast cut and the learned limit; prove the order of refusal

Found by the property of random interleavings: after the last wake-up the reported cut kept the turn of the period before, so an idle copy went on reporting a closed level (cut 96 expected 0); it now takes its turn after each decision. Found by thought, then by a test: after a pause of the node, requests that ran meanwhile taught it that work takes as long as the pause, and every new one was refused as hopeless (Refuse in place of Start); nothing is learned from them now.

Each guard was removed in a scratch copy and seen to fail its test: eviction of the newcomer, the local cut turned round, overdue requests kept, starts beyond the limit, requests kept below the cut, the turn, the pause, the ageing of hop times, the fading of cuts, one fall for failures that belong together, the trial for contention.

--- a/policy/src/main/java/org/carawaysill/policy/admission/ChainCuts.java
+++ b/policy/src/main/java/org/carawaysill/policy/admission/ChainCuts.java
@@ -105,7 +105,7 @@
     }
 
     private Set<ServiceName> reached(long now, String operation) {
-        Map<ServiceName, Long> lastHeard = reachedBy.getOrDefault(operation, Map.of());
+        Map<ServiceName, Long> lastHeard = reachedBy.computeIfAbsent(operation, key -> new TreeMap<>());
         lastHeard.values().removeIf(heardNanos -> now - heardNanos > REACH_MEMORY_NANOS);
         return lastHeard.keySet();
     }
--- a/policy/src/main/java/org/carawaysill/policy/admission/ContentionProbe.java
+++ b/policy/src/main/java/org/carawaysill/policy/admission/ContentionProbe.java
@@ -1,6 +1,6 @@
 package org.carawaysill.policy.admission;
 
-import org.carawaysill.policy.admission.ConcurrencyLimit.Sample;
+import org.carawaysill.policy.admission.LearnedLimit.Sample;
 
 /**
  * Finds out whether requests at the copy hinder each other, by trying fewer of them.
--- a/policy/src/main/java/org/carawaysill/policy/admission/CopyAdmission.java
+++ b/policy/src/main/java/org/carawaysill/policy/admission/CopyAdmission.java
@@ -22,20 +22,15 @@
  */
 public final class CopyAdmission {
 
-    private static final long CUT_PERIOD_NANOS = 50_000_000L;
-
     private final AdmissionSettings settings;
-    private final ConcurrencyLimit limit;
-    private final AdmissionCut cut;
+    private final LearnedLimit limit = new LearnedLimit();
+    private final CutSchedule cut = new CutSchedule();
     private final AdmissionQueue queue = new AdmissionQueue();
     private final RunningRequests running = new RunningRequests();
     private final HopTimes hopTimes = new HopTimes();
     private final ServiceRate serviceRate = new ServiceRate();
+    private final PauseDetector pauses = new PauseDetector();
     private final RetryAdvice retryAdvice = new RetryAdvice();
-    private boolean begun;
-    private long lastNanos;
-    private long lastCutNanos;
-    private double busyNanos;
     private int breaches;
 
     /**
@@ -45,28 +40,10 @@
      * @param slots how many requests the copy can run at a time, at least 1
      */
     public CopyAdmission(AdmissionSettings settings, int slots) {
-        this(settings, slots, new Parts(new LearnedLimit(), new ForecastCut()));
-    }
-
-    CopyAdmission(int slots, Parts parts) {
-        this(AdmissionSettings.DEFAULTS, slots, parts);
-    }
-
-    private CopyAdmission(AdmissionSettings settings, int slots, Parts parts) {
         this.settings = settings;
-        this.limit = parts.limit();
-        this.cut = parts.cut();
         slots(slots);
     }
 
-    /**
-     * What comparisons in tests put other ways in the place of.
-     *
-     * @param limit decides how many run
-     * @param cut decides which levels have a chance
-     */
-    record Parts(ConcurrencyLimit limit, AdmissionCut cut) {}
-
     /**
      * Decides about a new request.
      *
@@ -155,11 +132,11 @@
         List<Verdict> verdicts = new ArrayList<>();
         advance(now);
         giveUpOverdue(now, verdicts);
-        if (now - lastCutNanos >= CUT_PERIOD_NANOS) {
+        if (cut.due(now)) {
             updateCut(now, verdicts);
         }
         while (running.size() < limit.limit() && !queue.isEmpty()) {
-            start(now, queue.removeMostImportant(overloaded()), verdicts);
+            start(now, queue.removeMostImportant(cut.overloaded()), verdicts);
         }
         return verdicts;
     }
@@ -170,9 +147,7 @@
      * @return a time on the monotonic clock in nanoseconds, {@link Long#MAX_VALUE} for never
      */
     public long nextWakeNanos() {
-        boolean cutMoves = overloaded() || !queue.isEmpty();
-        long nextCutNanos = cutMoves ? lastCutNanos + CUT_PERIOD_NANOS : Long.MAX_VALUE;
-        return Math.min(nextCutNanos, queue.nextLatestStartNanos());
+        return Math.min(cut.nextUpdateNanos(queue), queue.nextLatestStartNanos());
     }
 
     /**
@@ -205,12 +180,10 @@
     /**
      * Changes the number of slots, as published.
      *
-     * @param published how many requests the copy can run at a time, at least 1
+     * @param published how many requests the copy can run at a time
+     * @throws IllegalArgumentException if that is less than 1
      */
     public void slots(int published) {
-        if (published < 1) {
-            throw new IllegalArgumentException("a copy has at least one slot");
-        }
         limit.slots(published);
     }
 
@@ -224,31 +197,30 @@
     }
 
     private void advance(long now) {
-        if (!begun) {
-            begun = true;
-            lastNanos = now;
-            lastCutNanos = now;
-        }
-        double busy = (double) (now - lastNanos) * running.size();
-        busyNanos += busy;
-        serviceRate.busy(busy);
-        lastNanos = now;
+        double busyNanos = (double) pauses.elapsed(now) * running.size();
+        serviceRate.busy(busyNanos);
+        cut.busy(now, busyNanos);
     }
 
     private void learn(long now, RunningRequest ended, Finish finish) {
-        long heldNanos = now - ended.startedNanos();
-        String operation = ended.candidate().operation();
-        limit.ended(now, ended.sample(now, running.size() + 1, finish));
         if (finish == Finish.ANSWERED) {
             serviceRate.answered();
-            hopTimes.measured(now, operation, heldNanos);
+        }
+        if (pauses.pausedSince(ended.startedNanos())) {
+            return;
+        }
+        limit.ended(now, ended.sample(now, running.size() + 1, finish));
+        if (finish == Finish.ANSWERED) {
+            hopTimes.measured(now, ended.candidate().operation(), now - ended.startedNanos());
         } else {
-            hopTimes.tookLonger(now, operation, heldNanos);
+            learnCutShort(now, ended);
         }
     }
 
-    private boolean overloaded() {
-        return cut.level() > 0;
+    private void learnCutShort(long now, RunningRequest ended) {
+        if (!pauses.pausedSince(ended.startedNanos())) {
+            hopTimes.tookLonger(now, ended.candidate().operation(), now - ended.startedNanos());
+        }
     }
 
     private long latestStart(long now, Candidate candidate) {
@@ -259,9 +231,8 @@
         long slowNanos = mayCancelFor(candidate) ? hopTimes.slowNanos(now, candidate.operation()) : 0;
         queue.add(candidate, Math.min(candidate.deadlineNanos() - slowNanos, latestStart(now, candidate)));
         while (queue.size() > settings.queueCapacity(limit.limit())) {
-            Candidate least = queue.removeLeastImportant(overloaded());
-            boolean newcomer = least.equals(candidate);
-            giveUp(now, least, newcomer ? RefusalReason.QUEUE_FULL : RefusalReason.EVICTED, verdicts);
+            Candidate least = queue.removeLeastImportant(cut.overloaded());
+            giveUp(now, least, least.equals(candidate) ? RefusalReason.QUEUE_FULL : RefusalReason.EVICTED, verdicts);
         }
     }
 
@@ -281,14 +252,9 @@
 
     private void updateCut(long now, List<Verdict> verdicts) {
         int allowed = limit.limit();
-        long elapsed = now - lastCutNanos;
-        double idleShare = Math.clamp(1 - busyNanos / ((double) elapsed * allowed), 0, 1);
-        double target = settings.queueTarget(allowed);
-        cut.update(elapsed, new AdmissionCut.Pressure(queue, serviceRate.perSecond(allowed), target, idleShare));
-        lastCutNanos = now;
-        busyNanos = 0;
+        cut.update(now, queue, settings.queueTarget(allowed), allowed, serviceRate.perSecond(allowed));
         while (queue.lowestLevel() < cut.lowestWaiting()) {
-            giveUp(now, queue.removeLeastImportant(overloaded()), RefusalReason.OVERLOAD, verdicts);
+            giveUp(now, queue.removeLeastImportant(cut.overloaded()), RefusalReason.OVERLOAD, verdicts);
         }
     }
 
@@ -311,10 +277,8 @@
     }
 
     private boolean startInsteadOfAnother(long now, Candidate candidate, List<Verdict> verdicts) {
-        if (!mayCancelFor(candidate) || running.size() > limit.limit()) {
-            return false;
-        }
-        Optional<Candidate> cancelled = running.removeCancellable();
+        boolean allowed = mayCancelFor(candidate) && running.size() <= limit.limit();
+        Optional<Candidate> cancelled = allowed ? running.removeCancellable() : Optional.empty();
         cancelled.ifPresent(victim -> {
             verdicts.add(new Verdict.CancelRunning(victim.attempt(), retryAfter(now, victim)));
             start(now, candidate, verdicts);
--- a/policy/src/main/java/org/carawaysill/policy/admission/LearnedLimit.java
+++ b/policy/src/main/java/org/carawaysill/policy/admission/LearnedLimit.java
@@ -11,28 +11,44 @@
  *
  * <p>Invariant: between 1 and the slots. Not thread safe.
  */
-final class LearnedLimit implements ConcurrencyLimit {
+final class LearnedLimit {
 
     private static final double FAILURE_FACTOR = 0.7;
     private static final long HOLD_NANOS = 500_000_000L;
 
     private final ContentionProbe probe = new ContentionProbe();
-    private int slots = 1;
+    private int slots;
     private int allowed = 1;
     private int ceiling = 1;
     private long lastFallNanos = Long.MIN_VALUE;
     private long holdUntilNanos;
 
-    @Override
-    public void slots(int published) {
+    /**
+     * Changes the upper bound; a new one starts the learning afresh.
+     *
+     * @param published the slots of the copy
+     * @throws IllegalArgumentException if that is less than 1
+     */
+    void slots(int published) {
+        if (published < 1) {
+            throw new IllegalArgumentException("a copy has at least one slot");
+        }
+        if (published == slots) {
+            return;
+        }
         slots = published;
         allowed = published;
         ceiling = published;
         probe.restart(published);
     }
 
-    @Override
-    public void ended(long now, Sample sample) {
+    /**
+     * Learns from a request that ended.
+     *
+     * @param now nanoseconds on the monotonic clock
+     * @param sample the request
+     */
+    void ended(long now, Sample sample) {
         if (sample.result() == Result.SERVED) {
             served(now, sample);
         } else if (sample.result() == Result.FAILED) {
@@ -40,8 +56,12 @@
         }
     }
 
-    @Override
-    public int limit() {
+    /**
+     * Tells the limit.
+     *
+     * @return 1 to the slots
+     */
+    int limit() {
         return Math.min(allowed, probe.limit());
     }
 
@@ -73,4 +93,24 @@
         ceiling = sample.inFlight() == 1 ? slots : Math.min(slots, sample.inFlight() - 1);
         holdUntilNanos = now + HOLD_NANOS;
     }
+
+    /**
+     * A request that ended at the copy.
+     *
+     * @param startedNanos when it was handed to the copy
+     * @param inFlight requests at the copy just before the end
+     * @param ownNanos how long the copy itself took, without the time that it waited for deeper services
+     * @param result what it says about the copy
+     */
+    record Sample(long startedNanos, int inFlight, long ownNanos, Result result) {}
+
+    /** What the end of a request says about the copy. */
+    enum Result {
+        /** The copy did its work. */
+        SERVED,
+        /** The copy could not do its work. */
+        FAILED,
+        /** Nothing: the cause lies elsewhere. */
+        UNCLEAR
+    }
 }
--- a/policy/src/main/java/org/carawaysill/policy/admission/RunningRequest.java
+++ b/policy/src/main/java/org/carawaysill/policy/admission/RunningRequest.java
@@ -1,7 +1,7 @@
 package org.carawaysill.policy.admission;
 
-import org.carawaysill.policy.admission.ConcurrencyLimit.Result;
-import org.carawaysill.policy.admission.ConcurrencyLimit.Sample;
+import org.carawaysill.policy.admission.LearnedLimit.Result;
+import org.carawaysill.policy.admission.LearnedLimit.Sample;
 
 /** A request at the local copy, and how much of its time it spent waiting for deeper services. Not thread safe. */
 final class RunningRequest {
--- a/policy/src/test/java/org/carawaysill/policy/admission/FakeChain.java
+++ b/policy/src/test/java/org/carawaysill/policy/admission/FakeChain.java
@@ -1,281 +1,172 @@
 package org.carawaysill.policy.admission;
 
-import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.function.Consumer;
-import java.util.function.Function;
+import java.util.stream.IntStream;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Priority;
-import org.carawaysill.policy.message.PeerMessage.ServiceCut;
 
-/** A chain of services whose copies hold a slot while they work and while they call the next one. Not thread safe. */
+/** Services in virtual time, whose copies hold a slot while they work and while they call the next service. */
 final class FakeChain {
 
-    static final long MILLI = 1_000_000L;
-    static final String DEEP = "deep";
-    static final String SHALLOW = "shallow";
+    static final long SECOND = 1_000_000_000L;
+    private static final long HOP = SECOND / 1_000;
+    private static final int STAGES = 4;
 
-    record Hop(String service, int copies, int slots, double workMillis) {}
+    record Hop(String service, int copies, int slots, double workSeconds) {}
 
-    final VirtualTime time = new VirtualTime();
-    final Random random;
-    final List<List<Node>> services = new ArrayList<>();
-    final List<Hop> hops;
-    double slowdown = 1;
-    boolean chainCuts = true;
-    boolean entryRates;
-    long worked;
-    long wasted;
-    long deepestAnswered;
-    private long attempts;
+    private record Action(long at, long sequence, Runnable body) {}
 
-    FakeChain(long seed, List<Hop> hops, Function<Hop, CopyAdmission> admission) {
-        this.random = new Random(seed);
-        this.hops = hops;
-        for (Hop hop : hops) {
-            List<Node> copies = new ArrayList<>();
-            for (int copy = 0; copy < hop.copies(); copy++) {
-                copies.add(
-                        new Node(hop, services.size(), new NodeName(hop.service() + "-" + copy), admission.apply(hop)));
-            }
-            services.add(copies);
-        }
+    final Random random;
+    final List<List<Node>> services;
+    final boolean cutsObeyed;
+    double lastHopSlowdown = 1;
+    long now;
+    private final PriorityQueue<Action> actions =
+            new PriorityQueue<>(Comparator.comparingLong(Action::at).thenComparingLong(Action::sequence));
+    private long sequence;
+
+    FakeChain(long seed, boolean cutsObeyed, List<Hop> hops) {
+        random = new Random(seed);
+        this.cutsObeyed = cutsObeyed;
+        services = IntStream.range(0, hops.size())
+                .mapToObj(depth -> IntStream.range(0, hops.get(depth).copies())
+                        .mapToObj(copy -> new Node(hops.get(depth), depth, copy))
+                        .toList())
+                .toList();
     }
 
-    double exponential(double mean) {
-        return -mean * Math.log(1 - random.nextDouble());
+    void after(double seconds, Runnable body) {
+        actions.add(new Action(now + (long) (seconds * SECOND), sequence++, body));
     }
 
-    double erlang(double mean) {
-        double sum = 0;
-        for (int stage = 0; stage < STAGES; stage++) {
-            sum += exponential(mean / STAGES);
+    void runUntil(long end) {
+        while (!actions.isEmpty() && actions.peek().at() <= end) {
+            now = actions.peek().at();
+            actions.remove().body().run();
         }
-        return sum;
     }
 
-    static final int STAGES = 4;
-
-    int breaches() {
-        return services.stream()
-                .flatMap(List::stream)
-                .mapToInt(node -> node.admission.breaches())
-                .sum();
-    }
-
-    /** Sends a request to a random entry node; the consumer hears whether it was answered completely. */
-    Call enter(Priority priority, boolean deep, long deadlineNanos, Consumer<Boolean> done) {
-        List<Node> entries = services.getFirst();
-        Node entry = entries.get(random.nextInt(entries.size()));
-        Call call = new Call(
-                entry, priority, 0, services.size() - (deep ? 1 : 2), deadlineNanos, (from, ok) -> done.accept(ok));
-        time.after(MILLI, () -> entry.arrive(call));
-        return call;
+    double exponential(double mean) {
+        return -mean * Math.log(1 - random.nextDouble());
     }
 
-    interface Done {
-        void accept(Node from, boolean answered);
+    void enter(Priority priority, int lastDepth, Consumer<Boolean> done) {
+        Node entry = services.getFirst().get(random.nextInt(services.getFirst().size()));
+        Candidate candidate = new Candidate(
+                new AttemptIdentifier(0, ++sequence), "to " + lastDepth, priority, true, 0, now, now + SECOND);
+        entry.arrive(new Call(candidate, lastDepth, done));
     }
 
-    /** One attempt at one hop. */
-    final class Call {
-        final AttemptIdentifier attempt;
-        final Node node;
-        final Priority priority;
-        final int depth;
-        final int last;
-        final long deadlineNanos;
-        private final Done done;
-        Call child;
-        boolean ended;
-        boolean ran;
-
-        Call(Node node, Priority priority, int depth, int last, long deadlineNanos, Done done) {
-            this.attempt = new AttemptIdentifier(0, ++attempts);
-            this.node = node;
-            this.priority = priority;
-            this.depth = depth;
-            this.last = last;
-            this.deadlineNanos = deadlineNanos;
-            this.done = done;
-        }
-
-        String operation() {
-            return last == services.size() - 1 ? DEEP : SHALLOW;
-        }
-
-        void cancel() {
-            if (!ended) {
-                ended = true;
-                if (ran) {
-                    wasted++;
-                }
-                if (child != null) {
-                    child.cancel();
-                }
-                node.calls.remove(attempt);
-                node.apply(node.admission.withdraw(time.now(), attempt));
-            }
-        }
-
-        void end(boolean answered) {
-            if (!ended) {
-                ended = true;
-                if (ran && !answered) {
-                    wasted++;
-                }
-                node.calls.remove(attempt);
-                time.after(MILLI, () -> done.accept(node, answered));
-            }
-        }
-    }
+    private record Call(Candidate candidate, int lastDepth, Consumer<Boolean> done) {}
 
     /** A copy and its node. */
     final class Node {
-        final Hop hop;
-        final int depth;
-        final NodeName name;
         final CopyAdmission admission;
-        final ChainCuts cuts;
-        final Map<AttemptIdentifier, Call> calls = new HashMap<>();
-        private final Map<Node, Integer> outstanding = new HashMap<>();
-        private final Map<Node, Integer> lastCut = new HashMap<>();
-        private final OtherCuts.EntryRate entryRate = new OtherCuts.EntryRate();
-        private long wakeAt = Long.MAX_VALUE;
-
-        Node(Hop hop, int depth, NodeName name, CopyAdmission admission) {
+        private final Hop hop;
+        private final int depth;
+        private final NodeName name;
+        private final ChainCuts cuts;
+        private final Map<AttemptIdentifier, Call> calls = new HashMap<>();
+        private long wakeNanos = Long.MAX_VALUE;
+
+        Node(Hop hop, int depth, int copy) {
             this.hop = hop;
             this.depth = depth;
-            this.name = name;
-            this.admission = admission;
-            this.cuts = new ChainCuts(new ServiceName(hop.service()));
+            name = new NodeName(hop.service() + "-" + copy);
+            admission = new CopyAdmission(AdmissionSettings.DEFAULTS, hop.slots());
+            cuts = new ChainCuts(new ServiceName(hop.service()));
         }
 
-        void arrive(Call call) {
-            if (call.ended) {
-                return;
-            }
-            calls.put(call.attempt, call);
-            if (entryRates && depth == 0 && call.last == 2 && entryRate.refuses(time.now(), call.priority)) {
-                call.end(false);
+        private void arrive(Call call) {
+            Candidate candidate = call.candidate();
+            if (cutsObeyed
+                    && cuts.check(now, candidate.operation(), candidate.priority())
+                            .isPresent()) {
+                call.done().accept(false);
                 return;
             }
-            if (chainCuts
-                    && cuts.check(time.now(), call.operation(), call.priority).isPresent()) {
-                call.end(false);
-                return;
-            }
-            apply(admission.offer(
-                    time.now(),
-                    new Candidate(
-                            call.attempt,
-                            call.operation(),
-                            call.priority,
-                            true,
-                            depth,
-                            time.now(),
-                            call.deadlineNanos)));
+            calls.put(candidate.attempt(), call);
+            apply(admission.offer(now, candidate));
         }
 
-        void apply(List<Verdict> verdicts) {
+        private void apply(List<Verdict> verdicts) {
             for (Verdict verdict : verdicts) {
-                Call call = calls.get(verdict.attempt());
                 switch (verdict) {
-                    case Verdict.Start start -> work(call);
-                    case Verdict.Refuse refuse -> {
-                        call.end(false);
-                    }
-                    case Verdict.CancelRunning cancel -> call.end(false);
+                    case Verdict.Start start -> work(calls.get(start.attempt()));
+                    case Verdict.Refuse refuse -> end(refuse.attempt(), false);
+                    case Verdict.CancelRunning cancel -> end(cancel.attempt(), false);
                 }
             }
-            wakeWhenNeeded();
-        }
-
-        private void wakeWhenNeeded() {
             long next = admission.nextWakeNanos();
-            if (next < wakeAt) {
-                wakeAt = next;
-                time.after(Math.max(0, next - time.now()), () -> {
-                    if (wakeAt == next) {
-                        wakeAt = Long.MAX_VALUE;
-                        apply(admission.wakeUp(time.now()));
-                    }
+            if (next < wakeNanos) {
+                wakeNanos = next;
+                after((double) (next - now) / SECOND, () -> {
+                    wakeNanos = Long.MAX_VALUE;
+                    apply(admission.wakeUp(now));
                 });
             }
         }
 
-        private void work(Call call) {
-            call.ran = true;
-            worked++;
-            boolean deepest = depth == call.last;
-            double factor = depth == services.size() - 1 ? slowdown : 1;
-            long work = (long) (erlang(hop.workMillis()) * factor * MILLI);
-            time.after(work, () -> {
-                if (!call.ended) {
-                    if (deepest) {
-                        deepestAnswered++;
-                        finish(call, true);
-                    } else {
-                        callBelow(call);
-                    }
-                }
-            });
-        }
-
-        private void finish(Call call, boolean answered) {
-            List<Verdict> verdicts = admission.finished(time.now(), call.attempt, Finish.ANSWERED);
-            call.end(answered);
-            apply(verdicts);
+        private void end(AttemptIdentifier attempt, boolean answered) {
+            Call call = calls.remove(attempt);
+            after((double) HOP / SECOND, () -> call.done().accept(answered));
         }
 
-        private void callBelow(Call call) {
-            Node target = choose(call.priority);
-            outstanding.merge(target, 1, Integer::sum);
-            call.child = new Call(target, call.priority, depth + 1, call.last, call.deadlineNanos, (from, answered) -> {
-                if (answered || !call.ended) {
-                    List<ServiceCut> report = from.cuts.report(time.now(), call.operation(), from.admission.cut());
-                    cuts.learned(time.now(), call.operation(), from.name, report);
-                    lastCut.put(from, from.admission.cut());
-                }
-                entryRate.answered(!answered);
-                if (!call.ended) {
-                    finish(call, answered);
-                }
-            });
-            Call child = call.child;
-            time.after(MILLI, () -> target.arrive(child));
-            releaseWhenEnded(target, child);
-        }
-
-        private void releaseWhenEnded(Node target, Call child) {
-            time.after(5 * MILLI, () -> {
-                if (child.ended) {
-                    outstanding.merge(target, -1, Integer::sum);
+        private void work(Call call) {
+            double seconds = IntStream.range(0, STAGES)
+                    .mapToDouble(stage -> exponential(hop.workSeconds() / STAGES))
+                    .sum();
+            after(seconds * (depth == services.size() - 1 ? lastHopSlowdown : 1), () -> {
+                if (depth == call.lastDepth()) {
+                    finish(call, true);
                 } else {
-                    releaseWhenEnded(target, child);
+                    callBelow(call);
                 }
             });
         }
 
-        private Node choose(Priority priority) {
-            List<Node> targets = services.get(depth + 1);
-            Node best = targets.get(random.nextInt(targets.size()));
-            for (Node target : targets) {
-                if (cost(target, priority) < cost(best, priority)) {
-                    best = target;
-                }
-            }
-            return best;
+        private void callBelow(Call call) {
+            Candidate above = call.candidate();
+            Node target = services.get(depth + 1).stream()
+                    .min(Comparator.comparing((Node node) ->
+                                    node.admission.cut() > above.priority().level())
+                            .thenComparing(node -> node.calls.size()))
+                    .orElseThrow();
+            Candidate below = new Candidate(
+                    new AttemptIdentifier(0, ++sequence),
+                    above.operation(),
+                    above.priority(),
+                    true,
+                    depth + 1,
+                    now,
+                    above.deadlineNanos());
+            admission.calledBelow(now, above.attempt());
+            target.arrive(new Call(below, call.lastDepth(), answered -> {
+                admission.answeredBelow(now, above.attempt(), answered);
+                cuts.learned(
+                        now,
+                        above.operation(),
+                        target.name,
+                        target.cuts.report(now, above.operation(), target.admission.cut()));
+                finish(call, answered);
+            }));
         }
 
-        private int cost(Node target, Priority priority) {
-            int closed = chainCuts && lastCut.getOrDefault(target, 0) > priority.level() ? 1_000_000 : 0;
-            return closed + outstanding.getOrDefault(target, 0);
+        private void finish(Call call, boolean answered) {
+            if (calls.containsKey(call.candidate().attempt())) {
+                List<Verdict> verdicts =
+                        admission.finished(now, call.candidate().attempt(), Finish.ANSWERED);
+                end(call.candidate().attempt(), answered);
+                apply(verdicts);
+            }
         }
     }
 }
