Run work that is not idempotent at most once: leases, vouching and the table

Cause: the holder of an identifier must be the only one to act on it while nodes are paused, restarted, replaced and cut off and rosters change under way, and no store may remember for it. What was built: granters and holders of leases under rosters (joint majorities while a roster changes, scopes so that unmoved work goes on), recovery of what a restarted granter promised, vouching by minting time, the bounded table, and the handover of a planned stop.

--- a/model/src/main/java/org/carawaysill/model/request/RefusalReason.java
+++ b/model/src/main/java/org/carawaysill/model/request/RefusalReason.java
@@ -42,6 +42,8 @@
     HOLDER_UNREACHABLE,
     /** The node holds no lease under which it may run work that must run at most once. */
     NO_LEASE,
+    /** The holder's table has no room for another request that must run at most once. */
+    HOLDER_FULL,
     /** The request's identifier was minted before this node could vouch for it. */
     IDENTIFIER_TOO_OLD,
     /** The same identifier is being run, or came with another content. */
--- a/model/src/main/java/org/carawaysill/model/request/UnknownReason.java
+++ b/model/src/main/java/org/carawaysill/model/request/UnknownReason.java
@@ -16,8 +16,12 @@
     TRUNCATED,
     /** This node started after the identifier was minted, so an earlier run can't be ruled out. */
     RESTARTED,
-    /** The identifier was minted so long ago that an earlier run may have been forgotten. */
-    IDENTIFIER_TOO_OLD,
+    /** The identifier was minted at a time for which this node can't vouch: an earlier run may have been forgotten. */
+    IDENTIFIER_TIME,
+    /** The node that alone knows whether it ran can't be reached; this attempt was not run. */
+    HOLDER_UNREACHABLE,
+    /** This node has no lease, so another may have run the identifier; this attempt was not run. */
+    NO_LEASE,
     /** The same identifier was handed to a copy before, and its answer is not known. */
     EARLIER_ATTEMPT;
 
--- a/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
@@ -130,24 +130,28 @@
      * @param service the service whose roster it concerns
      * @param requester the sender as its settings describe it
      * @param incarnation the start time of the sender's process in milliseconds since 1970
+     * @param wallMillis the sender's wall clock at sending, since 1970
      * @param sequence echoed in the reply
      * @param durationNanos the length asked for, counted by the sender from before it sent this; zero gives the lease back
      * @param rosterVersion the version of the roster under which the sender would act
      * @param rosterDigest the digest of that roster's members
      * @param previousDigest the digest of the members under which the sender acted before, 0 for none
      * @param closedBelow rosters of lower versions can give no lease any more
+     * @param closedForNanos for how long that has been so
      * @param rosters the rosters that the receiver may not know; empty in steady state
      */
     record LeaseRequest(
             ServiceName service,
             RosterMember requester,
             long incarnation,
+            long wallMillis,
             long sequence,
             long durationNanos,
             long rosterVersion,
             long rosterDigest,
             long previousDigest,
             long closedBelow,
+            long closedForNanos,
             List<RosterView> rosters)
             implements PeerMessage {
 
@@ -164,8 +168,10 @@
         GRANTED_FOR_UNMOVED,
         /** No lease now: another one is in force, a newer roster is known, or the granter just started. */
         REFUSED,
-        /** No lease until the receiver has been told the members of the roster. */
-        UNKNOWN_ROSTER
+        /** No lease until the granter has been told the members of the roster. */
+        UNKNOWN_ROSTER,
+        /** No lease while the wall clocks of the sender and of the granter are too far apart. */
+        CLOCKS_APART
     }
 
     /**
@@ -180,6 +186,7 @@
      * @param freeForUnmovedNanos for how long it has had none that excludes a grant for unmoved work
      * @param highestVersion the highest roster version that the sender knows of
      * @param closedBelow rosters of lower versions can give no lease any more
+     * @param closedForNanos for how long that has been so
      * @param rosters the rosters that the receiver may not know; empty in steady state
      */
     record LeaseReply(
@@ -192,6 +199,7 @@
             long freeForUnmovedNanos,
             long highestVersion,
             long closedBelow,
+            long closedForNanos,
             List<RosterView> rosters)
             implements PeerMessage {
 
--- a/policy/src/main/java/org/carawaysill/policy/ownership/Holder.java
+++ b/policy/src/main/java/org/carawaysill/policy/ownership/Holder.java
@@ -1,6 +1,6 @@
 package org.carawaysill.policy.ownership;
 
-import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.carawaysill.model.configuration.ServiceConfiguration;
@@ -8,9 +8,10 @@
 import org.carawaysill.model.identity.RequestIdentifier;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Outcome;
-import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.model.vm.VmList;
 import org.carawaysill.policy.effect.Effect;
+import org.carawaysill.policy.message.PeerMessage.HolderEntry;
 import org.carawaysill.policy.message.PeerMessage.HolderHandover;
 import org.carawaysill.policy.message.PeerMessage.LeaseReply;
 import org.carawaysill.policy.message.PeerMessage.LeaseRequest;
@@ -25,7 +26,13 @@
  */
 public final class Holder {
 
+    private final NodeName self;
+    private final ServiceName service;
+    private final LeaseSettings leaseSettings;
     private final RosterLease lease;
+    private final HolderTable table;
+    private final Handovers handovers;
+    private boolean handedOver;
 
     /**
      * Makes a holder that knows nothing yet.
@@ -44,7 +51,12 @@
             Moment start,
             LeaseSettings leaseSettings,
             HolderSettings settings) {
+        this.self = self.node();
+        this.service = service;
+        this.leaseSettings = leaseSettings;
         this.lease = new RosterLease(self, incarnation, service, leaseSettings, start);
+        this.table = new HolderTable(settings);
+        this.handovers = new Handovers(self.node());
     }
 
     /**
@@ -135,39 +147,101 @@
     /**
      * Decides about an attempt at a request that must run at most once.
      *
-     * @param now the moment
+     * <p>Failure guarded against: a process is paused, another node takes over, and the paused one wakes and acts. The
+     * lease is checked against the moment after waking. What was claimed before the pause may still be handed out after
+     * it: the other node vouches only for identifiers minted after the lease ended, so it does not run this one.
+     *
+     * @param now the moment, taken after the attempt was received
      * @param key the request, and when its identifier was minted
      * @param contentHash a hash of its content, by which a reused identifier is found
      * @return what may be done
      */
     public Claim claim(Moment now, RequestKey key, int contentHash) {
-        return new Claim.Refused(RefusalReason.NO_LEASE, Duration.ofSeconds(1));
+        Optional<Claim> known = table.known(key.request(), contentHash);
+        if (known.isPresent()) {
+            return known.get();
+        }
+        Optional<LeaseTerm> term = lease.term(now, key.request());
+        if (term.isEmpty()) {
+            return new Claim.MayHaveRun(reasonWithoutTerm(key.request()));
+        }
+        return table.claim(now, key, contentHash, vouch(now, key.request(), term.get()));
+    }
+
+    private UnknownReason reasonWithoutTerm(RequestIdentifier request) {
+        boolean own = holder(request).filter(self::equals).isPresent();
+        return own ? UnknownReason.NO_LEASE : UnknownReason.HOLDER_UNREACHABLE;
+    }
+
+    private Vouch vouch(Moment now, RequestIdentifier request, LeaseTerm term) {
+        return new Vouch(
+                term.sinceNanos(),
+                term.sinceMillis(now),
+                leaseSettings.clockMargin().toMillis(),
+                handovers.intervals(request));
     }
 
     /**
-     * Releases a claim: nothing of the request was handed to a copy.
+     * Releases a claim: nothing of the request was handed to a copy, and nothing will be.
      *
      * @param request the request
      */
-    public void notRun(RequestIdentifier request) {}
+    public void notRun(RequestIdentifier request) {
+        table.notRun(request);
+    }
 
     /**
      * Remembers what a request came to.
      *
-     * @param now the moment
      * @param request the request
-     * @param outcome what it came to
+     * @param outcome what it came to; as not run, it is released
+     */
+    public void finished(RequestIdentifier request, Outcome outcome) {
+        table.finished(request, outcome);
+    }
+
+    /**
+     * Tells how many requests are remembered.
+     *
+     * @return the number of entries
      */
-    public void finished(Moment now, RequestIdentifier request, Outcome outcome) {}
+    public int size() {
+        return table.size();
+    }
 
     /**
      * Stops claiming for good, gives the lease back and hands the table over, before a planned stop.
      *
+     * <p>Failure guarded against: this node and its successor both act on an identifier. This node stops here, before
+     * the first message is made; a later call hands nothing over.
+     *
      * @param now the moment
      * @return messages to send
      */
     public List<Effect> handover(Moment now) {
-        return lease.release(now);
+        if (handedOver) {
+            return List.of();
+        }
+        handedOver = true;
+        LeaseTerm term = lease.term();
+        List<Effect> effects = new ArrayList<>(lease.release(now));
+        Optional<Roster> roster = lease.roster();
+        if (roster.isPresent() && term.everHeld()) {
+            effects.addAll(handovers.give(service, roster.get(), interval(now, term), entriesHeld(roster.get())));
+        }
+        return effects;
+    }
+
+    private Vouch.Interval interval(Moment now, LeaseTerm term) {
+        long untilNanos = Math.min(now.nanos(), term.untilNanos());
+        long fromMillis = Math.max(term.sinceMillis(now), table.forgottenMillis());
+        return new Vouch.Interval(fromMillis, LeaseTerm.wallMillis(now, untilNanos));
+    }
+
+    private List<HolderEntry> entriesHeld(Roster roster) {
+        return table.entries().stream()
+                .filter(entry -> roster.gives(entry.request(), self))
+                .toList();
     }
 
     /**
@@ -177,5 +251,9 @@
      * @param from the leaving node
      * @param handover a part of its table
      */
-    public void accept(Moment now, NodeName from, HolderHandover handover) {}
+    public void accept(Moment now, NodeName from, HolderHandover handover) {
+        if (handover.service().equals(service)) {
+            handovers.take(now, from, handover, lease.roster(handover.rosterDigest()), table);
+        }
+    }
 }
--- a/policy/src/main/java/org/carawaysill/policy/ownership/RosterLease.java
+++ b/policy/src/main/java/org/carawaysill/policy/ownership/RosterLease.java
@@ -1,22 +1,64 @@
 package org.carawaysill.policy.ownership;
 
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.carawaysill.model.configuration.ServiceConfiguration;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.RequestIdentifier;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.Step;
 import org.carawaysill.model.vm.VmList;
 import org.carawaysill.policy.effect.Effect;
 import org.carawaysill.policy.message.PeerMessage.LeaseReply;
 import org.carawaysill.policy.message.PeerMessage.LeaseRequest;
+import org.carawaysill.policy.message.PeerMessage.LeaseVerdict;
 import org.carawaysill.policy.message.PeerMessage.RosterMember;
+import org.carawaysill.policy.ownership.LeaseVotes.Vote;
 import org.carawaysill.policy.time.Moment;
 
 /**
- * The lease under which this node may act as holder. Not thread safe: one thread owns it.
+ * The lease under which this node may act as holder, and its vote on the leases of others.
+ *
+ * <p>Failure guarded against: two nodes that know different rosters, or two processes of one name, both act on one
+ * identifier, and it runs twice. Each acts only while a majority of the members of its roster, and of every older roster
+ * that is not closed, grants it; two majorities of one roster share a member, and no member grants two leases that
+ * exclude each other.
+ *
+ * <p>Invariant: at any time at most one process acts on an identifier. Each moment must be taken after the event was
+ * received, else a pause in between would let a grant end too early. Not thread safe: one thread owns it.
  */
 public final class RosterLease {
 
+    private static final int MOST_ROUNDS = 16;
+    private static final int IMPATIENCE = 2;
+
+    private final RosterMember self;
+    private final long incarnation;
+    private final ServiceName service;
+    private final LeaseSettings settings;
+    private final RosterHistory history = new RosterHistory();
+    private final VmAbsence absence;
+    private final Recovery recovery;
+    private final LeaseGranter granter;
+    private final LeaseVotes votes;
+    private final LeaseTerms terms;
+    private final Map<Long, Round> rounds = new LinkedHashMap<>();
+    private final Set<NodeName> uninformed = new HashSet<>();
+    private final Set<NodeName> clocksApart = new HashSet<>();
+    private long sequence;
+    private long nextWakeNanos;
+    private boolean released;
+    private boolean reportedHeld;
+
+    /** A round of requests: when it was sent, and under which members. */
+    private record Round(long sentNanos, long digest) {}
+
     /**
      * Makes a node without a lease.
      *
@@ -26,8 +68,18 @@
      * @param settings the times
      * @param start the moment at which the process started
      */
-    public RosterLease(
-            RosterMember self, long incarnation, ServiceName service, LeaseSettings settings, Moment start) {}
+    public RosterLease(RosterMember self, long incarnation, ServiceName service, LeaseSettings settings, Moment start) {
+        this.self = self;
+        this.incarnation = incarnation;
+        this.service = service;
+        this.settings = settings;
+        this.absence = new VmAbsence(self, settings);
+        this.recovery = new Recovery(self);
+        this.granter = new LeaseGranter(settings, history, start.nanos());
+        this.votes = new LeaseVotes(settings, absence);
+        this.terms = new LeaseTerms(history, votes);
+        this.nextWakeNanos = start.nanos();
+    }
 
     /**
      * Takes a published roster in.
@@ -35,7 +87,13 @@
      * @param now the moment
      * @param configuration the configuration that publishes it
      */
-    public void roster(Moment now, ServiceConfiguration configuration) {}
+    public void roster(Moment now, ServiceConfiguration configuration) {
+        if (!configuration.service().equals(service)) {
+            return;
+        }
+        history.learn(Roster.of(configuration));
+        adopt(now);
+    }
 
     /**
      * Takes the platform's list of VMs in.
@@ -43,7 +101,13 @@
      * @param now the moment
      * @param list the list
      */
-    public void vmList(Moment now, VmList list) {}
+    public void vmList(Moment now, VmList list) {
+        Set<RosterMember> members = new HashSet<>();
+        history.all().forEach(roster -> members.addAll(roster.members()));
+        absence.read(now.nanos(), list, members);
+        recovery.check(history.all(), absence::gone);
+        terms.evaluate(now);
+    }
 
     /**
      * Renews the lease if it is time.
@@ -52,19 +116,47 @@
      * @return messages to send
      */
     public List<Effect> wakeUp(Moment now) {
-        return List.of();
+        if (now.nanos() < nextWakeNanos()) {
+            return reportChange(now);
+        }
+        long interval = settings.renewalInterval().toNanos();
+        nextWakeNanos = now.nanos() + (held(now) ? interval : interval / IMPATIENCE);
+        openRound(now);
+        List<Effect> effects = new ArrayList<>();
+        for (RosterMember member : addressees(now)) {
+            boolean tellRosters = history.inTransition() || uninformed.contains(member.node());
+            effects.add(new Effect.SendToPeer(member.node(), request(now, tellRosters)));
+        }
+        voteForSelf(now);
+        terms.evaluate(now);
+        effects.addAll(reportChange(now));
+        return effects;
     }
 
     /**
      * Decides about another node's request.
      *
-     * @param now the moment
+     * @param now the moment, taken after the request was received
      * @param from the other node
      * @param request its request
      * @return the reply to send
      */
     public List<Effect> requested(Moment now, NodeName from, LeaseRequest request) {
-        return List.of();
+        if (!request.service().equals(service) || !request.requester().node().equals(from)) {
+            return List.of();
+        }
+        absence.heard(request.requester());
+        history.learn(request.rosters());
+        history.current()
+                .filter(newest -> newest.digest() == request.rosterDigest())
+                .ifPresent(newest -> history.extend(request.rosterVersion()));
+        history.close(request.closedBelow(), heardClosedAt(now, request.closedForNanos()));
+        adopt(now);
+        LeaseGranter.Decision decision = granter.decide(now, request, recovery.pending());
+        List<Effect> effects = new ArrayList<>();
+        effects.add(new Effect.SendToPeer(from, reply(now, request, decision)));
+        effects.addAll(reportChange(now));
+        return effects;
     }
 
     /**
@@ -73,10 +165,24 @@
      * @param now the moment
      * @param from the other node
      * @param reply its reply
-     * @return what changed
+     * @return messages to send
      */
     public List<Effect> replied(Moment now, NodeName from, LeaseReply reply) {
-        return List.of();
+        if (!reply.service().equals(service) || !reply.granter().node().equals(from)) {
+            return List.of();
+        }
+        absence.heard(reply.granter());
+        history.learn(reply.rosters());
+        history.close(reply.closedBelow(), heardClosedAt(now, reply.closedForNanos()));
+        adopt(now);
+        recovery.heard(reply.granter(), reply.recovering());
+        recovery.check(history.all(), absence::gone);
+        count(now, reply);
+        terms.evaluate(now);
+        List<Effect> effects = new ArrayList<>(inform(now, from, reply));
+        effects.addAll(reportClock(from, reply));
+        effects.addAll(reportChange(now));
+        return effects;
     }
 
     /**
@@ -86,27 +192,34 @@
      * @return messages to send
      */
     public List<Effect> release(Moment now) {
-        return List.of();
+        released = true;
+        sequence++;
+        LeaseRequest giveBack = request(now, sequence, 0, false);
+        granter.decide(now, giveBack, recovery.pending());
+        List<Effect> effects = new ArrayList<>();
+        addressees(now).forEach(member -> effects.add(new Effect.SendToPeer(member.node(), giveBack)));
+        effects.addAll(reportChange(now));
+        return effects;
     }
 
     /**
-     * Tells whether the lease is in force.
+     * Tells whether the lease is in force for all that the newest roster gives this node.
      *
      * @param now the moment
      * @return whether this node may act as holder
      */
     public boolean held(Moment now) {
-        return false;
+        return !released && terms.full().held(now.nanos());
     }
 
     /**
-     * Finds the holder of a request under the roster in force here.
+     * Finds the holder of a request under the newest roster known here.
      *
      * @param request the request
      * @return the holder, or empty before a roster is known
      */
-    public Optional<NodeName> holder(org.carawaysill.model.identity.RequestIdentifier request) {
-        return Optional.empty();
+    public Optional<NodeName> holder(RequestIdentifier request) {
+        return history.current().flatMap(roster -> roster.holder(request));
     }
 
     /**
@@ -115,6 +228,147 @@
      * @return a time on the monotonic clock in nanoseconds, {@link Long#MAX_VALUE} for never
      */
     public long nextWakeNanos() {
-        return Long.MAX_VALUE;
+        return released || !history.names(self) ? Long.MAX_VALUE : nextWakeNanos;
+    }
+
+    /** Since when this node can vouch for a request, if it may act on it now. */
+    Optional<LeaseTerm> term(Moment now, RequestIdentifier request) {
+        boolean member = history.current()
+                .filter(roster -> roster.members().contains(self))
+                .isPresent();
+        return released || !member ? Optional.empty() : terms.term(now.nanos(), request, self.node());
+    }
+
+    /** The lease for all that the newest roster gives this node, in force or not. */
+    LeaseTerm term() {
+        return terms.full();
+    }
+
+    Optional<Roster> roster() {
+        return history.current();
+    }
+
+    Optional<Roster> roster(long digest) {
+        return history.find(digest).or(() -> terms.previous().filter(roster -> roster.digest() == digest));
+    }
+
+    private long heardClosedAt(Moment now, long closedForNanos) {
+        return now.nanos() - settings.leastElapsed(closedForNanos);
+    }
+
+    private void adopt(Moment now) {
+        recovery.check(history.all(), absence::gone);
+        if (terms.adopt()) {
+            nextWakeNanos = now.nanos();
+        }
+    }
+
+    private void openRound(Moment now) {
+        sequence++;
+        long digest = history.current().orElseThrow().digest();
+        rounds.put(sequence, new Round(now.nanos(), digest));
+        rounds.remove(sequence - MOST_ROUNDS);
+    }
+
+    /** Whoever must agree; members of a closed previous roster only until the full lease is held. */
+    private List<RosterMember> addressees(Moment now) {
+        Set<RosterMember> members = new LinkedHashSet<>();
+        history.all().reversed().forEach(roster -> members.addAll(roster.members()));
+        if (!held(now)) {
+            terms.previous().ifPresent(roster -> members.addAll(roster.members()));
+        }
+        Set<NodeName> names = new HashSet<>(Set.of(self.node()));
+        return members.stream().filter(member -> names.add(member.node())).toList();
+    }
+
+    private LeaseRequest request(Moment now, boolean tellRosters) {
+        return request(now, sequence, settings.duration().toNanos(), tellRosters);
+    }
+
+    private LeaseRequest request(Moment now, long number, long durationNanos, boolean tellRosters) {
+        Optional<Roster> newest = history.current();
+        return new LeaseRequest(
+                service,
+                self,
+                incarnation,
+                now.epochMillis(),
+                number,
+                durationNanos,
+                newest.map(Roster::last).orElse(0L),
+                newest.map(Roster::digest).orElse(0L),
+                terms.previous().map(Roster::digest).orElse(0L),
+                history.closedBelow(),
+                history.closedForNanos(now.nanos()),
+                tellRosters ? history.views() : List.of());
+    }
+
+    private LeaseReply reply(Moment now, LeaseRequest request, LeaseGranter.Decision decision) {
+        boolean behind = history.current()
+                .filter(newest -> newest.digest() != request.rosterDigest())
+                .isPresent();
+        return new LeaseReply(
+                service,
+                self,
+                request.sequence(),
+                decision.verdict(),
+                recovery.pending(),
+                decision.freeNanos(),
+                decision.freeForUnmovedNanos(),
+                history.current().map(Roster::last).orElse(0L),
+                history.closedBelow(),
+                history.closedForNanos(now.nanos()),
+                behind || history.inTransition() ? history.views() : List.of());
+    }
+
+    private void voteForSelf(Moment now) {
+        LeaseRequest own = request(now, false);
+        LeaseGranter.Decision decision = granter.decide(now, own, recovery.pending());
+        count(now, reply(now, own, decision));
+    }
+
+    private void count(Moment now, LeaseReply reply) {
+        Round round = rounds.get(reply.sequence());
+        boolean granted =
+                reply.verdict() == LeaseVerdict.GRANTED || reply.verdict() == LeaseVerdict.GRANTED_FOR_UNMOVED;
+        boolean current = round != null
+                && history.current()
+                        .filter(newest -> newest.digest() == round.digest)
+                        .isPresent();
+        if (granted && current) {
+            long freeFrom = now.nanos() - settings.leastElapsed(reply.freeNanos());
+            long unmovedFrom = now.nanos() - settings.leastElapsed(reply.freeForUnmovedNanos());
+            votes.add(reply.granter(), new Vote(round.sentNanos, reply.verdict(), freeFrom, unmovedFrom));
+        }
+    }
+
+    /** Asks again at once where the granter lacked the members of the roster. */
+    private List<Effect> inform(Moment now, NodeName granterName, LeaseReply reply) {
+        if (reply.verdict() != LeaseVerdict.UNKNOWN_ROSTER) {
+            uninformed.remove(granterName);
+            return List.of();
+        }
+        boolean askAgain = uninformed.add(granterName) && !released && rounds.containsKey(sequence);
+        return askAgain ? List.of(new Effect.SendToPeer(granterName, request(now, true))) : List.of();
+    }
+
+    private List<Effect> reportClock(NodeName granterName, LeaseReply reply) {
+        if (reply.verdict() != LeaseVerdict.CLOCKS_APART) {
+            clocksApart.remove(granterName);
+            return List.of();
+        }
+        boolean changed = clocksApart.add(granterName);
+        String message = "lease refused: wall clocks are more than "
+                + settings.clockMargin().toMillis() / 2 + " ms apart";
+        return changed ? List.of(new Effect.LogChange(Step.OWNERSHIP, granterName, message)) : List.of();
+    }
+
+    private List<Effect> reportChange(Moment now) {
+        boolean held = held(now);
+        if (held == reportedHeld) {
+            return List.of();
+        }
+        reportedHeld = held;
+        String message = held ? "lease acquired" : "lease lost";
+        return List.of(new Effect.LogChange(Step.OWNERSHIP, self.node(), message));
     }
 }
