--- a/protocol/src/main/java/org/carawaysill/protocol/codec/LeaseCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/LeaseCodec.java
@@ -30,7 +30,8 @@
                 .setRosterVersion(request.rosterVersion())
                 .setRosterDigest(request.rosterDigest())
                 .setPreviousDigest(request.previousDigest())
-                .setClosedBelow(request.closedBelow());
+                .setClosedBelow(request.closedBelow())
+                .setClosedForNanos(request.closedForNanos());
         request.rosters().forEach(roster -> frame.addRosters(encode(roster)));
         return frame.build();
     }
@@ -47,6 +48,7 @@
                 frame.getRosterDigest(),
                 frame.getPreviousDigest(),
                 Fields.notNegative(frame.getClosedBelow(), "closed version"),
+                Fields.notNegative(frame.getClosedForNanos(), "closed time"),
                 decode(frame.getRostersList()));
     }
 
@@ -60,7 +62,8 @@
                 .setFreeNanos(reply.freeNanos())
                 .setFreeForUnmovedNanos(reply.freeForUnmovedNanos())
                 .setHighestVersion(reply.highestVersion())
-                .setClosedBelow(reply.closedBelow());
+                .setClosedBelow(reply.closedBelow())
+                .setClosedForNanos(reply.closedForNanos());
         reply.rosters().forEach(roster -> frame.addRosters(encode(roster)));
         return frame.build();
     }
@@ -76,6 +79,7 @@
                 Fields.notNegative(frame.getFreeForUnmovedNanos(), "free time for unmoved work"),
                 Fields.notNegative(frame.getHighestVersion(), "highest version"),
                 Fields.notNegative(frame.getClosedBelow(), "closed version"),
+                Fields.notNegative(frame.getClosedForNanos(), "closed time"),
                 decode(frame.getRostersList()));
     }
 
--- a/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
@@ -101,6 +101,7 @@
                 random.nextLong(),
                 random.nextLong(),
                 version(),
+                nanos(),
                 several(this::roster));
     }
 
@@ -115,6 +116,7 @@
                 nanos(),
                 version(),
                 version(),
+                nanos(),
                 several(this::roster));
     }
 
