--- a/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
+++ b/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
@@ -130,8 +130,8 @@
     private List<Effect> take(long now, NodeName from, PeerMessage message) {
         return switch (message) {
             case Heartbeat heartbeat -> {
-                exchange.told(from, heartbeat.versions());
-                reconsider = !gate.isOpen() || exchange.behind(now);
+                boolean news = exchange.told(from, heartbeat.versions());
+                reconsider = news || !gate.isOpen();
                 yield List.of();
             }
             case ConfigurationWanted wanted ->
--- a/policy/src/main/java/org/carawaysill/policy/distribution/PeerExchange.java
+++ b/policy/src/main/java/org/carawaysill/policy/distribution/PeerExchange.java
@@ -98,9 +98,13 @@
      *
      * @param from its sender
      * @param versions its versions by service
+     * @return whether any of them would be news
      */
-    void told(NodeName from, Map<ServiceName, Long> versions) {
+    boolean told(NodeName from, Map<ServiceName, Long> versions) {
         peers.told(from, versions);
+        return versions.entrySet().stream()
+                .anyMatch(entry -> documents.follows(entry.getKey())
+                        && documents.of(entry.getKey()).isNews(entry.getValue()));
     }
 
     /**
