--- a/policy/src/main/java/org/carawaysill/policy/admission/AdmissionQueue.java
+++ b/policy/src/main/java/org/carawaysill/policy/admission/AdmissionQueue.java
@@ -12,10 +12,10 @@
 /**
  * Requests that wait for a slot, in order of importance and in order of the moment at which waiting becomes pointless.
  *
- * <p>Importance is the priority, then the work already invested in the request, seen by its depth. Requests equal in both
- * are ordered by deadline; the caller chooses from which end they are taken. Invariant: both orders and the counts by
- * level hold the same requests, each attempt once. Every change costs the logarithm of the queue's length. Not thread
- * safe.
+ * <p>Importance is the priority, then the work already invested in the request, seen by its depth. Requests equal in
+ * both are ordered by deadline; the caller chooses from which end they are taken. Invariant: both orders and the counts
+ * by level hold the same requests, each attempt once. Every change costs the logarithm of the queue's length. Not
+ * thread safe.
  */
 final class AdmissionQueue {
 
--- a/policy/src/main/java/org/carawaysill/policy/admission/AdmissionSettings.java
+++ b/policy/src/main/java/org/carawaysill/policy/admission/AdmissionSettings.java
@@ -3,14 +3,14 @@
 /**
  * Settings of {@link CopyAdmission}.
  *
- * <p>Under overload the queue is kept near a target, so that no slot is free for want of work. What it must bridge is the
- * random swing of the arrivals, which grows with the square root of the limit.
+ * <p>Under overload the queue is kept near a target, so that no slot is free for want of work. What it must bridge is
+ * the random swing of the arrivals, which grows with the square root of the limit.
  *
  * <p>Invariant: the factor is positive. Immutable and thread safe.
  *
  * @param queueFactor the queue's target, in square roots of the limit; twice as many may wait
- * @param cancelForCritical whether unimportant idempotent requests are cancelled at the copy for critical ones that would
- *     be refused
+ * @param cancelForCritical whether unimportant idempotent requests are cancelled at the copy for critical ones that
+ *     would be refused
  */
 public record AdmissionSettings(double queueFactor, boolean cancelForCritical) {
 
--- a/policy/src/main/java/org/carawaysill/policy/admission/ContentionProbe.java
+++ b/policy/src/main/java/org/carawaysill/policy/admission/ContentionProbe.java
@@ -5,11 +5,11 @@
 /**
  * Finds out whether requests at the copy hinder each other, by trying fewer of them.
  *
- * <p>When the mean own time of a round of requests is well above the usual, a trial with a quarter less in flight follows.
- * If the time falls with the number in flight, the lower limit costs no throughput and stays, and the next trial goes
- * lower still. If it does not, the copy is slow for another reason: the limit goes back, and the slower time becomes the
- * usual one, so that one slow spell costs one trial. From a lowered limit, trials go up again step by step, and back at
- * once when nothing is gained.
+ * <p>When the mean own time of a round of requests has been well above the usual for a while, a trial with a quarter
+ * less in flight follows. If the time falls with the number in flight, the lower limit costs no throughput and stays,
+ * and the next trial goes lower still. If it does not, the copy is slow for another reason: the limit goes back, and
+ * the next trial waits twice as long, since each costs a part of the slots. From a lowered limit, trials go up again,
+ * and back when nothing is gained.
  *
  * <p>Rounds count requests only while the limit is in use, and only once as many have ended as were in flight when the
  * limit changed: the first to end are the quick ones, and their mean would look like a gain. A limit that is
@@ -42,6 +42,7 @@
     private double previousMean;
     private double usualMean;
     private int usualCount;
+    private boolean slow;
     private long slowSinceNanos;
     private long patienceNanos = SHORTEST_PATIENCE_NANOS;
     private long restUntilNanos = Long.MIN_VALUE;
@@ -110,10 +111,12 @@
             usualMean = mean;
             usualCount = count;
         }
-        boolean slow = mean > usualMean * SLOWER;
+        boolean wasSlow = slow;
+        slow = mean > usualMean * SLOWER;
         if (!slow) {
-            slowSinceNanos = now;
             patienceNanos = SHORTEST_PATIENCE_NANOS;
+        } else if (!wasSlow) {
+            slowSinceNanos = now;
         }
         if (slow && limit > 1 && now - slowSinceNanos >= patienceNanos) {
             begin(Trial.LOWER, mean, Math.max(1, (int) (limit * STEP)));
--- a/policy/src/main/java/org/carawaysill/policy/admission/ForecastCut.java
+++ b/policy/src/main/java/org/carawaysill/policy/admission/ForecastCut.java
@@ -6,10 +6,10 @@
 /**
  * Closes the priority levels whose requests would pile up beyond the queue that the copy needs.
  *
- * <p>From the most important level down it adds up what waits and what will arrive within a short horizon. While that is
- * no more than the copy will answer within the horizon plus the wanted queue, the level is open. The first level that
- * fits in part is the margin. Answers report it as open and as closed in turns, such that its requests fit: a site with few
- * callers, each a large part of the traffic, is neither flooded nor starved.
+ * <p>From the most important level down it adds up what waits and what will arrive within a short horizon. While that
+ * is no more than the copy will answer within the horizon plus the wanted queue, the level is open. The first level
+ * that fits in part is the margin. Answers report it as open and as closed in turns, such that its requests fit: a site
+ * with few callers, each a large part of the traffic, is neither flooded nor starved.
  *
  * <p>A closed level's arrivals can't be seen, since callers hold them back; the last known number is remembered for a
  * while. The cut rises at once, but only where the wanted queue is already waiting, so that a burst in the arrivals of
@@ -74,7 +74,7 @@
         takeTurn();
     }
 
-    /** Takes the next turn of the margin, open or closed; called with each event, so that answers carry turns in turn. */
+    /** Takes the next turn of the margin, open or closed; called with each event, so that answers alternate too. */
     void takeTurn() {
         marginCredit += marginShare;
         boolean open = marginCredit >= 1;
@@ -145,7 +145,6 @@
     }
 
     private void reopen(int before) {
-        margin = 0;
         fallBy(before, idleFall);
         Arrays.fill(expected, margin, before, 0);
         idleFall = Math.min(2 * idleFall, LEVELS);
--- a/policy/src/main/java/org/carawaysill/policy/admission/HopTimes.java
+++ b/policy/src/main/java/org/carawaysill/policy/admission/HopTimes.java
@@ -6,8 +6,8 @@
 /**
  * How long requests of each operation usually take at this hop, from their start at the copy to their answer.
  *
- * <p>Mean and mean deviation are tracked as TCP tracks its round-trip time (RFC 6298). The quick end of what is usual is
- * the mean less the deviation: a request with less time left than that can hardly finish.
+ * <p>Mean and mean deviation are tracked as TCP tracks its round-trip time (RFC 6298). The quick end of what is usual
+ * is the mean less the deviation: a request with less time left than that can hardly finish.
  *
  * <p>An estimate that is not confirmed halves with each {@link #HALVING_NANOS}. Without that, one slow spell could make
  * every request look hopeless; none would run, and nothing would ever correct the estimate.
--- a/policy/src/main/java/org/carawaysill/policy/admission/LearnedLimit.java
+++ b/policy/src/main/java/org/carawaysill/policy/admission/LearnedLimit.java
@@ -4,10 +4,10 @@
  * The published slots, unless the copy shows that it can't use them.
  *
  * <p>Two signs lower the limit. A failure lowers it by a part at once; each answer raises it again, and for a while not
- * beyond the number at which it failed. A copy that gets slower is asked a question before the limit falls for good: does
- * the time per request shrink with fewer requests in flight? If it does, they hinder each other, and the limit goes down
- * as long as that costs no throughput; if not, the copy is slow for another reason, a lower limit would only waste its
- * slots, and the slower time becomes the usual one. More is tried again and again.
+ * beyond the number at which it failed. A copy that gets slower is asked a question before the limit falls for good:
+ * does the time per request shrink with fewer requests in flight? If it does, they hinder each other, and the limit
+ * goes down as long as that costs no throughput; if not, the copy is slow for another reason, and a lower limit would
+ * only waste its slots. More is tried again and again.
  *
  * <p>Invariant: between 1 and the slots. Not thread safe.
  */
@@ -81,8 +81,8 @@
     /**
      * Lowers the limit, once for all requests that were in flight together.
      *
-     * <p>A failure of a single request says nothing about how many are too many: a copy that was down must get its slots
-     * back as soon as it answers.
+     * <p>A failure of a single request says nothing about how many are too many: a copy that was down must get its
+     * slots back as soon as it answers.
      */
     private void failed(long now, Sample sample) {
         if (sample.startedNanos() < lastFallNanos) {
--- a/policy/src/main/java/org/carawaysill/policy/admission/PauseDetector.java
+++ b/policy/src/main/java/org/carawaysill/policy/admission/PauseDetector.java
@@ -3,9 +3,9 @@
 /**
  * Notices, by a gap between two events, that this node itself was paused.
  *
- * <p>Guards against blaming the copy for the pause of its node: requests that ran meanwhile seem to have taken as long as
- * the pause, every new one looks hopeless, and all are refused although the copy is quick. A longer gap than
- * {@link #LONGEST_GAP_NANOS} counts as no longer than that, and from a request that ran during one nothing is learned.
+ * <p>Guards against blaming the copy for the pause of its node: requests that ran meanwhile seem to have taken as long
+ * as the pause, every new one looks hopeless, and all are refused although the copy is quick. A longer gap than {@link
+ * #LONGEST_GAP_NANOS} counts as no longer than that, and from a request that ran during one nothing is learned.
  *
  * <p>Not thread safe.
  */
--- a/policy/src/main/java/org/carawaysill/policy/admission/ServiceCuts.java
+++ b/policy/src/main/java/org/carawaysill/policy/admission/ServiceCuts.java
@@ -8,10 +8,10 @@
 /**
  * What one deeper service admits at present, as its nodes, or nodes above it, have reported.
  *
- * <p>A request is hopeless only if no copy takes it, so the lowest of the reported cuts counts. A cut keeps its force for
- * {@link #FULL_FORCE_NANOS} and loses it evenly until {@link #LIFETIME_NANOS}. That guards against a cut that outlives
- * its overload: callers that obey it send nothing, hear nothing, and would go on refusing for ever. As it fades, a few
- * requests pass and bring the present cut back.
+ * <p>A request is hopeless only if no copy takes it, so the lowest of the reported cuts counts. A cut keeps its force
+ * for {@link #FULL_FORCE_NANOS} and loses it evenly until {@link #LIFETIME_NANOS}. That guards against a cut that
+ * outlives its overload: callers that obey it send nothing, hear nothing, and would go on refusing for ever. As it
+ * fades, a few requests pass and bring the present cut back.
  *
  * <p>Invariant: nothing heard within the lifetime means that all levels are open. Not thread safe.
  */
