--- a/policy/src/main/java/org/carawaysill/policy/admission/CopyAdmission.java
+++ b/policy/src/main/java/org/carawaysill/policy/admission/CopyAdmission.java
@@ -10,12 +10,10 @@
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 
 /**
- * Guards the local copy: at most as many requests run as its limit allows, a few wait by importance, the rest is
- * refused.
+ * Guards the local copy: at most as many requests run as its limit allows, a few wait, the rest is refused.
  *
- * <p>Every request offered gets one verdict: it starts or it is refused. One that started may be cancelled later. The
- * limit, the time per request and the rate of answers are what this node has seen itself; the copy's own health and
- * load pages are not asked.
+ * <p>Every request offered gets one verdict: it starts or it is refused. One that started may be cancelled later. All
+ * that is known of the copy is what this node has seen itself; its own health and load pages are not asked.
  *
  * <p>Invariants: in flight is at most the limit whenever a request starts; the limit is between 1 and the slots; when a
  * request is refused for room, no less important one is kept waiting ({@link #breaches()} counts exceptions). Not
