Mend what the model of holders found; tell how long rosters have been closed

A node that restarts took the time at which it heard of a closing for the closing itself, and so answered "may have run" for what was minted while it was down; messages now tell for how long a roster has been closed.

--- a/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
@@ -137,6 +137,7 @@
      * @param rosterDigest the digest of that roster's members
      * @param previousDigest the digest of the members under which the sender acted before, 0 for none
      * @param closedBelow rosters of lower versions can give no lease any more
+     * @param closedForNanos for how long that has been so
      * @param rosters the rosters that the receiver may not know; empty in steady state
      */
     record LeaseRequest(
@@ -150,6 +151,7 @@
             long rosterDigest,
             long previousDigest,
             long closedBelow,
+            long closedForNanos,
             List<RosterView> rosters)
             implements PeerMessage {
 
@@ -184,6 +186,7 @@
      * @param freeForUnmovedNanos for how long it has had none that excludes a grant for unmoved work
      * @param highestVersion the highest roster version that the sender knows of
      * @param closedBelow rosters of lower versions can give no lease any more
+     * @param closedForNanos for how long that has been so
      * @param rosters the rosters that the receiver may not know; empty in steady state
      */
     record LeaseReply(
@@ -196,6 +199,7 @@
             long freeForUnmovedNanos,
             long highestVersion,
             long closedBelow,
+            long closedForNanos,
             List<RosterView> rosters)
             implements PeerMessage {
 
--- a/policy/src/main/java/org/carawaysill/policy/ownership/LeaseTerms.java
+++ b/policy/src/main/java/org/carawaysill/policy/ownership/LeaseTerms.java
@@ -84,6 +84,10 @@
         }
     }
 
+    /**
+     * Failure guarded against: an older roster that this node never asked, since others closed it, had leases until then;
+     * no granter of the newest roster need know of them. So the time vouched for begins at the closing at the earliest.
+     */
     private void evaluateFull(Moment now) {
         long until = votes.untilNanos(history.all(), Extent.ALL);
         if (until <= now.nanos()) {
@@ -92,18 +96,13 @@
         long freeFrom = votes.freeFromNanos(now.nanos(), history.all(), Extent.ALL);
         boolean continues = full.continues(now.nanos(), freeFrom);
         boolean heldTogether = unmoved.held(now.nanos()) || continues && unmoved.untilNanos() == full.untilNanos();
-        full = continues ? full.until(until) : LeaseTerm.begun(now, Math.max(freeFrom, closedAt()), until);
+        full = continues ? full.until(until) : LeaseTerm.begun(now, Math.max(freeFrom, history.closedAtNanos()), until);
         if (previous.isPresent() && heldTogether) {
             unmoved = unmoved.until(full.untilNanos());
         }
         history.close(newest.orElseThrow().first(), now.nanos());
     }
 
-    /** Rosters that this node only heard to be closed may have had leases until shortly before it heard it. */
-    private long closedAt() {
-        return history.closedAtNanos();
-    }
-
     /** Since when this node can vouch for a request, if it may act on it now. */
     Optional<LeaseTerm> term(long now, RequestIdentifier request, NodeName self) {
         if (newest.filter(roster -> roster.gives(request, self)).isEmpty()) {
--- a/policy/src/main/java/org/carawaysill/policy/ownership/LeaseVotes.java
+++ b/policy/src/main/java/org/carawaysill/policy/ownership/LeaseVotes.java
@@ -3,16 +3,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import org.carawaysill.policy.message.PeerMessage.LeaseVerdict;
 import org.carawaysill.policy.message.PeerMessage.RosterMember;
 
 /**
  * The votes that this node got for its lease under one roster, and what majorities of them amount to.
  *
- * <p>Invariant: a lease counts from before its request was sent, so it ends here before it ends at any granter. A member
- * that is gone for good votes for everyone: it can't act, and what it granted has run out. Not thread safe: one thread
- * owns it.
+ * <p>Invariants: a lease counts from before its request was sent, so it ends here before it ends at any granter. A member
+ * that is gone for good votes for nobody, since it would vote for both of two that exclude each other. Where a majority
+ * is gone, the votes of all that live suffice: the others can't act any more. Not thread safe: one thread owns it.
  */
 final class LeaseVotes {
 
@@ -81,38 +80,50 @@
                 .orElse(Long.MAX_VALUE);
     }
 
-    /** The end that more than half of the members' votes reach. */
+    /** The end that a majority's votes reach, or those of all that live. */
     private long untilNanos(Roster roster, Extent extent) {
-        long[] rising = roster.members().stream()
-                .mapToLong(member -> endOf(member, extent))
+        long[] falling = roster.members().stream()
+                .filter(member -> !absence.gone(member))
+                .mapToLong(member -> -endOf(member, extent))
                 .sorted()
                 .toArray();
-        return rising.length == 0 ? Long.MIN_VALUE : rising[(rising.length - 1) / 2];
+        int enough = Math.min(falling.length, majority(roster));
+        return enough == 0 ? Long.MAX_VALUE : -falling[enough - 1];
     }
 
-    /** The earliest time after which more than half of the members knew of no other lease. */
+    /** The earliest time after which a majority, or all that live, knew of no other lease and the gone had none. */
     private long freeFromNanos(long now, Roster roster, Extent extent) {
         long[] rising = roster.members().stream()
+                .filter(member -> !absence.gone(member))
                 .mapToLong(member -> freeFrom(now, member, extent))
                 .sorted()
                 .toArray();
-        return rising.length == 0 ? Long.MAX_VALUE : rising[rising.length / 2];
+        if (rising.length >= majority(roster)) {
+            return rising[majority(roster) - 1];
+        }
+        long lastOfLiving = rising.length == 0 ? Long.MIN_VALUE : rising[rising.length - 1];
+        return Math.max(lastOfLiving, lastOfGone(roster));
+    }
+
+    private long lastOfGone(Roster roster) {
+        return roster.members().stream()
+                .filter(absence::gone)
+                .mapToLong(absence::absentSinceNanos)
+                .max()
+                .orElse(Long.MIN_VALUE);
+    }
+
+    private static int majority(Roster roster) {
+        return roster.members().size() / 2 + 1;
     }
 
     private long endOf(RosterMember member, Extent extent) {
-        if (absence.goneSinceNanos(member).isPresent()) {
-            return Long.MAX_VALUE;
-        }
         Vote vote = votes.get(member);
         boolean granted = vote != null && vote.supports(extent);
-        return granted ? vote.sentNanos + settings.duration().toNanos() : Long.MIN_VALUE;
+        return granted ? vote.sentNanos + settings.duration().toNanos() : -Long.MAX_VALUE;
     }
 
     private long freeFrom(long now, RosterMember member, Extent extent) {
-        OptionalLong gone = absence.goneSinceNanos(member);
-        if (gone.isPresent()) {
-            return gone.getAsLong() + settings.grantLength().toNanos();
-        }
         Vote vote = votes.get(member);
         boolean inForce = vote != null
                 && vote.supports(extent)
--- a/policy/src/main/java/org/carawaysill/policy/ownership/Recovery.java
+++ b/policy/src/main/java/org/carawaysill/policy/ownership/Recovery.java
@@ -13,8 +13,8 @@
  * helps a holder under the old roster, beside the holder under the new one; the same identifier runs twice. A restarted
  * node therefore grants nothing until a majority of each roster that it knows, not counting others that restarted,
  * told it the rosters that they know; one of them remembers each promise that a majority made. Where so many restarted
- * that no such majority is left, all members must have been heard, except those that are gone for good: what none of
- * them remembers is not remembered anywhere. (The recovery of Viewstamped Replication, Liskov and Cowling, 2012.)
+ * that no such majority is left, all members must have been heard, except fewer than a majority that are gone for good: what
+ * none of them remembers is not remembered anywhere. (The recovery of Viewstamped Replication, Liskov and Cowling, 2012.)
  *
  * <p>Not thread safe: one thread owns it.
  */
--- a/policy/src/main/java/org/carawaysill/policy/ownership/RosterHistory.java
+++ b/policy/src/main/java/org/carawaysill/policy/ownership/RosterHistory.java
@@ -51,11 +51,15 @@
         return closedBelow;
     }
 
-    /** When this node learned of the last closing, {@link Long#MIN_VALUE} for never. */
+    /** The latest time at which the last closing happened, {@link Long#MIN_VALUE} for never. */
     long closedAtNanos() {
         return closedAtNanos;
     }
 
+    long closedForNanos(long now) {
+        return closedBelow == 0 ? 0 : now - closedAtNanos;
+    }
+
     /** Notes that the newest members were published again in a later version. */
     void extend(long version) {
         Roster newest = rosters.removeLast();
@@ -82,13 +86,13 @@
         joinNeighbours();
     }
 
-    /** Notes that rosters of lower versions can give no lease any more. */
-    void close(long version, long now) {
+    /** Notes that rosters of lower versions can give no lease any more since a time. */
+    void close(long version, long atNanos) {
         if (version <= closedBelow) {
             return;
         }
         closedBelow = version;
-        closedAtNanos = now;
+        closedAtNanos = atNanos;
         Roster newest = rosters.isEmpty() ? null : rosters.getLast();
         rosters.removeIf(roster -> roster != newest && roster.last() < version);
     }
--- a/policy/src/main/java/org/carawaysill/policy/ownership/RosterLease.java
+++ b/policy/src/main/java/org/carawaysill/policy/ownership/RosterLease.java
@@ -105,7 +105,7 @@
         Set<RosterMember> members = new HashSet<>();
         history.all().forEach(roster -> members.addAll(roster.members()));
         absence.read(now.nanos(), list, members);
-        recovery.check(history.all(), this::gone);
+        recovery.check(history.all(), absence::gone);
         terms.evaluate(now);
     }
 
@@ -145,15 +145,16 @@
         if (!request.service().equals(service) || !request.requester().node().equals(from)) {
             return List.of();
         }
+        absence.heard(request.requester());
         history.learn(request.rosters());
         history.current()
                 .filter(newest -> newest.digest() == request.rosterDigest())
                 .ifPresent(newest -> history.extend(request.rosterVersion()));
-        history.close(request.closedBelow(), now.nanos());
+        history.close(request.closedBelow(), heardClosedAt(now, request.closedForNanos()));
         adopt(now);
         LeaseGranter.Decision decision = granter.decide(now, request, recovery.pending());
         List<Effect> effects = new ArrayList<>();
-        effects.add(new Effect.SendToPeer(from, reply(request, decision)));
+        effects.add(new Effect.SendToPeer(from, reply(now, request, decision)));
         effects.addAll(reportChange(now));
         return effects;
     }
@@ -170,11 +171,12 @@
         if (!reply.service().equals(service) || !reply.granter().node().equals(from)) {
             return List.of();
         }
+        absence.heard(reply.granter());
         history.learn(reply.rosters());
-        history.close(reply.closedBelow(), now.nanos());
+        history.close(reply.closedBelow(), heardClosedAt(now, reply.closedForNanos()));
         adopt(now);
         recovery.heard(reply.granter(), reply.recovering());
-        recovery.check(history.all(), this::gone);
+        recovery.check(history.all(), absence::gone);
         count(now, reply);
         terms.evaluate(now);
         List<Effect> effects = new ArrayList<>(inform(now, from, reply));
@@ -250,12 +252,12 @@
         return history.find(digest).or(() -> terms.previous().filter(roster -> roster.digest() == digest));
     }
 
-    private boolean gone(RosterMember member) {
-        return absence.goneSinceNanos(member).isPresent();
+    private long heardClosedAt(Moment now, long closedForNanos) {
+        return now.nanos() - settings.leastElapsed(closedForNanos);
     }
 
     private void adopt(Moment now) {
-        recovery.check(history.all(), this::gone);
+        recovery.check(history.all(), absence::gone);
         if (terms.adopt()) {
             nextWakeNanos = now.nanos();
         }
@@ -296,10 +298,11 @@
                 newest.map(Roster::digest).orElse(0L),
                 terms.previous().map(Roster::digest).orElse(0L),
                 history.closedBelow(),
+                history.closedForNanos(now.nanos()),
                 tellRosters ? history.views() : List.of());
     }
 
-    private LeaseReply reply(LeaseRequest request, LeaseGranter.Decision decision) {
+    private LeaseReply reply(Moment now, LeaseRequest request, LeaseGranter.Decision decision) {
         boolean behind = history.current()
                 .filter(newest -> newest.digest() != request.rosterDigest())
                 .isPresent();
@@ -313,13 +316,14 @@
                 decision.freeForUnmovedNanos(),
                 history.current().map(Roster::last).orElse(0L),
                 history.closedBelow(),
+                history.closedForNanos(now.nanos()),
                 behind || history.inTransition() ? history.views() : List.of());
     }
 
     private void voteForSelf(Moment now) {
         LeaseRequest own = request(now, false);
         LeaseGranter.Decision decision = granter.decide(now, own, recovery.pending());
-        count(now, reply(own, decision));
+        count(now, reply(now, own, decision));
     }
 
     private void count(Moment now, LeaseReply reply) {
--- a/policy/src/main/java/org/carawaysill/policy/ownership/VmAbsence.java
+++ b/policy/src/main/java/org/carawaysill/policy/ownership/VmAbsence.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.Set;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.vm.VmList;
@@ -13,7 +13,7 @@
  *
  * <p>Failure guarded against: a partition taken for a loss. The list comes from the platform and not from whom this node
  * can reach; only time between two reads that both lacked the VM counts, never the time in which no read came through;
- * and a list that lacks this very node is not believed. Not thread safe: one thread owns it.
+ * a list that lacks this very node is not believed, nor what it says of a member that sends messages. Not thread safe: one thread owns it.
  */
 final class VmAbsence {
 
@@ -42,11 +42,19 @@
         }
     }
 
-    /** Tells when a member that is gone was first found absent. */
-    OptionalLong goneSinceNanos(RosterMember member) {
+    /** Notes that a member lives, whatever the list says. */
+    void heard(RosterMember member) {
+        absent.remove(member);
+    }
+
+    boolean gone(RosterMember member) {
         Span span = absent.get(member);
-        boolean gone = span != null && span.untilNanos - span.fromNanos >= goneAfterNanos;
-        return gone ? OptionalLong.of(span.fromNanos) : OptionalLong.empty();
+        return span != null && span.untilNanos - span.fromNanos >= goneAfterNanos;
+    }
+
+    /** When a member that is absent was first found so; it acted no later. */
+    long absentSinceNanos(RosterMember member) {
+        return Optional.ofNullable(absent.get(member)).map(Span::fromNanos).orElse(Long.MAX_VALUE);
     }
 
     /** A VM listed at another IP number has replaced the member under its name. */
--- a/policy/src/test/java/org/carawaysill/policy/ownership/OwnershipWorld.java
+++ b/policy/src/test/java/org/carawaysill/policy/ownership/OwnershipWorld.java
@@ -51,6 +51,8 @@
 
     final Random random;
     final List<SimulatedNode> nodes = new ArrayList<>();
+    private final LeaseSettings lease;
+    private final HolderSettings table;
     private final PriorityQueue<Scheduled> queue = new PriorityQueue<>();
     private final Set<Set<RosterMember>> cuts = new HashSet<>();
     private final Map<SimulatedNode, Long> wakeAt = new HashMap<>();
@@ -70,6 +72,24 @@
 
     OwnershipWorld(long seed) {
         this.random = new Random(seed);
+        boolean tightClocks = random.nextBoolean();
+        this.lease = new LeaseSettings(
+                Duration.ofSeconds(3),
+                Duration.ofSeconds(1),
+                Duration.ofMillis(100),
+                Duration.ofMillis(tightClocks ? 40 : 1_000),
+                Duration.ofSeconds(2),
+                Duration.ofSeconds(3));
+        this.table = new HolderSettings(
+                Duration.ofSeconds(20), Duration.ofSeconds(2), Duration.ofMillis(tightClocks ? 0 : 500), 20, 20_000);
+    }
+
+    LeaseSettings lease() {
+        return lease;
+    }
+
+    HolderSettings table() {
+        return table;
     }
 
     void network(double newLoss, double newDoubling, long newSlowestMillis) {
@@ -101,13 +121,13 @@
         SimulatedNode node = new SimulatedNode(
                 new RosterMember(new NodeName(name), "10.0." + generation + ".1", 7000),
                 random,
-                LEASE.clockMargin().toMillis());
+                lease.clockMargin().toMillis());
         nodes.add(node);
         return node;
     }
 
     void start(SimulatedNode node, ServiceConfiguration document) {
-        node.start(real, SERVICE, LEASE, TABLE);
+        node.start(real, SERVICE, lease, table);
         read(node, document);
     }
 
@@ -206,7 +226,7 @@
         if (random.nextDouble() < loss) {
             return;
         }
-        long delay = 1 + random.nextLong(random.nextInt(20) == 0 ? slowestMillis * 20 : slowestMillis);
+        long delay = 1 + random.nextLong(random.nextInt(20) == 0 ? slowestMillis * 100 : slowestMillis);
         after(delay, () -> {
             if (!cuts.contains(Set.of(from.member, target.member))) {
                 at(target, () -> receive(target, from.member.node(), message));
--- a/policy/src/test/java/org/carawaysill/policy/ownership/SimulatedClients.java
+++ b/policy/src/test/java/org/carawaysill/policy/ownership/SimulatedClients.java
@@ -20,8 +20,6 @@
  */
 final class SimulatedClients {
 
-    private static final int REPEATED = 40;
-
     private final OwnershipWorld world;
     private final List<Sent> sent = new ArrayList<>();
     private final Map<RequestIdentifier, Integer> runs = new HashMap<>();
@@ -49,13 +47,13 @@
     }
 
     /** Repeats one of the last identifiers, but none after the key lifetime, as callers promise. */
-    Optional<RequestKey> repeat() {
+    Optional<RequestKey> repeat(int last) {
         if (sent.isEmpty()) {
             return Optional.empty();
         }
-        Sent old = sent.get(sent.size() - 1 - world.random.nextInt(Math.min(REPEATED, sent.size())));
-        boolean young = world.real() - old.firstReal
-                < OwnershipWorld.TABLE.keyLifetime().toNanos() * 9 / 10;
+        Sent old = sent.get(sent.size() - 1 - world.random.nextInt(Math.min(last, sent.size())));
+        boolean young =
+                world.real() - old.firstReal < world.table().keyLifetime().toNanos() * 9 / 10;
         return young ? Optional.of(old.key) : Optional.empty();
     }
 
