--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/configuration/RequestClassifier.java
@@ -0,0 +1,119 @@
+package org.carawaysill.model.configuration;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.carawaysill.model.identity.CallerName;
+import org.carawaysill.model.request.RequestTerms;
+
+/**
+ * Classifies requests by one service's configuration: the first operation that matches, then for each term the first
+ * selector that matches and states it.
+ *
+ * <p>Selectors are evaluated once for each pair of operation and caller and then remembered, the
+ * {@value #REMEMBERED} pairs used last. Not thread safe: used by the one thread that decides.
+ */
+public final class RequestClassifier {
+
+    private static final int REMEMBERED = 4096;
+    private static final int INITIAL_CAPACITY = 16;
+    private static final float LOAD_FACTOR = 0.75f;
+
+    private final RequestTerms defaults;
+    private final OperationIndex operations = new OperationIndex();
+    private final List<CompiledSelector> selectors;
+    private final Map<CallerName, CallerEntry> callers = new HashMap<>();
+    private final Map<OperationCaller, Classification> remembered = new RecentClassifications();
+
+    /**
+     * Prepares to classify.
+     *
+     * @param configuration a checked configuration
+     */
+    public RequestClassifier(ServiceConfiguration configuration) {
+        defaults = configuration.defaults();
+        Map<String, String> service =
+                RequestLabels.ofService(configuration.service().value(), configuration.labels());
+        selectors = configuration.selectors().stream()
+                .map(CompiledSelector::compile)
+                .filter(selector -> selector.matchesService(service))
+                .toList();
+        int index = 0;
+        for (Operation operation : configuration.operations()) {
+            operations.add(new CompiledOperation(operation, new PathPattern(operation.path()), index));
+            index++;
+        }
+        configuration.callers().forEach(caller -> callers.put(caller.caller(), caller));
+    }
+
+    /**
+     * Classifies a request.
+     *
+     * @param method the HTTP method
+     * @param path the path, with or without its query
+     * @param caller who asks
+     * @return the classification, or empty if no operation matches
+     */
+    public Optional<Classification> classify(String method, String path, CallerName caller) {
+        return operations.firstMatch(method, path).map(operation -> classification(operation, caller));
+    }
+
+    private Classification classification(CompiledOperation operation, CallerName caller) {
+        OperationCaller pair = new OperationCaller(operation.index(), caller);
+        Classification known = remembered.get(pair);
+        if (known != null) {
+            return known;
+        }
+        Classification evaluated = evaluate(operation.operation(), caller);
+        remembered.put(pair, evaluated);
+        return evaluated;
+    }
+
+    private Classification evaluate(Operation operation, CallerName name) {
+        CallerEntry caller = callers.getOrDefault(name, new CallerEntry(name, Labels.NONE));
+        Map<String, String> requestLabels = RequestLabels.ofOperation(operation);
+        Map<String, String> callerLabels = RequestLabels.ofCaller(caller);
+        List<Selector> matched = selectors.stream()
+                .filter(selector -> selector.matchesRequest(requestLabels))
+                .filter(selector -> selector.matchesCaller(callerLabels))
+                .map(CompiledSelector::selector)
+                .toList();
+        return new Classification(operation, terms(matched), matched);
+    }
+
+    private RequestTerms terms(List<Selector> matched) {
+        return new RequestTerms(
+                first(matched, Selector::importance).orElse(defaults.importance()),
+                first(matched, Selector::idempotent).orElse(defaults.idempotent()),
+                first(matched, Selector::retryCredits).orElse(defaults.retryCredits()),
+                first(matched, Selector::deadline).orElse(defaults.deadline()));
+    }
+
+    private static <T> Optional<T> first(List<Selector> matched, Function<Selector, Optional<T>> term) {
+        return matched.stream().map(term).flatMap(Optional::stream).findFirst();
+    }
+
+    /** What a classification depends on. */
+    private record OperationCaller(int operation, CallerName caller) {}
+
+    /**
+     * Forgets the classification that was used longest ago.
+     *
+     * <p>Guards the memory of the node against clients that name themselves anew with each request: the map stays at its
+     * bound, and such a client pays with an evaluation per request.
+     */
+    private static final class RecentClassifications extends LinkedHashMap<OperationCaller, Classification> {
+
+        private RecentClassifications() {
+            super(INITIAL_CAPACITY, LOAD_FACTOR, true);
+        }
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<OperationCaller, Classification> eldest) {
+            return size() > REMEMBERED;
+        }
+    }
+}
--- a/model/src/main/java/org/carawaysill/model/configuration/ServiceConfiguration.java
+++ b/model/src/main/java/org/carawaysill/model/configuration/ServiceConfiguration.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.carawaysill.model.identity.CallerName;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.RequestTerms;
@@ -20,6 +21,7 @@
  * @param callers the callers that the operators know
  * @param selectors the selectors, of which the first that states a term wins
  * @param defaults the terms that no selector states
+ * @param limits what holds for the service as a whole
  */
 public record ServiceConfiguration(
         ServiceName service,
@@ -30,7 +32,8 @@
         List<Operation> operations,
         List<CallerEntry> callers,
         List<Selector> selectors,
-        RequestTerms defaults) {
+        RequestTerms defaults,
+        ServiceLimits limits) {
 
     public ServiceConfiguration {
         calls = List.copyOf(calls);
@@ -40,6 +43,18 @@
         selectors = List.copyOf(selectors);
     }
 
+    /**
+     * Starts a configuration with a name, a version and a roster; the rest is empty or has its default.
+     *
+     * @param service the service
+     * @param version the platform's version number
+     * @param copies the roster
+     * @return a builder
+     */
+    public static ServiceConfigurationBuilder builder(ServiceName service, long version, List<CopyEntry> copies) {
+        return new ServiceConfigurationBuilder(service, version, copies);
+    }
+
     /**
      * Finds a copy of the roster.
      *
@@ -49,4 +64,14 @@
     public Optional<CopyEntry> copy(NodeName node) {
         return copies.stream().filter(copy -> copy.node().equals(node)).findFirst();
     }
+
+    /**
+     * Finds a caller that the operators know.
+     *
+     * @param name the caller's name
+     * @return its entry
+     */
+    public Optional<CallerEntry> caller(CallerName name) {
+        return callers.stream().filter(caller -> caller.caller().equals(name)).findFirst();
+    }
 }
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
@@ -0,0 +1,278 @@
+package org.carawaysill.policy.distribution;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import org.carawaysill.model.configuration.ServiceConfiguration;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.policy.effect.Effect;
+import org.carawaysill.policy.event.Event;
+import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.PeerMessage.ConfigurationChange;
+import org.carawaysill.policy.message.PeerMessage.ConfigurationDocument;
+import org.carawaysill.policy.message.PeerMessage.ConfigurationWanted;
+import org.carawaysill.policy.message.PeerMessage.Heartbeat;
+import org.carawaysill.policy.time.Moment;
+
+/**
+ * Brings the documents of a node's own service and of the services that it calls into force: a few elected nodes of each
+ * service watch them at the platform, the others get them from nodes.
+ *
+ * <p>Invariant: the version in force of a service never falls, and nothing is in force before the node knows what its peers
+ * have in force. Not thread safe: one thread owns it.
+ */
+public final class ConfigurationDistribution {
+
+    private static final long ELECTION_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private final NodeName self;
+    private final DistributionSettings settings;
+    private final DocumentSet documents;
+    private final PeerExchange exchange;
+    private final PlatformReads reads;
+    private final StartingGate gate;
+    private final Adoption adoption;
+    private final PlatformAnswers answers;
+    private final PeerDocuments peerDocuments;
+    private boolean started;
+
+    /** Whether something happened that bears on the elections, the reads, the questions to others or the gate. */
+    private boolean reconsider;
+
+    private long nextWakeNanos = Long.MIN_VALUE;
+
+    /**
+     * Creates the distribution of a node that has just started and knows nothing.
+     *
+     * @param self this node
+     * @param own its service
+     * @param parser the checks that a document must pass
+     * @param settings how to get documents
+     * @param random the source of jitter
+     */
+    public ConfigurationDistribution(
+            NodeName self,
+            ServiceName own,
+            DocumentParser parser,
+            DistributionSettings settings,
+            RandomGenerator random) {
+        this.self = self;
+        this.settings = settings;
+        this.documents = new DocumentSet(own);
+        this.exchange = new PeerExchange(documents, random);
+        this.reads = new PlatformReads(settings, random);
+        this.gate = new StartingGate(self, settings.startingBound());
+        this.adoption = new Adoption(self, parser, documents, gate);
+        this.answers = new PlatformAnswers(documents, adoption, exchange, reads);
+        this.peerDocuments = new PeerDocuments(documents, adoption, exchange);
+    }
+
+    /**
+     * Takes in an event; those that don't concern configuration change nothing.
+     *
+     * @param now the moment
+     * @param event what happened; the first one starts the work
+     * @return what to do
+     */
+    public List<Effect> handle(Moment now, Event event) {
+        if (!started) {
+            started = true;
+            reads.start(now.nanos(), documents.own());
+        }
+        List<Effect> effects = new ArrayList<>(take(now.nanos(), event));
+        if (reconsider || now.nanos() >= nextWakeNanos) {
+            reconsider = false;
+            effects.addAll(wakeUp(now.nanos()));
+        }
+        return effects;
+    }
+
+    private List<Effect> take(long now, Event event) {
+        return switch (event) {
+            case Event.ConfigurationRead read -> reconsiderAfter(answers.take(now, read));
+            case Event.ConfigurationUnchanged unchanged -> reconsiderAfter(answers.take(now, unchanged));
+            case Event.ConfigurationRefused refusal -> reconsiderAfter(answers.take(now, refusal));
+            case Event.ConfigurationReadFailed failed -> reconsiderAfter(answers.take(now, failed));
+            case Event.VmListRead read -> {
+                gate.vmList(read.list());
+                reads.fleet(now, read.list().states().size());
+                yield reconsiderAfter(List.of());
+            }
+            case Event.PeerConnected peer -> {
+                exchange.connected(now, peer.peer());
+                yield reconsiderAfter(List.of());
+            }
+            case Event.PeerLost peer -> {
+                exchange.lost(peer.peer());
+                yield reconsiderAfter(List.of());
+            }
+            case Event.PeerReceived received -> {
+                exchange.heard(now, received.from());
+                yield take(now, received.from(), received.message());
+            }
+            case Event.CallerRequest _,
+                    Event.CopyCall _,
+                    Event.ExchangeClosed _,
+                    Event.CopyAnswered _,
+                    Event.PeerUnsent _,
+                    Event.DrainOrdered _,
+                    Event.WakeUp _ -> List.of();
+        };
+    }
+
+    private List<Effect> take(long now, NodeName from, PeerMessage message) {
+        return switch (message) {
+            case Heartbeat heartbeat -> {
+                exchange.told(from, heartbeat.versions());
+                reconsider = !gate.isOpen() || exchange.behind(now);
+                yield List.of();
+            }
+            case ConfigurationWanted wanted ->
+                exchange.answer(from, wanted).stream().toList();
+            case ConfigurationDocument document -> reconsiderAfter(peerDocuments.take(from, document));
+            case ConfigurationChange change -> reconsiderAfter(peerDocuments.take(now, from, change));
+            case PeerMessage.PeerRequest _,
+                    PeerMessage.PeerAnswer _,
+                    PeerMessage.CancelAttempt _,
+                    PeerMessage.DrainNotice _,
+                    PeerMessage.LeaseRequest _,
+                    PeerMessage.LeaseReply _,
+                    PeerMessage.HolderHandover _ -> List.of();
+        };
+    }
+
+    private List<Effect> reconsiderAfter(List<Effect> effects) {
+        reconsider = true;
+        return effects;
+    }
+
+    private List<Effect> wakeUp(long now) {
+        reads.follow(documents.followed());
+        electReaders(now);
+        List<Effect> effects = new ArrayList<>(exchange.askForWhatOthersHave(now));
+        if (gate.tryOpen(now, documents.newestOwn(), exchange::answered, exchange.behind(now))) {
+            effects.addAll(adoption.bringAllIntoForce());
+        }
+        effects.addAll(reads.start(
+                now,
+                documents.own(),
+                service -> mayRead(now, service),
+                service -> documents.of(service).settledVersion()));
+        nextWakeNanos =
+                Math.min(now + ELECTION_INTERVAL_NANOS, Math.min(reads.nextWakeNanos(), gate.nextWakeNanos(now)));
+        return effects;
+    }
+
+    /** A node that is just getting its first document from another needn't read the same. */
+    private boolean mayRead(long now, ServiceName service) {
+        return documents.of(service).newest().isPresent() || !exchange.pulling(now, service);
+    }
+
+    private void electReaders(long now) {
+        Optional<ServiceConfiguration> own = documents.newestOwn();
+        if (own.isEmpty()) {
+            return;
+        }
+        Collection<NodeName> candidates = new HashSet<>(exchange.neighbours(now));
+        candidates.add(self);
+        reads.neighbours(now, candidates.size());
+        for (ServiceName service : documents.followed()) {
+            boolean elected = ReaderElection.elect(service, own.get(), candidates, settings.readersPerService())
+                    .contains(self);
+            boolean broughtByCalled = !service.equals(documents.own()) && exchange.hearsCalled(now, service);
+            reads.role(now, service, elected && !broughtByCalled);
+        }
+    }
+
+    /**
+     * Gives the configuration under which this node acts.
+     *
+     * @param service the service
+     * @return its configuration; empty before the node is ready to serve
+     */
+    public Optional<ServiceConfiguration> inForce(ServiceName service) {
+        return documents.follows(service) ? documents.of(service).inForce() : Optional.empty();
+    }
+
+    /**
+     * Gives the newest configuration that this node holds, also before it is in force; a starting node finds its peers by
+     * it.
+     *
+     * @param service the service
+     * @return its configuration
+     */
+    public Optional<ServiceConfiguration> newest(ServiceName service) {
+        return documents.follows(service) ? documents.of(service).newest() : Optional.empty();
+    }
+
+    /**
+     * Counts the documents taken in, so that a caller sees cheaply whether {@link #newest} or {@link #inForce} may have
+     * changed.
+     *
+     * @return a number that rises with each change
+     */
+    public long revision() {
+        return adoption.revision();
+    }
+
+    /**
+     * Gives the versions in force.
+     *
+     * @return the version by service
+     */
+    public Map<ServiceName, Long> versions() {
+        Map<ServiceName, Long> versions = new TreeMap<>();
+        for (ServiceName service : documents.followed()) {
+            inForce(service).ifPresent(configuration -> versions.put(service, configuration.version()));
+        }
+        return versions;
+    }
+
+    /**
+     * Gives the versions that a heartbeat to a node should carry.
+     *
+     * @param peer the other node
+     * @return the version held by service, 0 where this node has none yet
+     */
+    public Map<ServiceName, Long> versionsFor(NodeName peer) {
+        return exchange.versionsFor(peer);
+    }
+
+    /**
+     * Gives the last refused document of each service, as long as no newer one is held.
+     *
+     * @return the refused document by service
+     */
+    public Map<ServiceName, RefusedDocument> refused() {
+        Map<ServiceName, RefusedDocument> refused = new TreeMap<>();
+        for (ServiceName service : documents.followed()) {
+            documents.of(service).refused().ifPresent(document -> refused.put(service, document));
+        }
+        return refused;
+    }
+
+    /**
+     * Tells whether what is in force may be acted upon.
+     *
+     * @return whether this node has learned what its peers have in force
+     */
+    public boolean readyToServe() {
+        return gate.isOpen();
+    }
+
+    /**
+     * Tells when to wake it if nothing happens before.
+     *
+     * @return nanoseconds on the monotonic clock
+     */
+    public long nextWakeNanos() {
+        return nextWakeNanos;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/routing/CopySelector.java
@@ -0,0 +1,212 @@
+package org.carawaysill.policy.routing;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.carawaysill.model.configuration.CopyEntry;
+import org.carawaysill.model.configuration.ServiceConfiguration;
+import org.carawaysill.model.identity.AvailabilityZone;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.Priority;
+import org.carawaysill.policy.message.PeerMessage.LoadReport;
+
+/**
+ * Chooses the copy that gets a request: of two random ones of the own availability zone and two of the others, the one where
+ * the request would lose the least time by waiting and by the way.
+ *
+ * <p>Invariant: a copy that is not usable is never chosen. Not thread safe: one thread owns it.
+ */
+public final class CopySelector {
+
+    private final NodeName self;
+    private final AvailabilityZone zone;
+    private final RandomGenerator random;
+    private final RoutingSettings settings;
+    private final Map<ServiceName, List<CopyEntry>> subsets = new TreeMap<>();
+    private final Map<NodeName, CopyState> copies = new HashMap<>();
+
+    /**
+     * Creates a selector that knows no copies yet.
+     *
+     * @param self this node
+     * @param zone its availability zone
+     * @param random the source of choices
+     * @param settings how to choose
+     */
+    public CopySelector(NodeName self, AvailabilityZone zone, RandomGenerator random, RoutingSettings settings) {
+        this.self = self;
+        this.zone = zone;
+        this.random = random;
+        this.settings = settings;
+    }
+
+    /**
+     * Takes in a service's roster; of the own service all copies are kept, of another one a subset.
+     *
+     * @param now nanoseconds on the monotonic clock
+     * @param configuration the service's configuration
+     */
+    public void roster(long now, ServiceConfiguration configuration) {
+        boolean own = configuration.copy(self).isPresent();
+        List<CopyEntry> chosen = own ? configuration.copies() : CopySubset.choose(self, configuration, settings);
+        subsets.put(configuration.service(), chosen);
+        for (CopyEntry copy : chosen) {
+            copies.computeIfAbsent(
+                            copy.node(),
+                            _ -> new CopyState(settings, copy.zone().equals(zone), copy.slots()))
+                    .slots(copy.slots());
+        }
+        copies.keySet().retainAll(wanted().stream().map(CopyEntry::node).collect(Collectors.toSet()));
+    }
+
+    /**
+     * Forgets a service that is no longer called.
+     *
+     * @param service the service
+     */
+    public void forget(ServiceName service) {
+        subsets.remove(service);
+    }
+
+    /**
+     * Chooses a copy.
+     *
+     * @param now nanoseconds on the monotonic clock
+     * @param service the service to call
+     * @param excluded copies that must not be chosen
+     * @param priority the request's place in the order of refusal
+     * @return the node beside the copy, empty where no usable copy is left
+     */
+    public Optional<NodeName> choose(long now, ServiceName service, Set<NodeName> excluded, Priority priority) {
+        List<NodeName> usable = subsets.getOrDefault(service, List.of()).stream()
+                .map(CopyEntry::node)
+                .filter(node -> copies.get(node).isUsable() && !excluded.contains(node))
+                .toList();
+        List<NodeName> sound = preferred(usable, node -> !copies.get(node).isAvoided(now));
+        List<NodeName> admitting = preferred(sound, node -> copies.get(node).admits(priority));
+        List<NodeName> candidates = preferred(
+                admitting, node -> random.nextDouble() < copies.get(node).share(now));
+        double usualLoad = candidates.stream()
+                .mapToDouble(node -> copies.get(node).othersLoad())
+                .average()
+                .orElse(0);
+        Optional<NodeName> near = betterOfTwo(now, inZone(candidates, true), usualLoad);
+        Optional<NodeName> far = betterOfTwo(now, inZone(candidates, false), usualLoad);
+        if (near.isEmpty() || far.isEmpty()) {
+            return near.or(() -> far);
+        }
+        double nearCost = copies.get(near.get()).costNanos(now, usualLoad);
+        double farCost = copies.get(far.get()).costNanos(now, usualLoad);
+        return farCost < nearCost ? far : near;
+    }
+
+    /** Those that satisfy a condition, or all where none does. */
+    private static List<NodeName> preferred(List<NodeName> nodes, Predicate<NodeName> condition) {
+        List<NodeName> preferred = nodes.stream().filter(condition).toList();
+        return preferred.isEmpty() ? nodes : preferred;
+    }
+
+    private List<NodeName> inZone(List<NodeName> nodes, boolean own) {
+        return nodes.stream()
+                .filter(node -> copies.get(node).isInSameZone() == own)
+                .toList();
+    }
+
+    private Optional<NodeName> betterOfTwo(long now, List<NodeName> nodes, double usualLoad) {
+        if (nodes.size() < 2) {
+            return nodes.stream().findFirst();
+        }
+        int first = random.nextInt(nodes.size());
+        int second = (first + 1 + random.nextInt(nodes.size() - 1)) % nodes.size();
+        NodeName one = nodes.get(first);
+        NodeName other = nodes.get(second);
+        boolean firstIsEmptier =
+                copies.get(one).fullness(now, usualLoad) <= copies.get(other).fullness(now, usualLoad);
+        return Optional.of(firstIsEmptier ? one : other);
+    }
+
+    /**
+     * Takes in that a request was sent.
+     *
+     * @param now nanoseconds on the monotonic clock
+     * @param node the node that got it
+     */
+    public void sent(long now, NodeName node) {
+        state(node).ifPresent(CopyState::sent);
+    }
+
+    /**
+     * Takes in an answer, a refusal included.
+     *
+     * @param now nanoseconds on the monotonic clock
+     * @param node the node that answered
+     * @param load its load as it answered
+     * @param latencyNanos the time since the request was sent
+     */
+    public void answered(long now, NodeName node, LoadReport load, long latencyNanos) {
+        state(node).ifPresent(copy -> copy.answered(now, load, latencyNanos));
+    }
+
+    /**
+     * Takes in that no answer came: the connection was lost or the deadline passed.
+     *
+     * @param now nanoseconds on the monotonic clock
+     * @param node the node that failed
+     */
+    public void failed(long now, NodeName node) {
+        state(node).ifPresent(copy -> copy.failed(now, random));
+    }
+
+    /**
+     * Takes in that a request was cancelled by its sender, which says nothing of the copy.
+     *
+     * @param now nanoseconds on the monotonic clock
+     * @param node the node that had it
+     */
+    public void withdrawn(long now, NodeName node) {
+        state(node).ifPresent(CopyState::released);
+    }
+
+    /**
+     * Takes in a load that a node told without a request, by a heartbeat.
+     *
+     * @param now nanoseconds on the monotonic clock
+     * @param node the node
+     * @param load its load
+     */
+    public void heard(long now, NodeName node, LoadReport load) {
+        state(node).ifPresent(copy -> copy.told(now, load));
+    }
+
+    /**
+     * Takes in whether a node may get new work.
+     *
+     * @param now nanoseconds on the monotonic clock
+     * @param node the node
+     * @param mayGetNewWork whether it may
+     */
+    public void usable(long now, NodeName node, boolean mayGetNewWork) {
+        state(node).ifPresent(copy -> copy.usable(now, mayGetNewWork));
+    }
+
+    private Optional<CopyState> state(NodeName node) {
+        return Optional.ofNullable(copies.get(node));
+    }
+
+    /**
+     * Gives the copies to which this node should keep connections: all of the own service, of each called service the
+     * chosen subset.
+     *
+     * @return their roster entries
+     */
+    public List<CopyEntry> wanted() {
+        return subsets.values().stream().flatMap(List::stream).toList();
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/PeerConnection.java
@@ -0,0 +1,264 @@
+package org.carawaysill.protocol.link;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.protocol.codec.PeerMessageCodec;
+import org.carawaysill.protocol.codec.ProtocolFault;
+import org.carawaysill.protocol.generated.Frame;
+
+/**
+ * One TCP connection to another node, from its greeting to its end.
+ *
+ * <p>Invariants: it carries messages only while open; it ends once, and then for good; a fault ends it and touches no
+ * other connection. Confined to the event loop thread.
+ */
+final class PeerConnection {
+
+    private enum State {
+        GREETING,
+        OPEN,
+        CLOSING,
+        ENDED
+    }
+
+    private final Channel channel;
+    private final PeerTable table;
+    private final Optional<NodeName> dialled;
+    private final Handshake handshake;
+    private final OutboundFrames outbound;
+    private final Deadline greetingDeadline;
+    private final Deadline probeDeadline;
+    private final Deadline closingDeadline;
+    private State state = State.GREETING;
+    private String address = "";
+
+    /**
+     * Handles a channel.
+     *
+     * @param channel the channel
+     * @param table the connections of this node
+     * @param dialled the peer that this node dialled; empty if the other side dialled
+     */
+    PeerConnection(Channel channel, PeerTable table, Optional<NodeName> dialled) {
+        this.channel = channel;
+        this.table = table;
+        this.dialled = dialled;
+        handshake = new Handshake(this, table, dialled);
+        outbound = new OutboundFrames(channel, table.counters());
+        LinkLimits limits = table.limits();
+        greetingDeadline = new Deadline(channel.eventLoop(), limits.greetingLimit(), this::greetingOverdue);
+        probeDeadline = new Deadline(channel.eventLoop(), limits.probeLimit(), this::probeOverdue);
+        closingDeadline = new Deadline(channel.eventLoop(), limits.closingLimit(), () -> end(Optional.empty()));
+    }
+
+    /** Sets the channel's handlers up. */
+    void install() {
+        channel.pipeline().addLast(FrameBytes.decoder(Greeting.MAXIMUM_BYTES)).addLast(new ConnectionHandler(this));
+    }
+
+    /** Gives the peer, which is known once it has greeted. */
+    Optional<LinkIdentity> peer() {
+        return handshake.peer();
+    }
+
+    /** Tells whether the peer is, or was dialled as, the named one. */
+    boolean isWith(NodeName name) {
+        return name().filter(name::equals).isPresent();
+    }
+
+    private Optional<NodeName> name() {
+        return peer().map(LinkIdentity::name).or(() -> dialled);
+    }
+
+    /** Starts the greeting. */
+    void began() {
+        // Kept, since a closed channel no longer knows it.
+        address = String.valueOf(channel.remoteAddress());
+        table.began(this);
+        // Guards against a half-open connection, whose other side never greets: it would hold a socket for ever.
+        greetingDeadline.start();
+        if (!isBlocked()) {
+            handshake.begin();
+        }
+    }
+
+    private void greetingOverdue() {
+        end(LinkFaultKind.NO_HELLO, "no greeting in " + table.limits().greetingLimit());
+    }
+
+    /** Tells whether a frame that arrives is looked at: not behind the fault that ended the connection. */
+    boolean isReading() {
+        return state != State.ENDED;
+    }
+
+    void received(Frame frame, int bytes) throws ProtocolFault {
+        if (isBlocked()) {
+            table.counters().blocked();
+            return;
+        }
+        table.counters().received(TrafficKind.of(frame), bytes);
+        if (state == State.GREETING) {
+            handshake.received(frame);
+        } else {
+            handle(frame);
+        }
+    }
+
+    void malformed(ProtocolFault fault) {
+        end(peer().isEmpty() ? LinkFaultKind.WRONG_MAGIC : LinkFaultKind.MALFORMED, fault.getMessage());
+    }
+
+    private boolean isBlocked() {
+        return name().filter(table::isBlocked).isPresent();
+    }
+
+    /** Takes the connection into use. */
+    void open(LinkIdentity peer) {
+        greetingDeadline.stop();
+        state = State.OPEN;
+        table.opened(this, peer);
+    }
+
+    void admitLargeFrames() {
+        channel.pipeline()
+                .replace(
+                        LengthFieldBasedFrameDecoder.class,
+                        "frames",
+                        FrameBytes.decoder(table.limits().maximumFrameBytes()));
+    }
+
+    private void handle(Frame frame) throws ProtocolFault {
+        probeDeadline.stop();
+        switch (frame.getKindCase()) {
+            case PROBE -> writeAndFlush(LinkFrames.PROBE_REPLY);
+            case PROBE_REPLY -> {
+                // That it arrived is all that it says.
+            }
+            case REFUSED ->
+                end(LinkFaultKind.REFUSED_BY_PEER, frame.getRefused().getReason());
+            default -> table.received(peer().orElseThrow().name(), PeerMessageCodec.decode(frame));
+        }
+    }
+
+    /**
+     * Writes a message without flushing.
+     *
+     * @return whether it was taken; if not, nothing of it was written
+     */
+    boolean send(PeerMessage message) {
+        Frame frame = PeerMessageCodec.encode(message);
+        int size = frame.getSerializedSize();
+        if (size > table.limits().maximumFrameBytes()) {
+            table.fault(fault(LinkFaultKind.OVERSIZE, "a message of " + size + " bytes was not sent"));
+            return false;
+        }
+        if (state != State.OPEN || !outbound.hasRoom()) {
+            return false;
+        }
+        outbound.write(frame, size, message);
+        return true;
+    }
+
+    void flush() {
+        channel.flush();
+    }
+
+    /**
+     * Ends the connection if its peer does not read.
+     *
+     * <p>Guards against a frozen peer, or one on a dead path: its connection stays up, the operating system's buffers
+     * fill, and messages pile up here, to be delivered long after their deadlines. It shows as a frame that waits to be
+     * written; a busy peer that reads lets each frame go soon, however many follow.
+     */
+    void checkDraining(long now) {
+        long waited = outbound.oldestWaitNanos(now);
+        if (waited > table.limits().drainLimit().toNanos()) {
+            end(LinkFaultKind.SLOW_READER, "a frame waited " + Duration.ofNanos(waited));
+        }
+    }
+
+    /**
+     * Asks the peer for a sign of life, and ends the connection if none comes.
+     *
+     * <p>Guards against a connection that the other side has lost while this one has not noticed, as after a partition:
+     * every new connection would be refused as a duplicate until the operating system gives up, which takes minutes.
+     */
+    void probe() {
+        if (probeDeadline.isRunning() || state != State.OPEN) {
+            return;
+        }
+        probeDeadline.start();
+        if (!isBlocked()) {
+            writeAndFlush(LinkFrames.PROBE);
+        }
+    }
+
+    private void probeOverdue() {
+        end(
+                LinkFaultKind.UNRESPONSIVE,
+                "no reply to a probe in " + table.limits().probeLimit());
+    }
+
+    /**
+     * Closes in order: writes what was sent, then says that no more comes, and goes on reading until the other side
+     * closes. Closing with unread input would make the operating system reset the connection, and the other side could
+     * lose what was already written to it.
+     */
+    void closeInOrder() {
+        if (state == State.CLOSING) {
+            return;
+        }
+        if (state != State.OPEN) {
+            end(Optional.empty());
+            return;
+        }
+        state = State.CLOSING;
+        closingDeadline.start();
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> ((SocketChannel) channel).shutdownOutput());
+    }
+
+    void end(LinkFaultKind kind, String detail) {
+        end(Optional.of(fault(kind, detail)));
+    }
+
+    private void end(Optional<LinkFault> fault) {
+        if (state == State.ENDED) {
+            return;
+        }
+        state = State.ENDED;
+        greetingDeadline.stop();
+        probeDeadline.stop();
+        closingDeadline.stop();
+        // Closed before the frames are looked at: from here on no byte can be written behind the report.
+        channel.close();
+        List<PeerMessage> unsent = outbound.untouched();
+        fault.ifPresent(table::fault);
+        table.ended(this, unsent);
+    }
+
+    private LinkFault fault(LinkFaultKind kind, String detail) {
+        return new LinkFault(kind, name(), address + ": " + detail);
+    }
+
+    /** Ends with the channel. */
+    void cutOff() {
+        boolean greetingCutOff = dialled.isPresent() && state == State.GREETING;
+        end(greetingCutOff ? Optional.of(fault(LinkFaultKind.BROKEN, "closed during the greeting")) : Optional.empty());
+    }
+
+    void write(Frame frame) {
+        outbound.write(frame);
+    }
+
+    void writeAndFlush(Frame frame) {
+        outbound.write(frame);
+        channel.flush();
+    }
+}
