--- a/policy/src/main/java/org/carawaysill/policy/engine/BaselinePolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/BaselinePolicy.java
@@ -141,7 +141,7 @@
     }
 
     private void fromCopy(Moment now, Event.CopyCall call) {
-        WorkOrigin origin = new WorkOrigin.FromCopy(call.exchange(), "");
+        WorkOrigin origin = new WorkOrigin.FromCopy(call.exchange(), "", Optional.empty());
         attempt(now, new Call(origin, call.target(), call.content(), false, Long.MAX_VALUE));
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/engine/CopyCalls.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/CopyCalls.java
@@ -10,6 +10,7 @@
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.RequestTerms;
 import org.carawaysill.model.request.Step;
+import org.carawaysill.policy.admission.CopyAdmission;
 import org.carawaysill.policy.event.Event;
 import org.carawaysill.policy.retry.RequestLedger;
 import org.carawaysill.policy.time.Moment;
@@ -27,6 +28,7 @@
     private static final String NO_OPERATION = "";
 
     private final ServiceDirectory directory;
+    private final CopyAdmission admission;
     private final WorkTable table;
     private final WorkRunner runner;
     private final OutcomeDelivery delivery;
@@ -34,6 +36,7 @@
 
     CopyCalls(EngineParts parts, WorkRunner runner) {
         directory = parts.directory();
+        admission = parts.admission();
         table = parts.table();
         delivery = parts.delivery();
         identifiers = parts.identifiers();
@@ -43,7 +46,9 @@
     void accept(Moment now, Event.CopyCall call) {
         Optional<Work> parent = call.parent().flatMap(table::byAttempt).filter(CopyCalls::isAtCopy);
         WorkOrigin origin = new WorkOrigin.FromCopy(
-                call.exchange(), parent.map(work -> work.facts().operation()).orElse(NO_OPERATION));
+                call.exchange(),
+                parent.map(work -> work.facts().operation()).orElse(NO_OPERATION),
+                parent.flatMap(work -> call.parent()));
         if (directory.configuration(call.target()).isEmpty()) {
             refuse(now, origin, RefusalReason.UNKNOWN_SERVICE);
             return;
@@ -56,6 +61,7 @@
             return;
         }
         RequestFacts facts = facts(now, call, parent, caller, classification.get());
+        parent.flatMap(work -> call.parent()).ifPresent(attempt -> admission.calledBelow(now.nanos(), attempt));
         RequestLedger ledger = parent.map(Work::ledger).orElseGet(() -> new RequestLedger(0));
         runner.start(now, new Work(facts, ledger, Work.Scope.DEEPER_SERVICE, origin));
     }
--- a/policy/src/main/java/org/carawaysill/policy/engine/LoadView.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/LoadView.java
@@ -1,6 +1,7 @@
 package org.carawaysill.policy.engine;
 
 import java.util.List;
+import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.policy.admission.ChainCuts;
 import org.carawaysill.policy.admission.CopyAdmission;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
@@ -21,6 +22,11 @@
         this.chainCuts = chainCuts;
     }
 
+    /** Time that an attempt spends on a deeper call is not the local copy's own. */
+    void answeredBelow(long now, AttemptIdentifier attempt, boolean answered) {
+        admission.answeredBelow(now, attempt, answered);
+    }
+
     LoadReport load() {
         return admission.load();
     }
--- a/policy/src/main/java/org/carawaysill/policy/engine/OutcomeDelivery.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/OutcomeDelivery.java
@@ -48,7 +48,11 @@
         }
         switch (origin) {
             case WorkOrigin.FromCaller caller -> out.add(new Effect.AnswerExchange(caller.exchange(), outcome));
-            case WorkOrigin.FromCopy copy -> out.add(new Effect.AnswerExchange(copy.exchange(), outcome));
+            case WorkOrigin.FromCopy copy -> {
+                boolean answered = outcome instanceof Outcome.Answered;
+                copy.parent().ifPresent(attempt -> loadView.answeredBelow(now, attempt, answered));
+                out.add(new Effect.AnswerExchange(copy.exchange(), outcome));
+            }
             case WorkOrigin.FromPeer peer ->
                 out.add(new Effect.SendToPeer(
                         peer.peer(),
--- a/policy/src/main/java/org/carawaysill/policy/engine/WorkOrigin.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/WorkOrigin.java
@@ -1,5 +1,6 @@
 package org.carawaysill.policy.engine;
 
+import java.util.Optional;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.ExchangeIdentifier;
 import org.carawaysill.model.identity.NodeName;
@@ -19,8 +20,10 @@
      *
      * @param exchange the HTTP exchange to answer
      * @param parentOperation the operation of this node's service during which the copy calls
+     * @param parent the attempt during which it calls, if it is known
      */
-    record FromCopy(ExchangeIdentifier exchange, String parentOperation) implements WorkOrigin {}
+    record FromCopy(ExchangeIdentifier exchange, String parentOperation, Optional<AttemptIdentifier> parent)
+            implements WorkOrigin {}
 
     /**
      * Another node.
--- a/policy/src/main/java/org/carawaysill/policy/engine/WorkRunner.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/WorkRunner.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.request.AnswerContent;
 import org.carawaysill.model.request.Invariant;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
@@ -26,6 +27,7 @@
  */
 final class WorkRunner {
 
+    private static final int SERVICE_UNAVAILABLE = 503;
     private static final long NOT_LEAVING = Long.MAX_VALUE;
     private static final long LEAVING_GRACE_NANOS = Duration.ofSeconds(5).toNanos();
     private static final Duration SHORTEST_RETRY_AFTER = Duration.ofMillis(100);
@@ -159,7 +161,7 @@
     /** Takes the local copy's answer, or the failure to get one. */
     void copyAnswered(Moment now, AttemptIdentifier attempt, Outcome outcome) {
         Finish finish = switch (outcome) {
-            case Outcome.Answered answered -> Finish.ANSWERED;
+            case Outcome.Answered(AnswerContent answer) -> finish(answer.status());
             case Outcome.NotRun notRun -> Finish.FAILED;
             case Outcome.Unknown unknown -> Finish.LOST;
         };
@@ -168,6 +170,11 @@
         apply(now, verdicts);
     }
 
+    /** A copy that sheds answers fast; taken for an answer, it would look quick and draw more work. */
+    private static Finish finish(int status) {
+        return status == SERVICE_UNAVAILABLE ? Finish.FAILED : Finish.ANSWERED;
+    }
+
     /** Takes another node's answer; one that comes late, twice or from a node that was not asked changes nothing. */
     void peerAnswered(Moment now, NodeName from, PeerMessage.PeerAnswer answer) {
         Optional<Work> found = table.byAttempt(answer.attempt());
