--- a/architecture/src/test/java/org/carawaysill/architecture/ArchitectureTest.java
+++ b/architecture/src/test/java/org/carawaysill/architecture/ArchitectureTest.java
@@ -59,6 +59,7 @@
             "protocol", List.of("model", "policy"),
             "kernel", List.of("model"),
             "node", List.of("model", "policy", "protocol", "kernel"),
+            "platform", List.of("model", "policy", "node", "kernel"),
             "control", List.of("model"),
             "standin", List.of("model"),
             "load", List.of("model"),
--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/fleet/CopyRecord.java
@@ -0,0 +1,35 @@
+package org.carawaysill.model.fleet;
+
+import java.time.Duration;
+import org.carawaysill.model.identity.AvailabilityZone;
+import org.carawaysill.model.identity.NetworkAddress;
+import org.carawaysill.model.identity.ServiceName;
+
+/**
+ * One upstream copy as it is published.
+ *
+ * <p>Invariant: at least one slot. Immutable and thread safe.
+ *
+ * @param copy which start of the copy it is
+ * @param service the service that it belongs to
+ * @param address where it listens; its VM's IP number is also that of the node beside it
+ * @param zone where its VM stands
+ * @param slots how many requests it works on at a time
+ * @param draining whether it announced that it leaves
+ * @param warmUpLeft how much longer it stays slow after its start, when this was published
+ */
+public record CopyRecord(
+        CopyName copy,
+        ServiceName service,
+        NetworkAddress address,
+        AvailabilityZone zone,
+        int slots,
+        boolean draining,
+        Duration warmUpLeft) {
+
+    public CopyRecord {
+        if (slots < 1) {
+            throw new IllegalArgumentException("a copy has at least one slot");
+        }
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/fleet/Destination.java
@@ -0,0 +1,20 @@
+package org.carawaysill.model.fleet;
+
+import org.carawaysill.model.identity.ServiceName;
+
+/**
+ * A service to which a route sends a part of its requests.
+ *
+ * <p>Invariant: the weight is not negative. Immutable and thread safe.
+ *
+ * @param service the service
+ * @param weight its part, in relation to the weights of the route's other destinations
+ */
+public record Destination(ServiceName service, int weight) {
+
+    public Destination {
+        if (weight < 0) {
+            throw new IllegalArgumentException("a weight is not negative");
+        }
+    }
+}
--- a/model/src/main/java/org/carawaysill/model/request/RefusalReason.java
+++ b/model/src/main/java/org/carawaysill/model/request/RefusalReason.java
@@ -36,6 +36,8 @@
     PEER_UNREACHABLE,
     /** The local copy could not be reached, and nothing of the request was written to it. */
     COPY_UNREACHABLE,
+    /** The copy itself said that it did not run the request. */
+    COPY_REFUSED,
     /** The node is stopping. */
     DRAINING,
     /** The node that alone may run this request cannot be reached. */
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
@@ -0,0 +1,264 @@
+package org.carawaysill.node.entry;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.carawaysill.kernel.service.Service;
+import org.carawaysill.kernel.service.ServiceRegistry;
+import org.carawaysill.model.error.CarawaysillException;
+import org.carawaysill.model.fleet.ClientLimits;
+import org.carawaysill.model.identity.ExchangeIdentifier;
+import org.carawaysill.model.identity.NetworkAddress;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.Step;
+import org.carawaysill.node.fleet.DecisionLog;
+import org.carawaysill.node.observation.BadRequest;
+import org.carawaysill.node.observation.ConnectionFault;
+import org.carawaysill.node.observation.Counters;
+import org.carawaysill.policy.fleet.FleetEvent;
+
+/**
+ * The HTTP server for the requests that begin on this VM: those of clients, and the calls of the local copy.
+ *
+ * <p>Invariant: each whole request becomes one event, and gets one answer or the end of its connection. The methods of
+ * {@link Service} are thread safe, all else is confined to the event loop.
+ */
+public final class EntryServer implements Service {
+
+    /** The name under which the service is registered. */
+    public static final String NAME = "entry";
+
+    private static final int LONGEST_LINE_BYTES = 8192;
+    private static final int CHUNK_BYTES = 64 * 1024;
+    private static final int BACKLOG = 1024;
+
+    /** How often connections are looked at for timeouts. */
+    private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
+
+    private final EventLoop eventLoop;
+    private final NetworkAddress address;
+    private final WireDialect dialect;
+    private final EntryAnswers answers;
+    private final EntryLimits limits;
+    private final Counters counters;
+    private final DecisionLog log;
+    private final Consumer<FleetEvent> events;
+    private final Map<ExchangeIdentifier, EntryConnection> connectionOf = new HashMap<>();
+    private final Map<ExchangeIdentifier, EntryExchange> exchanges = new HashMap<>();
+    private final Set<EntryConnection> connections = new HashSet<>();
+    private Optional<Channel> server = Optional.empty();
+    private long lastIdentifier;
+    private boolean stopping;
+
+    /**
+     * Makes a server that does not listen yet.
+     *
+     * @param eventLoop the thread that it works on
+     * @param address where it listens
+     * @param dialect the names of header fields
+     * @param bodyMemory the bytes that the bodies of all open exchanges may take together
+     * @param events who hears of requests
+     * @param registry where the counters and the log are found
+     */
+    public EntryServer(
+            EventLoop eventLoop,
+            NetworkAddress address,
+            WireDialect dialect,
+            long bodyMemory,
+            Consumer<FleetEvent> events,
+            ServiceRegistry registry) {
+        this.eventLoop = eventLoop;
+        this.address = address;
+        this.dialect = dialect;
+        this.events = events;
+        answers = new EntryAnswers(dialect);
+        limits = new EntryLimits(bodyMemory);
+        counters = registry.require(Counters.NAME, Counters.class);
+        log = registry.require(DecisionLog.NAME, DecisionLog.class);
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        CompletableFuture<Void> listening = new CompletableFuture<>();
+        new ServerBootstrap()
+                .group(eventLoop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        install(channel);
+                    }
+                })
+                .bind(address.host(), address.port())
+                .addListener((ChannelFuture bound) -> {
+                    if (bound.isSuccess()) {
+                        server = Optional.of(bound.channel());
+                        long interval = SWEEP_INTERVAL.toMillis();
+                        eventLoop.scheduleAtFixedRate(this::sweep, interval, interval, TimeUnit.MILLISECONDS);
+                        listening.complete(null);
+                    } else {
+                        listening.completeExceptionally(new CarawaysillException(
+                                Step.INGRESS, Optional.empty(), "can't listen at " + address, bound.cause()));
+                    }
+                });
+        return listening;
+    }
+
+    private void install(SocketChannel channel) {
+        EntryConnection connection = new EntryConnection(this);
+        channel.pipeline()
+                .addLast(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelRead(ChannelHandlerContext context, Object message) {
+                        connection.bytesArrived();
+                        context.fireChannelRead(message);
+                    }
+                })
+                .addLast(new HttpServerCodec(new HttpDecoderConfig()
+                        .setMaxInitialLineLength(
+                                Math.min(LONGEST_LINE_BYTES, limits.clients().headerBytes()))
+                        .setMaxHeaderSize(limits.clients().headerBytes())
+                        .setMaxChunkSize(CHUNK_BYTES)
+                        .setStrictLineParsing(true)))
+                .addLast(connection);
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        eventLoop.execute(() -> {
+            server.ifPresent(Channel::close);
+            List.copyOf(connections).forEach(EntryConnection::closeIfIdle);
+            closed.complete(null);
+        });
+        return closed;
+    }
+
+    /**
+     * Tells where the server listens.
+     *
+     * @return the bound port
+     */
+    public int port() {
+        return server.map(channel -> ((InetSocketAddress) channel.localAddress()).getPort())
+                .orElse(0);
+    }
+
+    /**
+     * Answers an exchange.
+     *
+     * @param identifier the exchange
+     * @param outcome what its request came to
+     */
+    public void answer(ExchangeIdentifier identifier, Outcome outcome) {
+        EntryExchange exchange = exchanges.get(identifier);
+        EntryConnection connection = connectionOf.get(identifier);
+        if (exchange != null && connection != null) {
+            connection.answer(exchange, outcome);
+        }
+    }
+
+    /**
+     * Applies other limits to clients, for connections that begin from now on where they concern the size of heads.
+     *
+     * @param newer the limits
+     */
+    public void limitClients(ClientLimits newer) {
+        limits.clients(newer);
+    }
+
+    /** Lets each connection end with the next answer that leaves nothing open on it. */
+    public void beginStop() {
+        stopping = true;
+    }
+
+    private void sweep() {
+        long now = nanoTime();
+        List.copyOf(connections).forEach(connection -> connection.sweep(now));
+    }
+
+    boolean isStopping() {
+        return stopping;
+    }
+
+    WireDialect dialect() {
+        return dialect;
+    }
+
+    EntryAnswers answers() {
+        return answers;
+    }
+
+    EntryLimits limits() {
+        return limits;
+    }
+
+    long nanoTime() {
+        return System.nanoTime();
+    }
+
+    ExchangeIdentifier nextIdentifier() {
+        return new ExchangeIdentifier(0, ++lastIdentifier);
+    }
+
+    void handle(FleetEvent event) {
+        events.accept(event);
+    }
+
+    void opened(EntryConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(EntryConnection connection) {
+        connections.remove(connection);
+    }
+
+    void remember(EntryExchange exchange, EntryConnection connection) {
+        exchanges.put(exchange.identifier(), exchange);
+        connectionOf.put(exchange.identifier(), connection);
+    }
+
+    void forget(EntryExchange exchange) {
+        if (exchanges.remove(exchange.identifier()) != null) {
+            connectionOf.remove(exchange.identifier());
+            limits.giveBack(exchange.bodyBytes());
+        }
+    }
+
+    void countBad(BadRequest kind, String requestName) {
+        counters.count(kind);
+        log.badRequest(requestName, kind);
+    }
+
+    void countFault(ConnectionFault fault) {
+        counters.count(fault);
+    }
+}
--- a/node/src/main/java/org/carawaysill/node/exchange/ProblemDocument.java
+++ b/node/src/main/java/org/carawaysill/node/exchange/ProblemDocument.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.JsonObject;
+import java.util.Locale;
 import java.util.Optional;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.request.Step;
@@ -19,21 +20,26 @@
  * @param peer the other node that it concerns, if any
  * @param reason the reason, as the counters name it
  */
-record ProblemDocument(
+public record ProblemDocument(
         int status, String outcome, String title, String detail, Step step, Optional<NodeName> peer, String reason) {
 
     /** The body's media type. */
-    static final String MEDIA_TYPE = "application/problem+json";
+    public static final String MEDIA_TYPE = "application/problem+json";
 
     private static final String TYPE_PREFIX = "urn:carawaysill:outcome:";
 
-    Buffer toBuffer() {
+    /**
+     * Writes the document.
+     *
+     * @return the JSON text
+     */
+    public Buffer toBuffer() {
         return new JsonObject()
                 .put("type", TYPE_PREFIX + outcome)
                 .put("title", title)
                 .put("status", status)
                 .put("detail", detail)
-                .put("step", step.name().toLowerCase(java.util.Locale.ROOT))
+                .put("step", step.name().toLowerCase(Locale.ROOT))
                 .put("peer", peer.map(NodeName::value).orElse(null))
                 .put("reason", reason)
                 .toBuffer();
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
@@ -0,0 +1,130 @@
+package org.carawaysill.node.fleet;
+
+import java.util.EnumMap;
+import java.util.Map;
+import org.carawaysill.kernel.service.Service;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.node.observation.BadRequest;
+import org.carawaysill.policy.fleet.Decision;
+import org.tinylog.Logger;
+
+/**
+ * Writes one line for each decision: its kind, what it is about, the inputs and the outcome.
+ *
+ * <p>Invariants: no more lines of one kind a second than its bound, and what was left out is told by number; an entry is
+ * one line, whatever a value holds. The writer has a thread of its own, so that nobody waits for the console. Confined to
+ * the event loop.
+ */
+public final class DecisionLog implements Service {
+
+    /** The name under which the service is registered. */
+    public static final String NAME = "decisions";
+
+    private static final long SECOND_NANOS = 1_000_000_000L;
+
+    private final Map<Kind, Integer> written = new EnumMap<>(Kind.class);
+    private final Map<Kind, Integer> omitted = new EnumMap<>(Kind.class);
+    private long secondNanos = System.nanoTime();
+
+    /** What a line is about, with its bound in lines a second: what explains a failure is kept longest. */
+    private enum Kind {
+        /** An attempt was handed over. */
+        SENT(4),
+        /** A copy answered. */
+        ANSWERED(4),
+        /** No copy ran it, since the service is overloaded. */
+        REFUSED(15),
+        /** It failed otherwise. */
+        FAILED(30),
+        /** Another attempt follows. */
+        RETRIED(20),
+        /** It failed at or before the local copy. */
+        FAILED_AT_COPY(20),
+        /** The client left. */
+        ABANDONED(10),
+        /** It was malformed. */
+        BAD_REQUEST(10),
+        /** The node believes something else now. */
+        BELIEF(60);
+
+        private final int linesPerSecond;
+
+        Kind(int linesPerSecond) {
+            this.linesPerSecond = linesPerSecond;
+        }
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    /**
+     * Writes a decision, unless too many of its kind were written this second.
+     *
+     * @param decision the decision
+     */
+    public void write(Decision decision) {
+        Kind kind = kind(decision);
+        if (admit(kind)) {
+            String name = decision.getClass().getSimpleName();
+            Logger.info("decision={} subject={} {}", name, oneLine(decision.subject()), oneLine(decision.fields()));
+        }
+    }
+
+    /**
+     * Writes that a request was refused before it became an event.
+     *
+     * @param requestName the client's name for it, if it was read
+     * @param kind what is wrong with it
+     */
+    public void badRequest(String requestName, BadRequest kind) {
+        if (admit(Kind.BAD_REQUEST)) {
+            Logger.info(
+                    "decision=BadRequest subject={} reason={} status={}", oneLine(requestName), kind, kind.status());
+        }
+    }
+
+    private static Kind kind(Decision decision) {
+        return switch (decision) {
+            case Decision.Sent _ -> Kind.SENT;
+            case Decision.Answered answered ->
+                switch (answered.outcome()) {
+                    case Outcome.Answered copy -> copy.content().status() < 500 ? Kind.ANSWERED : Kind.FAILED;
+                    case Outcome.NotRun _ -> Kind.REFUSED;
+                    case Outcome.Unknown _ -> Kind.FAILED;
+                };
+            case Decision.Retried _ -> Kind.RETRIED;
+            case Decision.FailedAtCopy _ -> Kind.FAILED_AT_COPY;
+            case Decision.Abandoned _ -> Kind.ABANDONED;
+            case Decision.OfBelief _ -> Kind.BELIEF;
+        };
+    }
+
+    private boolean admit(Kind kind) {
+        long now = System.nanoTime();
+        if (now - secondNanos >= SECOND_NANOS) {
+            secondNanos = now;
+            tellOmitted();
+            written.clear();
+        }
+        if (written.merge(kind, 1, Integer::sum) > kind.linesPerSecond) {
+            omitted.merge(kind, 1, Integer::sum);
+            return false;
+        }
+        return true;
+    }
+
+    private void tellOmitted() {
+        if (!omitted.isEmpty()) {
+            Logger.info("decision=Omitted subject=log lines={}", omitted);
+            omitted.clear();
+        }
+    }
+
+    /** Guards against forged entries: a name from outside could hold a line break and a whole false line. */
+    private static String oneLine(String text) {
+        boolean plain = text.chars().noneMatch(Character::isISOControl);
+        return plain ? text : text.replaceAll("\\p{Cntrl}", " ");
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetLoop.java
@@ -0,0 +1,146 @@
+package org.carawaysill.node.fleet;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.carawaysill.kernel.service.Service;
+import org.carawaysill.model.request.Step;
+import org.carawaysill.node.observation.Counters;
+import org.carawaysill.node.observation.StateLog;
+import org.carawaysill.node.policy.NodeClock;
+import org.carawaysill.policy.fleet.FleetEffect;
+import org.carawaysill.policy.fleet.FleetEvent;
+import org.carawaysill.policy.fleet.FleetPolicy;
+import org.carawaysill.policy.time.Moment;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Gives events to the policy and its effects to the node, on one event loop thread.
+ *
+ * <p>Input, decisions and output share the thread, so that a request costs no hand-over between threads: with a ring and a
+ * thread for the policy, each of the four steps of a request on its way woke another thread. Invariant: an event that
+ * comes while another one is being decided waits until all effects of that are done. Only {@link #submit} is thread safe,
+ * all else is confined to the event loop.
+ */
+public final class FleetLoop implements Service {
+
+    /** The name under which the service is registered. */
+    public static final String NAME = "loop";
+
+    private static final int MOST_LOGGED_FAILURES = 20;
+
+    private final EventLoop eventLoop;
+    private final FleetPolicy policy;
+    private final NodeClock clock;
+    private final Counters counters;
+    private final ArrayDeque<FleetEvent> waiting = new ArrayDeque<>();
+    private Consumer<FleetEffect> effects = _ -> {};
+    private @Nullable ScheduledFuture<?> wake;
+    private long wakeNanos = Long.MAX_VALUE;
+    private long lastNanos = Long.MIN_VALUE;
+    private int loggedFailures;
+    private boolean deciding;
+
+    FleetLoop(EventLoop eventLoop, FleetPolicy policy, NodeClock clock, Counters counters) {
+        this.eventLoop = eventLoop;
+        this.policy = policy;
+        this.clock = clock;
+        this.counters = counters;
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    /** Sets who carries effects out. */
+    void effects(Consumer<FleetEffect> receiver) {
+        effects = receiver;
+    }
+
+    /**
+     * Gives an event to the policy, from any thread.
+     *
+     * @param event the event
+     */
+    public void submit(FleetEvent event) {
+        if (eventLoop.inEventLoop()) {
+            handle(event);
+        } else {
+            eventLoop.execute(() -> handle(event));
+        }
+    }
+
+    /** Gives an event to the policy, on the event loop. */
+    void handle(FleetEvent event) {
+        waiting.add(event);
+        if (deciding) {
+            return;
+        }
+        deciding = true;
+        try {
+            while (!waiting.isEmpty()) {
+                decide(waiting.poll());
+            }
+        } finally {
+            deciding = false;
+        }
+        scheduleWake();
+    }
+
+    private void decide(FleetEvent event) {
+        Moment read = clock.now();
+        Moment now = read.nanos() < lastNanos ? new Moment(lastNanos, read.epochMillis()) : read;
+        lastNanos = now.nanos();
+        try {
+            List<FleetEffect> decided = policy.decide(now, event);
+            decided.forEach(this::dispatch);
+        } catch (RuntimeException failure) {
+            // One event at which the policy fails must not end the node: its requests run into their limits.
+            counters.policyFailure();
+            logFailure("the policy failed at " + event.getClass().getSimpleName(), failure);
+        }
+    }
+
+    private void dispatch(FleetEffect effect) {
+        try {
+            effects.accept(effect);
+        } catch (RuntimeException failure) {
+            counters.effectFailure();
+            logFailure("an effect failed: " + effect.getClass().getSimpleName(), failure);
+        }
+    }
+
+    private void logFailure(String what, RuntimeException failure) {
+        if (loggedFailures++ < MOST_LOGGED_FAILURES) {
+            StackTraceElement[] trace = failure.getStackTrace();
+            StateLog.fault(
+                    Step.ADMISSION,
+                    Optional.empty(),
+                    what + ": " + failure + " at " + (trace.length == 0 ? "-" : trace[0]));
+        }
+    }
+
+    private void scheduleWake() {
+        long due = policy.nextWakeNanos();
+        if (wake != null && wakeNanos <= due) {
+            return;
+        }
+        if (wake != null) {
+            wake.cancel(false);
+        }
+        wakeNanos = due;
+        long delay = Math.max(0, due - clock.now().nanos());
+        wake = eventLoop.schedule(this::wakeUp, delay, TimeUnit.NANOSECONDS);
+    }
+
+    private void wakeUp() {
+        wake = null;
+        wakeNanos = Long.MAX_VALUE;
+        handle(new FleetEvent.WakeUp());
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -0,0 +1,147 @@
+package org.carawaysill.node.fleet;
+
+import io.netty.channel.EventLoop;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vertx.core.Vertx;
+import io.vertx.core.internal.ContextInternal;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.carawaysill.kernel.service.ServiceRegistry;
+import org.carawaysill.node.entry.EntryServer;
+import org.carawaysill.node.lifecycle.EventLoopFactory;
+import org.carawaysill.node.observation.Counters;
+import org.carawaysill.node.policy.NodeClock;
+import org.carawaysill.node.upstream.CopyConnections;
+import org.carawaysill.policy.fleet.FleetEffect;
+import org.carawaysill.policy.fleet.FleetEvent;
+import org.carawaysill.policy.fleet.FleetPolicy;
+import org.carawaysill.policy.fleet.publication.PublicationDecoder;
+import org.carawaysill.policy.time.Moment;
+
+/**
+ * All services of one node in a fleet with common routes.
+ *
+ * <p>Invariant: all of them work on one event loop thread. Thread safe.
+ */
+public final class FleetNode {
+
+    /** The part of the heap that the bodies of open exchanges may take. */
+    private static final int HEAP_PARTS_FOR_BODIES = 4;
+
+    private final Vertx vertx = EventLoopFactory.create();
+    private final ServiceRegistry registry = new ServiceRegistry();
+    private final CompletableFuture<Void> mayEnd = new CompletableFuture<>();
+    private final FleetLoop loop;
+    private final EntryServer entry;
+    private final CopyConnections copy;
+    private final FleetPeers peers;
+    private final FleetAdmin admin;
+    private final DecisionLog log;
+    private final Counters counters;
+    private final PublishedSource source;
+
+    /**
+     * Makes a node that does not serve yet.
+     *
+     * @param settings its settings
+     * @param readyPath the path at which the platform asks whether it takes clients
+     * @param decoder what understands published entries
+     * @param source makes what reads them
+     */
+    public FleetNode(
+            FleetNodeSettings settings,
+            String readyPath,
+            PublicationDecoder decoder,
+            Function<Vertx, PublishedSource> source) {
+        EventLoop eventLoop = ((ContextInternal) vertx.getOrCreateContext()).nettyEventLoop();
+        Moment start = NodeClock.SYSTEM.now();
+        counters = registry.register(new Counters(new PrometheusRegistry()));
+        log = registry.register(new DecisionLog());
+        FleetPolicy policy =
+                new FleetPolicy(settings.policy(), decoder, new SplittableRandom(seed(settings, start)), start);
+        loop = registry.register(new FleetLoop(eventLoop, policy, NodeClock.SYSTEM, counters));
+        copy = registry.register(new CopyConnections(
+                eventLoop, settings.policy().copyAddress(), settings.dialect(), loop::handle, registry));
+        peers = registry.register(new FleetPeers(settings, start.epochMillis(), eventLoop, registry));
+        long bodyMemory = Runtime.getRuntime().maxMemory() / HEAP_PARTS_FOR_BODIES;
+        entry = registry.register(
+                new EntryServer(eventLoop, settings.entry(), settings.dialect(), bodyMemory, loop::handle, registry));
+        admin = registry.register(new FleetAdmin(vertx, settings, readyPath, registry));
+        this.source = source.apply(vertx);
+        loop.effects(this::dispatch);
+    }
+
+    /** Attempts are named at random; two nodes, or two lives of one, must not draw the same names. */
+    private static long seed(FleetNodeSettings settings, Moment start) {
+        return settings.policy().self().hashCode() * 0x9E3779B97F4A7C15L ^ start.nanos() ^ start.epochMillis() << 20;
+    }
+
+    /**
+     * Starts all services.
+     *
+     * @return completes when the node listens; fails with why it can't
+     */
+    public CompletableFuture<Void> start() {
+        return registry.start().thenRun(() -> loop.submit(new FleetEvent.WakeUp()));
+    }
+
+    /** Orders a planned stop: the node finishes its requests, and {@link #mayEnd} completes after that. */
+    public void orderStop() {
+        loop.submit(new FleetEvent.StopOrdered());
+    }
+
+    /**
+     * Waits for the end of a planned stop.
+     *
+     * @return completes when the process may end
+     */
+    public CompletableFuture<Void> mayEnd() {
+        return mayEnd;
+    }
+
+    /**
+     * Gives the services, to find one by name.
+     *
+     * @return the registry
+     */
+    public ServiceRegistry services() {
+        return registry;
+    }
+
+    /**
+     * Stops all services.
+     *
+     * @return completes when all have stopped
+     */
+    public CompletableFuture<Void> stop() {
+        return registry.stop()
+                .handle((_, _) -> vertx.close().toCompletionStage().toCompletableFuture())
+                .thenCompose(closed -> closed);
+    }
+
+    private void dispatch(FleetEffect effect) {
+        switch (effect) {
+            case FleetEffect.HandToCopy hand -> copy.hand(hand);
+            case FleetEffect.CancelAtCopy cancel -> copy.cancel(cancel.attempt());
+            case FleetEffect.AnswerExchange answer -> entry.answer(answer.exchange(), answer.outcome());
+            case FleetEffect.SendToPeer send -> peers.send(send.peer(), send.message());
+            case FleetEffect.ConnectPeer connect -> peers.connect(connect.peer());
+            case FleetEffect.DisconnectPeer disconnect -> peers.disconnect(disconnect.peer());
+            case FleetEffect.ResetPeer reset -> peers.reset(reset.peer());
+            case FleetEffect.ReadEntries read -> source.read(read).thenAccept(loop::submit);
+            case FleetEffect.LimitClients limit -> entry.limitClients(limit.limits());
+            case FleetEffect.ShowReadiness readiness -> showReadiness(readiness.ready());
+            case FleetEffect.Count count -> counters.count(count.counted());
+            case FleetEffect.Log decided -> log.write(decided.decision());
+            case FleetEffect.StopProcess _ -> mayEnd.complete(null);
+        }
+    }
+
+    private void showReadiness(boolean ready) {
+        admin.ready(ready);
+        if (!ready) {
+            entry.beginStop();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetPeers.java
@@ -0,0 +1,123 @@
+package org.carawaysill.node.fleet;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.carawaysill.kernel.service.Service;
+import org.carawaysill.kernel.service.ServiceRegistry;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.node.observation.Counters;
+import org.carawaysill.node.peer.LinkFaultLog;
+import org.carawaysill.node.peer.LinkMetrics;
+import org.carawaysill.policy.fleet.FleetEvent;
+import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.protocol.link.LinkFault;
+import org.carawaysill.protocol.link.LinkLimits;
+import org.carawaysill.protocol.link.PeerLink;
+import org.carawaysill.protocol.link.PeerListener;
+
+/**
+ * Joins the link between nodes to the policy of a fleet's node.
+ *
+ * <p>Thread safe.
+ */
+public final class FleetPeers implements Service, PeerListener {
+
+    /** The name under which the service is registered. */
+    public static final String NAME = "fleet-peers";
+
+    /** Room for a body of the size that copies send, with its headers; a larger one is refused as not sent. */
+    private static final int LARGEST_FRAME_BYTES = 20 * 1024 * 1024;
+
+    private static final Duration SHORTEST_REDIAL = Duration.ofMillis(50);
+
+    /** Short, since a node that comes back knows nobody until it is dialled, where the platform can't be read. */
+    private static final Duration LONGEST_REDIAL = Duration.ofMillis(500);
+
+    private static final Duration CONNECT_LIMIT = Duration.ofMillis(1000);
+
+    private final PeerLink link;
+    private final int port;
+    private final FleetLoop loop;
+    private final LinkFaultLog faults = new LinkFaultLog();
+
+    FleetPeers(FleetNodeSettings settings, long incarnation, EventLoop eventLoop, ServiceRegistry registry) {
+        this.loop = registry.require(FleetLoop.NAME, FleetLoop.class);
+        this.port = settings.peer().port();
+        this.link = PeerLink.builder()
+                .self(settings.policy().self())
+                .service(settings.policy().service())
+                .incarnation(incarnation)
+                .host(settings.peer().host())
+                .port(port)
+                .eventLoop(eventLoop)
+                .limits(LinkLimits.builder()
+                        .maximumFrameBytes(LARGEST_FRAME_BYTES)
+                        .connectLimit(CONNECT_LIMIT)
+                        .redial(SHORTEST_REDIAL, LONGEST_REDIAL)
+                        .build())
+                .listener(this)
+                .build();
+        LinkMetrics.register(
+                link.counters(), registry.require(Counters.NAME, Counters.class).registry());
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        return link.start().thenApply(_ -> null);
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        link.close();
+        return CompletableFuture.completedFuture(null);
+    }
+
+    void send(NodeName peer, PeerMessage message) {
+        link.send(peer, message);
+    }
+
+    /** Keeps a connection open to a node; its name is the IP number of its VM. */
+    void connect(NodeName peer) {
+        link.connect(peer, peer.value(), port);
+    }
+
+    void disconnect(NodeName peer) {
+        link.disconnect(peer);
+    }
+
+    void reset(NodeName peer) {
+        link.reset(peer, "no report in time");
+    }
+
+    @Override
+    public void connected(NodeName peer, long incarnation) {
+        faults.cleared(peer);
+        loop.submit(new FleetEvent.PeerConnected(peer));
+    }
+
+    @Override
+    public void lost(NodeName peer) {
+        loop.submit(new FleetEvent.PeerLost(peer));
+    }
+
+    @Override
+    public void received(NodeName from, PeerMessage message) {
+        loop.submit(new FleetEvent.PeerReceived(from, message));
+    }
+
+    @Override
+    public void unsent(NodeName peer, PeerMessage message) {
+        loop.submit(new FleetEvent.PeerUnsent(peer, message));
+    }
+
+    @Override
+    public void fault(LinkFault fault) {
+        faults.note(fault);
+    }
+}
--- a/node/src/main/java/org/carawaysill/node/lifecycle/EventLoopFactory.java
+++ b/node/src/main/java/org/carawaysill/node/lifecycle/EventLoopFactory.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Makes a Vert.x instance that fits a small process: one event loop, no files, small buffers. Thread safe. */
-final class EventLoopFactory {
+public final class EventLoopFactory {
 
     /**
      * Limits of the libraries for which there is no other way than system properties. What the command line sets goes
@@ -30,7 +30,7 @@
      *
      * @return the instance, with one event loop
      */
-    static Vertx create() {
+    public static Vertx create() {
         LIBRARY_LIMITS.forEach((name, value) -> {
             if (System.getProperty(name) == null) {
                 System.setProperty(name, value);
--- a/node/src/main/java/org/carawaysill/node/observation/BadRequest.java
+++ b/node/src/main/java/org/carawaysill/node/observation/BadRequest.java
@@ -12,6 +12,10 @@
     AMBIGUOUS_HEADER(400, RefusalReason.BAD_REQUEST),
     /** Its path does not name a service. */
     NO_SERVICE_IN_PATH(404, RefusalReason.BAD_REQUEST),
+    /** Its head did not end in time. */
+    HEAD_TOO_SLOW(408, RefusalReason.BAD_REQUEST),
+    /** Its body did not end in time. */
+    BODY_TOO_SLOW(408, RefusalReason.BAD_REQUEST),
     /** Its body is larger than the limit. */
     BODY_TOO_LARGE(413, RefusalReason.BAD_REQUEST),
     /** Its request line is longer than the limit. */
--- a/node/src/main/java/org/carawaysill/node/peer/LinkFaultLog.java
+++ b/node/src/main/java/org/carawaysill/node/peer/LinkFaultLog.java
@@ -14,11 +14,16 @@
  * <p>Invariant: at most one line for a peer and kind until another kind comes or a connection succeeds; none for senders
  * that have no name, which are only counted. Thread safe.
  */
-final class LinkFaultLog {
+public final class LinkFaultLog {
 
     private final Map<NodeName, LinkFaultKind> latest = new ConcurrentHashMap<>();
 
-    void note(LinkFault fault) {
+    /**
+     * Logs a fault, unless it is of the kind that this peer had last.
+     *
+     * @param fault the fault
+     */
+    public void note(LinkFault fault) {
         fault.peer().ifPresent(peer -> {
             if (latest.put(peer, fault.kind()) != fault.kind()) {
                 StateLog.fault(fault.step(), Optional.of(peer), fault.kind() + ": " + fault.detail());
@@ -26,7 +31,12 @@
         });
     }
 
-    void cleared(NodeName peer) {
+    /**
+     * Forgets the last fault of a peer, which is connected now.
+     *
+     * @param peer the other node
+     */
+    public void cleared(NodeName peer) {
         latest.remove(peer);
     }
 }
--- a/node/src/main/java/org/carawaysill/node/peer/LinkMetrics.java
+++ b/node/src/main/java/org/carawaysill/node/peer/LinkMetrics.java
@@ -9,7 +9,7 @@
 import org.carawaysill.protocol.link.TrafficKind;
 
 /** Shows what the link between nodes counts. Invariant: costs nothing between reads. Thread safe. */
-final class LinkMetrics {
+public final class LinkMetrics {
 
     private static final String SENT = "sent";
 
@@ -27,7 +27,13 @@
      * @param counters what the link counts
      * @param registry where to register
      */
-    static void register(LinkCounters counters, PrometheusRegistry registry) {
+    /**
+     * Registers the series of a link.
+     *
+     * @param counters what the link counts
+     * @param registry where the series are registered
+     */
+    public static void register(LinkCounters counters, PrometheusRegistry registry) {
         LinkMetrics metrics = new LinkMetrics(counters);
         counter("link_faults", "Faults of connections between nodes", "reason")
                 .callback(metrics::callFaults)
--- a/node/src/main/java/org/carawaysill/node/peer/PeerAdapter.java
+++ b/node/src/main/java/org/carawaysill/node/peer/PeerAdapter.java
@@ -164,6 +164,10 @@
             case PeerMessage.ConfigurationWanted ignored -> offerNotice(event);
             case PeerMessage.ConfigurationDocument ignored -> offerNotice(event);
             case PeerMessage.ConfigurationChange ignored -> offerNotice(event);
+            case PeerMessage.CopyRequest ignored -> offerNotice(event);
+            case PeerMessage.NodeReport ignored -> offerNotice(event);
+            case PeerMessage.EntriesWanted ignored -> offerNotice(event);
+            case PeerMessage.Entries ignored -> offerNotice(event);
         }
     }
 
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
@@ -0,0 +1,312 @@
+package org.carawaysill.node.upstream;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.carawaysill.model.request.AnswerContent;
+import org.carawaysill.model.request.Body;
+import org.carawaysill.model.request.Header;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.RequestContent;
+import org.carawaysill.model.request.Step;
+import org.carawaysill.model.request.UnknownReason;
+import org.carawaysill.node.exchange.HeaderHygiene;
+import org.carawaysill.node.observation.ConnectionFault;
+import org.carawaysill.node.upstream.AnswerCheck.Verdict;
+import org.carawaysill.policy.fleet.FleetEffect;
+
+/**
+ * One connection to the local copy; it carries one request at a time.
+ *
+ * <p>Invariants: an answer is complete only by its length, its last chunk, or, without either, by the orderly end of the
+ * connection; an answer that names another request ends nothing; a connection on which anything went wrong, or on which
+ * bytes came that nobody asked for, carries no further request. Confined to the event loop.
+ */
+final class CopyConnection extends ChannelInboundHandlerAdapter {
+
+    /** Guards against an answer without end, which would fill the memory. */
+    private static final int LONGEST_BODY_BYTES = 16 * 1024 * 1024;
+
+    private static final Duration REFUSED_RETRY_AFTER = Duration.ofMillis(100);
+
+    private static final String KEEP_ALIVE_TIMEOUT = "timeout=";
+
+    private final CopyConnections pool;
+    private Optional<Channel> channel = Optional.empty();
+    private Optional<CopyExchange> exchange = Optional.empty();
+    private Optional<HttpResponse> answer = Optional.empty();
+    private Verdict verdict = Verdict.OWN;
+    private ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private boolean sound = true;
+    private boolean requestWritten = true;
+    private boolean returnable;
+    private long idleSinceNanos;
+    private Duration idleLimit;
+
+    CopyConnection(CopyConnections pool, Duration idleLimit) {
+        this.pool = pool;
+        this.idleLimit = idleLimit;
+    }
+
+    /** Comes before the connection is told of as open; the event that it is active comes only after that. */
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = Optional.of(context.channel());
+        idleSinceNanos = System.nanoTime();
+    }
+
+    boolean isUsable(long now) {
+        return sound && channel.filter(Channel::isActive).isPresent() && now - idleSinceNanos < idleLimit.toNanos();
+    }
+
+    /** Writes a request, unless its deadline has passed. */
+    void send(CopyExchange next) {
+        long remaining = next.request().deadlineNanos() - System.nanoTime();
+        if (remaining <= 0) {
+            // Guards against a process that was paused and hands over late work when it wakes: the copy would run what
+            // its caller has given up. The deadline is looked at last, right before the write.
+            pool.release(this);
+            pool.ended(next, notRun(RefusalReason.DEADLINE, Step.COPY_WRITE));
+            return;
+        }
+        next.on(this);
+        exchange = Optional.of(next);
+        answer = Optional.empty();
+        body = new ByteArrayOutputStream();
+        returnable = false;
+        requestWritten = false;
+        channel.orElseThrow()
+                .writeAndFlush(encode(next.request(), remaining))
+                .addListener((ChannelFuture written) -> written(next, written.isSuccess()));
+    }
+
+    private FullHttpRequest encode(FleetEffect.HandToCopy request, long remainingNanos) {
+        RequestContent content = request.content();
+        ByteBuf bytes = Unpooled.wrappedBuffer(content.body().bytes());
+        FullHttpRequest encoded = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, HttpMethod.valueOf(content.method()), content.path(), bytes);
+        for (Header header : content.headers()) {
+            encoded.headers().add(header.name(), header.value());
+        }
+        long millis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(remainingNanos));
+        encoded.headers().set(pool.dialect().patience(), Long.toString(millis));
+        encoded.headers().set(pool.dialect().copy(), request.copy().value());
+        encoded.headers()
+                .set(pool.dialect().callerService(), request.callerService().value());
+        if (content.body().length() > 0 || !isBodyless(content.method())) {
+            encoded.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.body().length());
+        }
+        return encoded;
+    }
+
+    private static boolean isBodyless(String method) {
+        return method.equals(HttpMethod.GET.name()) || method.equals(HttpMethod.HEAD.name());
+    }
+
+    /** A request that is answered before it is written whole keeps the connection until its rest is written. */
+    private void written(CopyExchange of, boolean success) {
+        requestWritten = true;
+        if (!success) {
+            spoil();
+            exchange.filter(of::equals).ifPresent(_ -> lost());
+        } else {
+            returnIfDone();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            if (exchange.isEmpty()) {
+                // Bytes behind a complete answer, or an answer that nobody asked for: they belong to no request, and
+                // the
+                // next request would be taken for theirs.
+                pool.count(ConnectionFault.COPY_BROKEN);
+                spoil();
+            } else {
+                receive(message);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void receive(Object message) {
+        if (message instanceof HttpResponse response) {
+            if (response.decoderResult().isFailure()) {
+                spoilt();
+                return;
+            }
+            begin(response);
+        }
+        if (message instanceof HttpContent content && answer.isPresent()) {
+            receiveBody(content);
+        }
+    }
+
+    private void begin(HttpResponse response) {
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            return;
+        }
+        answer = Optional.of(response);
+        body = new ByteArrayOutputStream();
+        CopyExchange current = exchange.orElseThrow();
+        verdict = pool.check().judge(response, current.request().requestName());
+        if (verdict == Verdict.SPOILT) {
+            spoilt();
+        } else if (verdict == Verdict.FOREIGN) {
+            // The answer to this request follows behind it; no other request may come after that.
+            pool.count(ConnectionFault.COPY_BROKEN);
+            sound = false;
+        }
+        noteKeepAlive(response);
+    }
+
+    private void noteKeepAlive(HttpResponse response) {
+        if (!HttpUtil.isKeepAlive(response)) {
+            sound = false;
+        }
+        String stated = response.headers().get("Keep-Alive");
+        if (stated != null && stated.startsWith(KEEP_ALIVE_TIMEOUT)) {
+            int end = stated.indexOf(',');
+            String seconds = stated.substring(KEEP_ALIVE_TIMEOUT.length(), end < 0 ? stated.length() : end);
+            try {
+                idleLimit = pool.idleLimit(Duration.ofSeconds(Long.parseLong(seconds.strip())));
+            } catch (NumberFormatException unreadable) {
+                pool.count(ConnectionFault.COPY_BROKEN);
+            }
+        }
+    }
+
+    private void receiveBody(HttpContent content) {
+        if (content.decoderResult().isFailure() || body.size() > LONGEST_BODY_BYTES) {
+            spoilt();
+            return;
+        }
+        byte[] bytes = ByteBufUtil.getBytes(content.content());
+        body.write(bytes, 0, bytes.length);
+        if (content instanceof LastHttpContent) {
+            complete();
+        }
+    }
+
+    private void complete() {
+        HttpResponse response = answer.orElseThrow();
+        answer = Optional.empty();
+        if (verdict == Verdict.FOREIGN) {
+            return;
+        }
+        CopyExchange done = exchange.orElseThrow();
+        exchange = Optional.empty();
+        returnable = true;
+        Outcome outcome = verdict == Verdict.NOT_RUN
+                ? notRun(RefusalReason.COPY_REFUSED, Step.COPY_WAIT)
+                : new Outcome.Answered(content(response, done));
+        pool.ended(done, outcome);
+    }
+
+    private AnswerContent content(HttpResponse response, CopyExchange done) {
+        boolean head = done.request().content().method().equals(HttpMethod.HEAD.name());
+        return new AnswerContent(
+                response.status().code(),
+                HeaderHygiene.ofAnswer(response.headers().entries(), head),
+                Body.wrap(body.toByteArray()));
+    }
+
+    /** Returns the connection only now: whatever came right behind the answer has been seen by then. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        returnIfDone();
+    }
+
+    private void returnIfDone() {
+        if (returnable && requestWritten) {
+            returnable = false;
+            if (sound) {
+                idleSinceNanos = System.nanoTime();
+                pool.release(this);
+            } else {
+                close();
+            }
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        sound = false;
+        pool.closed(this);
+        if (exchange.isPresent()) {
+            lost();
+        }
+    }
+
+    /**
+     * Ends the request before the end of the connection is seen. Guards against an answer without length whose connection
+     * is reset on the way: the decoder takes any end of the connection for the end of such an answer.
+     */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        spoil();
+        if (exchange.isPresent()) {
+            lost();
+        }
+    }
+
+    private void spoilt() {
+        pool.count(ConnectionFault.COPY_BROKEN);
+        spoil();
+        lost();
+    }
+
+    private void lost() {
+        exchange.ifPresent(current -> {
+            exchange = Optional.empty();
+            Outcome outcome = new Outcome.Unknown(
+                    answer.isPresent() ? UnknownReason.TRUNCATED : UnknownReason.COPY_LOST,
+                    Step.COPY_WAIT,
+                    Optional.empty());
+            answer = Optional.empty();
+            pool.ended(current, outcome);
+        });
+    }
+
+    /** Breaks off the request under way: the copy sees its connection end. */
+    void cancel() {
+        exchange = Optional.empty();
+        spoil();
+    }
+
+    private void spoil() {
+        sound = false;
+        close();
+    }
+
+    void close() {
+        sound = false;
+        channel.ifPresent(Channel::close);
+    }
+
+    private static Outcome.NotRun notRun(RefusalReason reason, Step step) {
+        return new Outcome.NotRun(reason, REFUSED_RETRY_AFTER, step, Optional.empty());
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -0,0 +1,252 @@
+package org.carawaysill.node.upstream;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.carawaysill.kernel.service.Service;
+import org.carawaysill.kernel.service.ServiceRegistry;
+import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.NetworkAddress;
+import org.carawaysill.model.request.Invariant;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.Step;
+import org.carawaysill.node.entry.WireDialect;
+import org.carawaysill.node.observation.ConnectionFault;
+import org.carawaysill.node.observation.Counters;
+import org.carawaysill.policy.fleet.FleetEffect;
+import org.carawaysill.policy.fleet.FleetEvent;
+
+/**
+ * The HTTP connections to the local copy.
+ *
+ * <p>Invariants: each request handed over ends once, unless it is cancelled; "not run" is said only where no byte was
+ * written or the copy itself said so. The methods of {@link Service} are thread safe, all else is confined to the event
+ * loop.
+ */
+public final class CopyConnections implements Service {
+
+    /** The name under which the service is registered. */
+    public static final String NAME = "copy-connections";
+
+    private static final int CONNECT_LIMIT_MILLIS = 500;
+    private static final int LONGEST_LINE_BYTES = 8192;
+    private static final int LARGEST_HEAD_BYTES = 64 * 1024;
+    private static final int CHUNK_BYTES = 64 * 1024;
+
+    private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(1);
+
+    /**
+     * How much sooner than the copy this side ends an idle connection. Guards against a request that crosses the copy's
+     * close of the connection, which shows as a reset of which nobody knows whether the request ran.
+     */
+    private static final Duration IDLE_MARGIN = Duration.ofMillis(1500);
+
+    /** How long a connection may be idle where the copy does not say: a common timeout of HTTP servers is 5 s. */
+    private static final Duration USUAL_IDLE_LIMIT = Duration.ofMillis(3500);
+
+    private static final Duration UNREACHABLE_RETRY_AFTER = Duration.ofMillis(500);
+
+    private final EventLoop eventLoop;
+    private final WireDialect dialect;
+    private final AnswerCheck check;
+    private final Counters counters;
+    private final Consumer<FleetEvent> events;
+    private final Bootstrap bootstrap;
+    private final ArrayDeque<CopyConnection> idle = new ArrayDeque<>();
+    private final Set<CopyConnection> all = new HashSet<>();
+    private final Map<AttemptIdentifier, CopyExchange> running = new HashMap<>();
+
+    /**
+     * Makes a pool without connections.
+     *
+     * @param eventLoop the thread that it works on
+     * @param copy where the copy listens
+     * @param dialect the names of header fields
+     * @param events who hears of answers
+     * @param registry where the counters are found
+     */
+    public CopyConnections(
+            EventLoop eventLoop,
+            NetworkAddress copy,
+            WireDialect dialect,
+            Consumer<FleetEvent> events,
+            ServiceRegistry registry) {
+        this.eventLoop = eventLoop;
+        this.dialect = dialect;
+        this.events = events;
+        check = new AnswerCheck(dialect);
+        counters = registry.require(Counters.NAME, Counters.class);
+        bootstrap = new Bootstrap()
+                .group(eventLoop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_LIMIT_MILLIS)
+                .remoteAddress(copy.host(), copy.port());
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public CompletableFuture<Void> start() {
+        long interval = SWEEP_INTERVAL.toMillis();
+        eventLoop.scheduleAtFixedRate(this::sweep, interval, interval, TimeUnit.MILLISECONDS);
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        eventLoop.execute(() -> {
+            List.copyOf(all).forEach(CopyConnection::close);
+            closed.complete(null);
+        });
+        return closed;
+    }
+
+    /**
+     * Hands a request to the copy.
+     *
+     * @param request the request
+     */
+    public void hand(FleetEffect.HandToCopy request) {
+        CopyExchange exchange = new CopyExchange(request);
+        // Guards against two exchanges under one identifier, after which each could get the other's answer.
+        if (running.putIfAbsent(request.attempt(), exchange) != null) {
+            counters.count(Invariant.AT_MOST_ONCE);
+            return;
+        }
+        Optional<CopyConnection> free = takeIdle();
+        if (free.isPresent()) {
+            free.get().send(exchange);
+        } else {
+            connect(exchange);
+        }
+    }
+
+    private Optional<CopyConnection> takeIdle() {
+        long now = System.nanoTime();
+        while (!idle.isEmpty()) {
+            CopyConnection candidate = idle.pollLast();
+            if (candidate.isUsable(now)) {
+                return Optional.of(candidate);
+            }
+            candidate.close();
+        }
+        return Optional.empty();
+    }
+
+    private void connect(CopyExchange exchange) {
+        CopyConnection connection = new CopyConnection(this, USUAL_IDLE_LIMIT);
+        bootstrap
+                .clone()
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline().addLast(codec()).addLast(connection);
+                    }
+                })
+                .connect()
+                .addListener((ChannelFuture connected) -> connected(exchange, connection, connected));
+    }
+
+    private static HttpClientCodec codec() {
+        HttpDecoderConfig limits = new HttpDecoderConfig()
+                .setMaxInitialLineLength(LONGEST_LINE_BYTES)
+                .setMaxHeaderSize(LARGEST_HEAD_BYTES)
+                .setMaxChunkSize(CHUNK_BYTES);
+        return new HttpClientCodec(limits, false, false);
+    }
+
+    private void connected(CopyExchange exchange, CopyConnection connection, ChannelFuture connected) {
+        if (!connected.isSuccess()) {
+            ended(
+                    exchange,
+                    new Outcome.NotRun(
+                            RefusalReason.COPY_UNREACHABLE,
+                            UNREACHABLE_RETRY_AFTER,
+                            Step.COPY_CONNECT,
+                            Optional.empty()));
+            return;
+        }
+        all.add(connection);
+        if (exchange.isEnded()) {
+            release(connection);
+        } else {
+            connection.send(exchange);
+        }
+    }
+
+    /**
+     * Breaks off a request at the copy, of which nothing more is told.
+     *
+     * @param attempt its attempt
+     */
+    public void cancel(AttemptIdentifier attempt) {
+        CopyExchange exchange = running.remove(attempt);
+        if (exchange != null && exchange.end()) {
+            exchange.connection().ifPresent(CopyConnection::cancel);
+        }
+    }
+
+    void ended(CopyExchange exchange, Outcome outcome) {
+        if (exchange.end()) {
+            running.remove(exchange.request().attempt());
+            events.accept(new FleetEvent.CopyAnswered(exchange.request().attempt(), outcome));
+        }
+    }
+
+    void release(CopyConnection connection) {
+        idle.addLast(connection);
+    }
+
+    void closed(CopyConnection connection) {
+        all.remove(connection);
+        idle.remove(connection);
+    }
+
+    private void sweep() {
+        long now = System.nanoTime();
+        List.copyOf(idle).stream()
+                .filter(connection -> !connection.isUsable(now))
+                .forEach(CopyConnection::close);
+    }
+
+    /** Tells how long a connection may be idle on this side where the copy closes it after a stated time. */
+    Duration idleLimit(Duration stated) {
+        Duration limit = stated.minus(IDLE_MARGIN);
+        return limit.isNegative() ? Duration.ZERO : limit;
+    }
+
+    WireDialect dialect() {
+        return dialect;
+    }
+
+    AnswerCheck check() {
+        return check;
+    }
+
+    void count(ConnectionFault fault) {
+        counters.count(fault);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyExchange.java
@@ -0,0 +1,51 @@
+package org.carawaysill.node.upstream;
+
+import java.util.Optional;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.policy.fleet.FleetEffect;
+
+/**
+ * One request at the local copy.
+ *
+ * <p>Invariant: ends once. Confined to the event loop.
+ */
+final class CopyExchange {
+
+    private final FleetEffect.HandToCopy request;
+    private Optional<CopyConnection> connection = Optional.empty();
+    private boolean ended;
+
+    CopyExchange(FleetEffect.HandToCopy request) {
+        this.request = request;
+    }
+
+    FleetEffect.HandToCopy request() {
+        return request;
+    }
+
+    void on(CopyConnection carrier) {
+        connection = Optional.of(carrier);
+    }
+
+    Optional<CopyConnection> connection() {
+        return connection;
+    }
+
+    boolean isEnded() {
+        return ended;
+    }
+
+    /** Notes the end; tells whether this was the first. */
+    boolean end() {
+        boolean first = !ended;
+        ended = true;
+        return first;
+    }
+
+    /** Hears what requests at the copy come to. */
+    @FunctionalInterface
+    interface Listener {
+
+        void ended(CopyExchange exchange, Outcome outcome);
+    }
+}
--- a/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
+++ b/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
@@ -144,7 +144,11 @@
                     PeerMessage.DrainNotice _,
                     PeerMessage.LeaseRequest _,
                     PeerMessage.LeaseReply _,
-                    PeerMessage.HolderHandover _ -> List.of();
+                    PeerMessage.HolderHandover _,
+                    PeerMessage.CopyRequest _,
+                    PeerMessage.NodeReport _,
+                    PeerMessage.EntriesWanted _,
+                    PeerMessage.Entries _ -> List.of();
         };
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/engine/BaselinePolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/BaselinePolicy.java
@@ -163,7 +163,11 @@
                     PeerMessage.HolderHandover _,
                     PeerMessage.ConfigurationWanted _,
                     PeerMessage.ConfigurationDocument _,
-                    PeerMessage.ConfigurationChange _ -> {}
+                    PeerMessage.ConfigurationChange _,
+                    PeerMessage.CopyRequest _,
+                    PeerMessage.NodeReport _,
+                    PeerMessage.EntriesWanted _,
+                    PeerMessage.Entries _ -> {}
         }
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
@@ -139,7 +139,11 @@
                     PeerMessage.DrainNotice _,
                     PeerMessage.ConfigurationWanted _,
                     PeerMessage.ConfigurationDocument _,
-                    PeerMessage.ConfigurationChange _ -> {}
+                    PeerMessage.ConfigurationChange _,
+                    PeerMessage.CopyRequest _,
+                    PeerMessage.NodeReport _,
+                    PeerMessage.EntriesWanted _,
+                    PeerMessage.Entries _ -> {}
         }
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/engine/RetryDecision.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/RetryDecision.java
@@ -35,7 +35,7 @@
 
     private static Optional<RetryReason> afterRefusal(RefusalReason reason) {
         return switch (reason) {
-            case QUEUE_FULL, EVICTED, OVERLOAD, DRAINING, RING_FULL, NO_CONFIGURATION ->
+            case QUEUE_FULL, EVICTED, OVERLOAD, DRAINING, COPY_REFUSED, RING_FULL, NO_CONFIGURATION ->
                 Optional.of(RetryReason.NOT_RUN);
             case PEER_UNREACHABLE, COPY_UNREACHABLE -> Optional.of(RetryReason.UNREACHABLE);
             case UNKNOWN_OPERATION,
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
@@ -0,0 +1,268 @@
+package org.carawaysill.policy.fleet;
+
+import java.util.concurrent.TimeUnit;
+import org.carawaysill.model.fleet.CopyName;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.Outcome;
+
+/**
+ * One decision that touched a request or changed what the node believes, with the inputs that decided it.
+ *
+ * <p>Invariant: {@link #fields} gives {@code key=value} pairs on one line; values from outside are quoted by the log that
+ * writes them. Immutable and thread safe.
+ */
+public sealed interface Decision {
+
+    /**
+     * Gives the inputs and the outcome.
+     *
+     * @return pairs of key and value, parted by spaces
+     */
+    String fields();
+
+    /**
+     * Names the request or the part of the node's beliefs that it concerns.
+     *
+     * @return the name
+     */
+    String subject();
+
+    /** A decision about one request. Immutable and thread safe. */
+    sealed interface OfRequest extends Decision {}
+
+    /** A change of what the node believes. Immutable and thread safe. */
+    sealed interface OfBelief extends Decision {}
+
+    /**
+     * An attempt was handed over.
+     *
+     * @param subject the request
+     * @param route its route
+     * @param rootRoute the route of the caller's request behind it
+     * @param depth calls between that and this one
+     * @param copy the copy chosen
+     * @param peer the node beside it
+     * @param attempt which attempt it is, from 1
+     * @param expectedLoad requests at the copy as known here, over its limit
+     * @param version the configuration version
+     */
+    record Sent(
+            String subject,
+            String route,
+            String rootRoute,
+            int depth,
+            CopyName copy,
+            NodeName peer,
+            int attempt,
+            double expectedLoad,
+            long version)
+            implements OfRequest {
+
+        @Override
+        public String fields() {
+            return "route=" + route + " root=" + rootRoute + " depth=" + depth + " copy=" + copy + " peer=" + peer
+                    + " attempt=" + attempt + " load=" + Math.round(expectedLoad * 100) / 100.0 + " version="
+                    + version;
+        }
+    }
+
+    /**
+     * A request got its final answer.
+     *
+     * @param subject the request
+     * @param route its route, or - where none matched
+     * @param outcome the answer
+     * @param attempts attempts made
+     * @param tookNanos time since it arrived
+     * @param share the share of its route that is let in
+     * @param version the configuration version
+     */
+    record Answered(
+            String subject, String route, Outcome outcome, int attempts, long tookNanos, double share, long version)
+            implements OfRequest {
+
+        @Override
+        public String fields() {
+            return "route=" + route + " " + describe(outcome) + " attempts=" + attempts + " took_ms="
+                    + TimeUnit.NANOSECONDS.toMillis(tookNanos) + " share=" + Math.round(share * 100) / 100.0
+                    + " version=" + version;
+        }
+    }
+
+    /**
+     * An attempt failed and another one follows.
+     *
+     * @param subject the request
+     * @param outcome what the attempt came to
+     * @param copy the copy that it was for
+     * @param attempt which attempt it was, from 1
+     */
+    record Retried(String subject, Outcome outcome, CopyName copy, int attempt) implements OfRequest {
+
+        @Override
+        public String fields() {
+            return describe(outcome) + " copy=" + copy + " attempt=" + attempt;
+        }
+    }
+
+    /**
+     * A request for the local copy did not get its answer.
+     *
+     * @param subject the request
+     * @param copy the copy that it was for
+     * @param outcome what it came to
+     * @param waitedNanos time in the queue and at the copy
+     * @param inFlight requests at the copy
+     * @param queued requests waiting for it
+     * @param limit how many may be at it
+     */
+    record FailedAtCopy(
+            String subject, CopyName copy, Outcome outcome, long waitedNanos, int inFlight, int queued, int limit)
+            implements OfRequest {
+
+        @Override
+        public String fields() {
+            return "copy=" + copy + " " + describe(outcome) + " waited_ms="
+                    + TimeUnit.NANOSECONDS.toMillis(waitedNanos) + " in_flight=" + inFlight + " queued=" + queued
+                    + " limit=" + limit;
+        }
+    }
+
+    /**
+     * A client left before its answer.
+     *
+     * @param subject the request
+     * @param attempts attempts made
+     * @param tookNanos time since it arrived
+     */
+    record Abandoned(String subject, int attempts, long tookNanos) implements OfRequest {
+
+        @Override
+        public String fields() {
+            return "attempts=" + attempts + " took_ms=" + TimeUnit.NANOSECONDS.toMillis(tookNanos);
+        }
+    }
+
+    /**
+     * A configuration version is in force.
+     *
+     * @param version the version
+     * @param replaced the version before
+     * @param routes how many routes it has
+     * @param revision the platform's revision of it
+     */
+    record ConfigurationAdopted(long version, long replaced, int routes, long revision) implements OfBelief {
+
+        @Override
+        public String subject() {
+            return "configuration";
+        }
+
+        @Override
+        public String fields() {
+            return "version=" + version + " replaced=" + replaced + " routes=" + routes + " revision=" + revision;
+        }
+    }
+
+    /**
+     * A published entry is not used, since it can't be read.
+     *
+     * @param subject the entry's key
+     * @param revision the platform's revision of it
+     * @param fault what is wrong with it, and where
+     */
+    record EntryRefused(String subject, long revision, String fault) implements OfBelief {
+
+        @Override
+        public String fields() {
+            return "revision=" + revision + " fault=" + fault;
+        }
+    }
+
+    /**
+     * A copy was added, changed, or is used no more.
+     *
+     * @param copy the copy
+     * @param service its service
+     * @param address where it listens
+     * @param state what is believed of it now
+     * @param revision the platform's revision of that
+     */
+    record CopyChanged(CopyName copy, ServiceName service, String address, String state, long revision)
+            implements OfBelief {
+
+        @Override
+        public String subject() {
+            return copy.value();
+        }
+
+        @Override
+        public String fields() {
+            return "service=" + service + " address=" + address + " state=" + state + " revision=" + revision;
+        }
+    }
+
+    /**
+     * Something that the node depends on was lost or is back.
+     *
+     * @param subject what it is: the platform, or another node
+     * @param state what is believed of it now
+     * @param detail why, with ages
+     */
+    record DependencyChanged(String subject, String state, String detail) implements OfBelief {
+
+        @Override
+        public String fields() {
+            return "state=" + state + " " + detail;
+        }
+    }
+
+    /**
+     * The share of a route's requests that is let in changed by much.
+     *
+     * @param subject the route
+     * @param share the share now
+     * @param offered requests a second in the whole fleet
+     * @param reports how many nodes' reports are behind it
+     */
+    record ShareChanged(String subject, double share, double offered, int reports) implements OfBelief {
+
+        @Override
+        public String fields() {
+            return "share=" + Math.round(share * 100) / 100.0 + " offered_per_second=" + Math.round(offered)
+                    + " reports=" + reports;
+        }
+    }
+
+    /**
+     * The node starts or stops taking clients, or is stopping.
+     *
+     * @param state the state now
+     * @param detail why
+     */
+    record NodeChanged(String state, String detail) implements OfBelief {
+
+        @Override
+        public String subject() {
+            return "node";
+        }
+
+        @Override
+        public String fields() {
+            return "state=" + state + " " + detail;
+        }
+    }
+
+    private static String describe(Outcome outcome) {
+        return switch (outcome) {
+            case Outcome.Answered answered ->
+                "outcome=answered status=" + answered.content().status();
+            case Outcome.NotRun notRun ->
+                "outcome=not_run reason=" + notRun.reason().labelValue() + " step=" + notRun.step() + " retry_after_ms="
+                        + notRun.retryAfter().toMillis();
+            case Outcome.Unknown unknown ->
+                "outcome=unknown reason=" + unknown.reason().labelValue() + " step=" + unknown.step();
+        };
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetEffect.java
@@ -0,0 +1,120 @@
+package org.carawaysill.policy.fleet;
+
+import java.time.Duration;
+import java.util.OptionalLong;
+import org.carawaysill.model.fleet.ClientLimits;
+import org.carawaysill.model.fleet.CopyName;
+import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.ExchangeIdentifier;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.Counted;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RequestContent;
+import org.carawaysill.policy.message.PeerMessage;
+
+/** What the policy of a fleet's node asks its node to do. Immutable and thread safe. */
+public sealed interface FleetEffect {
+
+    /**
+     * Write a request to the local copy, unless its deadline has passed by the time of writing.
+     *
+     * @param attempt the attempt
+     * @param copy the copy that may run it, and no other
+     * @param callerService the service beside which the request began
+     * @param requestName the client's own name for the request, which the answer must echo
+     * @param content the request
+     * @param deadlineNanos the deadline on the monotonic clock
+     */
+    record HandToCopy(
+            AttemptIdentifier attempt,
+            CopyName copy,
+            ServiceName callerService,
+            String requestName,
+            RequestContent content,
+            long deadlineNanos)
+            implements FleetEffect {}
+
+    /**
+     * Cancel a request at the local copy and close its connection.
+     *
+     * @param attempt the attempt
+     */
+    record CancelAtCopy(AttemptIdentifier attempt) implements FleetEffect {}
+
+    /**
+     * Tell a client what its request came to.
+     *
+     * @param exchange the HTTP exchange
+     * @param outcome the final answer
+     */
+    record AnswerExchange(ExchangeIdentifier exchange, Outcome outcome) implements FleetEffect {}
+
+    /**
+     * Send a message to another node.
+     *
+     * @param peer the other node
+     * @param message the message
+     */
+    record SendToPeer(NodeName peer, PeerMessage message) implements FleetEffect {}
+
+    /**
+     * Keep a connection open to another node.
+     *
+     * @param peer the other node, named by the IP number of its VM
+     */
+    record ConnectPeer(NodeName peer) implements FleetEffect {}
+
+    /**
+     * Close the connection to another node.
+     *
+     * @param peer the other node
+     */
+    record DisconnectPeer(NodeName peer) implements FleetEffect {}
+
+    /**
+     * Give up the connection to another node, which is silent, and dial anew.
+     *
+     * @param peer the other node
+     */
+    record ResetPeer(NodeName peer) implements FleetEffect {}
+
+    /**
+     * Read published entries at the platform.
+     *
+     * @param after the revision after which changes are asked for; empty for all entries
+     * @param patience how long the platform may hold the read until there is a change
+     */
+    record ReadEntries(OptionalLong after, Duration patience) implements FleetEffect {}
+
+    /**
+     * Apply other limits to clients.
+     *
+     * @param limits the limits
+     */
+    record LimitClients(ClientLimits limits) implements FleetEffect {}
+
+    /**
+     * Tell the platform whether clients may be sent here.
+     *
+     * @param ready whether they may
+     */
+    record ShowReadiness(boolean ready) implements FleetEffect {}
+
+    /**
+     * Count an occurrence.
+     *
+     * @param counted what occurred
+     */
+    record Count(Counted counted) implements FleetEffect {}
+
+    /**
+     * Log a decision.
+     *
+     * @param decision the decision with its inputs
+     */
+    record Log(Decision decision) implements FleetEffect {}
+
+    /** Every request is finished, or the time for that is over: the process may end. */
+    record StopProcess() implements FleetEffect {}
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetParts.java
@@ -0,0 +1,26 @@
+package org.carawaysill.policy.fleet;
+
+import org.carawaysill.policy.fleet.entry.DemandMeter;
+import org.carawaysill.policy.fleet.entry.EntryPlan;
+
+/**
+ * The parts of a policy that decisions about requests need.
+ *
+ * <p>Not thread safe, as its parts: owned by the policy.
+ *
+ * @param settings who the node is
+ * @param effects what was decided
+ * @param beliefs what is published
+ * @param peers the other nodes
+ * @param localRuns the requests for the local copy
+ * @param demand what is asked of this node
+ * @param plan what is let in
+ */
+record FleetParts(
+        FleetSettings settings,
+        Effects effects,
+        Beliefs beliefs,
+        Peers peers,
+        LocalRuns localRuns,
+        DemandMeter demand,
+        EntryPlan plan) {}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -0,0 +1,293 @@
+package org.carawaysill.policy.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.policy.fleet.copy.Copy;
+import org.carawaysill.policy.fleet.entry.DemandMeter;
+import org.carawaysill.policy.fleet.entry.EntryPlan;
+import org.carawaysill.policy.fleet.publication.PublicationDecoder;
+import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.PeerMessage.NodeReport;
+import org.carawaysill.policy.time.Moment;
+
+/**
+ * All decisions of one node in a fleet whose routes are common to all nodes and whose copies are published.
+ *
+ * <p>Without input, output, threads, clock or hidden randomness. Invariant: the same events at the same moments give the
+ * same effects, for the same seed. Not thread safe: one thread owns it.
+ */
+public final class FleetPolicy {
+
+    /** How long a new node waits for connections to others before it takes clients with fewer of them. */
+    private static final Duration SETTLING_LIMIT = Duration.ofSeconds(1);
+
+    /**
+     * How long a stopping node goes on taking requests at the least: it is asked each second whether it is ready, and two
+     * refusals take it out.
+     */
+    private static final Duration CLIENTS_GONE_AFTER = Duration.ofMillis(2500);
+
+    /** What is left of the time for a stop when the process ends in any case. */
+    private static final Duration STOP_MARGIN = Duration.ofMillis(300);
+
+    /** A process that was away for so long can't tell from silence that others are gone. */
+    private static final Duration PAUSE = Duration.ofMillis(600);
+
+    private static final double LOGGED_SHARE_CHANGE = 0.1;
+
+    private final FleetSettings settings;
+    private final Effects effects = new Effects();
+    private final Beliefs beliefs;
+    private final Peers peers;
+    private final DemandMeter demand;
+    private final EntryPlan plan = new EntryPlan();
+    private final LocalRuns localRuns;
+    private final OutgoingRequests outgoing;
+    private final Map<String, Double> loggedShares = new HashMap<>();
+    private long nextTickNanos;
+    private long lastNanos;
+    private long configuredNanos = Long.MAX_VALUE;
+    private long stopOrderedNanos = Long.MAX_VALUE;
+    private long sequence;
+    private long askedRevision;
+    private boolean ready;
+    private boolean stopped;
+
+    /**
+     * Creates the policy of a node that has just started.
+     *
+     * @param settings who the node is
+     * @param decoder what understands published entries
+     * @param random the source of identifiers and jitter
+     * @param start the moment at which the process started
+     */
+    public FleetPolicy(FleetSettings settings, PublicationDecoder decoder, RandomGenerator random, Moment start) {
+        this.settings = settings;
+        long now = start.nanos();
+        beliefs = new Beliefs(now, decoder, random, effects);
+        peers = new Peers(settings.self(), effects);
+        demand = new DemandMeter(now);
+        localRuns = new LocalRuns(effects, demand);
+        outgoing = new OutgoingRequests(
+                new FleetParts(settings, effects, beliefs, peers, localRuns, demand, plan), random);
+        nextTickNanos = now;
+        lastNanos = now;
+    }
+
+    /**
+     * Decides about an event.
+     *
+     * @param moment the moment, never earlier than the last one
+     * @param event what happened
+     * @return what to do, in this order
+     */
+    public List<FleetEffect> decide(Moment moment, FleetEvent event) {
+        long now = moment.nanos();
+        noticePause(now);
+        switch (event) {
+            case FleetEvent.RequestArrived arrival -> outgoing.arrived(now, arrival);
+            case FleetEvent.ExchangeClosed closed -> outgoing.exchangeClosed(now, closed.exchange());
+            case FleetEvent.CopyAnswered answered -> localRuns.answered(now, answered.attempt(), answered.outcome());
+            case FleetEvent.PeerReceived received -> received(now, received.from(), received.message());
+            case FleetEvent.PeerConnected connected -> peerConnected(now, connected.peer());
+            case FleetEvent.PeerLost lost -> {
+                peers.lost(lost.peer());
+                localRuns.senderLost(now, lost.peer());
+                outgoing.peerLost(now, lost.peer());
+            }
+            case FleetEvent.PeerUnsent(NodeName _, PeerMessage.CopyRequest request) ->
+                outgoing.unsent(now, request.attempt());
+            case FleetEvent.PeerUnsent _, FleetEvent.WakeUp _ -> {}
+            case FleetEvent.EntriesRead read -> {
+                beliefs.read(now, read);
+                publicationChanged(now);
+            }
+            case FleetEvent.EntriesReadFailed failed -> readFailed(now, failed);
+            case FleetEvent.StopOrdered _ -> stop(now);
+        }
+        passTime(now);
+        return effects.drain();
+    }
+
+    private void noticePause(long now) {
+        if (now - lastNanos > PAUSE.toNanos()) {
+            peers.paused(now);
+        }
+        lastNanos = now;
+    }
+
+    private void received(long now, NodeName from, PeerMessage message) {
+        peers.heard(now, from);
+        switch (message) {
+            case PeerMessage.CopyRequest request -> localRuns.accept(now, Optional.of(from), request);
+            case PeerMessage.PeerAnswer answer -> outgoing.peerAnswered(now, from, answer);
+            case PeerMessage.CancelAttempt cancel -> localRuns.cancelled(now, cancel.attempt());
+            case PeerMessage.NodeReport report -> reported(from, report);
+            case PeerMessage.DrainNotice _ -> peers.leaving(from);
+            case PeerMessage.EntriesWanted _ ->
+                effects.add(new FleetEffect.SendToPeer(
+                        from, new PeerMessage.Entries(beliefs.asOf(), beliefs.toldToOthers())));
+            case PeerMessage.Entries entries -> {
+                beliefs.told(now, entries.entries());
+                publicationChanged(now);
+            }
+            default -> {
+                // The messages of fleets without common routes mean nothing here.
+            }
+        }
+    }
+
+    private void reported(NodeName from, NodeReport report) {
+        peers.reported(from, report);
+        for (Copy copy : beliefs.copies().all()) {
+            if (copy.node().equals(from)) {
+                copy.told(report.load());
+            }
+        }
+        askIfBehind(from, report.publishedRevision());
+    }
+
+    /** Asks at once whoever decides by something newer, so that a node that can't read the platform is not left behind. */
+    private void askIfBehind(NodeName peer, long theirRevision) {
+        if (theirRevision > Math.max(Math.max(beliefs.asOf(), beliefs.revision()), askedRevision)) {
+            askedRevision = theirRevision;
+            effects.add(new FleetEffect.SendToPeer(peer, new PeerMessage.EntriesWanted()));
+        }
+    }
+
+    private void peerConnected(long now, NodeName peer) {
+        peers.connected(now, peer);
+        effects.add(new FleetEffect.SendToPeer(peer, report()));
+        if (stopOrderedNanos != Long.MAX_VALUE) {
+            effects.add(new FleetEffect.SendToPeer(peer, new PeerMessage.DrainNotice()));
+        }
+        if (beliefs.configuration().isEmpty()) {
+            effects.add(new FleetEffect.SendToPeer(peer, new PeerMessage.EntriesWanted()));
+        }
+    }
+
+    private void readFailed(long now, FleetEvent.EntriesReadFailed failed) {
+        beliefs.readFailed(now, failed.failure());
+        // What is asked for again may now be told by another node, or by the same one anew.
+        askedRevision = 0;
+    }
+
+    private void publicationChanged(long now) {
+        if (beliefs.configuration().isPresent() && configuredNanos == Long.MAX_VALUE) {
+            configuredNanos = now;
+        }
+        peers.published(now, beliefs.copies().hosts());
+        outgoing.nodes(peers.count());
+        beliefs.copies().at(settings.copyAddress()).ifPresent(copy -> localRuns.published(now, copy.record()));
+    }
+
+    private void stop(long now) {
+        if (stopOrderedNanos == Long.MAX_VALUE) {
+            stopOrderedNanos = now;
+            effects.log(new Decision.NodeChanged(
+                    "stopping", "requests=" + outgoing.count() + " at_copy=" + localRuns.count()));
+            for (NodeName peer : peers.connected()) {
+                effects.add(new FleetEffect.SendToPeer(peer, new PeerMessage.DrainNotice()));
+            }
+        }
+    }
+
+    private void passTime(long now) {
+        if (now >= nextTickNanos) {
+            nextTickNanos = now + Peers.REPORT_INTERVAL.toNanos();
+            tick(now);
+        }
+        if (now >= beliefs.dueNanos()) {
+            beliefs.startRead(now);
+        }
+        localRuns.passTime(now);
+        outgoing.passTime(now);
+        showReadiness(now);
+        endIfStopped(now);
+    }
+
+    private void tick(long now) {
+        beliefs.passTime(now);
+        peers.published(now, beliefs.copies().hosts());
+        peers.passTime(now);
+        demand.close(now);
+        NodeReport own = report();
+        peers.connected().forEach(peer -> effects.add(new FleetEffect.SendToPeer(peer, own)));
+        List<NodeReport> reports = new ArrayList<>(peers.reports());
+        reports.add(own);
+        plan.update(reports, beliefs.routesByName());
+        logShares(reports.size());
+    }
+
+    private NodeReport report() {
+        return new NodeReport(
+                ++sequence,
+                beliefs.revision(),
+                beliefs.readsPlatform(),
+                stopOrderedNanos != Long.MAX_VALUE,
+                settings.service(),
+                localRuns.load(),
+                demand.demands(),
+                demand.uses());
+    }
+
+    private void logShares(int reports) {
+        for (String route : beliefs.routesByName().keySet()) {
+            double share = plan.share(route);
+            double logged = loggedShares.getOrDefault(route, 1.0);
+            if (Math.abs(share - logged) >= LOGGED_SHARE_CHANGE) {
+                loggedShares.put(route, share);
+                effects.log(new Decision.ShareChanged(route, share, plan.offered(route), reports));
+            }
+        }
+    }
+
+    private void showReadiness(long now) {
+        boolean settled = configuredNanos != Long.MAX_VALUE
+                && (now - configuredNanos > SETTLING_LIMIT.toNanos()
+                        || 2 * (peers.connected().size() + 1) >= peers.count());
+        boolean nowReady = settled && stopOrderedNanos == Long.MAX_VALUE;
+        if (nowReady != ready) {
+            ready = nowReady;
+            effects.log(new Decision.NodeChanged(
+                    ready ? "ready" : "not_ready",
+                    "version=" + beliefs.version() + " peers="
+                            + peers.connected().size()));
+            effects.add(new FleetEffect.ShowReadiness(ready));
+        }
+    }
+
+    private void endIfStopped(long now) {
+        if (stopped || stopOrderedNanos == Long.MAX_VALUE) {
+            return;
+        }
+        long stopping = now - stopOrderedNanos;
+        boolean idle = outgoing.isEmpty() && localRuns.isEmpty();
+        boolean over = stopping >= settings.stopLimit().minus(STOP_MARGIN).toNanos();
+        if (over || idle && stopping >= CLIENTS_GONE_AFTER.toNanos()) {
+            stopped = true;
+            effects.log(new Decision.NodeChanged(
+                    "stopped",
+                    "requests=" + outgoing.count() + " at_copy=" + localRuns.count() + " took_ms="
+                            + TimeUnit.NANOSECONDS.toMillis(stopping)));
+            effects.add(new FleetEffect.StopProcess());
+        }
+    }
+
+    /**
+     * Tells when the policy must be woken if nothing happens before.
+     *
+     * @return a time on the monotonic clock in nanoseconds
+     */
+    public long nextWakeNanos() {
+        long control = Math.min(nextTickNanos, beliefs.dueNanos());
+        return Math.min(control, Math.min(localRuns.nextNanos(), outgoing.nextNanos()));
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetSettings.java
@@ -0,0 +1,30 @@
+package org.carawaysill.policy.fleet;
+
+import java.time.Duration;
+import org.carawaysill.model.identity.AvailabilityZone;
+import org.carawaysill.model.identity.NetworkAddress;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.policy.fleet.retry.RetrySettings;
+
+/**
+ * Who a node of a fleet is, and the bounds under which it decides.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param self the node, named by the IP number of its VM
+ * @param zone where its VM stands
+ * @param service the service of the copy beside it
+ * @param copyAddress where that copy listens
+ * @param drainLimit within which a leaving copy must get no new work any more
+ * @param stopLimit how long a planned stop may take before the process is killed
+ * @param retries the bound of repeats in the whole fleet
+ */
+public record FleetSettings(
+        NodeName self,
+        AvailabilityZone zone,
+        ServiceName service,
+        NetworkAddress copyAddress,
+        Duration drainLimit,
+        Duration stopLimit,
+        RetrySettings retries) {}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -0,0 +1,212 @@
+package org.carawaysill.policy.fleet;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.carawaysill.model.fleet.CopyRecord;
+import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.Step;
+import org.carawaysill.policy.fleet.copy.CopyGate;
+import org.carawaysill.policy.fleet.copy.LocalRun;
+import org.carawaysill.policy.fleet.entry.DemandMeter;
+import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.PeerMessage.CopyRequest;
+import org.carawaysill.policy.message.PeerMessage.LoadReport;
+
+/**
+ * The requests for the local copy, whichever node sent them.
+ *
+ * <p>Invariants: each request is answered once, or cancelled by its sender; "not run" is answered only for one that was
+ * not handed to the copy, or of which the copy said so. Not thread safe: owned by the policy.
+ */
+final class LocalRuns {
+
+    /**
+     * How long before its deadline a waiting request is given up, so that "not run" still reaches the client in time: two
+     * hops between zones and the wake-ups on the way.
+     */
+    private static final long ANSWER_MARGIN_NANOS = Duration.ofMillis(15).toNanos();
+
+    private static final Duration SHORTEST_RETRY_AFTER = Duration.ofMillis(50);
+
+    private final Effects effects;
+    private final CopyGate gate = new CopyGate();
+    private final DemandMeter demand;
+    private final Map<String, LocalRun> runningByName = new HashMap<>();
+    private LocalSender localSender = (_, _, _) -> {};
+    private boolean leaving;
+
+    /** Hears what a request of this node's own came to. */
+    @FunctionalInterface
+    interface LocalSender {
+
+        void answered(long now, AttemptIdentifier attempt, Outcome outcome);
+    }
+
+    LocalRuns(Effects effects, DemandMeter demand) {
+        this.effects = effects;
+        this.demand = demand;
+    }
+
+    void localSender(LocalSender sender) {
+        localSender = sender;
+    }
+
+    LoadReport load() {
+        return gate.load();
+    }
+
+    boolean isEmpty() {
+        return gate.isEmpty();
+    }
+
+    int count() {
+        return gate.all().size();
+    }
+
+    /** Takes in what is published of the local copy. */
+    void published(long now, CopyRecord record) {
+        gate.limit(record.slots());
+        leaving = record.draining();
+        if (leaving) {
+            gate.takeQueue().forEach(run -> refuse(now, run, RefusalReason.DRAINING, Step.QUEUE));
+        }
+    }
+
+    /** Finds the running request in whose name the local copy makes a call: its own name begins that of the call. */
+    Optional<LocalRun> parentOf(String callName) {
+        int end = callName.lastIndexOf('.');
+        return end <= 0 ? Optional.empty() : Optional.ofNullable(runningByName.get(callName.substring(0, end)));
+    }
+
+    void accept(long now, Optional<NodeName> sender, CopyRequest request) {
+        LocalRun run = new LocalRun(request, sender, now);
+        // Guards against two runs under one attempt, after which one could get the other's answer.
+        if (gate.find(request.attempt()).isPresent()) {
+            reply(now, run, refusal(RefusalReason.DUPLICATE, Step.QUEUE));
+            return;
+        }
+        if (leaving) {
+            reply(now, run, refusal(RefusalReason.DRAINING, Step.QUEUE));
+            return;
+        }
+        switch (gate.offer(now, run)) {
+            case CopyGate.Offered.Started _ -> hand(now, run);
+            case CopyGate.Offered.Waits(Optional<LocalRun> evicted) ->
+                evicted.ifPresent(other -> refuse(now, other, RefusalReason.EVICTED, Step.QUEUE));
+            case CopyGate.Offered.Full _ -> refuse(now, run, RefusalReason.QUEUE_FULL, Step.QUEUE);
+            case CopyGate.Offered.TooLate _ -> refuse(now, run, RefusalReason.DEADLINE, Step.QUEUE);
+        }
+    }
+
+    private void hand(long now, LocalRun run) {
+        CopyRequest request = run.request();
+        demand.slotTaken(now, request.rootRoute());
+        runningByName.put(request.requestName(), run);
+        effects.add(new FleetEffect.HandToCopy(
+                request.attempt(),
+                request.copy(),
+                request.callerService(),
+                request.requestName(),
+                request.content(),
+                run.deadlineNanos()));
+    }
+
+    void answered(long now, AttemptIdentifier attempt, Outcome outcome) {
+        Optional<LocalRun> found = gate.find(attempt);
+        if (found.isEmpty()) {
+            return;
+        }
+        LocalRun run = found.get();
+        free(now, run, outcome instanceof Outcome.Answered);
+        if (!(outcome instanceof Outcome.Answered)) {
+            logFailure(now, run, outcome);
+        }
+        reply(now, run, outcome);
+        startNext(now);
+    }
+
+    private void free(long now, LocalRun run, boolean measured) {
+        if (run.isRunning()) {
+            demand.slotFreed(now, run.request().rootRoute());
+            runningByName.remove(run.request().requestName(), run);
+        }
+        gate.finished(now, run, measured);
+    }
+
+    private void startNext(long now) {
+        gate.startNext(now).forEach(run -> hand(now, run));
+    }
+
+    /** Ends what its sender has given up: takes it from the queue, or breaks it off at the copy. */
+    void cancelled(long now, AttemptIdentifier attempt) {
+        gate.find(attempt).ifPresent(run -> {
+            if (run.isRunning()) {
+                effects.add(new FleetEffect.CancelAtCopy(attempt));
+            }
+            free(now, run, false);
+            startNext(now);
+        });
+    }
+
+    /**
+     * Ends what a lost node had sent: it can't be answered any more. What must not run twice goes on, since breaking it
+     * off would leave it half done and no one could try it again.
+     */
+    void senderLost(long now, NodeName sender) {
+        for (LocalRun run : gate.all()) {
+            boolean mayBreakOff = run.request().idempotent() || !run.isRunning();
+            if (run.sender().filter(sender::equals).isPresent() && mayBreakOff) {
+                cancelled(now, run.request().attempt());
+            }
+        }
+    }
+
+    void passTime(long now) {
+        List<LocalRun> overdue = gate.takeOverdue(now, ANSWER_MARGIN_NANOS);
+        overdue.forEach(run -> refuse(now, run, RefusalReason.DEADLINE, Step.QUEUE));
+    }
+
+    long nextNanos() {
+        return gate.nextOverdueNanos(ANSWER_MARGIN_NANOS);
+    }
+
+    private void refuse(long now, LocalRun run, RefusalReason reason, Step step) {
+        Outcome.NotRun refusal = refusal(reason, step);
+        logFailure(now, run, refusal);
+        reply(now, run, refusal);
+    }
+
+    private Outcome.NotRun refusal(RefusalReason reason, Step step) {
+        Duration wait = Duration.ofNanos(gate.expectedWaitNanos());
+        Duration retryAfter = wait.compareTo(SHORTEST_RETRY_AFTER) > 0 ? wait : SHORTEST_RETRY_AFTER;
+        return new Outcome.NotRun(reason, retryAfter, step, Optional.empty());
+    }
+
+    private void reply(long now, LocalRun run, Outcome outcome) {
+        AttemptIdentifier attempt = run.request().attempt();
+        if (run.sender().isPresent()) {
+            effects.add(new FleetEffect.SendToPeer(
+                    run.sender().get(), new PeerMessage.PeerAnswer(attempt, outcome, 0, gate.load(), List.of())));
+        } else {
+            localSender.answered(now, attempt, outcome);
+        }
+    }
+
+    private void logFailure(long now, LocalRun run, Outcome outcome) {
+        LoadReport load = gate.load();
+        effects.log(new Decision.FailedAtCopy(
+                run.request().requestName(),
+                run.request().copy(),
+                outcome,
+                now - run.arrivedNanos(),
+                load.inFlight(),
+                load.queued(),
+                load.limit()));
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
@@ -0,0 +1,128 @@
+package org.carawaysill.policy.fleet;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.carawaysill.model.fleet.CopyName;
+import org.carawaysill.model.fleet.Route;
+import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.policy.fleet.copy.Copy;
+
+/**
+ * A request that began beside this node, from its arrival until its final answer.
+ *
+ * <p>Not thread safe: owned by the policy.
+ */
+final class OutgoingRequest {
+
+    private final FleetEvent.RequestArrived arrival;
+    private final Route route;
+    private final ServiceName service;
+    private final Origin origin;
+    private final long arrivedNanos;
+    private final long limitNanos;
+    private final Set<CopyName> tried = new HashSet<>();
+    private Optional<Copy> copy = Optional.empty();
+    private Optional<AttemptIdentifier> attempt = Optional.empty();
+    private int sends;
+    private int handed;
+    private boolean finished;
+
+    /**
+     * For whose sake a request is made.
+     *
+     * @param rootRoute the route of the caller's request
+     * @param rank the place of that in the order of refusal
+     * @param depth calls between that and this one
+     * @param known whether the running request that makes this call is known
+     */
+    record Origin(String rootRoute, int rank, int depth, boolean known) {}
+
+    OutgoingRequest(
+            FleetEvent.RequestArrived arrival,
+            Route route,
+            ServiceName service,
+            Origin origin,
+            long arrivedNanos,
+            long limitNanos) {
+        this.arrival = arrival;
+        this.route = route;
+        this.service = service;
+        this.origin = origin;
+        this.arrivedNanos = arrivedNanos;
+        this.limitNanos = limitNanos;
+    }
+
+    FleetEvent.RequestArrived arrival() {
+        return arrival;
+    }
+
+    Route route() {
+        return route;
+    }
+
+    ServiceName service() {
+        return service;
+    }
+
+    Origin origin() {
+        return origin;
+    }
+
+    long arrivedNanos() {
+        return arrivedNanos;
+    }
+
+    /** When its client must have an answer: at its own deadline or at the route's timeout, whichever comes first. */
+    long limitNanos() {
+        return limitNanos;
+    }
+
+    void sent(Copy to, AttemptIdentifier identifier) {
+        copy = Optional.of(to);
+        attempt = Optional.of(identifier);
+        tried.add(to.record().copy());
+        sends++;
+    }
+
+    Optional<Copy> copy() {
+        return copy;
+    }
+
+    Optional<AttemptIdentifier> attempt() {
+        return attempt;
+    }
+
+    void attemptEnded() {
+        copy = Optional.empty();
+        attempt = Optional.empty();
+    }
+
+    Set<CopyName> tried() {
+        return tried;
+    }
+
+    /** Attempts that were sent anywhere. */
+    int sends() {
+        return sends;
+    }
+
+    /** Notes that an attempt may have reached a copy. */
+    void handed() {
+        handed++;
+    }
+
+    /** Attempts that may have reached a copy. */
+    int handedCount() {
+        return handed;
+    }
+
+    void finish() {
+        finished = true;
+    }
+
+    boolean isFinished() {
+        return finished;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -0,0 +1,399 @@
+package org.carawaysill.policy.fleet;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.random.RandomGenerator;
+import org.carawaysill.model.fleet.Route;
+import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.ExchangeIdentifier;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.RetryReason;
+import org.carawaysill.model.request.Step;
+import org.carawaysill.model.request.UnknownReason;
+import org.carawaysill.policy.fleet.OutgoingRequest.Origin;
+import org.carawaysill.policy.fleet.copy.Copy;
+import org.carawaysill.policy.fleet.copy.CopyChoice;
+import org.carawaysill.policy.fleet.copy.LocalRun;
+import org.carawaysill.policy.fleet.entry.DemandMeter;
+import org.carawaysill.policy.fleet.entry.EntryPlan;
+import org.carawaysill.policy.fleet.entry.ShareGate;
+import org.carawaysill.policy.fleet.retry.RetryAllowance;
+import org.carawaysill.policy.fleet.route.SplitShares;
+import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.PeerMessage.CopyRequest;
+
+/**
+ * The requests that began beside this node: of its clients, and of its own copy.
+ *
+ * <p>Invariants: each gets one final answer, at the latest when its limit strikes; one that is not idempotent is sent
+ * again only when it is certain that no copy ran it; no more copies get a request than its route allows. Not thread safe:
+ * owned by the policy.
+ */
+final class OutgoingRequests {
+
+    /** Attempts that no copy got are not limited by the route; so many are made at most, each at another copy. */
+    private static final int MOST_SENDS = 4;
+
+    /** With less time left, another attempt would only waste work: two hops and the shortest of services. */
+    private static final long LEAST_TIME_FOR_RETRY_NANOS = Duration.ofMillis(20).toNanos();
+
+    /** When to come back where no copy is in reach: by then connections are dialled anew. */
+    private static final Duration UNREACHABLE_RETRY_AFTER = Duration.ofMillis(300);
+
+    private static final int SERVER_ERROR = 500;
+
+    private final FleetSettings settings;
+    private final Effects effects;
+    private final Beliefs beliefs;
+    private final Peers peers;
+    private final LocalRuns localRuns;
+    private final DemandMeter demand;
+    private final EntryPlan plan;
+    private final RandomGenerator random;
+    private final SplitShares splits = new SplitShares();
+    private final ShareGate shareGate = new ShareGate();
+    private final CopyChoice choice;
+    private final RetryAllowance allowance;
+    private final InnerRoutes innerRoutes = new InnerRoutes();
+    private final Map<ExchangeIdentifier, OutgoingRequest> byExchange = new HashMap<>();
+    private final Map<AttemptIdentifier, OutgoingRequest> byAttempt = new HashMap<>();
+    private final PriorityQueue<OutgoingRequest> byLimit =
+            new PriorityQueue<>(Comparator.comparingLong(OutgoingRequest::limitNanos));
+
+    OutgoingRequests(FleetParts parts, RandomGenerator random) {
+        this.settings = parts.settings();
+        this.effects = parts.effects();
+        this.beliefs = parts.beliefs();
+        this.peers = parts.peers();
+        this.localRuns = parts.localRuns();
+        this.demand = parts.demand();
+        this.plan = parts.plan();
+        this.random = random;
+        choice = new CopyChoice(settings.self(), settings.zone(), random);
+        allowance = new RetryAllowance(settings.retries());
+        localRuns.localSender(this::answered);
+    }
+
+    boolean isEmpty() {
+        return byExchange.isEmpty();
+    }
+
+    int count() {
+        return byExchange.size();
+    }
+
+    void nodes(int count) {
+        allowance.nodes(count);
+    }
+
+    void arrived(long now, FleetEvent.RequestArrived arrival) {
+        if (beliefs.configuration().isEmpty()) {
+            refuseUnrouted(arrival, RefusalReason.NO_CONFIGURATION, Step.CONFIGURATION);
+            return;
+        }
+        Optional<Route> found =
+                beliefs.routes().find(arrival.host(), arrival.content().path());
+        if (found.isEmpty()) {
+            refuseUnrouted(arrival, RefusalReason.UNKNOWN_OPERATION, Step.ROUTING);
+            return;
+        }
+        Route route = found.get();
+        Origin origin = origin(arrival, route);
+        boolean fromCaller = !origin.known() && !innerRoutes.contains(route.name());
+        if (fromCaller) {
+            demand.offered(route.name());
+        }
+        Duration wait = arrival.patience()
+                .filter(patience -> patience.compareTo(route.timeout()) < 0)
+                .orElse(route.timeout());
+        OutgoingRequest request =
+                new OutgoingRequest(arrival, route, splits.next(route), origin, now, now + wait.toNanos());
+        byExchange.put(arrival.exchange(), request);
+        byLimit.add(request);
+        double share = plan.share(route.name());
+        if (fromCaller && !shareGate.letIn(route.name(), share)) {
+            finish(now, request, notRun(RefusalReason.OVERLOAD, comeBack(route), Step.ADMISSION));
+            return;
+        }
+        send(now, request);
+    }
+
+    /** Spreads returns over the time in which an answer is still worth most, so that they do not come as a herd. */
+    private Duration comeBack(Route route) {
+        long aim = route.aim().toNanos();
+        return Duration.ofNanos(aim / 4 + random.nextLong(Math.max(1, aim * 3 / 4)));
+    }
+
+    private void refuseUnrouted(FleetEvent.RequestArrived arrival, RefusalReason reason, Step step) {
+        Outcome outcome = notRun(reason, UNREACHABLE_RETRY_AFTER, step);
+        effects.count(reason);
+        effects.log(new Decision.Answered(arrival.requestName(), "-", outcome, 0, 0, 1, beliefs.version()));
+        effects.add(new FleetEffect.AnswerExchange(arrival.exchange(), outcome));
+    }
+
+    private Origin origin(FleetEvent.RequestArrived arrival, Route route) {
+        Optional<LocalRun> parent = localRuns.parentOf(arrival.requestName());
+        if (parent.isPresent()) {
+            CopyRequest running = parent.get().request();
+            innerRoutes.called(route.name());
+            return new Origin(running.rootRoute(), running.rank(), running.depth() + 1, true);
+        }
+        return new Origin(route.name(), route.rank(), 0, false);
+    }
+
+    private void send(long now, OutgoingRequest request) {
+        ServiceName service = request.service();
+        Optional<Copy> chosen = choice.choose(now, beliefs.copies().usable(service), request.tried(), peers::inReach);
+        if (chosen.isEmpty()) {
+            finish(now, request, notRun(RefusalReason.NO_COPY, UNREACHABLE_RETRY_AFTER, Step.ROUTING));
+            return;
+        }
+        Copy copy = chosen.get();
+        double load = copy.expectedLoad(now);
+        AttemptIdentifier attempt = new AttemptIdentifier(random.nextLong(), random.nextLong());
+        request.sent(copy, attempt);
+        copy.sent();
+        byAttempt.put(attempt, request);
+        if (request.sends() == 1) {
+            allowance.first(now, service);
+        }
+        logSent(request, copy, load);
+        CopyRequest message = message(now, request, copy, attempt);
+        if (copy.node().equals(settings.self())) {
+            localRuns.accept(now, Optional.empty(), message);
+        } else {
+            effects.add(new FleetEffect.SendToPeer(copy.node(), message));
+        }
+    }
+
+    private CopyRequest message(long now, OutgoingRequest request, Copy copy, AttemptIdentifier attempt) {
+        return new CopyRequest(
+                attempt,
+                request.arrival().requestName(),
+                request.service(),
+                copy.record().copy(),
+                settings.service(),
+                request.origin().rootRoute(),
+                request.origin().rank(),
+                request.route().idempotent(),
+                request.origin().depth(),
+                request.limitNanos() - now,
+                request.arrival().content());
+    }
+
+    private void logSent(OutgoingRequest request, Copy copy, double load) {
+        effects.log(new Decision.Sent(
+                request.arrival().requestName(),
+                request.route().name(),
+                request.origin().rootRoute(),
+                request.origin().depth(),
+                copy.record().copy(),
+                copy.node(),
+                request.sends(),
+                load,
+                beliefs.version()));
+    }
+
+    void peerAnswered(long now, NodeName from, PeerMessage.PeerAnswer answer) {
+        OutgoingRequest request = byAttempt.get(answer.attempt());
+        if (request == null || request.copy().isEmpty()) {
+            return;
+        }
+        Copy copy = request.copy().get();
+        if (copy.node().equals(from)) {
+            answered(now, answer.attempt(), answer.outcome());
+            copy.told(answer.load());
+        }
+    }
+
+    void answered(long now, AttemptIdentifier attempt, Outcome outcome) {
+        OutgoingRequest request = byAttempt.remove(attempt);
+        if (request == null) {
+            return;
+        }
+        Copy copy = request.copy().orElseThrow();
+        request.attemptEnded();
+        judge(copy, outcome);
+        switch (outcome) {
+            case Outcome.Answered _ -> finish(now, request, outcome);
+            case Outcome.NotRun notRun -> afterNotRun(now, request, copy, notRun);
+            case Outcome.Unknown unknown -> afterUnknown(now, request, copy, unknown);
+        }
+    }
+
+    /** Learns from an answer how the copy does; a refusal of its node says nothing about the copy. */
+    private static void judge(Copy copy, Outcome outcome) {
+        switch (outcome) {
+            case Outcome.Answered answered -> copy.ended(answered.content().status() < SERVER_ERROR);
+            case Outcome.NotRun notRun when notRun.reason() == RefusalReason.COPY_REFUSED -> copy.ended(false);
+            case Outcome.NotRun _ -> copy.withdrawn();
+            case Outcome.Unknown unknown when unknown.reason() == UnknownReason.DEADLINE -> copy.withdrawn();
+            case Outcome.Unknown _ -> copy.ended(false);
+        }
+    }
+
+    private void afterNotRun(long now, OutgoingRequest request, Copy copy, Outcome.NotRun notRun) {
+        boolean reachedCopy = notRun.reason() == RefusalReason.COPY_REFUSED;
+        if (reachedCopy) {
+            request.handed();
+        }
+        boolean again = isWorthAnotherCopy(notRun.reason())
+                && hasTimeAndSends(now, request)
+                && (!reachedCopy || mayRepeat(now, request));
+        if (again) {
+            retry(now, request, copy, notRun, retryReason(notRun.reason()));
+        } else {
+            finish(now, request, notRun);
+        }
+    }
+
+    private static boolean isWorthAnotherCopy(RefusalReason reason) {
+        return switch (reason) {
+            case QUEUE_FULL, DRAINING, COPY_REFUSED, COPY_UNREACHABLE, PEER_UNREACHABLE, DUPLICATE -> true;
+            default -> false;
+        };
+    }
+
+    private static RetryReason retryReason(RefusalReason reason) {
+        return reason == RefusalReason.PEER_UNREACHABLE || reason == RefusalReason.COPY_UNREACHABLE
+                ? RetryReason.UNREACHABLE
+                : RetryReason.NOT_RUN;
+    }
+
+    private void afterUnknown(long now, OutgoingRequest request, Copy copy, Outcome.Unknown unknown) {
+        request.handed();
+        boolean again = request.route().idempotent()
+                && unknown.reason() != UnknownReason.DEADLINE
+                && hasTimeAndSends(now, request)
+                && mayRepeat(now, request);
+        if (again) {
+            retry(now, request, copy, unknown, RetryReason.ANSWER_LOST);
+        } else {
+            finish(now, request, unknown);
+        }
+    }
+
+    private static boolean hasTimeAndSends(long now, OutgoingRequest request) {
+        return request.limitNanos() - now > LEAST_TIME_FOR_RETRY_NANOS && request.sends() < MOST_SENDS;
+    }
+
+    private boolean mayRepeat(long now, OutgoingRequest request) {
+        return request.handedCount() < request.route().maximumAttempts()
+                && hasUntriedCopy(request)
+                && allowance.take(now, request.service());
+    }
+
+    private boolean hasUntriedCopy(OutgoingRequest request) {
+        List<Copy> copies = beliefs.copies().usable(request.service());
+        return copies.stream()
+                .anyMatch(copy -> !request.tried().contains(copy.record().copy()) && peers.inReach(copy.node()));
+    }
+
+    private void retry(long now, OutgoingRequest request, Copy copy, Outcome outcome, RetryReason reason) {
+        effects.count(reason);
+        effects.log(new Decision.Retried(
+                request.arrival().requestName(), outcome, copy.record().copy(), request.sends()));
+        send(now, request);
+    }
+
+    private void finish(long now, OutgoingRequest request, Outcome outcome) {
+        request.finish();
+        byExchange.remove(request.arrival().exchange());
+        String route = request.route().name();
+        switch (outcome) {
+            case Outcome.Answered answered -> {
+                if (request.origin().depth() == 0 && answered.content().status() < SERVER_ERROR) {
+                    demand.completed(route);
+                }
+            }
+            case Outcome.NotRun notRun -> effects.count(notRun.reason());
+            case Outcome.Unknown unknown -> effects.count(unknown.reason());
+        }
+        effects.log(new Decision.Answered(
+                request.arrival().requestName(),
+                route,
+                outcome,
+                request.sends(),
+                now - request.arrivedNanos(),
+                plan.share(route),
+                beliefs.version()));
+        effects.add(new FleetEffect.AnswerExchange(request.arrival().exchange(), outcome));
+    }
+
+    /** Gives up what a client no longer waits for. */
+    void exchangeClosed(long now, ExchangeIdentifier exchange) {
+        OutgoingRequest request = byExchange.remove(exchange);
+        if (request == null) {
+            return;
+        }
+        request.finish();
+        effects.count(RefusalReason.CANCELLED);
+        effects.log(
+                new Decision.Abandoned(request.arrival().requestName(), request.sends(), now - request.arrivedNanos()));
+        cancelAttempt(now, request);
+    }
+
+    private void cancelAttempt(long now, OutgoingRequest request) {
+        request.attempt().ifPresent(attempt -> {
+            byAttempt.remove(attempt);
+            Copy copy = request.copy().orElseThrow();
+            copy.withdrawn();
+            request.attemptEnded();
+            if (copy.node().equals(settings.self())) {
+                localRuns.cancelled(now, attempt);
+            } else {
+                effects.add(new FleetEffect.SendToPeer(copy.node(), new PeerMessage.CancelAttempt(attempt)));
+            }
+        });
+    }
+
+    void unsent(long now, AttemptIdentifier attempt) {
+        answered(now, attempt, notRun(RefusalReason.PEER_UNREACHABLE, UNREACHABLE_RETRY_AFTER, Step.PEER_SEND));
+    }
+
+    void peerLost(long now, NodeName peer) {
+        List<AttemptIdentifier> lost = byAttempt.entrySet().stream()
+                .filter(entry -> entry.getValue()
+                        .copy()
+                        .filter(copy -> copy.node().equals(peer))
+                        .isPresent())
+                .map(Map.Entry::getKey)
+                .toList();
+        lost.forEach(attempt -> answered(
+                now, attempt, new Outcome.Unknown(UnknownReason.PEER_LOST, Step.PEER_WAIT, Optional.of(peer))));
+    }
+
+    void passTime(long now) {
+        dropFinished();
+        while (!byLimit.isEmpty() && byLimit.peek().limitNanos() <= now) {
+            OutgoingRequest request = byLimit.poll();
+            Step step = request.attempt().isPresent() ? Step.PEER_WAIT : Step.ROUTING;
+            cancelAttempt(now, request);
+            finish(now, request, new Outcome.Unknown(UnknownReason.DEADLINE, step, Optional.empty()));
+            dropFinished();
+        }
+    }
+
+    private void dropFinished() {
+        while (!byLimit.isEmpty() && byLimit.peek().isFinished()) {
+            byLimit.poll();
+        }
+    }
+
+    long nextNanos() {
+        dropFinished();
+        return byLimit.isEmpty() ? Long.MAX_VALUE : byLimit.peek().limitNanos();
+    }
+
+    private static Outcome.NotRun notRun(RefusalReason reason, Duration retryAfter, Step step) {
+        return new Outcome.NotRun(reason, retryAfter, step, Optional.empty());
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
@@ -0,0 +1,161 @@
+package org.carawaysill.policy.fleet.copy;
+
+import java.time.Duration;
+import org.carawaysill.model.fleet.CopyRecord;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.policy.message.PeerMessage.LoadReport;
+
+/**
+ * One published copy, and what this node has seen of it.
+ *
+ * <p>Not thread safe: owned by the policy.
+ */
+public final class Copy {
+
+    /** The weight of one more answer in the share of good answers: the last twenty or so count. */
+    private static final double ANSWER_WEIGHT = 0.05;
+
+    /** A copy that fails everything still gets some requests, by which its recovery shows. */
+    private static final double LEAST_SUCCESS = 0.1;
+
+    /** A cold copy works at about half its speed. */
+    private static final double COLD_LOAD_FACTOR = 2;
+
+    private static final long PRESENT = Long.MAX_VALUE;
+
+    private final long firstSeenNanos;
+    private final NodeName node;
+    private CopyRecord record;
+    private long warmNanos;
+    private long goneNanos = PRESENT;
+    private boolean gone;
+    private int outstanding;
+    private int othersLoad;
+    private int limit;
+    private double success = 1;
+
+    Copy(CopyRecord record, long now) {
+        this.record = record;
+        firstSeenNanos = now;
+        node = new NodeName(record.address().host());
+        limit = record.slots();
+        warmNanos = now + record.warmUpLeft().toNanos();
+    }
+
+    /**
+     * Gives what is published of it.
+     *
+     * @return the record
+     */
+    public CopyRecord record() {
+        return record;
+    }
+
+    /**
+     * Names the node beside it.
+     *
+     * @return the node, named by its VM's IP number
+     */
+    public NodeName node() {
+        return node;
+    }
+
+    /** Takes in a newer record; tells whether it says more than the last one. */
+    boolean update(CopyRecord newer, long now) {
+        boolean changed = newer.draining() != record.draining()
+                || newer.slots() != record.slots()
+                || !newer.address().equals(record.address())
+                || !newer.service().equals(record.service());
+        record = newer;
+        warmNanos = now + newer.warmUpLeft().toNanos();
+        return changed;
+    }
+
+    void missing(long fromNanos) {
+        goneNanos = Math.min(goneNanos, fromNanos);
+    }
+
+    /** Notes that its entry is there; tells whether it was missing. */
+    boolean keep() {
+        boolean back = isMissing();
+        goneNanos = PRESENT;
+        return back;
+    }
+
+    boolean isMissing() {
+        return goneNanos != PRESENT;
+    }
+
+    boolean isMissingAt(long now) {
+        return goneNanos <= now;
+    }
+
+    void markGone() {
+        gone = true;
+    }
+
+    /**
+     * Tells whether it left or ended.
+     *
+     * @return whether it may get no work for good
+     */
+    public boolean isLeaving() {
+        return gone || record.draining();
+    }
+
+    boolean isNewerThan(Copy other) {
+        return firstSeenNanos > other.firstSeenNanos;
+    }
+
+    /** Notes that this node sent it a request. */
+    public void sent() {
+        outstanding++;
+    }
+
+    /**
+     * Notes that a request of this node ended.
+     *
+     * @param good whether the copy did what it was asked
+     */
+    public void ended(boolean good) {
+        outstanding--;
+        success += ANSWER_WEIGHT * ((good ? 1 : 0) - success);
+    }
+
+    /** Notes that a request of this node ended in a way that says nothing of the copy. */
+    public void withdrawn() {
+        outstanding--;
+    }
+
+    /**
+     * Takes in the load that its node told.
+     *
+     * @param load the load
+     */
+    public void told(LoadReport load) {
+        othersLoad = Math.max(0, load.inFlight() + load.queued() - outstanding);
+        limit = Math.max(1, load.limit());
+    }
+
+    /**
+     * Estimates how loaded it would be with one more request.
+     *
+     * @param now the monotonic time
+     * @return requests over limit; greater for a copy that fails or is cold
+     */
+    public double expectedLoad(long now) {
+        double usable = limit * Math.max(LEAST_SUCCESS, success * success);
+        double load = (othersLoad + outstanding + 1) / usable;
+        return now < warmNanos ? load * COLD_LOAD_FACTOR : load;
+    }
+
+    /**
+     * Tells how long it stays slow after its start.
+     *
+     * @param now the monotonic time
+     * @return the time left, zero once it is warm
+     */
+    public Duration warmUpLeft(long now) {
+        return Duration.ofNanos(Math.max(0, warmNanos - now));
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
@@ -0,0 +1,237 @@
+package org.carawaysill.policy.fleet.copy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.policy.message.PeerMessage.LoadReport;
+
+/**
+ * The one queue in front of the local copy: at most as many requests as the copy has slots are at it, the others wait here
+ * in the order in which they matter.
+ *
+ * <p>Guards against work that piles up inside the copy, where it can't be ordered or taken back: it shows as important
+ * requests that time out behind unimportant ones, and as a copy that sheds. Invariants: never more at the copy than the
+ * limit; a request is refused only while no less important one waits. Not thread safe: owned by the policy.
+ */
+public final class CopyGate {
+
+    /** What may wait for each slot: with two, the last of the queue waits about two usual service times. */
+    private static final int QUEUED_FOR_EACH_SLOT = 2;
+
+    /** Room for a burst at a copy with few slots. */
+    private static final int LEAST_QUEUE = 16;
+
+    /** The limit before anything is published of the copy: low, since it is not known what it can do. */
+    private static final int UNKNOWN_LIMIT = 4;
+
+    private static final double SERVICE_TIME_WEIGHT = 0.05;
+
+    private final Map<AttemptIdentifier, LocalRun> runs = new HashMap<>();
+    private final PriorityQueue<LocalRun> queue = new PriorityQueue<>(LocalRun.ORDER);
+    private int limit = UNKNOWN_LIMIT;
+    private int running;
+    private double serviceNanos;
+
+    /** What became of a request offered to the gate. Immutable and thread safe. */
+    public sealed interface Offered {
+
+        /** It has a slot. */
+        record Started() implements Offered {}
+
+        /**
+         * It waits.
+         *
+         * @param evicted a less important request that lost its place to it
+         */
+        record Waits(Optional<LocalRun> evicted) implements Offered {}
+
+        /** There is no room, and nothing less important waits. */
+        record Full() implements Offered {}
+
+        /** It could not be finished in time. */
+        record TooLate() implements Offered {}
+    }
+
+    /**
+     * Sets how many requests may be at the copy.
+     *
+     * @param slots the copy's slots
+     */
+    public void limit(int slots) {
+        limit = Math.max(1, slots);
+    }
+
+    /**
+     * Offers a request.
+     *
+     * @param now the monotonic time
+     * @param run the request
+     * @return what became of it
+     */
+    public Offered offer(long now, LocalRun run) {
+        if (run.deadlineNanos() <= now) {
+            return new Offered.TooLate();
+        }
+        if (running < limit) {
+            start(now, run);
+            return new Offered.Started();
+        }
+        if (queue.size() < Math.max(LEAST_QUEUE, limit * QUEUED_FOR_EACH_SLOT)) {
+            enqueue(run);
+            return new Offered.Waits(Optional.empty());
+        }
+        LocalRun worst = worst();
+        if (LocalRun.ORDER.compare(run, worst) >= 0) {
+            return new Offered.Full();
+        }
+        forget(worst);
+        enqueue(run);
+        return new Offered.Waits(Optional.of(worst));
+    }
+
+    private LocalRun worst() {
+        return queue.stream().max(LocalRun.ORDER).orElseThrow();
+    }
+
+    private void start(long now, LocalRun run) {
+        runs.put(run.request().attempt(), run);
+        running++;
+        run.start(now);
+    }
+
+    private void enqueue(LocalRun run) {
+        runs.put(run.request().attempt(), run);
+        queue.add(run);
+    }
+
+    private void forget(LocalRun run) {
+        runs.remove(run.request().attempt());
+        if (!run.isRunning()) {
+            queue.remove(run);
+        }
+    }
+
+    /**
+     * Finds a request that waits or runs.
+     *
+     * @param attempt its attempt
+     * @return the request
+     */
+    public Optional<LocalRun> find(AttemptIdentifier attempt) {
+        return Optional.ofNullable(runs.get(attempt));
+    }
+
+    /**
+     * Gives the slot of a finished request, or the place of a waiting one, to others.
+     *
+     * @param now the monotonic time
+     * @param run the request
+     * @param measured whether its time at the copy says how fast that is
+     */
+    public void finished(long now, LocalRun run, boolean measured) {
+        forget(run);
+        if (run.isRunning()) {
+            running--;
+            if (measured) {
+                double took = now - run.startedNanos();
+                serviceNanos += serviceNanos == 0 ? took : SERVICE_TIME_WEIGHT * (took - serviceNanos);
+            }
+        }
+    }
+
+    /**
+     * Starts the requests for which there is a slot now.
+     *
+     * @param now the monotonic time
+     * @return the requests, to be handed to the copy
+     */
+    public List<LocalRun> startNext(long now) {
+        List<LocalRun> started = new ArrayList<>();
+        while (running < limit && !queue.isEmpty()) {
+            LocalRun next = queue.poll();
+            start(now, next);
+            started.add(next);
+        }
+        return started;
+    }
+
+    /**
+     * Takes out what can't be finished in time any more.
+     *
+     * @param now the monotonic time
+     * @param margin how long an answer takes back to the client
+     * @return the requests, none of which was handed to the copy
+     */
+    public List<LocalRun> takeOverdue(long now, long margin) {
+        List<LocalRun> overdue = queue.stream()
+                .filter(run -> run.deadlineNanos() - margin <= now)
+                .toList();
+        overdue.forEach(this::forget);
+        return overdue;
+    }
+
+    /**
+     * Takes out all that waits, since the copy leaves.
+     *
+     * @return the requests, none of which was handed to the copy
+     */
+    public List<LocalRun> takeQueue() {
+        List<LocalRun> waiting = List.copyOf(queue);
+        waiting.forEach(this::forget);
+        return waiting;
+    }
+
+    /**
+     * Tells when the first waiting request is overdue.
+     *
+     * @param margin how long an answer takes back to the client
+     * @return the monotonic time, {@link Long#MAX_VALUE} where none waits
+     */
+    public long nextOverdueNanos(long margin) {
+        long first = Long.MAX_VALUE;
+        for (LocalRun run : queue) {
+            first = Math.min(first, run.deadlineNanos() - margin);
+        }
+        return first;
+    }
+
+    /**
+     * Gives the present load.
+     *
+     * @return requests at the copy and waiting, and the limit
+     */
+    public LoadReport load() {
+        return new LoadReport(running, limit, queue.size(), 0);
+    }
+
+    /**
+     * Estimates how long a newcomer waits.
+     *
+     * @return nanoseconds
+     */
+    public long expectedWaitNanos() {
+        return (long) (serviceNanos * queue.size() / limit);
+    }
+
+    /**
+     * Tells whether nothing waits or runs.
+     *
+     * @return whether it is empty
+     */
+    public boolean isEmpty() {
+        return runs.isEmpty();
+    }
+
+    /**
+     * Gives all that waits or runs.
+     *
+     * @return the requests
+     */
+    public List<LocalRun> all() {
+        return List.copyOf(runs.values());
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
@@ -0,0 +1,174 @@
+package org.carawaysill.policy.fleet.copy;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.carawaysill.model.fleet.CopyName;
+import org.carawaysill.model.fleet.CopyRecord;
+import org.carawaysill.model.identity.NetworkAddress;
+import org.carawaysill.model.identity.ServiceName;
+
+/**
+ * The published copies, by service.
+ *
+ * <p>Invariants: a copy that is draining or gone is not among those that may get work; of two copies with one address only
+ * the newer may, since an address is used again after its copy has ended. Not thread safe: owned by the policy.
+ */
+public final class CopyTable {
+
+    private final Map<String, Copy> byKey = new HashMap<>();
+    private final Map<CopyName, Copy> byName = new HashMap<>();
+    private final Map<ServiceName, List<Copy>> usable = new HashMap<>();
+
+    /**
+     * Takes in what is published of a copy.
+     *
+     * @param now the monotonic time
+     * @param key the entry's key
+     * @param record what is published
+     * @return the copy, if more than its heartbeat changed
+     */
+    public Optional<Copy> put(long now, String key, CopyRecord record) {
+        Copy copy = byKey.get(key);
+        if (copy == null || !copy.record().copy().equals(record.copy())) {
+            copy = new Copy(record, now);
+            byKey.put(key, copy);
+            byName.put(record.copy(), copy);
+            rebuild();
+            return Optional.of(copy);
+        }
+        boolean back = copy.keep();
+        boolean changed = copy.update(record, now);
+        if (changed || back) {
+            rebuild();
+            return Optional.of(copy);
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Takes in that an entry was removed.
+     *
+     * @param now the monotonic time
+     * @param key the entry's key
+     * @param goneNanos from when on the copy counts as gone, unless its entry is back before
+     * @return the copy, if it is gone at once
+     */
+    public Optional<Copy> remove(long now, String key, long goneNanos) {
+        Copy copy = byKey.get(key);
+        if (copy == null) {
+            return Optional.empty();
+        }
+        copy.missing(goneNanos);
+        if (goneNanos > now) {
+            return Optional.empty();
+        }
+        return Optional.of(drop(key, copy));
+    }
+
+    /**
+     * Drops the copies whose entries did not come back in time.
+     *
+     * @param now the monotonic time
+     * @return the copies that are gone
+     */
+    public List<Copy> dropMissing(long now) {
+        List<Copy> gone = new ArrayList<>();
+        for (Map.Entry<String, Copy> entry : List.copyOf(byKey.entrySet())) {
+            if (entry.getValue().isMissingAt(now)) {
+                gone.add(drop(entry.getKey(), entry.getValue()));
+            }
+        }
+        return gone;
+    }
+
+    private Copy drop(String key, Copy copy) {
+        byKey.remove(key);
+        byName.remove(copy.record().copy());
+        copy.markGone();
+        rebuild();
+        return copy;
+    }
+
+    /**
+     * Tells whether an entry's copy is missing, but not yet gone.
+     *
+     * @param key the entry's key
+     * @return whether its entry may still come back
+     */
+    public boolean isMissing(String key) {
+        Copy copy = byKey.get(key);
+        return copy != null && copy.isMissing();
+    }
+
+    private void rebuild() {
+        usable.clear();
+        Map<NetworkAddress, Copy> newest = new HashMap<>();
+        for (Copy copy : byKey.values()) {
+            newest.merge(copy.record().address(), copy, (one, other) -> one.isNewerThan(other) ? one : other);
+        }
+        for (Copy copy : newest.values()) {
+            if (!copy.record().draining()) {
+                usable.computeIfAbsent(copy.record().service(), _ -> new ArrayList<>())
+                        .add(copy);
+            }
+        }
+    }
+
+    /**
+     * Gives the copies of a service that may get work.
+     *
+     * @param service the service
+     * @return the copies
+     */
+    public List<Copy> usable(ServiceName service) {
+        return usable.getOrDefault(service, List.of());
+    }
+
+    /**
+     * Finds a copy that is published, also one that is draining.
+     *
+     * @param name the copy
+     * @return the copy
+     */
+    public Optional<Copy> find(CopyName name) {
+        return Optional.ofNullable(byName.get(name));
+    }
+
+    /**
+     * Finds the newest copy at an address.
+     *
+     * @param address where it listens
+     * @return the copy
+     */
+    public Optional<Copy> at(NetworkAddress address) {
+        return byKey.values().stream()
+                .filter(copy -> copy.record().address().equals(address))
+                .reduce((one, other) -> one.isNewerThan(other) ? one : other);
+    }
+
+    /**
+     * Gives all published copies.
+     *
+     * @return the copies
+     */
+    public Collection<Copy> all() {
+        return byKey.values();
+    }
+
+    /**
+     * Gives the IP numbers of the VMs of all copies.
+     *
+     * @return the IP numbers
+     */
+    public Set<String> hosts() {
+        Set<String> hosts = new HashSet<>();
+        byKey.values().forEach(copy -> hosts.add(copy.record().address().host()));
+        return hosts;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/LocalRun.java
@@ -0,0 +1,94 @@
+package org.carawaysill.policy.fleet.copy;
+
+import java.util.Comparator;
+import java.util.Optional;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.policy.message.PeerMessage.CopyRequest;
+
+/**
+ * A request for the local copy, from its arrival until its answer.
+ *
+ * <p>Not thread safe: owned by the policy.
+ */
+public final class LocalRun {
+
+    /** What matters most first; then what has had most work done for it; then what has least time left. */
+    static final Comparator<LocalRun> ORDER = Comparator.<LocalRun>comparingInt(run -> run.request.rank())
+            .thenComparingInt(run -> -run.request.depth())
+            .thenComparingLong(run -> run.deadlineNanos);
+
+    private final CopyRequest request;
+    private final Optional<NodeName> sender;
+    private final long arrivedNanos;
+    private final long deadlineNanos;
+    private long startedNanos;
+    private boolean running;
+
+    /**
+     * Makes a request that has just arrived.
+     *
+     * @param request the request
+     * @param sender the node that sent it, empty for this one
+     * @param now the monotonic time
+     */
+    public LocalRun(CopyRequest request, Optional<NodeName> sender, long now) {
+        this.request = request;
+        this.sender = sender;
+        arrivedNanos = now;
+        deadlineNanos = now + request.remainingNanos();
+    }
+
+    /**
+     * Gives the request.
+     *
+     * @return the request
+     */
+    public CopyRequest request() {
+        return request;
+    }
+
+    /**
+     * Tells who is to be answered.
+     *
+     * @return the node that sent it, empty for this one
+     */
+    public Optional<NodeName> sender() {
+        return sender;
+    }
+
+    /**
+     * Tells when it arrived.
+     *
+     * @return the monotonic time
+     */
+    public long arrivedNanos() {
+        return arrivedNanos;
+    }
+
+    /**
+     * Tells until when its answer is of use.
+     *
+     * @return the monotonic time
+     */
+    public long deadlineNanos() {
+        return deadlineNanos;
+    }
+
+    void start(long now) {
+        running = true;
+        startedNanos = now;
+    }
+
+    /**
+     * Tells whether it was handed to the copy.
+     *
+     * @return whether it has a slot
+     */
+    public boolean isRunning() {
+        return running;
+    }
+
+    long startedNanos() {
+        return startedNanos;
+    }
+}
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/package-info.java
@@ -0,0 +1,5 @@
+/** Decisions of a node in a fleet with common routes: what is let in, where it runs, and when it is tried again. */
+@NullMarked
+package org.carawaysill.policy.fleet;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/PublishedEntries.java
@@ -0,0 +1,105 @@
+package org.carawaysill.policy.fleet.publication;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.carawaysill.model.fleet.PublishedEntry;
+
+/**
+ * The published entries that this node knows, whoever told it.
+ *
+ * <p>The platform counts one revision up over all entries, so that of two versions of an entry the newer one is known
+ * without a clock, and entries from the platform and from other nodes merge in any order. Invariant: an entry's revision
+ * never falls, and neither does {@link #asOf}. Not thread safe: owned by the policy.
+ */
+public final class PublishedEntries {
+
+    private final Map<String, PublishedEntry> entries = new HashMap<>();
+    private long asOf;
+
+    /**
+     * Takes in what the platform gave.
+     *
+     * @param givenAsOf all that was published up to this revision has been told
+     * @param complete whether entries that are not given don't exist
+     * @param given the entries
+     * @return those that are newer than what was known, removed ones with an empty text
+     */
+    public List<PublishedEntry> merge(long givenAsOf, boolean complete, List<PublishedEntry> given) {
+        List<PublishedEntry> newer = new ArrayList<>();
+        for (PublishedEntry entry : given) {
+            takeIfNewer(entry, newer);
+        }
+        if (complete) {
+            removeMissing(givenAsOf, given, newer);
+        }
+        asOf = Math.max(asOf, givenAsOf);
+        return newer;
+    }
+
+    /**
+     * Takes in what another node told. It does not say up to which revision everything is known: the other node holds
+     * back removals that it does not trust yet, and the platform is to tell them here.
+     *
+     * @param given the entries
+     * @return those that are newer than what was known
+     */
+    public List<PublishedEntry> mergeTold(List<PublishedEntry> given) {
+        List<PublishedEntry> newer = new ArrayList<>();
+        given.forEach(entry -> takeIfNewer(entry, newer));
+        return newer;
+    }
+
+    private void takeIfNewer(PublishedEntry entry, List<PublishedEntry> newer) {
+        PublishedEntry known = entries.get(entry.key());
+        if (known == null || known.revision() < entry.revision()) {
+            entries.put(entry.key(), entry);
+            newer.add(entry);
+        }
+    }
+
+    /** An entry that a complete answer does not hold was removed, unless it was written after that answer. */
+    private void removeMissing(long givenAsOf, List<PublishedEntry> given, List<PublishedEntry> newer) {
+        Set<String> present = new HashSet<>();
+        given.forEach(entry -> present.add(entry.key()));
+        for (PublishedEntry known : List.copyOf(entries.values())) {
+            if (known.text().isPresent() && known.revision() <= givenAsOf && !present.contains(known.key())) {
+                takeIfNewer(new PublishedEntry(known.key(), givenAsOf, Optional.empty()), newer);
+            }
+        }
+    }
+
+    /**
+     * Tells up to which revision the platform told everything.
+     *
+     * @return the revision, 0 before the first read
+     */
+    public long asOf() {
+        return asOf;
+    }
+
+    /**
+     * Gives all entries, to be told to another node.
+     *
+     * @return the entries, removed ones included
+     */
+    public List<PublishedEntry> all() {
+        return List.copyOf(entries.values());
+    }
+
+    /**
+     * Forgets a removed entry for which no older version can come any more.
+     *
+     * @param key the entry's key
+     */
+    public void forget(String key) {
+        PublishedEntry known = entries.get(key);
+        if (known != null && known.text().isEmpty()) {
+            entries.remove(key);
+        }
+    }
+}
--- a/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.carawaysill.model.fleet.CopyName;
+import org.carawaysill.model.fleet.PublishedEntry;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.CallerName;
 import org.carawaysill.model.identity.NodeName;
@@ -310,4 +312,95 @@
      * @param level the lowest priority level that has a chance there, 0 for all
      */
     record ServiceCut(ServiceName service, int level) {}
+
+    /**
+     * A request for the copy beside the receiver, which the sender chose.
+     *
+     * @param attempt this attempt, echoed in the answer
+     * @param requestName the client's own name for the request, which the copy echoes
+     * @param service the copy's service
+     * @param copy the copy that may run it, and no other
+     * @param callerService the service beside which the request began
+     * @param rootRoute the route of the caller's request for whose sake this one is made
+     * @param rank the place in the order of refusal, 0 last
+     * @param idempotent whether running it twice does no harm
+     * @param depth calls between the caller's request and this one, 0 for the caller's own
+     * @param remainingNanos time left until the deadline
+     * @param content the request
+     */
+    record CopyRequest(
+            AttemptIdentifier attempt,
+            String requestName,
+            ServiceName service,
+            CopyName copy,
+            ServiceName callerService,
+            String rootRoute,
+            int rank,
+            boolean idempotent,
+            int depth,
+            long remainingNanos,
+            RequestContent content)
+            implements PeerMessage {}
+
+    /**
+     * What a node tells all others at short intervals; its absence shows that the node or the connection is gone.
+     *
+     * @param sequence rises by one with each report of this process
+     * @param publishedRevision the newest revision of a published entry that the sender decides by
+     * @param readsPlatform whether the sender's last read at the platform succeeded
+     * @param leaving whether the sender takes no new work
+     * @param service the service of the sender's copy
+     * @param load the load of the sender's copy
+     * @param demands what callers ask of the sender, by route
+     * @param uses what the slots of the sender's copy are used for
+     */
+    record NodeReport(
+            long sequence,
+            long publishedRevision,
+            boolean readsPlatform,
+            boolean leaving,
+            ServiceName service,
+            LoadReport load,
+            List<RouteDemand> demands,
+            List<SlotUse> uses)
+            implements PeerMessage {
+
+        public NodeReport {
+            demands = List.copyOf(demands);
+            uses = List.copyOf(uses);
+        }
+    }
+
+    /**
+     * What callers ask of one route at one node.
+     *
+     * @param route the route's name
+     * @param offeredPerSecond requests that came
+     * @param completedPerSecond requests that were answered by a copy
+     */
+    record RouteDemand(String route, float offeredPerSecond, float completedPerSecond) {}
+
+    /**
+     * What slots of one copy are used for.
+     *
+     * @param rootRoute the route of the callers' requests
+     * @param slots how many were in use for it, on average
+     */
+    record SlotUse(String rootRoute, float slots) {}
+
+    /** Asks for all published entries that the receiver knows. */
+    record EntriesWanted() implements PeerMessage {}
+
+    /**
+     * All published entries that the sender knows.
+     *
+     * @param asOf all that was published up to this revision is among them
+     * @param entries the entries, removed ones included as long as they are remembered
+     */
+    record Entries(long asOf, List<PublishedEntry> entries) implements PeerMessage {
+
+        public Entries {
+            entries = List.copyOf(entries);
+        }
+    }
 }
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/Codes.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/Codes.java
@@ -107,6 +107,7 @@
             case DUPLICATE -> RefusalCode.REFUSAL_DUPLICATE;
             case CANCELLED -> RefusalCode.REFUSAL_CANCELLED;
             case HOLDER_FULL -> RefusalCode.REFUSAL_HOLDER_FULL;
+            case COPY_REFUSED -> RefusalCode.REFUSAL_COPY_REFUSED;
         };
     }
 
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/Fields.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/Fields.java
@@ -57,6 +57,13 @@
         return value;
     }
 
+    static float notNegative(float value, String field) throws ProtocolFault {
+        if (!(value >= 0) || Float.isInfinite(value)) {
+            throw new ProtocolFault(ProtocolFault.Kind.OUT_OF_RANGE, field);
+        }
+        return value;
+    }
+
     /** Reads a duration; the bound keeps the sum with any monotonic time from overflowing. */
     static long durationNanos(long value, String field) throws ProtocolFault {
         if (value < 0 || value > LONGEST_DURATION.toNanos()) {
--- /dev/null
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
@@ -0,0 +1,122 @@
+package org.carawaysill.protocol.codec;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.carawaysill.model.fleet.CopyName;
+import org.carawaysill.model.fleet.PublishedEntry;
+import org.carawaysill.policy.message.PeerMessage.CopyRequest;
+import org.carawaysill.policy.message.PeerMessage.Entries;
+import org.carawaysill.policy.message.PeerMessage.NodeReport;
+import org.carawaysill.policy.message.PeerMessage.RouteDemand;
+import org.carawaysill.policy.message.PeerMessage.SlotUse;
+import org.carawaysill.protocol.generated.CopyRequestFrame;
+import org.carawaysill.protocol.generated.EntriesFrame;
+import org.carawaysill.protocol.generated.NodeReportFrame;
+import org.carawaysill.protocol.generated.PublishedEntryFrame;
+import org.carawaysill.protocol.generated.RouteDemandFrame;
+import org.carawaysill.protocol.generated.SlotUseFrame;
+
+/** Translates what nodes of one fleet with common routes tell each other. Stateless and thread safe. */
+final class FleetCodec {
+
+    private FleetCodec() {}
+
+    static CopyRequestFrame encode(CopyRequest request) {
+        return CopyRequestFrame.newBuilder()
+                .setAttempt(Fields.identifier(request.attempt()))
+                .setRequestName(request.requestName())
+                .setService(request.service().value())
+                .setCopy(request.copy().value())
+                .setCallerService(request.callerService().value())
+                .setRootRoute(request.rootRoute())
+                .setRank(request.rank())
+                .setIdempotent(request.idempotent())
+                .setDepth(request.depth())
+                .setRemainingNanos(Fields.fittingNanos(request.remainingNanos()))
+                .setContent(ContentCodec.encode(request.content()))
+                .build();
+    }
+
+    static CopyRequest decode(CopyRequestFrame frame) throws ProtocolFault {
+        Fields.present(frame.hasContent(), "content");
+        return new CopyRequest(
+                Fields.attempt(frame.hasAttempt(), frame.getAttempt()),
+                Fields.line(frame.getRequestName(), "request name"),
+                Fields.service(frame.getService()),
+                new CopyName(Fields.line(Fields.notBlank(frame.getCopy(), "copy"), "copy")),
+                Fields.service(Fields.line(frame.getCallerService(), "caller service")),
+                frame.getRootRoute(),
+                Fields.notNegative(frame.getRank(), "rank"),
+                frame.getIdempotent(),
+                Fields.notNegative(frame.getDepth(), "depth"),
+                Fields.durationNanos(frame.getRemainingNanos(), "remaining time"),
+                ContentCodec.decode(frame.getContent()));
+    }
+
+    static NodeReportFrame encode(NodeReport report) {
+        NodeReportFrame.Builder frame = NodeReportFrame.newBuilder()
+                .setSequence(report.sequence())
+                .setPublishedRevision(report.publishedRevision())
+                .setReadsPlatform(report.readsPlatform())
+                .setLeaving(report.leaving())
+                .setService(report.service().value())
+                .setLoad(LoadCodec.encode(report.load()));
+        for (RouteDemand demand : report.demands()) {
+            frame.addDemands(RouteDemandFrame.newBuilder()
+                    .setRoute(demand.route())
+                    .setOfferedPerSecond(demand.offeredPerSecond())
+                    .setCompletedPerSecond(demand.completedPerSecond()));
+        }
+        for (SlotUse use : report.uses()) {
+            frame.addUses(
+                    SlotUseFrame.newBuilder().setRootRoute(use.rootRoute()).setSlots(use.slots()));
+        }
+        return frame.build();
+    }
+
+    static NodeReport decode(NodeReportFrame frame) throws ProtocolFault {
+        List<RouteDemand> demands = new ArrayList<>(frame.getDemandsCount());
+        for (RouteDemandFrame demand : frame.getDemandsList()) {
+            demands.add(new RouteDemand(
+                    demand.getRoute(),
+                    Fields.notNegative(demand.getOfferedPerSecond(), "offered per second"),
+                    Fields.notNegative(demand.getCompletedPerSecond(), "completed per second")));
+        }
+        List<SlotUse> uses = new ArrayList<>(frame.getUsesCount());
+        for (SlotUseFrame use : frame.getUsesList()) {
+            uses.add(new SlotUse(use.getRootRoute(), Fields.notNegative(use.getSlots(), "slots")));
+        }
+        return new NodeReport(
+                Fields.notNegative(frame.getSequence(), "sequence"),
+                Fields.notNegative(frame.getPublishedRevision(), "published revision"),
+                frame.getReadsPlatform(),
+                frame.getLeaving(),
+                Fields.service(frame.getService()),
+                LoadCodec.decode(frame.hasLoad(), frame.getLoad()),
+                demands,
+                uses);
+    }
+
+    static EntriesFrame encode(Entries entries) {
+        EntriesFrame.Builder frame = EntriesFrame.newBuilder().setAsOf(entries.asOf());
+        for (PublishedEntry entry : entries.entries()) {
+            PublishedEntryFrame.Builder encoded =
+                    PublishedEntryFrame.newBuilder().setKey(entry.key()).setRevision(entry.revision());
+            entry.text().ifPresent(encoded::setText);
+            frame.addEntries(encoded);
+        }
+        return frame.build();
+    }
+
+    static Entries decode(EntriesFrame frame) throws ProtocolFault {
+        List<PublishedEntry> entries = new ArrayList<>(frame.getEntriesCount());
+        for (PublishedEntryFrame entry : frame.getEntriesList()) {
+            entries.add(new PublishedEntry(
+                    Fields.notBlank(entry.getKey(), "key"),
+                    Fields.notNegative(entry.getRevision(), "revision"),
+                    entry.hasText() ? Optional.of(entry.getText()) : Optional.empty()));
+        }
+        return new Entries(Fields.notNegative(frame.getAsOf(), "as of"), entries);
+    }
+}
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/PeerMessageCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/PeerMessageCodec.java
@@ -5,14 +5,19 @@
 import org.carawaysill.policy.message.PeerMessage.ConfigurationChange;
 import org.carawaysill.policy.message.PeerMessage.ConfigurationDocument;
 import org.carawaysill.policy.message.PeerMessage.ConfigurationWanted;
+import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.DrainNotice;
+import org.carawaysill.policy.message.PeerMessage.Entries;
+import org.carawaysill.policy.message.PeerMessage.EntriesWanted;
 import org.carawaysill.policy.message.PeerMessage.Heartbeat;
 import org.carawaysill.policy.message.PeerMessage.HolderHandover;
 import org.carawaysill.policy.message.PeerMessage.LeaseReply;
 import org.carawaysill.policy.message.PeerMessage.LeaseRequest;
+import org.carawaysill.policy.message.PeerMessage.NodeReport;
 import org.carawaysill.policy.message.PeerMessage.PeerAnswer;
 import org.carawaysill.policy.message.PeerMessage.PeerRequest;
 import org.carawaysill.protocol.generated.DrainNoticeFrame;
+import org.carawaysill.protocol.generated.EntriesWantedFrame;
 import org.carawaysill.protocol.generated.Frame;
 
 /**
@@ -46,6 +51,10 @@
             case ConfigurationWanted wanted -> frame.setConfigurationWanted(ConfigurationCodec.encode(wanted));
             case ConfigurationDocument document -> frame.setConfigurationDocument(ConfigurationCodec.encode(document));
             case ConfigurationChange change -> frame.setConfigurationChange(ConfigurationCodec.encode(change));
+            case CopyRequest request -> frame.setCopyRequest(FleetCodec.encode(request));
+            case NodeReport report -> frame.setNodeReport(FleetCodec.encode(report));
+            case EntriesWanted _ -> frame.setEntriesWanted(EntriesWantedFrame.getDefaultInstance());
+            case Entries entries -> frame.setEntries(FleetCodec.encode(entries));
         }
         return frame.build();
     }
@@ -70,6 +79,10 @@
             case CONFIGURATION_WANTED -> ConfigurationCodec.decode(frame.getConfigurationWanted());
             case CONFIGURATION_DOCUMENT -> ConfigurationCodec.decode(frame.getConfigurationDocument());
             case CONFIGURATION_CHANGE -> ConfigurationCodec.decode(frame.getConfigurationChange());
+            case COPY_REQUEST -> FleetCodec.decode(frame.getCopyRequest());
+            case NODE_REPORT -> FleetCodec.decode(frame.getNodeReport());
+            case ENTRIES_WANTED -> new EntriesWanted();
+            case ENTRIES -> FleetCodec.decode(frame.getEntries());
             case HELLO, ACCEPTED, REFUSED, PROBE, PROBE_REPLY, KIND_NOT_SET ->
                 throw new ProtocolFault(
                         ProtocolFault.Kind.UNEXPECTED_FRAME, frame.getKindCase().name());
--- a/protocol/src/main/java/org/carawaysill/protocol/link/PeerLink.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/PeerLink.java
@@ -19,7 +19,7 @@
 import org.carawaysill.policy.message.PeerMessage;
 
 /**
- * This node's connections to other nodes, on one event loop thread.
+ * This node's connections to other nodes, on one event loop thread: its own, or one that it shares with its owner.
  *
  * <p>Invariants: at most one connection to a peer carries messages at a time, whoever dialled it, so that the messages of
  * one sending thread to a peer arrive in order, and between connected and lost without a gap up to the loss; each message
@@ -30,7 +30,7 @@
     private static final int CHECKS_PER_DRAIN_LIMIT = 4;
     private static final Duration STOP_LIMIT = Duration.ofSeconds(1);
 
-    private final EventLoopGroup group;
+    private final Optional<EventLoopGroup> ownGroup;
     private final EventLoop eventLoop;
     private final InetSocketAddress address;
     private final PeerTable table;
@@ -42,9 +42,11 @@
     private PeerLink(Builder builder) {
         LinkIdentity self = new LinkIdentity(
                 required(builder.self, "name"), required(builder.service, "service"), builder.incarnation);
-        group = new MultiThreadIoEventLoopGroup(
-                1, new DefaultThreadFactory("peer-link", true), NioIoHandler.newFactory());
-        eventLoop = group.next();
+        ownGroup = builder.eventLoop.isPresent()
+                ? Optional.empty()
+                : Optional.of(new MultiThreadIoEventLoopGroup(
+                        1, new DefaultThreadFactory("peer-link", true), NioIoHandler.newFactory()));
+        eventLoop = builder.eventLoop.orElseGet(() -> ownGroup.orElseThrow().next());
         address = new InetSocketAddress(builder.host, builder.port);
         table = new PeerTable(self, builder.limits, required(builder.listener, "listener"), builder.random);
         acceptor = new Acceptor(eventLoop, table);
@@ -104,6 +106,16 @@
         });
     }
 
+    /**
+     * Gives up the connection to a peer without an orderly close, and dials anew if the peer is wanted.
+     *
+     * @param peer the other node
+     * @param reason why, for the report of the fault
+     */
+    public void reset(NodeName peer, String reason) {
+        onEventLoop(() -> table.open(peer).ifPresent(connection -> connection.end(LinkFaultKind.UNRESPONSIVE, reason)));
+    }
+
     /**
      * Sends a message, in the order of the calls of one thread. It is reported as unsent if there is no connection to the
      * peer, if the ring is full, if too much waits for the peer already, if the message is larger than a frame may be, or
@@ -146,7 +158,7 @@
         }
         eventLoop.execute(this::closeConnections);
         long limit = table.limits().closingLimit().plus(STOP_LIMIT).toMillis();
-        if (group.terminationFuture().awaitUninterruptibly(limit)) {
+        if (ownGroup.isEmpty() || ownGroup.get().terminationFuture().awaitUninterruptibly(limit)) {
             ring.stop();
         }
     }
@@ -155,7 +167,8 @@
         acceptor.close();
         dialler.forgetAll();
         ring.drainFully();
-        table.closeAll(() -> group.shutdownGracefully(0, STOP_LIMIT.toMillis(), TimeUnit.MILLISECONDS));
+        table.closeAll(() ->
+                ownGroup.ifPresent(group -> group.shutdownGracefully(0, STOP_LIMIT.toMillis(), TimeUnit.MILLISECONDS)));
     }
 
     private void onEventLoop(Runnable task) {
@@ -175,6 +188,7 @@
         private int port;
         private LinkLimits limits = LinkLimits.defaults();
         private RandomGenerator random = new SplittableRandom();
+        private Optional<EventLoop> eventLoop = Optional.empty();
 
         private Builder() {}
 
@@ -255,6 +269,18 @@
             return this;
         }
 
+        /**
+         * Shares the event loop of the link's owner, which then ends it; else the link has one of its own. What the owner
+         * sends from that thread is written without waking another one.
+         *
+         * @param shared the event loop
+         * @return this builder
+         */
+        public Builder eventLoop(EventLoop shared) {
+            eventLoop = Optional.of(shared);
+            return this;
+        }
+
         /**
          * Sets who hears of events.
          *
--- a/protocol/src/main/java/org/carawaysill/protocol/link/TrafficKind.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/TrafficKind.java
@@ -21,19 +21,23 @@
     /** Handovers of a holder's table. */
     HANDOVER,
     /** Configuration relayed between nodes. */
-    CONFIGURATION;
+    CONFIGURATION,
+    /** Reports of load and demand. */
+    REPORT;
 
     static TrafficKind of(Frame frame) {
         return switch (frame.getKindCase()) {
             case HELLO, ACCEPTED, REFUSED, PROBE, PROBE_REPLY, KIND_NOT_SET -> LINK;
-            case PEER_REQUEST -> REQUEST;
+            case PEER_REQUEST, COPY_REQUEST -> REQUEST;
             case PEER_ANSWER -> ANSWER;
             case CANCEL_ATTEMPT -> CANCELLATION;
             case DRAIN_NOTICE -> DRAIN;
             case HEARTBEAT -> HEARTBEAT;
             case LEASE_REQUEST, LEASE_REPLY -> LEASE;
             case HOLDER_HANDOVER -> HANDOVER;
-            case CONFIGURATION_WANTED, CONFIGURATION_DOCUMENT, CONFIGURATION_CHANGE -> CONFIGURATION;
+            case CONFIGURATION_WANTED, CONFIGURATION_DOCUMENT, CONFIGURATION_CHANGE, ENTRIES_WANTED, ENTRIES ->
+                CONFIGURATION;
+            case NODE_REPORT -> REPORT;
         };
     }
 }
--- a/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
@@ -9,6 +9,8 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
+import org.carawaysill.model.fleet.CopyName;
+import org.carawaysill.model.fleet.PublishedEntry;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.CallerName;
 import org.carawaysill.model.identity.NodeName;
@@ -28,7 +30,10 @@
 import org.carawaysill.policy.message.PeerMessage.ConfigurationChange;
 import org.carawaysill.policy.message.PeerMessage.ConfigurationDocument;
 import org.carawaysill.policy.message.PeerMessage.ConfigurationWanted;
+import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.DrainNotice;
+import org.carawaysill.policy.message.PeerMessage.Entries;
+import org.carawaysill.policy.message.PeerMessage.EntriesWanted;
 import org.carawaysill.policy.message.PeerMessage.Heartbeat;
 import org.carawaysill.policy.message.PeerMessage.HolderEntry;
 import org.carawaysill.policy.message.PeerMessage.HolderHandover;
@@ -37,12 +42,15 @@
 import org.carawaysill.policy.message.PeerMessage.LeaseVerdict;
 import org.carawaysill.policy.message.PeerMessage.LineEdit;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
+import org.carawaysill.policy.message.PeerMessage.NodeReport;
 import org.carawaysill.policy.message.PeerMessage.PeerAnswer;
 import org.carawaysill.policy.message.PeerMessage.PeerRequest;
 import org.carawaysill.policy.message.PeerMessage.Purpose;
 import org.carawaysill.policy.message.PeerMessage.RosterMember;
 import org.carawaysill.policy.message.PeerMessage.RosterView;
+import org.carawaysill.policy.message.PeerMessage.RouteDemand;
 import org.carawaysill.policy.message.PeerMessage.ServiceCut;
+import org.carawaysill.policy.message.PeerMessage.SlotUse;
 
 /** Draws messages of every kind with all their values, the least and the greatest more often than others. */
 record RandomMessages(RandomGenerator random) {
@@ -51,7 +59,7 @@
     private static final String CHARACTERS = "\u0000\t\r\n aZ0\u00e8\u0416\u20ac\uffff";
 
     PeerMessage next() {
-        return switch (random.nextInt(11)) {
+        return switch (random.nextInt(15)) {
             case 0 -> request();
             case 1 -> answer();
             case 2 -> new CancelAttempt(attempt());
@@ -64,6 +72,10 @@
                         service(), random.nextLong(), version(), version(), count(), count(), several(this::entry));
             case 8 -> new ConfigurationWanted(service(), version());
             case 9 -> new ConfigurationDocument(service(), version(), text());
+            case 10 -> copyRequest();
+            case 11 -> nodeReport();
+            case 12 -> new EntriesWanted();
+            case 13 -> new Entries(version(), several(this::published));
             default -> new ConfigurationChange(service(), version(), version(), several(this::edit), random.nextInt());
         };
     }
@@ -85,6 +97,37 @@
                 new RequestContent(word(), "/" + word(), several(this::header), body()));
     }
 
+    private CopyRequest copyRequest() {
+        return new CopyRequest(
+                attempt(),
+                word(),
+                service(),
+                new CopyName(word()),
+                service(),
+                text(),
+                count(),
+                random.nextBoolean(),
+                count(),
+                nanos(),
+                new RequestContent(word(), "/" + word(), several(this::header), body()));
+    }
+
+    private NodeReport nodeReport() {
+        return new NodeReport(
+                version(),
+                version(),
+                random.nextBoolean(),
+                random.nextBoolean(),
+                service(),
+                load(),
+                several(() -> new RouteDemand(text(), random.nextFloat(), random.nextFloat())),
+                several(() -> new SlotUse(text(), random.nextFloat())));
+    }
+
+    private PublishedEntry published() {
+        return new PublishedEntry(word(), version(), maybe(this::text));
+    }
+
     PeerAnswer answer() {
         return new PeerAnswer(attempt(), outcome(), count(), load(), several(this::cut));
     }
