--- a/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.carawaysill.model.fleet.CopyRecord;
 import org.carawaysill.model.fleet.FleetConfiguration;
@@ -18,6 +17,7 @@
 import org.carawaysill.policy.fleet.publication.PublicationDecoder.Publication;
 import org.carawaysill.policy.fleet.publication.PublishedEntries;
 import org.carawaysill.policy.fleet.route.RouteTable;
+import org.carawaysill.policy.time.Nanos;
 
 /**
  * What this node believes of what is published: the configuration in force and the copies, from the platform or from
@@ -92,7 +92,7 @@
 
     void readFailed(long now, FleetEvent.ReadFailure failure) {
         effects.count(ConfigurationCount.READ_FAILED);
-        long waited = TimeUnit.NANOSECONDS.toMillis(reads.waitingNanos(now));
+        long waited = Nanos.toMillis(reads.waitingNanos(now));
         if (reads.failed(now, failure)) {
             effects.log(new Decision.DependencyChanged(
                     "platform",
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
@@ -1,10 +1,10 @@
 package org.carawaysill.policy.fleet;
 
-import java.util.concurrent.TimeUnit;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Outcome;
+import org.carawaysill.policy.time.Nanos;
 
 /**
  * One decision that touched a request or changed what the node believes, with the inputs that decided it.
@@ -85,7 +85,7 @@
         @Override
         public String fields() {
             return "route=" + route + " " + describe(outcome) + " attempts=" + attempts + " took_ms="
-                    + TimeUnit.NANOSECONDS.toMillis(tookNanos) + " share=" + Math.round(share * 100) / 100.0
+                    + Nanos.toMillis(tookNanos) + " share=" + Math.round(share * 100) / 100.0
                     + " version=" + version;
         }
     }
@@ -124,7 +124,7 @@
         @Override
         public String fields() {
             return "copy=" + copy + " " + describe(outcome) + " waited_ms="
-                    + TimeUnit.NANOSECONDS.toMillis(waitedNanos) + " in_flight=" + inFlight + " queued=" + queued
+                    + Nanos.toMillis(waitedNanos) + " in_flight=" + inFlight + " queued=" + queued
                     + " limit=" + limit;
         }
     }
@@ -140,7 +140,7 @@
 
         @Override
         public String fields() {
-            return "attempts=" + attempts + " took_ms=" + TimeUnit.NANOSECONDS.toMillis(tookNanos);
+            return "attempts=" + attempts + " took_ms=" + Nanos.toMillis(tookNanos);
         }
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.policy.fleet.copy.Copy;
@@ -16,6 +15,7 @@
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.NodeReport;
 import org.carawaysill.policy.time.Moment;
+import org.carawaysill.policy.time.Nanos;
 
 /**
  * All decisions of one node in a fleet whose routes are common to all nodes and whose copies are published.
@@ -276,7 +276,7 @@
             effects.log(new Decision.NodeChanged(
                     "stopped",
                     "requests=" + outgoing.count() + " at_copy=" + localRuns.count() + " took_ms="
-                            + TimeUnit.NANOSECONDS.toMillis(stopping)));
+                            + Nanos.toMillis(stopping)));
             effects.add(new FleetEffect.StopProcess());
         }
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
@@ -9,9 +9,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.policy.message.PeerMessage.NodeReport;
+import org.carawaysill.policy.time.Nanos;
 
 /**
  * The other nodes, and which of them can be reached.
@@ -129,7 +129,7 @@
             if (peer.connected && !peer.suspected && silent > SUSPECT_AFTER.toNanos()) {
                 peer.suspected = true;
                 effects.log(new Decision.DependencyChanged(
-                        "node " + name, "suspected", "silent_ms=" + TimeUnit.NANOSECONDS.toMillis(silent)));
+                        "node " + name, "suspected", "silent_ms=" + Nanos.toMillis(silent)));
             }
             if (peer.connected && silent > RESET_AFTER.toNanos()) {
                 peer.heardNanos = now;
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/DemandMeter.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/DemandMeter.java
@@ -4,9 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.carawaysill.policy.message.PeerMessage.RouteDemand;
 import org.carawaysill.policy.message.PeerMessage.SlotUse;
+import org.carawaysill.policy.time.Nanos;
 
 /**
  * Measures what callers ask of this node, and what the slots of its copy are used for.
@@ -24,8 +24,6 @@
 
     private static final double FORGOTTEN_RATE = 0.01;
 
-    private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
-
     private final Map<String, RateMeter> offered = new HashMap<>();
     private final Map<String, RateMeter> completed = new HashMap<>();
     private final Map<String, RateMeter> slots = new HashMap<>();
@@ -84,7 +82,7 @@
     }
 
     private void accumulate(long now) {
-        double seconds = (now - changedNanos) / NANOS_PER_SECOND;
+        double seconds = (now - changedNanos) / Nanos.PER_SECOND;
         changedNanos = now;
         running.forEach((route, count) ->
                 slots.computeIfAbsent(route, _ -> new RateMeter()).add(count * seconds));
@@ -97,7 +95,7 @@
      */
     public void close(long now) {
         accumulate(now);
-        double seconds = (now - closedNanos) / NANOS_PER_SECOND;
+        double seconds = (now - closedNanos) / Nanos.PER_SECOND;
         if (seconds <= 0) {
             return;
         }
