--- a/node/src/main/java/org/carawaysill/node/peer/PeerAdapter.java
+++ b/node/src/main/java/org/carawaysill/node/peer/PeerAdapter.java
@@ -165,6 +165,7 @@
             case PeerMessage.ConfigurationDocument ignored -> offerNotice(event);
             case PeerMessage.ConfigurationChange ignored -> offerNotice(event);
             case PeerMessage.CopyRequest ignored -> offerNotice(event);
+            case PeerMessage.CopyAnswer ignored -> offerNotice(event);
             case PeerMessage.NodeReport ignored -> offerNotice(event);
             case PeerMessage.EntriesWanted ignored -> offerNotice(event);
             case PeerMessage.Entries ignored -> offerNotice(event);
--- a/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
+++ b/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
@@ -146,6 +146,7 @@
                     PeerMessage.LeaseReply _,
                     PeerMessage.HolderHandover _,
                     PeerMessage.CopyRequest _,
+                    PeerMessage.CopyAnswer _,
                     PeerMessage.NodeReport _,
                     PeerMessage.EntriesWanted _,
                     PeerMessage.Entries _ -> List.of();
--- a/policy/src/main/java/org/carawaysill/policy/engine/BaselinePolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/BaselinePolicy.java
@@ -165,6 +165,7 @@
                     PeerMessage.ConfigurationDocument _,
                     PeerMessage.ConfigurationChange _,
                     PeerMessage.CopyRequest _,
+                    PeerMessage.CopyAnswer _,
                     PeerMessage.NodeReport _,
                     PeerMessage.EntriesWanted _,
                     PeerMessage.Entries _ -> {}
--- a/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
@@ -141,6 +141,7 @@
                     PeerMessage.ConfigurationDocument _,
                     PeerMessage.ConfigurationChange _,
                     PeerMessage.CopyRequest _,
+                    PeerMessage.CopyAnswer _,
                     PeerMessage.NodeReport _,
                     PeerMessage.EntriesWanted _,
                     PeerMessage.Entries _ -> {}
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -76,7 +76,7 @@
         beliefs = new Beliefs(now, settings.drainLimit(), decoder, random, effects);
         peers = new Peers(settings.self(), effects);
         demand = new DemandMeter(now);
-        localRuns = new LocalRuns(effects, demand);
+        localRuns = new LocalRuns(effects);
         outgoing = new OutgoingRequests(
                 new FleetParts(settings, effects, beliefs, peers, localRuns, demand, plan), random);
         nextTickNanos = now;
@@ -130,7 +130,7 @@
         peers.heard(now, from);
         switch (message) {
             case PeerMessage.CopyRequest request -> localRuns.accept(now, Optional.of(from), request);
-            case PeerMessage.PeerAnswer answer -> outgoing.peerAnswered(now, from, answer);
+            case PeerMessage.CopyAnswer answer -> outgoing.peerAnswered(now, from, answer);
             case PeerMessage.CancelAttempt cancel -> localRuns.cancelled(now, cancel.attempt());
             case PeerMessage.NodeReport report -> reported(from, report);
             case PeerMessage.DrainNotice _ -> peers.leaving(from);
@@ -274,7 +274,7 @@
                 settings.service(),
                 localRuns.load(),
                 demand.demands(),
-                demand.uses());
+                plan.ownCosts());
     }
 
     private void logShares(int reports) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -14,10 +14,10 @@
 import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.policy.fleet.copy.CopyGate;
 import org.carawaysill.policy.fleet.copy.LocalRun;
-import org.carawaysill.policy.fleet.entry.DemandMeter;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
+import org.carawaysill.policy.message.PeerMessage.SlotTime;
 
 /**
  * The requests for the local copy, whichever node sent them.
@@ -40,21 +40,19 @@
 
     private final Effects effects;
     private final CopyGate gate = new CopyGate();
-    private final DemandMeter demand;
     private final Map<String, LocalRun> runningByName = new HashMap<>();
-    private LocalSender localSender = (_, _, _) -> {};
+    private LocalSender localSender = (_, _, _, _) -> {};
     private boolean leaving;
 
     /** Hears what a request of this node's own came to. */
     @FunctionalInterface
     interface LocalSender {
 
-        void answered(long now, AttemptIdentifier attempt, Outcome outcome);
+        void answered(long now, AttemptIdentifier attempt, Outcome outcome, List<SlotTime> times);
     }
 
-    LocalRuns(Effects effects, DemandMeter demand) {
+    LocalRuns(Effects effects) {
         this.effects = effects;
-        this.demand = demand;
     }
 
     void localSender(LocalSender sender) {
@@ -100,7 +98,7 @@
             return;
         }
         switch (gate.offer(now, run)) {
-            case CopyGate.Offered.Started _ -> hand(now, run);
+            case CopyGate.Offered.Started _ -> hand(run);
             case CopyGate.Offered.Waits(Optional<LocalRun> evicted) ->
                 evicted.ifPresent(other -> refuse(now, other, RefusalReason.EVICTED, Step.QUEUE));
             case CopyGate.Offered.Full _ -> refuse(now, run, RefusalReason.QUEUE_FULL, Step.QUEUE);
@@ -108,9 +106,8 @@
         }
     }
 
-    private void hand(long now, LocalRun run) {
+    private void hand(LocalRun run) {
         CopyRequest request = run.request();
-        demand.slotTaken(now, request.rootRoute());
         runningByName.put(request.requestName(), run);
         effects.add(new FleetEffect.HandToCopy(
                 request.attempt(),
@@ -127,6 +124,11 @@
             return;
         }
         LocalRun run = found.get();
+        if (outcome instanceof Outcome.NotRun notRun && notRun.reason() == RefusalReason.COPY_REFUSED) {
+            gate.refused();
+        } else if (outcome instanceof Outcome.Answered) {
+            gate.answered();
+        }
         free(now, run, outcome instanceof Outcome.Answered);
         if (!(outcome instanceof Outcome.Answered)) {
             logFailure(now, run, outcome);
@@ -137,14 +139,13 @@
 
     private void free(long now, LocalRun run, boolean measured) {
         if (run.isRunning()) {
-            demand.slotFreed(now, run.request().rootRoute());
             runningByName.remove(run.request().requestName(), run);
         }
         gate.finished(now, run, measured);
     }
 
     private void startNext(long now) {
-        gate.startNext(now).forEach(run -> hand(now, run));
+        gate.startNext(now).forEach(run -> hand(run));
     }
 
     /** Ends what its sender has given up: takes it from the queue, or breaks it off at the copy. */
@@ -212,9 +213,11 @@
         AttemptIdentifier attempt = run.request().attempt();
         if (run.sender().isPresent()) {
             effects.add(new FleetEffect.SendToPeer(
-                    run.sender().get(), new PeerMessage.PeerAnswer(attempt, outcome, 0, gate.load(), List.of())));
+                    run.sender().get(),
+                    new PeerMessage.CopyAnswer(
+                            attempt, outcome, gate.load(), run.times().list())));
         } else {
-            localSender.answered(now, attempt, outcome);
+            localSender.answered(now, attempt, outcome, run.times().list());
         }
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
@@ -8,6 +8,8 @@
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.policy.fleet.copy.Copy;
+import org.carawaysill.policy.fleet.copy.LocalRun;
+import org.carawaysill.policy.fleet.entry.SlotTimes;
 
 /**
  * A request that began beside this node, from its arrival until its final answer.
@@ -23,6 +25,7 @@
     private final long arrivedNanos;
     private final long limitNanos;
     private final Set<CopyName> tried = new HashSet<>();
+    private final SlotTimes times = new SlotTimes();
     private Optional<Copy> copy = Optional.empty();
     private Optional<AttemptIdentifier> attempt = Optional.empty();
     private int sends;
@@ -35,9 +38,9 @@
      * @param rootRoute the route of the caller's request
      * @param rank the place of that in the order of refusal
      * @param depth calls between that and this one
-     * @param known whether the running request that makes this call is known
+     * @param parent the running request that makes this call, where it is known
      */
-    record Origin(String rootRoute, int rank, int depth, boolean known) {}
+    record Origin(String rootRoute, int rank, int depth, Optional<LocalRun> parent) {}
 
     OutgoingRequest(
             FleetEvent.RequestArrived arrival,
@@ -118,6 +121,11 @@
         return handed;
     }
 
+    /** The slots' time that its attempts took, all calls that they caused included. */
+    SlotTimes times() {
+        return times;
+    }
+
     void finish() {
         finished = true;
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -30,6 +30,7 @@
 import org.carawaysill.policy.fleet.route.SplitShares;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
+import org.carawaysill.policy.message.PeerMessage.SlotTime;
 
 /**
  * The requests that began beside this node: of its clients, and of its own copy.
@@ -112,7 +113,7 @@
         }
         Route route = found.get();
         Origin origin = origin(arrival, route);
-        boolean fromCaller = !origin.known() && !innerRoutes.contains(route.name());
+        boolean fromCaller = origin.parent().isEmpty() && !innerRoutes.contains(route.name());
         if (fromCaller) {
             demand.offered(route.name());
         }
@@ -131,10 +132,13 @@
         send(now, request);
     }
 
-    /** Spreads returns over the time in which an answer is still worth most, so that they do not come as a herd. */
+    /**
+     * Tells when to come back: spread, so that returns do not come as a herd, and soon enough that an answer is still worth
+     * most to the caller, who counts from the first try. A later time does not lower the load: each client comes back once.
+     */
     private Duration comeBack(Route route) {
         long aim = route.aim().toNanos();
-        return Duration.ofNanos(aim / 4 + random.nextLong(Math.max(1, aim * 3 / 4)));
+        return Duration.ofNanos(aim / 8 + random.nextLong(Math.max(1, aim / 4)));
     }
 
     private void refuseUnrouted(FleetEvent.RequestArrived arrival, RefusalReason reason, Step step) {
@@ -149,9 +153,9 @@
         if (parent.isPresent()) {
             CopyRequest running = parent.get().request();
             innerRoutes.called(route.name());
-            return new Origin(running.rootRoute(), running.rank(), running.depth() + 1, true);
+            return new Origin(running.rootRoute(), running.rank(), running.depth() + 1, parent);
         }
-        return new Origin(route.name(), route.rank(), 0, false);
+        return new Origin(route.name(), route.rank(), 0, Optional.empty());
     }
 
     private void send(long now, OutgoingRequest request) {
@@ -207,23 +211,24 @@
                 beliefs.version()));
     }
 
-    void peerAnswered(long now, NodeName from, PeerMessage.PeerAnswer answer) {
+    void peerAnswered(long now, NodeName from, PeerMessage.CopyAnswer answer) {
         OutgoingRequest request = byAttempt.get(answer.attempt());
         if (request == null || request.copy().isEmpty()) {
             return;
         }
         Copy copy = request.copy().get();
         if (copy.node().equals(from)) {
-            answered(now, answer.attempt(), answer.outcome());
+            answered(now, answer.attempt(), answer.outcome(), answer.times());
             copy.told(answer.load());
         }
     }
 
-    void answered(long now, AttemptIdentifier attempt, Outcome outcome) {
+    private void answered(long now, AttemptIdentifier attempt, Outcome outcome, List<SlotTime> times) {
         OutgoingRequest request = byAttempt.remove(attempt);
         if (request == null) {
             return;
         }
+        request.times().addAll(times);
         Copy copy = request.copy().orElseThrow();
         request.attemptEnded();
         judge(copy, outcome);
@@ -312,11 +317,15 @@
     private void finish(long now, OutgoingRequest request, Outcome outcome) {
         request.finish();
         byExchange.remove(request.arrival().exchange());
+        request.origin()
+                .parent()
+                .ifPresent(parent -> parent.times().addAll(request.times().list()));
         String route = request.route().name();
         switch (outcome) {
             case Outcome.Answered answered -> {
                 if (request.origin().depth() == 0 && answered.content().status() < SERVER_ERROR) {
                     demand.completed(route);
+                    plan.learn(route, request.times().list());
                 }
             }
             case Outcome.NotRun notRun -> effects.count(notRun.reason());
@@ -361,7 +370,8 @@
     }
 
     void unsent(long now, AttemptIdentifier attempt) {
-        answered(now, attempt, notRun(RefusalReason.PEER_UNREACHABLE, UNREACHABLE_RETRY_AFTER, Step.PEER_SEND));
+        Outcome outcome = notRun(RefusalReason.PEER_UNREACHABLE, UNREACHABLE_RETRY_AFTER, Step.PEER_SEND);
+        answered(now, attempt, outcome, List.of());
     }
 
     void peerLost(long now, NodeName peer) {
@@ -372,8 +382,8 @@
                         .isPresent())
                 .map(Map.Entry::getKey)
                 .toList();
-        lost.forEach(attempt -> answered(
-                now, attempt, new Outcome.Unknown(UnknownReason.PEER_LOST, Step.PEER_WAIT, Optional.of(peer))));
+        Outcome outcome = new Outcome.Unknown(UnknownReason.PEER_LOST, Step.PEER_WAIT, Optional.of(peer));
+        lost.forEach(attempt -> answered(now, attempt, outcome, List.of()));
     }
 
     void passTime(long now) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
@@ -8,6 +8,7 @@
 import java.util.PriorityQueue;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
+import org.carawaysill.policy.time.Nanos;
 
 /**
  * The one queue in front of the local copy: at most as many requests as the copy has slots are at it, the others wait here
@@ -30,9 +31,20 @@
 
     private static final double SERVICE_TIME_WEIGHT = 0.05;
 
+    /**
+     * What is left of the slots, at the least, where the copy refuses although some should be free: it may still work on
+     * what a process before this one handed to it, or shed for reasons of its own. Below half, a copy that sheds at random
+     * would hardly be used, although each slot of it still works.
+     */
+    private static final double LEAST_USED_PART = 0.5;
+
+    /** How much of a slot is tried again with each good answer. */
+    private static final double RECOVERY = 0.2;
+
     private final Map<AttemptIdentifier, LocalRun> runs = new HashMap<>();
     private final PriorityQueue<LocalRun> queue = new PriorityQueue<>(LocalRun.ORDER);
-    private int limit = UNKNOWN_LIMIT;
+    private int slots = UNKNOWN_LIMIT;
+    private double limit = UNKNOWN_LIMIT;
     private int running;
     private double serviceNanos;
 
@@ -59,10 +71,27 @@
     /**
      * Sets how many requests may be at the copy.
      *
-     * @param slots the copy's slots
+     * @param published the copy's slots
      */
-    public void limit(int slots) {
-        limit = Math.max(1, slots);
+    public void limit(int published) {
+        if (published != slots) {
+            slots = published;
+            limit = Math.max(1, published);
+        }
+    }
+
+    /** Notes that the copy refused a request although it should have had a slot. */
+    public void refused() {
+        limit = Math.max(Math.max(1, slots * LEAST_USED_PART), Math.min(limit, running) - 1);
+    }
+
+    /** Notes that the copy gave an answer. */
+    public void answered() {
+        limit = Math.min(slots, limit + RECOVERY);
+    }
+
+    private int usable() {
+        return Math.max(1, (int) limit);
     }
 
     /**
@@ -76,11 +105,11 @@
         if (run.deadlineNanos() <= now) {
             return new Offered.TooLate();
         }
-        if (running < limit) {
+        if (running < usable()) {
             start(now, run);
             return new Offered.Started();
         }
-        if (queue.size() < Math.max(LEAST_QUEUE, limit * QUEUED_FOR_EACH_SLOT)) {
+        if (queue.size() < Math.max(LEAST_QUEUE, slots * QUEUED_FOR_EACH_SLOT)) {
             enqueue(run);
             return new Offered.Waits(Optional.empty());
         }
@@ -138,6 +167,7 @@
             running--;
             if (measured) {
                 double took = now - run.startedNanos();
+                run.times().add(run.request().service(), took / Nanos.PER_SECOND);
                 serviceNanos += serviceNanos == 0 ? took : SERVICE_TIME_WEIGHT * (took - serviceNanos);
             }
         }
@@ -151,7 +181,7 @@
      */
     public List<LocalRun> startNext(long now) {
         List<LocalRun> started = new ArrayList<>();
-        while (running < limit && !queue.isEmpty()) {
+        while (running < usable() && !queue.isEmpty()) {
             LocalRun next = queue.poll();
             start(now, next);
             started.add(next);
@@ -205,7 +235,7 @@
      * @return requests at the copy and waiting, and the limit
      */
     public LoadReport load() {
-        return new LoadReport(running, limit, queue.size(), 0);
+        return new LoadReport(running, usable(), queue.size(), 0);
     }
 
     /**
@@ -214,7 +244,7 @@
      * @return nanoseconds
      */
     public long expectedWaitNanos() {
-        return (long) (serviceNanos * queue.size() / limit);
+        return (long) (serviceNanos * queue.size() / usable());
     }
 
     /**
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/LocalRun.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/LocalRun.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.Optional;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.policy.fleet.entry.SlotTimes;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 
 /**
@@ -21,6 +22,7 @@
     private final Optional<NodeName> sender;
     private final long arrivedNanos;
     private final long deadlineNanos;
+    private final SlotTimes times = new SlotTimes();
     private long startedNanos;
     private boolean running;
 
@@ -88,6 +90,15 @@
         return running;
     }
 
+    /**
+     * Gives the slots' time that the calls of this request took so far.
+     *
+     * @return the times, to be added to
+     */
+    public SlotTimes times() {
+        return times;
+    }
+
     long startedNanos() {
         return startedNanos;
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/EntryPlan.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/EntryPlan.java
@@ -9,6 +9,8 @@
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.policy.message.PeerMessage.NodeReport;
+import org.carawaysill.policy.message.PeerMessage.RouteCost;
+import org.carawaysill.policy.message.PeerMessage.SlotTime;
 
 /**
  * Which share of each route's requests is let in, so that what is let in fits every service that it reaches.
@@ -28,7 +30,7 @@
     private static final double PLANNED_PART = 0.9;
 
     /** What of each route is let in however much it costs: no kind of request is to be starved. */
-    private static final double LEAST_SHARE = 0.2;
+    private static final double LEAST_SHARE = 0.1;
 
     private final RouteCosts costs = new RouteCosts();
     private Map<String, Double> shares = Map.of();
@@ -42,7 +44,8 @@
      */
     public void update(Collection<NodeReport> reports, Map<String, Route> routes) {
         FleetDemand demand = new FleetDemand(reports);
-        costs.learn(demand);
+        costs.average(reports);
+        costs.retain(routes.keySet());
         Map<ServiceName, Double> room = new HashMap<>();
         demand.services().forEach(service -> room.put(service, PLANNED_PART * demand.slots(service)));
         List<Planned> planned = new ArrayList<>();
@@ -66,6 +69,25 @@
         offered = newOffered;
     }
 
+    /**
+     * Learns what a whole request cost.
+     *
+     * @param route its route
+     * @param times the slots' time that it took, all its calls included
+     */
+    public void learn(String route, List<SlotTime> times) {
+        costs.learn(route, times);
+    }
+
+    /**
+     * Gives what this node has learned, to be told to others.
+     *
+     * @return the cost of each route at each service
+     */
+    public List<RouteCost> ownCosts() {
+        return costs.own();
+    }
+
     /**
      * Tells which share of a route's requests is let in.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/FleetDemand.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/FleetDemand.java
@@ -15,19 +15,12 @@
 final class FleetDemand {
 
     private final Map<String, Double> offered = new HashMap<>();
-    private final Map<String, Double> completed = new HashMap<>();
     private final Map<ServiceName, Double> slots = new HashMap<>();
-    private final Map<String, Map<ServiceName, Double>> used = new HashMap<>();
 
     FleetDemand(Collection<NodeReport> reports) {
         for (NodeReport report : reports) {
-            report.demands().forEach(demand -> {
-                offered.merge(demand.route(), (double) demand.offeredPerSecond(), Double::sum);
-                completed.merge(demand.route(), (double) demand.completedPerSecond(), Double::sum);
-            });
-            report.uses()
-                    .forEach(use -> used.computeIfAbsent(use.rootRoute(), _ -> new HashMap<>())
-                            .merge(report.service(), (double) use.slots(), Double::sum));
+            report.demands()
+                    .forEach(demand -> offered.merge(demand.route(), (double) demand.offeredPerSecond(), Double::sum));
             if (!report.leaving()) {
                 slots.merge(report.service(), (double) report.load().limit(), Double::sum);
             }
@@ -46,15 +39,7 @@
         return offered.getOrDefault(route, 0.0);
     }
 
-    double completed(String route) {
-        return completed.getOrDefault(route, 0.0);
-    }
-
     double slots(ServiceName service) {
         return slots.getOrDefault(service, 0.0);
     }
-
-    double used(String route, ServiceName service) {
-        return used.getOrDefault(route, Map.of()).getOrDefault(service, 0.0);
-    }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/RouteCosts.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/RouteCosts.java
@@ -1,48 +1,81 @@
 package org.carawaysill.policy.fleet.entry;
 
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.policy.message.PeerMessage.NodeReport;
+import org.carawaysill.policy.message.PeerMessage.RouteCost;
+import org.carawaysill.policy.message.PeerMessage.RouteDemand;
+import org.carawaysill.policy.message.PeerMessage.SlotTime;
 
 /**
- * What one request of a route costs at each service, in slots for a second, learned from what the fleet uses.
+ * What one request of a route costs at each service, in seconds of a slot.
  *
- * <p>The cost is the slots in use for the route over its completed requests a second. So it counts all calls that the
- * request causes, at any depth, without knowing them; and work that leads to nothing makes the route dearer, which lets
- * less of it in until none is wasted. Not thread safe: owned by the policy.
+ * <p>Each answer brings back the slots' time that it took, here and at all deeper services. Only whole requests are learned
+ * from: the slots in use divided by what completes would make a route the dearer the more of it fails, and refuse the most
+ * important first when an overload begins. Not thread safe: owned by the policy.
  */
 final class RouteCosts {
 
-    /** The weight of one look at the fleet; at four looks a second the last second counts for two thirds. */
-    private static final double LOOK_WEIGHT = 0.25;
+    /** The weight of one more request: the last twenty or so count. */
+    private static final float REQUEST_WEIGHT = 0.05f;
 
-    /** Guards against a cost without bound where nothing completes: so much of what is offered counts as completed. */
-    private static final double LEAST_COMPLETED_SHARE = 0.1;
+    private final Map<String, Map<ServiceName, Float>> own = new HashMap<>();
+    private final Map<String, Map<ServiceName, Double>> ofFleet = new HashMap<>();
 
-    /** Below so many requests a second the quotient says little, and an earlier cost stays. */
-    private static final double LEAST_RATE = 0.5;
-
-    private final Map<String, Map<ServiceName, Double>> costs = new HashMap<>();
+    /** Learns from a whole request. */
+    void learn(String route, List<SlotTime> times) {
+        Map<ServiceName, Float> known = own.computeIfAbsent(route, _ -> new HashMap<>());
+        Map<ServiceName, Float> seen = new HashMap<>();
+        times.forEach(time -> seen.merge(time.service(), time.seconds(), Float::sum));
+        known.replaceAll((service, cost) -> cost + REQUEST_WEIGHT * (seen.getOrDefault(service, 0f) - cost));
+        seen.forEach(known::putIfAbsent);
+    }
 
-    void learn(FleetDemand demand) {
-        demand.routes().forEach(route -> {
-            double completed = Math.max(demand.completed(route), LEAST_COMPLETED_SHARE * demand.offered(route));
-            if (completed >= LEAST_RATE) {
-                learn(route, completed, demand);
-            }
-        });
+    /** Gives what this node has learned, to be told to others. */
+    List<RouteCost> own() {
+        List<RouteCost> costs = new ArrayList<>();
+        own.forEach((route, times) ->
+                times.forEach((service, seconds) -> costs.add(new RouteCost(route, service, seconds))));
+        return costs;
     }
 
-    private void learn(String route, double completed, FleetDemand demand) {
-        Map<ServiceName, Double> known = costs.computeIfAbsent(route, _ -> new HashMap<>());
-        for (ServiceName service : demand.services()) {
-            double seen = demand.used(route, service) / completed;
-            double before = known.getOrDefault(service, seen);
-            known.put(service, before + LOOK_WEIGHT * (seen - before));
+    /**
+     * Averages what the nodes have learned, by how much of the route each completes. A route of which nobody knows anything
+     * now keeps what was known before.
+     */
+    void average(Collection<NodeReport> reports) {
+        Map<String, Map<ServiceName, double[]>> sums = new HashMap<>();
+        for (NodeReport report : reports) {
+            Map<String, Float> weights = new HashMap<>();
+            for (RouteDemand demand : report.demands()) {
+                weights.put(demand.route(), demand.completedPerSecond());
+            }
+            for (RouteCost cost : report.costs()) {
+                double weight = weights.getOrDefault(cost.route(), 0f);
+                double[] sum = sums.computeIfAbsent(cost.route(), _ -> new HashMap<>())
+                        .computeIfAbsent(cost.service(), _ -> new double[2]);
+                sum[0] += weight * cost.slotSeconds();
+                sum[1] += weight;
+            }
         }
+        sums.forEach((route, byService) -> byService.forEach((service, sum) -> {
+            if (sum[1] > 0) {
+                ofFleet.computeIfAbsent(route, _ -> new HashMap<>()).put(service, sum[0] / sum[1]);
+            }
+        }));
     }
 
     Map<ServiceName, Double> of(String route) {
-        return costs.getOrDefault(route, Map.of());
+        return ofFleet.getOrDefault(route, Map.of());
+    }
+
+    /** Forgets routes that are no longer published. */
+    void retain(Collection<String> routes) {
+        own.keySet().retainAll(routes);
+        ofFleet.keySet().retainAll(routes);
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/retry/RetryAllowance.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/retry/RetryAllowance.java
@@ -19,7 +19,7 @@
     private static final int PARTS = 20;
 
     /** What is used of the bound: the rest covers calls that a repeated run makes again, which other nodes count. */
-    private static final double USED_PART = 0.5;
+    private static final double USED_PART = 0.7;
 
     private RetrySettings settings;
     private final Map<ServiceName, Window> byService = new HashMap<>();
--- a/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
@@ -352,7 +352,7 @@
      * @param service the service of the sender's copy
      * @param load the load of the sender's copy
      * @param demands what callers ask of the sender, by route
-     * @param uses what the slots of the sender's copy are used for
+     * @param costs what a request of each route costs at each service, as the sender has seen
      */
     record NodeReport(
             long sequence,
@@ -362,12 +362,12 @@
             ServiceName service,
             LoadReport load,
             List<RouteDemand> demands,
-            List<SlotUse> uses)
+            List<RouteCost> costs)
             implements PeerMessage {
 
         public NodeReport {
             demands = List.copyOf(demands);
-            uses = List.copyOf(uses);
+            costs = List.copyOf(costs);
         }
     }
 
@@ -381,12 +381,37 @@
     record RouteDemand(String route, float offeredPerSecond, float completedPerSecond) {}
 
     /**
-     * What slots of one copy are used for.
+     * What one request of a route costs at one service.
      *
-     * @param rootRoute the route of the callers' requests
-     * @param slots how many were in use for it, on average
+     * @param route the route's name
+     * @param service the service
+     * @param slotSeconds the time for which it keeps slots busy there, all calls that it causes included
+     */
+    record RouteCost(String route, ServiceName service, float slotSeconds) {}
+
+    /**
+     * The answer to a {@link CopyRequest}.
+     *
+     * @param attempt the attempt answered
+     * @param outcome what it came to
+     * @param load the load of the answering node's copy
+     * @param times the slots' time that it took, here and at deeper services
+     */
+    record CopyAnswer(AttemptIdentifier attempt, Outcome outcome, LoadReport load, List<SlotTime> times)
+            implements PeerMessage {
+
+        public CopyAnswer {
+            times = List.copyOf(times);
+        }
+    }
+
+    /**
+     * Time for which slots of a service were busy.
+     *
+     * @param service the service
+     * @param seconds the time
      */
-    record SlotUse(String rootRoute, float slots) {}
+    record SlotTime(ServiceName service, float seconds) {}
 
     /** Asks for all published entries that the receiver knows. */
     record EntriesWanted() implements PeerMessage {}
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
@@ -5,17 +5,21 @@
 import java.util.Optional;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.fleet.PublishedEntry;
+import org.carawaysill.policy.message.PeerMessage.CopyAnswer;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.Entries;
 import org.carawaysill.policy.message.PeerMessage.NodeReport;
+import org.carawaysill.policy.message.PeerMessage.RouteCost;
 import org.carawaysill.policy.message.PeerMessage.RouteDemand;
-import org.carawaysill.policy.message.PeerMessage.SlotUse;
+import org.carawaysill.policy.message.PeerMessage.SlotTime;
+import org.carawaysill.protocol.generated.CopyAnswerFrame;
 import org.carawaysill.protocol.generated.CopyRequestFrame;
 import org.carawaysill.protocol.generated.EntriesFrame;
 import org.carawaysill.protocol.generated.NodeReportFrame;
 import org.carawaysill.protocol.generated.PublishedEntryFrame;
+import org.carawaysill.protocol.generated.RouteCostFrame;
 import org.carawaysill.protocol.generated.RouteDemandFrame;
-import org.carawaysill.protocol.generated.SlotUseFrame;
+import org.carawaysill.protocol.generated.SlotTimeFrame;
 
 /** Translates what nodes of one fleet with common routes tell each other. Stateless and thread safe. */
 final class FleetCodec {
@@ -68,9 +72,11 @@
                     .setOfferedPerSecond(demand.offeredPerSecond())
                     .setCompletedPerSecond(demand.completedPerSecond()));
         }
-        for (SlotUse use : report.uses()) {
-            frame.addUses(
-                    SlotUseFrame.newBuilder().setRootRoute(use.rootRoute()).setSlots(use.slots()));
+        for (RouteCost cost : report.costs()) {
+            frame.addCosts(RouteCostFrame.newBuilder()
+                    .setRoute(cost.route())
+                    .setService(cost.service().value())
+                    .setSlotSeconds(cost.slotSeconds()));
         }
         return frame.build();
     }
@@ -83,9 +89,12 @@
                     Fields.notNegative(demand.getOfferedPerSecond(), "offered per second"),
                     Fields.notNegative(demand.getCompletedPerSecond(), "completed per second")));
         }
-        List<SlotUse> uses = new ArrayList<>(frame.getUsesCount());
-        for (SlotUseFrame use : frame.getUsesList()) {
-            uses.add(new SlotUse(use.getRootRoute(), Fields.notNegative(use.getSlots(), "slots")));
+        List<RouteCost> costs = new ArrayList<>(frame.getCostsCount());
+        for (RouteCostFrame cost : frame.getCostsList()) {
+            costs.add(new RouteCost(
+                    cost.getRoute(),
+                    Fields.service(cost.getService()),
+                    Fields.notNegative(cost.getSlotSeconds(), "slot seconds")));
         }
         return new NodeReport(
                 Fields.notNegative(frame.getSequence(), "sequence"),
@@ -95,7 +104,33 @@
                 Fields.service(frame.getService()),
                 LoadCodec.decode(frame.hasLoad(), frame.getLoad()),
                 demands,
-                uses);
+                costs);
+    }
+
+    static CopyAnswerFrame encode(CopyAnswer answer) {
+        CopyAnswerFrame.Builder frame = CopyAnswerFrame.newBuilder()
+                .setAttempt(Fields.identifier(answer.attempt()))
+                .setOutcome(OutcomeCodec.encode(answer.outcome()))
+                .setLoad(LoadCodec.encode(answer.load()));
+        for (SlotTime time : answer.times()) {
+            frame.addTimes(SlotTimeFrame.newBuilder()
+                    .setService(time.service().value())
+                    .setSeconds(time.seconds()));
+        }
+        return frame.build();
+    }
+
+    static CopyAnswer decode(CopyAnswerFrame frame) throws ProtocolFault {
+        List<SlotTime> times = new ArrayList<>(frame.getTimesCount());
+        for (SlotTimeFrame time : frame.getTimesList()) {
+            times.add(new SlotTime(
+                    Fields.service(time.getService()), Fields.notNegative(time.getSeconds(), "slot time")));
+        }
+        return new CopyAnswer(
+                Fields.attempt(frame.hasAttempt(), frame.getAttempt()),
+                OutcomeCodec.decode(frame.getOutcome()),
+                LoadCodec.decode(frame.hasLoad(), frame.getLoad()),
+                times);
     }
 
     static EntriesFrame encode(Entries entries) {
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/PeerMessageCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/PeerMessageCodec.java
@@ -5,6 +5,7 @@
 import org.carawaysill.policy.message.PeerMessage.ConfigurationChange;
 import org.carawaysill.policy.message.PeerMessage.ConfigurationDocument;
 import org.carawaysill.policy.message.PeerMessage.ConfigurationWanted;
+import org.carawaysill.policy.message.PeerMessage.CopyAnswer;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.DrainNotice;
 import org.carawaysill.policy.message.PeerMessage.Entries;
@@ -52,6 +53,7 @@
             case ConfigurationDocument document -> frame.setConfigurationDocument(ConfigurationCodec.encode(document));
             case ConfigurationChange change -> frame.setConfigurationChange(ConfigurationCodec.encode(change));
             case CopyRequest request -> frame.setCopyRequest(FleetCodec.encode(request));
+            case CopyAnswer answer -> frame.setCopyAnswer(FleetCodec.encode(answer));
             case NodeReport report -> frame.setNodeReport(FleetCodec.encode(report));
             case EntriesWanted _ -> frame.setEntriesWanted(EntriesWantedFrame.getDefaultInstance());
             case Entries entries -> frame.setEntries(FleetCodec.encode(entries));
@@ -80,6 +82,7 @@
             case CONFIGURATION_DOCUMENT -> ConfigurationCodec.decode(frame.getConfigurationDocument());
             case CONFIGURATION_CHANGE -> ConfigurationCodec.decode(frame.getConfigurationChange());
             case COPY_REQUEST -> FleetCodec.decode(frame.getCopyRequest());
+            case COPY_ANSWER -> FleetCodec.decode(frame.getCopyAnswer());
             case NODE_REPORT -> FleetCodec.decode(frame.getNodeReport());
             case ENTRIES_WANTED -> new EntriesWanted();
             case ENTRIES -> FleetCodec.decode(frame.getEntries());
--- a/protocol/src/main/java/org/carawaysill/protocol/link/TrafficKind.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/TrafficKind.java
@@ -29,7 +29,7 @@
         return switch (frame.getKindCase()) {
             case HELLO, ACCEPTED, REFUSED, PROBE, PROBE_REPLY, KIND_NOT_SET -> LINK;
             case PEER_REQUEST, COPY_REQUEST -> REQUEST;
-            case PEER_ANSWER -> ANSWER;
+            case PEER_ANSWER, COPY_ANSWER -> ANSWER;
             case CANCEL_ATTEMPT -> CANCELLATION;
             case DRAIN_NOTICE -> DRAIN;
             case HEARTBEAT -> HEARTBEAT;
--- a/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
@@ -30,6 +30,7 @@
 import org.carawaysill.policy.message.PeerMessage.ConfigurationChange;
 import org.carawaysill.policy.message.PeerMessage.ConfigurationDocument;
 import org.carawaysill.policy.message.PeerMessage.ConfigurationWanted;
+import org.carawaysill.policy.message.PeerMessage.CopyAnswer;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.DrainNotice;
 import org.carawaysill.policy.message.PeerMessage.Entries;
@@ -48,9 +49,10 @@
 import org.carawaysill.policy.message.PeerMessage.Purpose;
 import org.carawaysill.policy.message.PeerMessage.RosterMember;
 import org.carawaysill.policy.message.PeerMessage.RosterView;
+import org.carawaysill.policy.message.PeerMessage.RouteCost;
 import org.carawaysill.policy.message.PeerMessage.RouteDemand;
 import org.carawaysill.policy.message.PeerMessage.ServiceCut;
-import org.carawaysill.policy.message.PeerMessage.SlotUse;
+import org.carawaysill.policy.message.PeerMessage.SlotTime;
 
 /** Draws messages of every kind with all their values, the least and the greatest more often than others. */
 record RandomMessages(RandomGenerator random) {
@@ -59,7 +61,7 @@
     private static final String CHARACTERS = "\u0000\t\r\n aZ0\u00e8\u0416\u20ac\uffff";
 
     PeerMessage next() {
-        return switch (random.nextInt(15)) {
+        return switch (random.nextInt(16)) {
             case 0 -> request();
             case 1 -> answer();
             case 2 -> new CancelAttempt(attempt());
@@ -75,6 +77,9 @@
             case 10 -> copyRequest();
             case 11 -> nodeReport();
             case 12 -> new EntriesWanted();
+            case 14 ->
+                new CopyAnswer(
+                        attempt(), outcome(), load(), several(() -> new SlotTime(service(), random.nextFloat())));
             case 13 -> new Entries(version(), several(this::published));
             default -> new ConfigurationChange(service(), version(), version(), several(this::edit), random.nextInt());
         };
@@ -121,7 +126,7 @@
                 service(),
                 load(),
                 several(() -> new RouteDemand(text(), random.nextFloat(), random.nextFloat())),
-                several(() -> new SlotUse(text(), random.nextFloat())));
+                several(() -> new RouteCost(text(), service(), random.nextFloat())));
     }
 
     private PublishedEntry published() {
