--- a/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
@@ -29,21 +29,21 @@
     /** What a line is about, with its bound in lines a second: what explains a failure is kept longest. */
     private enum Kind {
         /** An attempt was handed over. */
-        SENT(4),
+        SENT(1),
         /** A copy answered. */
-        ANSWERED(4),
+        ANSWERED(1),
         /** No copy ran it, since the service is overloaded. */
-        REFUSED(15),
+        REFUSED(5),
         /** It failed otherwise. */
-        FAILED(30),
+        FAILED(10),
         /** Another attempt follows. */
-        RETRIED(20),
+        RETRIED(5),
         /** It failed at or before the local copy. */
-        FAILED_AT_COPY(20),
+        FAILED_AT_COPY(5),
         /** The client left. */
-        ABANDONED(10),
+        ABANDONED(3),
         /** It was malformed. */
-        BAD_REQUEST(10),
+        BAD_REQUEST(5),
         /** The node believes something else now. */
         BELIEF(60);
 
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetAdmin.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetAdmin.java
@@ -1,30 +1,47 @@
 package org.carawaysill.node.fleet;
 
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
-import io.vertx.core.Future;
-import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpHeaders;
-import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
-import io.vertx.core.http.HttpServerRequest;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.carawaysill.kernel.service.Service;
 import org.carawaysill.kernel.service.ServiceRegistry;
+import org.carawaysill.model.error.CarawaysillException;
 import org.carawaysill.model.identity.NetworkAddress;
+import org.carawaysill.model.request.Step;
 import org.carawaysill.node.observation.Counters;
 
 /**
- * The HTTP servers for readiness and metrics.
+ * The HTTP servers for readiness and metrics, on the codec that the path of requests has loaded anyway.
  *
- * <p>A plain handler in place of a router: two paths, and a quarter less to load at a start. Thread safe.
+ * <p>The methods of {@link Service} are thread safe, all else is confined to the event loop.
  */
 public final class FleetAdmin implements Service {
 
@@ -32,20 +49,17 @@
     public static final String NAME = "admin";
 
     private static final String METRICS_PATH = "/metrics";
+    private static final int LARGEST_REQUEST_BYTES = 4096;
 
-    private static final int OK = 200;
-    private static final int NOT_FOUND = 404;
-    private static final int UNAVAILABLE = 503;
-
-    private final Vertx vertx;
+    private final EventLoop eventLoop;
     private final Set<NetworkAddress> addresses = new LinkedHashSet<>();
-    private final List<HttpServer> servers = new ArrayList<>();
+    private final List<Channel> servers = new ArrayList<>();
     private final Counters counters;
     private final String readyPath;
-    private volatile boolean ready;
+    private boolean ready;
 
-    FleetAdmin(Vertx vertx, FleetNodeSettings settings, String readyPath, ServiceRegistry registry) {
-        this.vertx = vertx;
+    FleetAdmin(EventLoop eventLoop, FleetNodeSettings settings, String readyPath, ServiceRegistry registry) {
+        this.eventLoop = eventLoop;
         this.readyPath = readyPath;
         addresses.add(settings.admin());
         addresses.add(settings.metrics());
@@ -59,20 +73,43 @@
 
     @Override
     public CompletableFuture<Void> start() {
-        List<Future<HttpServer>> listening = new ArrayList<>();
-        for (NetworkAddress address : addresses) {
-            HttpServer server = vertx.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false))
-                    .requestHandler(this::answer);
-            servers.add(server);
-            listening.add(server.listen(address.port(), address.host()));
-        }
-        return Future.all(listening).<Void>mapEmpty().toCompletionStage().toCompletableFuture();
+        return CompletableFuture.allOf(addresses.stream().map(this::listen).toArray(CompletableFuture[]::new));
+    }
+
+    private CompletableFuture<Void> listen(NetworkAddress address) {
+        CompletableFuture<Void> listening = new CompletableFuture<>();
+        new ServerBootstrap()
+                .group(eventLoop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpObjectAggregator(LARGEST_REQUEST_BYTES))
+                                .addLast(new Answering());
+                    }
+                })
+                .bind(address.host(), address.port())
+                .addListener((ChannelFuture bound) -> {
+                    if (bound.isSuccess()) {
+                        servers.add(bound.channel());
+                        listening.complete(null);
+                    } else {
+                        listening.completeExceptionally(new CarawaysillException(
+                                Step.INGRESS,
+                                Optional.empty(),
+                                "can't listen at " + address + " for admin",
+                                bound.cause()));
+                    }
+                });
+        return listening;
     }
 
     @Override
     public CompletableFuture<Void> stop() {
-        List<Future<Void>> closed = servers.stream().map(HttpServer::close).toList();
-        return Future.all(closed).<Void>mapEmpty().toCompletionStage().toCompletableFuture();
+        return CompletableFuture.runAsync(() -> servers.forEach(Channel::close), eventLoop);
     }
 
     /** Tells from now on whether the node takes clients. */
@@ -80,25 +117,52 @@
         ready = nowReady;
     }
 
-    private void answer(HttpServerRequest request) {
-        if (request.path().equals(readyPath)) {
-            request.response().setStatusCode(ready ? OK : UNAVAILABLE).end();
-        } else if (request.path().equals(METRICS_PATH)) {
-            metrics(request);
-        } else {
-            request.response().setStatusCode(NOT_FOUND).end();
+    private FullHttpResponse answer(String path) {
+        if (path.equals(readyPath)) {
+            return response(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]);
         }
+        if (path.equals(METRICS_PATH)) {
+            FullHttpResponse page = response(HttpResponseStatus.OK, metrics());
+            page.headers().set(HttpHeaderNames.CONTENT_TYPE, PrometheusTextFormatWriter.CONTENT_TYPE);
+            return page;
+        }
+        return response(HttpResponseStatus.NOT_FOUND, new byte[0]);
+    }
+
+    private static FullHttpResponse response(HttpResponseStatus status, byte[] body) {
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
+        HttpUtil.setContentLength(response, body.length);
+        return response;
     }
 
-    private void metrics(HttpServerRequest request) {
+    private byte[] metrics() {
         ByteArrayOutputStream page = new ByteArrayOutputStream();
         try {
             PrometheusTextFormatWriter.create().write(page, counters.registry().scrape());
         } catch (IOException impossibleInMemory) {
             throw new UncheckedIOException(impossibleInMemory);
         }
-        request.response()
-                .putHeader(HttpHeaders.CONTENT_TYPE, PrometheusTextFormatWriter.CONTENT_TYPE)
-                .end(Buffer.buffer(page.toByteArray()));
+        return page.toByteArray();
+    }
+
+    /** Answers the requests of one connection. Confined to the event loop. */
+    private final class Answering extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            boolean keepAlive = HttpUtil.isKeepAlive(request);
+            FullHttpResponse response = answer(request.uri());
+            HttpUtil.setKeepAlive(response, keepAlive);
+            ChannelFuture written = context.writeAndFlush(response);
+            if (!keepAlive) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
     }
 }
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -1,11 +1,14 @@
 package org.carawaysill.node.fleet;
 
 import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import io.vertx.core.Vertx;
-import io.vertx.core.internal.ContextInternal;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.carawaysill.kernel.service.ServiceRegistry;
 import org.carawaysill.node.entry.EntryServer;
@@ -29,7 +32,9 @@
     /** The part of the heap that the bodies of open exchanges may take. */
     private static final int HEAP_PARTS_FOR_BODIES = 4;
 
-    private final Vertx vertx = EventLoopFactory.create();
+    private static final long STOP_LIMIT_MILLIS = 500;
+
+    private final EventLoopGroup group = eventLoops();
     private final ServiceRegistry registry = new ServiceRegistry();
     private final CompletableFuture<Void> mayEnd = new CompletableFuture<>();
     private final FleetLoop loop;
@@ -53,8 +58,8 @@
             FleetNodeSettings settings,
             String readyPath,
             PublicationDecoder decoder,
-            Function<Vertx, PublishedSource> source) {
-        EventLoop eventLoop = ((ContextInternal) vertx.getOrCreateContext()).nettyEventLoop();
+            Function<EventLoop, PublishedSource> source) {
+        EventLoop eventLoop = group.next();
         Moment start = NodeClock.SYSTEM.now();
         counters = registry.register(new Counters(new PrometheusRegistry()));
         log = registry.register(new DecisionLog());
@@ -67,11 +72,16 @@
         long bodyMemory = Runtime.getRuntime().maxMemory() / HEAP_PARTS_FOR_BODIES;
         entry = registry.register(
                 new EntryServer(eventLoop, settings.entry(), settings.dialect(), bodyMemory, loop::handle, registry));
-        admin = registry.register(new FleetAdmin(vertx, settings, readyPath, registry));
-        this.source = source.apply(vertx);
+        admin = registry.register(new FleetAdmin(eventLoop, settings, readyPath, registry));
+        this.source = source.apply(eventLoop);
         loop.effects(this::dispatch);
     }
 
+    private static EventLoopGroup eventLoops() {
+        EventLoopFactory.limitLibraries();
+        return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("node"), NioIoHandler.newFactory());
+    }
+
     /** Attempts are named at random; two nodes, or two lives of one, must not draw the same names. */
     private static long seed(FleetNodeSettings settings, Moment start) {
         return settings.policy().self().hashCode() * 0x9E3779B97F4A7C15L ^ start.nanos() ^ start.epochMillis() << 20;
@@ -125,8 +135,7 @@
      */
     public CompletableFuture<Void> stop() {
         return registry.stop()
-                .handle((_, _) -> vertx.close().toCompletionStage().toCompletableFuture())
-                .thenCompose(closed -> closed);
+                .whenComplete((_, _) -> group.shutdownGracefully(0, STOP_LIMIT_MILLIS, TimeUnit.MILLISECONDS));
     }
 
     private void dispatch(FleetEffect effect) {
--- a/node/src/main/java/org/carawaysill/node/lifecycle/EventLoopFactory.java
+++ b/node/src/main/java/org/carawaysill/node/lifecycle/EventLoopFactory.java
@@ -17,6 +17,8 @@
             "io.netty.allocator.numDirectArenas", "1",
             "io.netty.allocator.numHeapArenas", "1",
             "io.netty.allocator.maxOrder", "3",
+            // Else Netty looks through all network interfaces for an address to name its channels by.
+            "io.netty.machineId", "00:00:00:00:00:00:00:01",
             "vertx.disableDnsResolver", "true",
             "vertx.disableMetrics", "true",
             "vertx.disableWebsockets", "true");
@@ -25,17 +27,22 @@
 
     private EventLoopFactory() {}
 
+    /** Sets the limits, as {@link #create} does; for a process that uses Netty without Vert.x. */
+    public static void limitLibraries() {
+        LIBRARY_LIMITS.forEach((name, value) -> {
+            if (System.getProperty(name) == null) {
+                System.setProperty(name, value);
+            }
+        });
+    }
+
     /**
      * Makes an instance. Must come before any other use of Vert.x or Netty, since they read the limits once.
      *
      * @return the instance, with one event loop
      */
     public static Vertx create() {
-        LIBRARY_LIMITS.forEach((name, value) -> {
-            if (System.getProperty(name) == null) {
-                System.setProperty(name, value);
-            }
-        });
+        limitLibraries();
         FileSystemOptions noFiles =
                 new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false);
         return Vertx.vertx(new VertxOptions()
--- a/node/src/test/java/org/carawaysill/node/testing/LoopBench.java
+++ b/node/src/test/java/org/carawaysill/node/testing/LoopBench.java
@@ -57,7 +57,11 @@
         return events.isEmpty();
     }
 
-    /** Runs something on the event loop, and waits for its end. */
+    /**
+     * Runs something on the event loop, and waits for its end.
+     *
+     * @param action what to run
+     */
     public void onLoop(Runnable action) {
         CompletableFuture.runAsync(action, eventLoop).join();
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -39,7 +39,7 @@
     private static final Duration STOP_MARGIN = Duration.ofMillis(300);
 
     /** A process that was away for so long can't tell from silence that others are gone. */
-    private static final Duration PAUSE = Duration.ofMillis(600);
+    private static final Duration PAUSE = Duration.ofMillis(800);
 
     private static final double LOGGED_SHARE_CHANGE = 0.1;
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
@@ -21,16 +21,16 @@
  */
 final class Peers {
 
-    static final Duration REPORT_INTERVAL = Duration.ofMillis(250);
+    static final Duration REPORT_INTERVAL = Duration.ofMillis(400);
 
-    /** Four reports missed in a row: a lost packet is sent again by the operating system within about 200 ms. */
-    static final Duration SUSPECT_AFTER = Duration.ofMillis(1000);
+    /** Two reports missed in a row: a lost packet is sent again by the operating system within about 200 ms. */
+    static final Duration SUSPECT_AFTER = Duration.ofMillis(1200);
 
     /**
      * Guards against a connection that goes silent without a reset, which shows as requests that time out one after the
      * other while a new connection would work: it is given up, and what waits on it is known to be lost.
      */
-    static final Duration RESET_AFTER = Duration.ofMillis(2000);
+    static final Duration RESET_AFTER = Duration.ofMillis(2200);
 
     /** A node that is published no more may still finish its requests for so long. */
     private static final Duration FORGET_AFTER = Duration.ofSeconds(20);
