--- a/protocol/src/main/java/org/carawaysill/protocol/link/PeerConnection.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/PeerConnection.java
@@ -153,7 +153,7 @@
      * @return whether it was taken; if not, nothing of it was written
      */
     boolean send(PeerMessage message) {
-        Frame frame = PeerMessageCodec.encode(message);
+        Frame frame = table.frameOf(message);
         int size = frame.getSerializedSize();
         if (size > table.limits().maximumFrameBytes()) {
             table.fault(fault(LinkFaultKind.OVERSIZE, "a message of " + size + " bytes was not sent"));
--- a/protocol/src/main/java/org/carawaysill/protocol/link/PeerTable.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/PeerTable.java
@@ -10,6 +10,8 @@
 import java.util.random.RandomGenerator;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.protocol.codec.PeerMessageCodec;
+import org.carawaysill.protocol.generated.Frame;
 
 /**
  * The connections of this node, and which of them carries the messages of each peer.
@@ -29,6 +31,7 @@
     private final Set<PeerConnection> all = new HashSet<>();
     private Consumer<NodeName> whenLost = _ -> {};
     private Optional<Runnable> whenEmpty = Optional.empty();
+    private Optional<Encoded> lastEncoded = Optional.empty();
     private volatile Set<NodeName> blocked = Set.of();
 
     PeerTable(LinkIdentity self, LinkLimits limits, PeerListener listener, RandomGenerator random) {
@@ -59,6 +62,16 @@
         whenLost = action;
     }
 
+    /** Encodes a message, once where the same one goes to many peers in a row, as reports do. */
+    Frame frameOf(PeerMessage message) {
+        if (lastEncoded.isEmpty() || lastEncoded.get().message() != message) {
+            lastEncoded = Optional.of(new Encoded(message, PeerMessageCodec.encode(message)));
+        }
+        return lastEncoded.get().frame();
+    }
+
+    private record Encoded(PeerMessage message, Frame frame) {}
+
     void block(Set<NodeName> peers) {
         blocked = Set.copyOf(peers);
     }
