--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -35,8 +35,11 @@
      */
     private static final Duration CLIENTS_GONE_AFTER = Duration.ofMillis(2500);
 
-    /** What is left of the time for a stop when the process ends in any case. */
-    private static final Duration STOP_MARGIN = Duration.ofMillis(300);
+    /**
+     * What is left of the time for a stop when the process ends in any case. Guards against a process that is killed while
+     * it closes its connections, which shows as answers that were made and never arrived.
+     */
+    private static final Duration STOP_MARGIN = Duration.ofMillis(700);
 
     /** A process that was away for so long can't tell from silence that others are gone. */
     private static final Duration PAUSE = Duration.ofMillis(800);
