Let Netty use its fast access to memory again; a smaller heap

Cause: without the option for it Netty falls back to slower ways on this Java. Other settings of its buffers showed nothing beyond the noise of a tenth.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -21,5 +21,5 @@
 
 # The archive is only used with the class path, the base archive and the module options that it was made with: with an
 # option for native access here or there, the virtual machine leaves a part of it aside.
-target/runtime/bin/java -Xmx64m -XX:+UseSerialGC -XX:ArchiveClassesAtExit=target/platform/node.jsa \
+target/runtime/bin/java -Xmx48m -XX:+UseSerialGC --sun-misc-unsafe-memory-access=allow -XX:ArchiveClassesAtExit=target/platform/node.jsa \
   -cp target/platform/carawaysill-platform.jar org.carawaysill.platform.standin.TrainingRun >target/platform/training.log 2>&1
