--- a/node/src/main/java/org/carawaysill/node/entry/WireDialect.java
+++ b/node/src/main/java/org/carawaysill/node/entry/WireDialect.java
@@ -29,6 +29,6 @@
             "Carawaysill-Copy",
             "Carawaysill-Seal",
             "Carawaysill-Not-Run",
-            "Carawaysill-Caller-Service",
+            "Carawaysill-Calling-Service",
             false);
 }
