--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/AttemptRules.java
@@ -0,0 +1,67 @@
+package org.carawaysill.policy.fleet;
+
+import java.time.Duration;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.RetryReason;
+import org.carawaysill.model.request.UnknownReason;
+import org.carawaysill.policy.fleet.copy.Copy;
+
+/** What an attempt says of its copy, and whether another one may follow. Stateless and thread safe. */
+final class AttemptRules {
+
+    /** From this status on, a copy's answer is a failure. */
+    static final int SERVER_ERROR = 500;
+
+    /** Attempts that no copy got are not limited by the route; so many are made at most, each at another copy. */
+    private static final int MOST_SENDS = 4;
+
+    /** With less time left, another attempt would only waste work: two hops and the shortest of services. */
+    private static final long LEAST_TIME_FOR_RETRY_NANOS = Duration.ofMillis(20).toNanos();
+
+    private AttemptRules() {}
+
+    /** Learns from an answer how the copy does; a refusal of its node says nothing about the copy. */
+    static void judge(Copy copy, Outcome outcome) {
+        switch (outcome) {
+            case Outcome.Answered answered -> copy.ended(answered.content().status() < SERVER_ERROR);
+            case Outcome.NotRun notRun when notRun.reason() == RefusalReason.COPY_REFUSED -> copy.ended(false);
+            case Outcome.NotRun _ -> copy.withdrawn();
+            case Outcome.Unknown unknown when unknown.reason() == UnknownReason.DEADLINE -> copy.withdrawn();
+            case Outcome.Unknown _ -> copy.ended(false);
+        }
+    }
+
+    static boolean isWorthAnotherCopy(RefusalReason reason) {
+        return switch (reason) {
+            case QUEUE_FULL, DRAINING, COPY_REFUSED, COPY_UNREACHABLE, PEER_UNREACHABLE, DUPLICATE -> true;
+            case RING_FULL,
+                    UNKNOWN_OPERATION,
+                    UNKNOWN_SERVICE,
+                    NO_CONFIGURATION,
+                    BAD_REQUEST,
+                    EVICTED,
+                    DEADLINE,
+                    OVERLOAD,
+                    OVERLOAD_BELOW,
+                    CREDITS_SPENT,
+                    BUDGET_SPENT,
+                    NO_COPY,
+                    HOLDER_UNREACHABLE,
+                    NO_LEASE,
+                    HOLDER_FULL,
+                    IDENTIFIER_TOO_OLD,
+                    CANCELLED -> false;
+        };
+    }
+
+    static RetryReason retryReason(RefusalReason reason) {
+        return reason == RefusalReason.PEER_UNREACHABLE || reason == RefusalReason.COPY_UNREACHABLE
+                ? RetryReason.UNREACHABLE
+                : RetryReason.NOT_RUN;
+    }
+
+    static boolean hasTimeAndSends(long now, OutgoingRequest request) {
+        return request.limitNanos() - now > LEAST_TIME_FOR_RETRY_NANOS && request.sends() < MOST_SENDS;
+    }
+}
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -144,7 +144,15 @@
                 beliefs.told(now, entries.entries());
                 publicationChanged(now);
             }
-            default -> {
+            case PeerMessage.PeerRequest _,
+                    PeerMessage.PeerAnswer _,
+                    PeerMessage.Heartbeat _,
+                    PeerMessage.LeaseRequest _,
+                    PeerMessage.LeaseReply _,
+                    PeerMessage.HolderHandover _,
+                    PeerMessage.ConfigurationWanted _,
+                    PeerMessage.ConfigurationDocument _,
+                    PeerMessage.ConfigurationChange _ -> {
                 // The messages of fleets without common routes mean nothing here.
             }
         }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -41,17 +41,9 @@
  */
 final class OutgoingRequests {
 
-    /** Attempts that no copy got are not limited by the route; so many are made at most, each at another copy. */
-    private static final int MOST_SENDS = 4;
-
-    /** With less time left, another attempt would only waste work: two hops and the shortest of services. */
-    private static final long LEAST_TIME_FOR_RETRY_NANOS = Duration.ofMillis(20).toNanos();
-
     /** When to come back where no copy is in reach: by then connections are dialled anew. */
     private static final Duration UNREACHABLE_RETRY_AFTER = Duration.ofMillis(300);
 
-    private static final int SERVER_ERROR = 500;
-
     private final FleetSettings settings;
     private final Effects effects;
     private final Beliefs beliefs;
@@ -231,7 +223,7 @@
         request.times().addAll(times);
         Copy copy = request.copy().orElseThrow();
         request.attemptEnded();
-        judge(copy, outcome);
+        AttemptRules.judge(copy, outcome);
         switch (outcome) {
             case Outcome.Answered _ -> finish(now, request, outcome);
             case Outcome.NotRun notRun -> afterNotRun(now, request, copy, notRun);
@@ -239,50 +231,26 @@
         }
     }
 
-    /** Learns from an answer how the copy does; a refusal of its node says nothing about the copy. */
-    private static void judge(Copy copy, Outcome outcome) {
-        switch (outcome) {
-            case Outcome.Answered answered -> copy.ended(answered.content().status() < SERVER_ERROR);
-            case Outcome.NotRun notRun when notRun.reason() == RefusalReason.COPY_REFUSED -> copy.ended(false);
-            case Outcome.NotRun _ -> copy.withdrawn();
-            case Outcome.Unknown unknown when unknown.reason() == UnknownReason.DEADLINE -> copy.withdrawn();
-            case Outcome.Unknown _ -> copy.ended(false);
-        }
-    }
-
     private void afterNotRun(long now, OutgoingRequest request, Copy copy, Outcome.NotRun notRun) {
         boolean reachedCopy = notRun.reason() == RefusalReason.COPY_REFUSED;
         if (reachedCopy) {
             request.handed();
         }
-        boolean again = isWorthAnotherCopy(notRun.reason())
-                && hasTimeAndSends(now, request)
+        boolean again = AttemptRules.isWorthAnotherCopy(notRun.reason())
+                && AttemptRules.hasTimeAndSends(now, request)
                 && (!reachedCopy || mayRepeat(now, request));
         if (again) {
-            retry(now, request, copy, notRun, retryReason(notRun.reason()));
+            retry(now, request, copy, notRun, AttemptRules.retryReason(notRun.reason()));
         } else {
             finish(now, request, notRun);
         }
     }
 
-    private static boolean isWorthAnotherCopy(RefusalReason reason) {
-        return switch (reason) {
-            case QUEUE_FULL, DRAINING, COPY_REFUSED, COPY_UNREACHABLE, PEER_UNREACHABLE, DUPLICATE -> true;
-            default -> false;
-        };
-    }
-
-    private static RetryReason retryReason(RefusalReason reason) {
-        return reason == RefusalReason.PEER_UNREACHABLE || reason == RefusalReason.COPY_UNREACHABLE
-                ? RetryReason.UNREACHABLE
-                : RetryReason.NOT_RUN;
-    }
-
     private void afterUnknown(long now, OutgoingRequest request, Copy copy, Outcome.Unknown unknown) {
         request.handed();
         boolean again = request.route().idempotent()
                 && unknown.reason() != UnknownReason.DEADLINE
-                && hasTimeAndSends(now, request)
+                && AttemptRules.hasTimeAndSends(now, request)
                 && mayRepeat(now, request);
         if (again) {
             retry(now, request, copy, unknown, RetryReason.ANSWER_LOST);
@@ -291,10 +259,6 @@
         }
     }
 
-    private static boolean hasTimeAndSends(long now, OutgoingRequest request) {
-        return request.limitNanos() - now > LEAST_TIME_FOR_RETRY_NANOS && request.sends() < MOST_SENDS;
-    }
-
     private boolean mayRepeat(long now, OutgoingRequest request) {
         return request.handedCount() < request.route().maximumAttempts()
                 && hasUntriedCopy(request)
@@ -323,7 +287,7 @@
         String route = request.route().name();
         switch (outcome) {
             case Outcome.Answered answered -> {
-                if (request.origin().depth() == 0 && answered.content().status() < SERVER_ERROR) {
+                if (request.origin().depth() == 0 && answered.content().status() < AttemptRules.SERVER_ERROR) {
                     demand.completed(route);
                     plan.learn(route, request.times().list());
                 }
