Remove two lookups of copies that nothing calls

Found on rereading the change: CopyTable.find with the index by name that it kept, and Copy.warmUpLeft. Behaviour stays. Checks: formatter, linter and the tests of the fleet's policy pass; node and platform compile.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
@@ -1,6 +1,5 @@
 package org.carawaysill.policy.fleet.copy;
 
-import java.time.Duration;
 import org.carawaysill.model.fleet.CopyRecord;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
@@ -148,14 +147,4 @@
         double load = (othersLoad + outstanding + 1) / usable;
         return now < warmNanos ? load * COLD_LOAD_FACTOR : load;
     }
-
-    /**
-     * Tells how long it stays slow after its start.
-     *
-     * @param now the monotonic time
-     * @return the time left, zero once it is warm
-     */
-    public Duration warmUpLeft(long now) {
-        return Duration.ofNanos(Math.max(0, warmNanos - now));
-    }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.fleet.CopyRecord;
 import org.carawaysill.model.identity.NetworkAddress;
 import org.carawaysill.model.identity.ServiceName;
@@ -22,7 +21,6 @@
 public final class CopyTable {
 
     private final Map<String, Copy> byKey = new HashMap<>();
-    private final Map<CopyName, Copy> byName = new HashMap<>();
     private final Map<ServiceName, List<Copy>> usable = new HashMap<>();
 
     /**
@@ -38,7 +36,6 @@
         if (copy == null || !copy.record().copy().equals(record.copy())) {
             copy = new Copy(record, now);
             byKey.put(key, copy);
-            byName.put(record.copy(), copy);
             rebuild();
             return Optional.of(copy);
         }
@@ -89,7 +86,6 @@
 
     private Copy drop(String key, Copy copy) {
         byKey.remove(key);
-        byName.remove(copy.record().copy());
         copy.markGone();
         rebuild();
         return copy;
@@ -130,16 +126,6 @@
         return usable.getOrDefault(service, List.of());
     }
 
-    /**
-     * Finds a copy that is published, also one that is draining.
-     *
-     * @param name the copy
-     * @return the copy
-     */
-    public Optional<Copy> find(CopyName name) {
-        return Optional.ofNullable(byName.get(name));
-    }
-
     /**
      * Finds the newest copy at an address.
      *
