End the event loop before the process exits

Cause of processes that are still there at the end of their grace time: the virtual machine waits 300 ms at its exit for threads that are in a system call, and the event loop is in one. Of the 0.7 s left for the end, closing took up to 0.3 s and this another 0.31 s. Measured alone: exit after halt 12 ms without, 323 and 329 ms with a thread in a selector. Ruled out: the log's flush, which waits for a parked thread. PlatformNodeTest failed with [node-1-1] before and passes.

--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -79,7 +79,10 @@
 
     private static EventLoopGroup eventLoops() {
         EventLoopFactory.limitLibraries();
-        return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("node"), NioIoHandler.newFactory());
+        return new MultiThreadIoEventLoopGroup(
+                1,
+                new DefaultThreadFactory("node"),
+                NioIoHandler.newFactory(java.nio.channels.spi.SelectorProvider.provider(), PacedSelection::new));
     }
 
     /** Attempts are named at random; two nodes, or two lives of one, must not draw the same names. */
@@ -129,13 +132,26 @@
     }
 
     /**
-     * Stops all services.
+     * Stops all services, and ends their thread.
      *
-     * @return completes when all have stopped
+     * <p>Guards against a process that is killed at the end of the time for its stop, which shows as answers that break off:
+     * the virtual machine waits 300 ms before it exits for a thread that is in a system call, as an event loop is most of
+     * the time. Without that thread it exits in 10 ms.
+     *
+     * @return completes when the thread has ended
      */
     public CompletableFuture<Void> stop() {
-        return registry.stop()
-                .whenComplete((_, _) -> group.shutdownGracefully(0, STOP_LIMIT_MILLIS, TimeUnit.MILLISECONDS));
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        registry.stop()
+                .whenComplete((_, failure) -> group.shutdownGracefully(0, STOP_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
+                        .addListener(_ -> {
+                            if (failure == null) {
+                                ended.complete(null);
+                            } else {
+                                ended.completeExceptionally(failure);
+                            }
+                        }));
+        return ended;
     }
 
     private void dispatch(FleetEffect effect) {
