Forget removed entries, and look for new peers only on a change

Cause: removed entries were remembered, and told to others, for the life of a process; the method that forgets them was never called. They are told for five minutes now. An unknown entry that is told and not newer than what the platform has told is not taken in, else a node that was cut off for long could bring a dead copy back. Each tick compared all published hosts with the known nodes, though they change only with what is published. The entry server keeps one map by exchange, not two.

--- a/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
@@ -63,8 +63,7 @@
     private final Counters counters;
     private final DecisionLog log;
     private final Consumer<FleetEvent> events;
-    private final Map<ExchangeIdentifier, EntryConnection> connectionOf = new HashMap<>();
-    private final Map<ExchangeIdentifier, EntryExchange> exchanges = new HashMap<>();
+    private final Map<ExchangeIdentifier, Open> exchanges = new HashMap<>();
     private final Set<EntryConnection> connections = new HashSet<>();
     private Optional<Channel> server = Optional.empty();
     private long lastIdentifier;
@@ -180,10 +179,9 @@
      * @param outcome what its request came to
      */
     public void answer(ExchangeIdentifier identifier, Outcome outcome) {
-        EntryExchange exchange = exchanges.get(identifier);
-        EntryConnection connection = connectionOf.get(identifier);
-        if (exchange != null && connection != null) {
-            connection.answer(exchange, outcome);
+        Open open = exchanges.get(identifier);
+        if (open != null) {
+            open.connection().answer(open.exchange(), outcome);
         }
     }
 
@@ -243,13 +241,11 @@
     }
 
     void remember(EntryExchange exchange, EntryConnection connection) {
-        exchanges.put(exchange.identifier(), exchange);
-        connectionOf.put(exchange.identifier(), connection);
+        exchanges.put(exchange.identifier(), new Open(exchange, connection));
     }
 
     void forget(EntryExchange exchange) {
         if (exchanges.remove(exchange.identifier()) != null) {
-            connectionOf.remove(exchange.identifier());
             limits.giveBack(exchange.bodyBytes());
         }
     }
@@ -262,4 +258,7 @@
     void countFault(ConnectionFault fault) {
         counters.count(fault);
     }
+
+    /** An exchange that is not answered yet, and where its answer goes. */
+    private record Open(EntryExchange exchange, EntryConnection connection) {}
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
@@ -179,9 +179,10 @@
         effects.add(new FleetEffect.LimitClients(published.limits()));
     }
 
-    /** Drops what did not come back after the platform did. */
+    /** Drops what did not come back after the platform did, and forgets what was removed long ago. */
     void passTime(long now) {
         copies.dropMissing(now).forEach(copy -> gone(copy, revision));
+        entries.forgetRemoved(now).forEach(decidedBy::remove);
     }
 
     private void logCopy(Copy copy, String state, long atRevision) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -250,7 +250,6 @@
 
     private void tick(long now) {
         beliefs.passTime(now);
-        peers.published(now, beliefs.copies().hosts());
         peers.passTime(now);
         beliefs.reader(now, isReader());
         localRuns.endOverdue(now);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
@@ -44,33 +44,39 @@
         this.effects = effects;
     }
 
-    /** Takes in the nodes beside all published copies. */
+    /** Takes in which nodes are published: those beside all copies. */
     void published(long now, Set<String> hosts) {
         for (String host : hosts) {
             NodeName name = new NodeName(host);
             if (!name.equals(self)) {
-                Peer peer = peer(name);
-                if (!peer.wanted) {
-                    peer.wanted = true;
-                    effects.add(new FleetEffect.ConnectPeer(name));
-                }
-                peer.publishedNanos = now;
+                want(name);
             }
         }
-        for (Map.Entry<NodeName, Peer> entry : new ArrayList<>(known.entrySet())) {
-            forgetIfGone(now, hosts, entry.getKey(), entry.getValue());
-        }
+        known.forEach((name, peer) -> {
+            if (!hosts.contains(name.value())) {
+                peer.missingNanos = Math.min(peer.missingNanos, now);
+            }
+        });
     }
 
-    private void forgetIfGone(long now, Set<String> hosts, NodeName name, Peer peer) {
-        if (hosts.contains(name.value()) || !peer.wanted) {
-            return;
+    private void want(NodeName name) {
+        Peer peer = peer(name);
+        peer.missingNanos = Long.MAX_VALUE;
+        if (!peer.wanted) {
+            peer.wanted = true;
+            effects.add(new FleetEffect.ConnectPeer(name));
         }
-        if (now - peer.publishedNanos > FORGET_AFTER.toNanos()) {
-            peer.wanted = false;
-            effects.add(new FleetEffect.DisconnectPeer(name));
-            if (!peer.connected) {
-                known.remove(name);
+    }
+
+    private void forgetMissing(long now) {
+        for (Map.Entry<NodeName, Peer> entry : new ArrayList<>(known.entrySet())) {
+            Peer peer = entry.getValue();
+            if (peer.wanted && now - FORGET_AFTER.toNanos() > peer.missingNanos) {
+                peer.wanted = false;
+                effects.add(new FleetEffect.DisconnectPeer(entry.getKey()));
+                if (!peer.connected) {
+                    known.remove(entry.getKey());
+                }
             }
         }
     }
@@ -122,8 +128,9 @@
         known.values().forEach(peer -> peer.heardNanos = now);
     }
 
-    /** Suspects and resets what is silent. */
+    /** Suspects and resets what is silent, and lets go of what has not been published for long. */
     void passTime(long now) {
+        forgetMissing(now);
         known.forEach((name, peer) -> {
             long silent = now - peer.heardNanos;
             if (peer.connected && !peer.suspected && silent > SUSPECT_AFTER.toNanos()) {
@@ -195,7 +202,7 @@
         private boolean suspected;
         private boolean leaving;
         private long heardNanos;
-        private long publishedNanos;
+        private long missingNanos = Long.MAX_VALUE;
         private Optional<NodeReport> report = Optional.empty();
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/PublishedEntries.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/PublishedEntries.java
@@ -1,5 +1,6 @@
 package org.carawaysill.policy.fleet.publication;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -18,7 +19,16 @@
  */
 public final class PublishedEntries {
 
+    /**
+     * How long others are told that an entry was removed: longer than a node stays cut off from both the platform and the
+     * others on any known occasion. After that the memory for it is given back, about 300 bytes for each copy that left.
+     */
+    private static final Duration REMOVAL_TOLD = Duration.ofMinutes(5);
+
+    private static final long NOT_SEEN = Long.MAX_VALUE;
+
     private final Map<String, PublishedEntry> entries = new HashMap<>();
+    private final Map<String, Long> removedNanos = new HashMap<>();
     private long asOf;
 
     /**
@@ -45,12 +55,20 @@
      * Takes in what another node told. It does not say up to which revision everything is known: the other node holds
      * back removals that it does not trust yet, and the platform is to tell them here.
      *
+     * <p>Guards against a copy that comes back from the dead, which shows as requests to an address that another service
+     * has by now: a node that was cut off for long still tells an entry whose removal is forgotten here. All up to
+     * {@link #asOf} is known, so what is unknown and not newer than that was removed.
+     *
      * @param given the entries
      * @return those that are newer than what was known
      */
     public List<PublishedEntry> mergeTold(List<PublishedEntry> given) {
         List<PublishedEntry> newer = new ArrayList<>();
-        given.forEach(entry -> takeIfNewer(entry, newer));
+        for (PublishedEntry entry : given) {
+            if (entries.containsKey(entry.key()) || entry.revision() > asOf) {
+                takeIfNewer(entry, newer);
+            }
+        }
         return newer;
     }
 
@@ -59,6 +77,11 @@
         if (known == null || known.revision() < entry.revision()) {
             entries.put(entry.key(), entry);
             newer.add(entry);
+            if (entry.text().isEmpty()) {
+                removedNanos.put(entry.key(), NOT_SEEN);
+            } else {
+                removedNanos.remove(entry.key());
+            }
         }
     }
 
@@ -92,14 +115,20 @@
     }
 
     /**
-     * Forgets a removed entry for which no older version can come any more.
+     * Forgets the entries whose removal was told to others for long enough.
      *
-     * @param key the entry's key
+     * @param now the monotonic time
+     * @return the keys of what was forgotten
      */
-    public void forget(String key) {
-        PublishedEntry known = entries.get(key);
-        if (known != null && known.text().isEmpty()) {
-            entries.remove(key);
-        }
+    public List<String> forgetRemoved(long now) {
+        removedNanos.replaceAll((_, since) -> since == NOT_SEEN ? now : since);
+        List<String> old = removedNanos.entrySet().stream()
+                .filter(removed -> now - removed.getValue() > REMOVAL_TOLD.toNanos())
+                .map(Map.Entry::getKey)
+                .filter(key -> entries.get(key).revision() <= asOf)
+                .toList();
+        old.forEach(entries::remove);
+        old.forEach(removedNanos::remove);
+        return old;
     }
 }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/publication/PublishedEntriesTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/publication/PublishedEntriesTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -52,6 +53,31 @@
             assertEquals(List.of(), entries.merge(9, true, List.of()));
         }
 
+        /*
+         * A copy was removed, and minutes later a node that had been cut off all the time told its entry. Were that taken in,
+         * requests would go to an address that another service may use by then: the platform tells a removal once.
+         */
+        @Test
+        void takesNoEntryBackWhoseRemovalItForgot() {
+            entries.merge(5, true, List.of(written("a", 4), written("b", 5)));
+            entries.merge(9, false, List.of(removed("a", 9)));
+            assertEquals(List.of(), entries.forgetRemoved(0));
+            assertEquals(List.of(), entries.forgetRemoved(Duration.ofMinutes(5).toNanos()));
+            assertEquals(
+                    List.of("a"), entries.forgetRemoved(Duration.ofMinutes(6).toNanos()));
+            assertEquals(List.of(written("b", 5)), entries.all());
+            assertEquals(List.of(), entries.mergeTold(List.of(written("a", 4))));
+        }
+
+        @Test
+        void remembersWhatCameBackInTime() {
+            entries.merge(9, true, List.of(removed("a", 9)));
+            entries.forgetRemoved(0);
+            entries.merge(12, false, List.of(written("a", 12)));
+            assertEquals(List.of(), entries.forgetRemoved(Duration.ofMinutes(6).toNanos()));
+            assertEquals(List.of(written("a", 12)), entries.all());
+        }
+
         /*
          * A node could not read the platform for a while and was told everything by another one, which holds back a removal
          * that it does not trust yet. Were the told revision taken for read, the platform would never tell the removal.
