--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -79,10 +80,8 @@
 
     private static EventLoopGroup eventLoops() {
         EventLoopFactory.limitLibraries();
-        return new MultiThreadIoEventLoopGroup(
-                1,
-                new DefaultThreadFactory("node"),
-                NioIoHandler.newFactory(java.nio.channels.spi.SelectorProvider.provider(), PacedSelection::new));
+        IoHandlerFactory paced = NioIoHandler.newFactory(SelectorProvider.provider(), PacedSelection::new);
+        return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("node"), paced);
     }
 
     /** Attempts are named at random; two nodes, or two lives of one, must not draw the same names. */
