--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -7,6 +7,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.nio.channels.spi.SelectorProvider;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
