Learn what a route costs from its failed requests too

Cause: after all nodes started anew nobody knows costs, and costs were learned from whole requests only. A failed request tells the least that a whole one costs. Ruled out: wrong order in the queues (deepest call first, as meant), reports (all 14 heard at 5.2 s).

--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -285,13 +285,11 @@
                 .parent()
                 .ifPresent(parent -> parent.times().addAll(request.times().list()));
         String route = request.route().name();
+        if (request.origin().depth() == 0) {
+            learn(route, request, outcome);
+        }
         switch (outcome) {
-            case Outcome.Answered answered -> {
-                if (request.origin().depth() == 0 && answered.content().status() < AttemptRules.SERVER_ERROR) {
-                    demand.completed(route);
-                    plan.learn(route, request.times().list());
-                }
-            }
+            case Outcome.Answered _ -> {}
             case Outcome.NotRun notRun -> effects.count(notRun.reason());
             case Outcome.Unknown unknown -> effects.count(unknown.reason());
         }
@@ -306,6 +304,17 @@
         effects.add(new FleetEffect.AnswerExchange(request.arrival().exchange(), outcome));
     }
 
+    private void learn(String route, OutgoingRequest request, Outcome outcome) {
+        boolean whole = outcome instanceof Outcome.Answered answered
+                && answered.content().status() < AttemptRules.SERVER_ERROR;
+        if (whole) {
+            demand.completed(route);
+            plan.learn(route, request.times().list());
+        } else {
+            plan.learnLeast(route, request.times().list());
+        }
+    }
+
     /** Gives up what a client no longer waits for. */
     void exchangeClosed(long now, ExchangeIdentifier exchange) {
         OutgoingRequest request = byExchange.remove(exchange);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/EntryPlan.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/EntryPlan.java
@@ -79,6 +79,16 @@
         costs.learn(route, times);
     }
 
+    /**
+     * Learns what a request cost at the least that failed on its way.
+     *
+     * @param route its route
+     * @param times the slots' time that it took until then
+     */
+    public void learnLeast(String route, List<SlotTime> times) {
+        costs.learnLeast(route, times);
+    }
+
     /**
      * Gives what this node has learned, to be told to others.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/RouteCosts.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/RouteCosts.java
@@ -14,15 +14,22 @@
 /**
  * What one request of a route costs at each service, in seconds of a slot.
  *
- * <p>Each answer brings back the slots' time that it took, here and at all deeper services. Only whole requests are learned
- * from: the slots in use divided by what completes would make a route the dearer the more of it fails, and refuse the most
- * important first when an overload begins. Not thread safe: owned by the policy.
+ * <p>Each answer brings back the slots' time that it took, here and at all deeper services. What whole requests took is
+ * averaged; failed ones only ever raise a figure that is too low. The slots in use divided by what completes would make a
+ * route the dearer the more of it fails, and refuse the most important first when an overload begins. Not thread safe: owned
+ * by the policy.
  */
 final class RouteCosts {
 
     /** The weight of one more request: the last twenty or so count. */
     private static final float REQUEST_WEIGHT = 0.05f;
 
+    /**
+     * How much a node's figures count for a route of which nothing completes there, as completions a second: enough where
+     * nothing completes anywhere, next to nothing else.
+     */
+    private static final double FAILING_WEIGHT = 0.001;
+
     private final Map<String, Map<ServiceName, Float>> own = new HashMap<>();
     private final Map<String, Map<ServiceName, Double>> ofFleet = new HashMap<>();
 
@@ -35,6 +42,21 @@
         seen.forEach(known::putIfAbsent);
     }
 
+    /**
+     * Learns from a request that failed on its way: what it took so far is the least that a whole one costs.
+     *
+     * <p>Guards against an overload that keeps its cause unknown, which shows as a service whose queue is full for seconds
+     * after all nodes started anew, while nothing is refused at the entry: no request gets through it whole, so that none
+     * tells what it costs.
+     */
+    void learnLeast(String route, List<SlotTime> times) {
+        Map<ServiceName, Float> known = own.computeIfAbsent(route, _ -> new HashMap<>());
+        Map<ServiceName, Float> seen = new HashMap<>();
+        times.forEach(time -> seen.merge(time.service(), time.seconds(), Float::sum));
+        seen.forEach((service, cost) ->
+                known.merge(service, cost, (before, least) -> before + REQUEST_WEIGHT * Math.max(0, least - before)));
+    }
+
     /** Gives what this node has learned, to be told to others. */
     List<RouteCost> own() {
         List<RouteCost> costs = new ArrayList<>();
@@ -55,7 +77,7 @@
                 weights.put(demand.route(), demand.completedPerSecond());
             }
             for (RouteCost cost : report.costs()) {
-                double weight = weights.getOrDefault(cost.route(), 0f);
+                double weight = weights.getOrDefault(cost.route(), 0f) + FAILING_WEIGHT;
                 double[] sum = sums.computeIfAbsent(cost.route(), _ -> new HashMap<>())
                         .computeIfAbsent(cost.service(), _ -> new double[2]);
                 sum[0] += weight * cost.slotSeconds();
@@ -63,9 +85,7 @@
             }
         }
         sums.forEach((route, byService) -> byService.forEach((service, sum) -> {
-            if (sum[1] > 0) {
-                ofFleet.computeIfAbsent(route, _ -> new HashMap<>()).put(service, sum[0] / sum[1]);
-            }
+            ofFleet.computeIfAbsent(route, _ -> new HashMap<>()).put(service, sum[0] / sum[1]);
         }));
     }
 
