Serve histograms of how long requests took

One histogram by outcome, observed once for each end of a request, from the decision that is logged anyway.

--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -46,6 +46,7 @@
     private final FleetAdmin admin;
     private final DecisionLog log;
     private final Counters counters;
+    private final RequestLatencies latencies;
     private final PublishedSource source;
 
     /**
@@ -64,6 +65,7 @@
         EventLoop eventLoop = group.next();
         Moment start = NodeClock.SYSTEM.now();
         counters = registry.register(new Counters(new PrometheusRegistry()));
+        latencies = new RequestLatencies(counters.registry());
         log = registry.register(new DecisionLog());
         FleetPolicy policy =
                 new FleetPolicy(settings.policy(), decoder, new SplittableRandom(seed(settings, start)), start);
@@ -167,7 +169,10 @@
             case FleetEffect.LimitClients limit -> entry.limitClients(limit.limits());
             case FleetEffect.ShowReadiness readiness -> showReadiness(readiness.ready());
             case FleetEffect.Count count -> counters.count(count.counted());
-            case FleetEffect.Log decided -> log.write(decided.decision());
+            case FleetEffect.Log decided -> {
+                latencies.observe(decided.decision());
+                log.write(decided.decision());
+            }
             case FleetEffect.StopProcess _ -> mayEnd.complete(null);
         }
     }
