--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FinalAnswers.java
@@ -0,0 +1,65 @@
+package org.carawaysill.policy.fleet;
+
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.policy.fleet.entry.DemandMeter;
+import org.carawaysill.policy.fleet.entry.EntryPlan;
+
+/**
+ * What follows from the end of a request that began beside this node: its answer, its log entry, and what it teaches.
+ *
+ * <p>Invariant: only requests of callers teach what their route costs; a call of a copy is a part of what its request costs.
+ * Not thread safe: owned by the policy.
+ */
+final class FinalAnswers {
+
+    private final Effects effects;
+    private final Beliefs beliefs;
+    private final DemandMeter demand;
+    private final EntryPlan plan;
+
+    FinalAnswers(FleetParts parts) {
+        effects = parts.effects();
+        beliefs = parts.beliefs();
+        demand = parts.demand();
+        plan = parts.plan();
+    }
+
+    /** Answers a request for which there is no route. */
+    void refuseUnrouted(FleetEvent.RequestArrived arrival, Outcome.NotRun refusal) {
+        effects.count(refusal.reason());
+        effects.log(new Decision.Answered(arrival.requestName(), "-", refusal, 0, 0, 1, beliefs.version()));
+        effects.add(new FleetEffect.AnswerExchange(arrival.exchange(), refusal));
+    }
+
+    void give(long now, OutgoingRequest request, Outcome outcome) {
+        String route = request.route().name();
+        if (request.origin().depth() == 0) {
+            learn(route, request, outcome);
+        }
+        switch (outcome) {
+            case Outcome.Answered _ -> {}
+            case Outcome.NotRun notRun -> effects.count(notRun.reason());
+            case Outcome.Unknown unknown -> effects.count(unknown.reason());
+        }
+        effects.log(new Decision.Answered(
+                request.arrival().requestName(),
+                route,
+                outcome,
+                request.sends(),
+                now - request.arrivedNanos(),
+                plan.share(route),
+                beliefs.version()));
+        effects.add(new FleetEffect.AnswerExchange(request.arrival().exchange(), outcome));
+    }
+
+    private void learn(String route, OutgoingRequest request, Outcome outcome) {
+        boolean whole = outcome instanceof Outcome.Answered answered
+                && answered.content().status() < AttemptRules.SERVER_ERROR;
+        if (whole) {
+            demand.completed(route);
+            plan.learn(route, request.times().list());
+        } else {
+            plan.learnLeast(route, request.times().list());
+        }
+    }
+}
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -56,6 +56,7 @@
     private final ShareGate shareGate = new ShareGate();
     private final CopyChoice choice;
     private final RetryAllowance allowance;
+    private final FinalAnswers answers;
     private final InnerRoutes innerRoutes = new InnerRoutes();
     private final Map<ExchangeIdentifier, OutgoingRequest> byExchange = new HashMap<>();
     private final Map<AttemptIdentifier, OutgoingRequest> byAttempt = new HashMap<>();
@@ -73,6 +74,7 @@
         this.random = random;
         choice = new CopyChoice(settings.self(), settings.zone(), random);
         allowance = new RetryAllowance(settings.retries());
+        answers = new FinalAnswers(parts);
         localRuns.localSender(this::answered);
     }
 
@@ -94,13 +96,15 @@
 
     void arrived(long now, FleetEvent.RequestArrived arrival) {
         if (beliefs.configuration().isEmpty()) {
-            refuseUnrouted(arrival, RefusalReason.NO_CONFIGURATION, Step.CONFIGURATION);
+            answers.refuseUnrouted(
+                    arrival, notRun(RefusalReason.NO_CONFIGURATION, UNREACHABLE_RETRY_AFTER, Step.CONFIGURATION));
             return;
         }
         Optional<Route> found =
                 beliefs.routes().find(arrival.host(), arrival.content().path());
         if (found.isEmpty()) {
-            refuseUnrouted(arrival, RefusalReason.UNKNOWN_OPERATION, Step.ROUTING);
+            answers.refuseUnrouted(
+                    arrival, notRun(RefusalReason.UNKNOWN_OPERATION, UNREACHABLE_RETRY_AFTER, Step.ROUTING));
             return;
         }
         Route route = found.get();
@@ -133,13 +137,6 @@
         return Duration.ofNanos(aim / 8 + random.nextLong(Math.max(1, aim / 4)));
     }
 
-    private void refuseUnrouted(FleetEvent.RequestArrived arrival, RefusalReason reason, Step step) {
-        Outcome outcome = notRun(reason, UNREACHABLE_RETRY_AFTER, step);
-        effects.count(reason);
-        effects.log(new Decision.Answered(arrival.requestName(), "-", outcome, 0, 0, 1, beliefs.version()));
-        effects.add(new FleetEffect.AnswerExchange(arrival.exchange(), outcome));
-    }
-
     private Origin origin(FleetEvent.RequestArrived arrival, Route route) {
         Optional<LocalRun> parent = localRuns.parentOf(arrival.requestName());
         if (parent.isPresent()) {
@@ -284,35 +281,7 @@
         request.origin()
                 .parent()
                 .ifPresent(parent -> parent.times().addAll(request.times().list()));
-        String route = request.route().name();
-        if (request.origin().depth() == 0) {
-            learn(route, request, outcome);
-        }
-        switch (outcome) {
-            case Outcome.Answered _ -> {}
-            case Outcome.NotRun notRun -> effects.count(notRun.reason());
-            case Outcome.Unknown unknown -> effects.count(unknown.reason());
-        }
-        effects.log(new Decision.Answered(
-                request.arrival().requestName(),
-                route,
-                outcome,
-                request.sends(),
-                now - request.arrivedNanos(),
-                plan.share(route),
-                beliefs.version()));
-        effects.add(new FleetEffect.AnswerExchange(request.arrival().exchange(), outcome));
-    }
-
-    private void learn(String route, OutgoingRequest request, Outcome outcome) {
-        boolean whole = outcome instanceof Outcome.Answered answered
-                && answered.content().status() < AttemptRules.SERVER_ERROR;
-        if (whole) {
-            demand.completed(route);
-            plan.learn(route, request.times().list());
-        } else {
-            plan.learnLeast(route, request.times().list());
-        }
+        answers.give(now, request, outcome);
     }
 
     /** Gives up what a client no longer waits for. */
