Revert: End the event loop before the process exits

A failed try. The event loop was ended before too, only not waited for. So the 300 ms that the virtual machine waits for a thread in a system call are real, but were not what kept processes; the finding is open again.

--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -134,26 +134,13 @@
     }
 
     /**
-     * Stops all services, and ends their thread.
+     * Stops all services.
      *
-     * <p>Guards against a process that is killed at the end of the time for its stop, which shows as answers that break off:
-     * the virtual machine waits 300 ms before it exits for a thread that is in a system call, as an event loop is most of
-     * the time. Without that thread it exits in 10 ms.
-     *
-     * @return completes when the thread has ended
+     * @return completes when all have stopped
      */
     public CompletableFuture<Void> stop() {
-        CompletableFuture<Void> ended = new CompletableFuture<>();
-        registry.stop()
-                .whenComplete((_, failure) -> group.shutdownGracefully(0, STOP_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
-                        .addListener(_ -> {
-                            if (failure == null) {
-                                ended.complete(null);
-                            } else {
-                                ended.completeExceptionally(failure);
-                            }
-                        }));
-        return ended;
+        return registry.stop()
+                .whenComplete((_, _) -> group.shutdownGracefully(0, STOP_LIMIT_MILLIS, TimeUnit.MILLISECONDS));
     }
 
     private void dispatch(FleetEffect effect) {
