Keep a paced loop from making up for a wait that ended early

Found on rereading: each early end of a wait moved the next one further out, so that later waits were as long as the interval without need. PacedSelectionTest.Interruption.

--- a/node/src/main/java/org/carawaysill/node/fleet/PacedSelection.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/PacedSelection.java
@@ -13,7 +13,8 @@
  * <p>A wake-up for each message costs more processor time than the message, since other processes have used the caches
  * meanwhile. With 14 nodes on one machine and 5,300 calls a second through two nodes each, this saves a quarter of the event
  * loops' processor time (68 and 50 s in ten seconds, with an interval of 1.5 ms), and costs 20 ms at the median of
- * requests of up to 13 calls (170 and 190 ms). A node with fewer than 500 wake-ups a second never waits.
+ * requests of up to 13 calls (170 and 190 ms). A node that wakes up fewer than 500 times a second, and no more than
+ * {@link #MOST_SAVED} times at once, never waits.
  *
  * <p>Invariants: no wait is longer than {@link #INTERVAL}, and none comes while tasks are due. Confined to its event loop.
  */
@@ -51,7 +52,9 @@
     private void pace() {
         long interval = INTERVAL.toNanos();
         long now = nanoTime.getAsLong();
-        nextNanos = Math.max(nextNanos, now - MOST_SAVED * interval) + interval;
+        long earliest = Math.max(nextNanos, now - MOST_SAVED * interval) + interval;
+        // A wait may end early; the next one is not to make up for it.
+        nextNanos = Math.min(earliest, now + interval);
         if (nextNanos > now) {
             wait.accept(nextNanos - now);
         }
--- a/node/src/test/java/org/carawaysill/node/fleet/PacedSelectionTest.java
+++ b/node/src/test/java/org/carawaysill/node/fleet/PacedSelectionTest.java
@@ -63,6 +63,20 @@
         }
     }
 
+    @Nested
+    class Interruption {
+
+        /* A wait may end early, as by an interrupt: a loop that added up what it missed would sleep for seconds later. */
+        @Test
+        void isNotMadeUpFor() throws Exception {
+            PacedSelection interrupted = new PacedSelection(() -> now, nanos -> waited = Math.max(waited, nanos));
+            for (int i = 0; i < 100; i++) {
+                interrupted.calculateStrategy(() -> 0, false);
+            }
+            assertEquals(INTERVAL, waited);
+        }
+    }
+
     @Nested
     class Tasks {
 
