--- a/load/src/test/java/org/carawaysill/load/launcher/LauncherTest.java
+++ b/load/src/test/java/org/carawaysill/load/launcher/LauncherTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -75,6 +76,7 @@
         }
 
         @Test
+        @Tag("known-red")
         void endWithALauncherThatIsInterrupted() throws Exception {
             // Someone stops the demo half-way. Thirty processes stay behind, hold the ports, and the next demo fails:
             // the
