--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -144,7 +144,6 @@
             case PeerMessage.CopyAnswer answer -> outgoing.peerAnswered(now, from, answer);
             case PeerMessage.CancelAttempt cancel -> localRuns.cancelled(now, cancel.attempt());
             case PeerMessage.NodeReport report -> reported(now, from, report);
-            case PeerMessage.DrainNotice _ -> peers.leaving(now, from);
             case PeerMessage.EntriesWanted _ ->
                 effects.add(new FleetEffect.SendToPeer(
                         from, new PeerMessage.Entries(beliefs.asOf(), beliefs.toldToOthers())));
@@ -154,6 +153,7 @@
             }
             case PeerMessage.PeerRequest _,
                     PeerMessage.PeerAnswer _,
+                    PeerMessage.DrainNotice _,
                     PeerMessage.Heartbeat _,
                     PeerMessage.LeaseRequest _,
                     PeerMessage.LeaseReply _,
@@ -187,9 +187,6 @@
     private void peerConnected(long now, NodeName peer) {
         peers.connected(now, peer);
         effects.add(new FleetEffect.SendToPeer(peer, report()));
-        if (leavingTold) {
-            effects.add(new FleetEffect.SendToPeer(peer, new PeerMessage.DrainNotice()));
-        }
         if (beliefs.configuration().isEmpty()) {
             effects.add(new FleetEffect.SendToPeer(peer, new PeerMessage.EntriesWanted()));
         }
@@ -205,11 +202,14 @@
     private void tellRevision() {
         if (beliefs.revision() > toldRevision) {
             toldRevision = beliefs.revision();
-            NodeReport own = report();
-            peers.connected().forEach(peer -> effects.add(new FleetEffect.SendToPeer(peer, own)));
+            tellAll(report());
         }
     }
 
+    private void tellAll(NodeReport report) {
+        peers.connected().forEach(peer -> effects.add(new FleetEffect.SendToPeer(peer, report)));
+    }
+
     private void publicationChanged(long now) {
         tellRevision();
         if (beliefs.configuration().isPresent() && configuredNanos == Long.MAX_VALUE) {
@@ -243,9 +243,7 @@
         boolean due = stopOrderedNanos != Long.MAX_VALUE && now - stopOrderedNanos >= LEAVING_TOLD_AFTER.toNanos();
         if (due && !leavingTold) {
             leavingTold = true;
-            for (NodeName peer : peers.connected()) {
-                effects.add(new FleetEffect.SendToPeer(peer, new PeerMessage.DrainNotice()));
-            }
+            tellAll(report());
         }
     }
 
@@ -271,7 +269,7 @@
         localRuns.endOverdue(now);
         demand.close(now);
         NodeReport own = report();
-        peers.connected().forEach(peer -> effects.add(new FleetEffect.SendToPeer(peer, own)));
+        tellAll(own);
         List<NodeReport> reports = new ArrayList<>(peers.reports());
         reports.add(own);
         plan.update(reports, beliefs.routesByName());
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
@@ -120,15 +120,9 @@
     }
 
     void reported(long now, NodeName name, NodeReport report) {
-        peer(name).report = Optional.of(report);
-        if (report.leaving()) {
-            leaving(now, name);
-        }
-    }
-
-    void leaving(long now, NodeName name) {
         Peer peer = peer(name);
-        if (!peer.leaving) {
+        peer.report = Optional.of(report);
+        if (report.leaving() && !peer.leaving) {
             peer.leaving = true;
             peer.leavingNanos = now;
         }
@@ -161,17 +155,13 @@
             return true;
         }
         Peer peer = known.get(name);
-        return peer != null && peer.connected && !peer.suspected && !peer.leaving;
+        return peer != null && peer.isHeard() && !peer.leaving;
     }
 
     /** Tells whether a node can be reached that has said it leaves, and may still take work. */
     boolean inReachAsLastResort(long now, NodeName name) {
         Peer peer = known.get(name);
-        return peer != null
-                && peer.connected
-                && !peer.suspected
-                && peer.leaving
-                && now - peer.leavingNanos < LAST_RESORT.toNanos();
+        return peer != null && peer.isHeard() && peer.leaving && now - peer.leavingNanos < LAST_RESORT.toNanos();
     }
 
     List<NodeName> connected() {
@@ -188,7 +178,7 @@
     Collection<NodeReport> reports() {
         List<NodeReport> reports = new ArrayList<>();
         known.values().forEach(peer -> {
-            if (peer.connected && !peer.suspected) {
+            if (peer.isHeard()) {
                 peer.report.ifPresent(reports::add);
             }
         });
@@ -199,8 +189,7 @@
     boolean readsPlatform(NodeName name) {
         Peer peer = known.get(name);
         return peer != null
-                && peer.connected
-                && !peer.suspected
+                && peer.isHeard()
                 && !peer.leaving
                 && peer.report.filter(NodeReport::readsPlatform).isPresent();
     }
@@ -226,5 +215,9 @@
         private long heardNanos;
         private long missingNanos = Long.MAX_VALUE;
         private Optional<NodeReport> report = Optional.empty();
+
+        private boolean isHeard() {
+            return connected && !suspected;
+        }
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/RouteCosts.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/RouteCosts.java
@@ -35,9 +35,8 @@
 
     /** Learns from a whole request. */
     void learn(String route, List<SlotTime> times) {
-        Map<ServiceName, Float> known = own.computeIfAbsent(route, _ -> new HashMap<>());
-        Map<ServiceName, Float> seen = new HashMap<>();
-        times.forEach(time -> seen.merge(time.service(), time.seconds(), Float::sum));
+        Map<ServiceName, Float> known = known(route);
+        Map<ServiceName, Float> seen = sums(times);
         known.replaceAll((service, cost) -> cost + REQUEST_WEIGHT * (seen.getOrDefault(service, 0f) - cost));
         seen.forEach(known::putIfAbsent);
     }
@@ -50,11 +49,20 @@
      * tells what it costs.
      */
     void learnLeast(String route, List<SlotTime> times) {
-        Map<ServiceName, Float> known = own.computeIfAbsent(route, _ -> new HashMap<>());
-        Map<ServiceName, Float> seen = new HashMap<>();
-        times.forEach(time -> seen.merge(time.service(), time.seconds(), Float::sum));
-        seen.forEach((service, cost) ->
-                known.merge(service, cost, (before, least) -> before + REQUEST_WEIGHT * Math.max(0, least - before)));
+        Map<ServiceName, Float> known = known(route);
+        sums(times)
+                .forEach((service, cost) -> known.merge(
+                        service, cost, (before, least) -> before + REQUEST_WEIGHT * Math.max(0, least - before)));
+    }
+
+    private Map<ServiceName, Float> known(String route) {
+        return own.computeIfAbsent(route, _ -> new HashMap<>());
+    }
+
+    private static Map<ServiceName, Float> sums(List<SlotTime> times) {
+        Map<ServiceName, Float> sums = new HashMap<>();
+        times.forEach(time -> sums.merge(time.service(), time.seconds(), Float::sum));
+        return sums;
     }
 
     /** Gives what this node has learned, to be told to others. */
