Look for overdue requests in a queue only where there are any

Each event streamed over the whole queue, which a profile of the event loops showed with 2.5% of their time. The time of the first one is worked out anyway. What is taken out is unchanged; not measured anew.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
@@ -197,6 +197,9 @@
      * @return the requests, none of which was handed to the copy
      */
     public List<LocalRun> takeOverdue(long now, long margin) {
+        if (nextOverdueNanos(margin) > now) {
+            return List.of();
+        }
         List<LocalRun> overdue = queue.stream()
                 .filter(run -> run.deadlineNanos() - margin <= now)
                 .toList();
