Use what the node already had for bodies, targets and labels

The entry server kept its own account of the memory for bodies, beside BodyBudget; took authorities off targets, beside RequestReader; and made label values, as two other places did.

--- a/node/src/main/java/org/carawaysill/node/entry/EntryAnswers.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryAnswers.java
@@ -22,6 +22,7 @@
 import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.node.exchange.ProblemDocument;
 import org.carawaysill.node.observation.BadRequest;
+import org.carawaysill.node.observation.Counters;
 
 /**
  * Makes HTTP answers of what requests came to.
@@ -124,7 +125,7 @@
                         Step.INGRESS,
                         Optional.<NodeName>empty(),
                         kind.reason() == RefusalReason.BAD_REQUEST
-                                ? kind.name().toLowerCase(Locale.ROOT)
+                                ? Counters.labelValue(kind)
                                 : kind.reason().labelValue()),
                 exchange);
     }
--- a/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
@@ -123,7 +123,7 @@
             return;
         }
         RequestHead read = RequestHead.of(request, server.dialect());
-        Optional<BadRequest> bad = read.fault(server.limits().clients());
+        Optional<BadRequest> bad = read.fault(server.limits());
         if (bad.isPresent()) {
             refuse(bad.get(), read.requestName());
             return;
@@ -161,14 +161,12 @@
 
     private void append(ByteBuf bytes) {
         int added = bytes.readableBytes();
-        if (taken + (long) added > server.limits().clients().bodyBytes()) {
-            refuse(BadRequest.BODY_TOO_LARGE, head.map(RequestHead::requestName).orElse(""));
+        if (taken + (long) added > server.limits().bodyBytes()) {
+            refuse(BadRequest.BODY_TOO_LARGE, requestName());
             return;
         }
-        if (!server.limits().take(added)) {
-            refuse(
-                    BadRequest.BODIES_FILL_MEMORY,
-                    head.map(RequestHead::requestName).orElse(""));
+        if (!server.bodies().take(added)) {
+            refuse(BadRequest.BODIES_FILL_MEMORY, requestName());
             return;
         }
         if (body.length < taken + added) {
@@ -197,6 +195,10 @@
                 identifier, read.requestName(), read.host(), read.patience(), read.content(Body.wrap(whole))));
     }
 
+    private String requestName() {
+        return head.map(RequestHead::requestName).orElse("");
+    }
+
     private void resetRequest() {
         head = Optional.empty();
         body = new byte[0];
@@ -204,7 +206,7 @@
     }
 
     private void giveBackBody() {
-        server.limits().giveBack(taken);
+        server.bodies().giveBack(taken);
         resetRequest();
     }
 
@@ -278,7 +280,7 @@
 
     /** Ends what takes too long: a request head, a body, a pause, or a client that does not read. */
     void sweep(long now) {
-        ClientLimits limits = server.limits().clients();
+        ClientLimits limits = server.limits();
         if (!closing
                 && headBegun
                 && now - headBegunNanos > limits.headerTimeout().toNanos()) {
@@ -287,7 +289,7 @@
         } else if (!closing
                 && receiving
                 && now - quietSinceNanos > limits.idleTimeout().toNanos()) {
-            refuse(BadRequest.BODY_TOO_SLOW, head.map(RequestHead::requestName).orElse(""));
+            refuse(BadRequest.BODY_TOO_SLOW, requestName());
         } else if (unwritten > 0 && now - unwrittenSinceNanos > READ_LIMIT.toNanos()) {
             end(ConnectionFault.SLOW_READER);
         } else if (!closing
--- a/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
@@ -31,6 +31,7 @@
 import org.carawaysill.model.identity.NetworkAddress;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.Step;
+import org.carawaysill.node.exchange.BodyBudget;
 import org.carawaysill.node.fleet.DecisionLog;
 import org.carawaysill.node.observation.BadRequest;
 import org.carawaysill.node.observation.ConnectionFault;
@@ -59,12 +60,13 @@
     private final NetworkAddress address;
     private final WireDialect dialect;
     private final EntryAnswers answers;
-    private final EntryLimits limits;
+    private final BodyBudget bodies;
     private final Counters counters;
     private final DecisionLog log;
     private final Consumer<FleetEvent> events;
     private final Map<ExchangeIdentifier, Open> exchanges = new HashMap<>();
     private final Set<EntryConnection> connections = new HashSet<>();
+    private ClientLimits limits = ClientLimits.DEFAULTS;
     private Optional<Channel> server = Optional.empty();
     private long lastIdentifier;
     private boolean stopping;
@@ -91,7 +93,7 @@
         this.dialect = dialect;
         this.events = events;
         answers = new EntryAnswers(dialect);
-        limits = new EntryLimits(bodyMemory);
+        bodies = new BodyBudget(bodyMemory);
         counters = registry.require(Counters.NAME, Counters.class);
         log = registry.require(DecisionLog.NAME, DecisionLog.class);
     }
@@ -142,9 +144,8 @@
                     }
                 })
                 .addLast(new StrictRequestDecoder(new HttpDecoderConfig()
-                        .setMaxInitialLineLength(
-                                Math.min(LONGEST_LINE_BYTES, limits.clients().headerBytes()))
-                        .setMaxHeaderSize(limits.clients().headerBytes())
+                        .setMaxInitialLineLength(Math.min(LONGEST_LINE_BYTES, limits.headerBytes()))
+                        .setMaxHeaderSize(limits.headerBytes())
                         .setMaxChunkSize(CHUNK_BYTES)
                         .setStrictLineParsing(true)))
                 .addLast(new HttpResponseEncoder())
@@ -191,7 +192,7 @@
      * @param newer the limits
      */
     public void limitClients(ClientLimits newer) {
-        limits.clients(newer);
+        limits = newer;
     }
 
     /** Lets each connection end with the next answer that leaves nothing open on it. */
@@ -216,10 +217,14 @@
         return answers;
     }
 
-    EntryLimits limits() {
+    ClientLimits limits() {
         return limits;
     }
 
+    BodyBudget bodies() {
+        return bodies;
+    }
+
     long nanoTime() {
         return System.nanoTime();
     }
@@ -246,7 +251,7 @@
 
     void forget(EntryExchange exchange) {
         if (exchanges.remove(exchange.identifier()) != null) {
-            limits.giveBack(exchange.bodyBytes());
+            bodies.giveBack(exchange.bodyBytes());
         }
     }
 
--- a/node/src/main/java/org/carawaysill/node/entry/RequestHead.java
+++ b/node/src/main/java/org/carawaysill/node/entry/RequestHead.java
@@ -14,6 +14,7 @@
 import org.carawaysill.model.request.Header;
 import org.carawaysill.model.request.RequestContent;
 import org.carawaysill.node.exchange.HeaderHygiene;
+import org.carawaysill.node.exchange.RequestTarget;
 import org.carawaysill.node.observation.BadRequest;
 import org.jspecify.annotations.Nullable;
 
@@ -128,14 +129,8 @@
         return method.equals(HttpMethod.HEAD.name());
     }
 
-    /** Takes scheme and authority off a target in absolute form, which a client may send to what it takes for a proxy. */
     private String path() {
-        int scheme = target.indexOf("://");
-        if (target.startsWith("/") || scheme < 0) {
-            return target;
-        }
-        int path = target.indexOf('/', scheme + "://".length());
-        return path < 0 ? "/" : target.substring(path);
+        return RequestTarget.originForm(target);
     }
 
     RequestContent content(Body body) {
--- a/node/src/main/java/org/carawaysill/node/exchange/BodyBudget.java
+++ b/node/src/main/java/org/carawaysill/node/exchange/BodyBudget.java
@@ -7,17 +7,28 @@
  * dead process: what finds no room is refused before it is read. Invariant: no more than the limit is taken. Confined to
  * the event loop.
  */
-final class BodyBudget {
+public final class BodyBudget {
 
     private final long limit;
 
     private long taken;
 
-    BodyBudget(long limitBytes) {
+    /**
+     * Makes a budget of which nothing is taken.
+     *
+     * @param limitBytes the bytes that all bodies may take together
+     */
+    public BodyBudget(long limitBytes) {
         this.limit = limitBytes;
     }
 
-    boolean take(long bytes) {
+    /**
+     * Takes room for a body or a part of one.
+     *
+     * @param bytes its size
+     * @return whether there was room
+     */
+    public boolean take(long bytes) {
         if (taken + bytes > limit) {
             return false;
         }
@@ -25,7 +36,12 @@
         return true;
     }
 
-    void giveBack(long bytes) {
+    /**
+     * Gives room back.
+     *
+     * @param bytes the size that was taken
+     */
+    public void giveBack(long bytes) {
         taken -= bytes;
     }
 }
--- a/node/src/main/java/org/carawaysill/node/exchange/RequestReader.java
+++ b/node/src/main/java/org/carawaysill/node/exchange/RequestReader.java
@@ -21,8 +21,6 @@
 
     private static final String CHUNKED = "chunked";
 
-    private static final String SCHEME_END = "://";
-
     private final int maximumBodyBytes;
 
     private final BodyBudget budget;
@@ -51,7 +49,7 @@
             case BodyCollector.Collected.Whole whole ->
                 new ReadResult.Whole(new RequestContent(
                         request.method().name(),
-                        originForm(request.uri()),
+                        RequestTarget.originForm(request.uri()),
                         HeaderHygiene.ofRequest(request.headers()),
                         whole.body()));
             case BodyCollector.Collected.Refused refused -> new ReadResult.Bad(refused.kind(), "the body is refused");
@@ -60,7 +58,7 @@
     }
 
     private Optional<ReadResult.Bad> checkHead(HttpServerRequest request) {
-        if (!originForm(request.uri()).startsWith("/")) {
+        if (!RequestTarget.originForm(request.uri()).startsWith("/")) {
             return bad(BadRequest.MALFORMED, "the request target is not a path");
         }
         Optional<String> ambiguous = SINGLE_FIELDS.stream()
@@ -94,14 +92,4 @@
         String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
         return length == null ? 0 : Long.parseLong(length);
     }
-
-    /** Takes scheme and authority off a target in absolute form, which a client may send to what it takes for a proxy. */
-    private static String originForm(String target) {
-        int schemeEnd = target.indexOf(SCHEME_END);
-        if (target.startsWith("/") || schemeEnd < 0) {
-            return target;
-        }
-        int path = target.indexOf('/', schemeEnd + SCHEME_END.length());
-        return path < 0 ? "/" : target.substring(path);
-    }
 }
--- /dev/null
+++ b/node/src/main/java/org/carawaysill/node/exchange/RequestTarget.java
@@ -0,0 +1,24 @@
+package org.carawaysill.node.exchange;
+
+/** The target of an HTTP request. Stateless and thread safe. */
+public final class RequestTarget {
+
+    private static final String SCHEME_END = "://";
+
+    private RequestTarget() {}
+
+    /**
+     * Takes scheme and authority off a target in absolute form, which a client may send to what it takes for a proxy.
+     *
+     * @param target the target as it came
+     * @return path and query
+     */
+    public static String originForm(String target) {
+        int schemeEnd = target.indexOf(SCHEME_END);
+        if (target.startsWith("/") || schemeEnd < 0) {
+            return target;
+        }
+        int path = target.indexOf('/', schemeEnd + SCHEME_END.length());
+        return path < 0 ? "/" : target.substring(path);
+    }
+}
--- a/node/src/main/java/org/carawaysill/node/fleet/RequestLatencies.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/RequestLatencies.java
@@ -4,13 +4,12 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.EnumMap;
-import java.util.Locale;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.node.observation.Counters;
 import org.carawaysill.node.observation.ExchangeResult;
 import org.carawaysill.policy.fleet.Decision;
+import org.carawaysill.policy.time.Nanos;
 
 /**
  * Histograms of how long requests took at the node at which they began, by what became of them.
@@ -37,7 +36,7 @@
                 .withoutExemplars()
                 .register(registry);
         for (ExchangeResult result : ExchangeResult.values()) {
-            points.put(result, histogram.labelValues(result.name().toLowerCase(Locale.ROOT)));
+            points.put(result, histogram.labelValues(Counters.labelValue(result)));
         }
     }
 
@@ -51,7 +50,7 @@
     }
 
     private void observe(ExchangeResult result, long nanos) {
-        points.get(result).observe((double) nanos / TimeUnit.SECONDS.toNanos(1));
+        points.get(result).observe(nanos / Nanos.PER_SECOND);
     }
 
     private static ExchangeResult result(Outcome outcome) {
--- a/node/src/main/java/org/carawaysill/node/observation/Counters.java
+++ b/node/src/main/java/org/carawaysill/node/observation/Counters.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import org.carawaysill.kernel.service.Service;
 import org.carawaysill.model.request.Counted;
+import org.carawaysill.policy.time.Nanos;
 
 /**
  * The node's counters and histograms.
@@ -25,8 +26,6 @@
     /** What the names of all series begin with. */
     public static final String PREFIX = "carawaysill_";
 
-    private static final double NANOS_PER_SECOND = 1e9;
-
     /** The names of families in the plural; others keep their own. */
     private static final Map<String, String> SERIES =
             Map.of("refusal", "refusals", "retry", "retries", "breach", "breaches");
@@ -123,7 +122,13 @@
                 .register(registry);
     }
 
-    private static String labelValue(Enum<?> value) {
+    /**
+     * Gives the value of a label for a constant.
+     *
+     * @param value the constant
+     * @return its name in lower case
+     */
+    public static String labelValue(Enum<?> value) {
         return value.name().toLowerCase(Locale.ROOT);
     }
 
@@ -217,6 +222,6 @@
      * @param nanos the time in nanoseconds
      */
     public void handoff(long nanos) {
-        handoff.observe(nanos / NANOS_PER_SECOND);
+        handoff.observe(nanos / Nanos.PER_SECOND);
     }
 }
--- a/node/src/main/java/org/carawaysill/node/observation/Gauges.java
+++ b/node/src/main/java/org/carawaysill/node/observation/Gauges.java
@@ -3,7 +3,6 @@
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.util.Locale;
 import java.util.function.DoubleSupplier;
 import java.util.function.ToDoubleFunction;
 import org.carawaysill.kernel.ring.BoundedRing;
@@ -72,7 +71,7 @@
             long count = board.latest().peers().values().stream()
                     .filter(state::equals)
                     .count();
-            callback.call(count, state.name().toLowerCase(Locale.ROOT));
+            callback.call(count, Counters.labelValue(state));
         }
     }
 
--- a/node/src/main/java/org/carawaysill/node/peer/LinkMetrics.java
+++ b/node/src/main/java/org/carawaysill/node/peer/LinkMetrics.java
@@ -2,7 +2,6 @@
 
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.util.Locale;
 import org.carawaysill.node.observation.Counters;
 import org.carawaysill.protocol.link.LinkCounters;
 import org.carawaysill.protocol.link.LinkFaultKind;
@@ -58,25 +57,21 @@
 
     private void callFaults(CounterWithCallback.Callback callback) {
         for (LinkFaultKind kind : LinkFaultKind.values()) {
-            callback.call(counters.faults(kind), labelValue(kind));
+            callback.call(counters.faults(kind), Counters.labelValue(kind));
         }
     }
 
     private void callFrames(CounterWithCallback.Callback callback) {
         for (TrafficKind kind : TrafficKind.values()) {
-            callback.call(counters.sentFrames(kind), SENT, labelValue(kind));
-            callback.call(counters.receivedFrames(kind), RECEIVED, labelValue(kind));
+            callback.call(counters.sentFrames(kind), SENT, Counters.labelValue(kind));
+            callback.call(counters.receivedFrames(kind), RECEIVED, Counters.labelValue(kind));
         }
     }
 
     private void callBytes(CounterWithCallback.Callback callback) {
         for (TrafficKind kind : TrafficKind.values()) {
-            callback.call(counters.sentBytes(kind), SENT, labelValue(kind));
-            callback.call(counters.receivedBytes(kind), RECEIVED, labelValue(kind));
+            callback.call(counters.sentBytes(kind), SENT, Counters.labelValue(kind));
+            callback.call(counters.receivedBytes(kind), RECEIVED, Counters.labelValue(kind));
         }
     }
-
-    private static String labelValue(Enum<?> value) {
-        return value.name().toLowerCase(Locale.ROOT);
-    }
 }
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
@@ -146,8 +146,7 @@
         try {
             if (exchange.isEmpty()) {
                 // Bytes behind a complete answer, or an answer that nobody asked for: they belong to no request, and
-                // the
-                // next request would be taken for theirs.
+                // the next request would be taken for theirs.
                 pool.count(ConnectionFault.COPY_BROKEN);
                 spoil();
             } else {
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyExchange.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyExchange.java
@@ -1,7 +1,6 @@
 package org.carawaysill.node.upstream;
 
 import java.util.Optional;
-import org.carawaysill.model.request.Outcome;
 import org.carawaysill.policy.fleet.FleetEffect;
 
 /**
@@ -41,11 +40,4 @@
         ended = true;
         return first;
     }
-
-    /** Hears what requests at the copy come to. */
-    @FunctionalInterface
-    interface Listener {
-
-        void ended(CopyExchange exchange, Outcome outcome);
-    }
 }
