Believe of a copy only what its present process wrote

Cause: entries of other writers and of earlier processes were taken for the copy's own.

Ruled out: filtering by zone (zones may be added); dropping all running requests at a new start (those handed to the new process before its entry came would be broken off: the start's wall-clock time tells them apart).

--- a/model/src/main/java/org/carawaysill/model/fleet/CopyName.java
+++ b/model/src/main/java/org/carawaysill/model/fleet/CopyName.java
@@ -1,7 +1,8 @@
 package org.carawaysill.model.fleet;
 
 /**
- * Names one start of an upstream copy; a copy that starts again has another name.
+ * Names an upstream copy. A copy that starts again usually has another name; where it keeps its name, the time of its start
+ * tells the two apart.
  *
  * <p>Invariant: not blank. Immutable and thread safe.
  *
--- a/model/src/main/java/org/carawaysill/model/fleet/CopyRecord.java
+++ b/model/src/main/java/org/carawaysill/model/fleet/CopyRecord.java
@@ -8,9 +8,11 @@
 /**
  * One upstream copy as it is published.
  *
- * <p>Invariant: at least one slot. Immutable and thread safe.
+ * <p>Invariant: at least one slot; of two records with one name, the one that started later is another start of the copy,
+ * which knows nothing of the earlier one. Immutable and thread safe.
  *
- * @param copy which start of the copy it is
+ * @param copy the name under which it is published
+ * @param startedAtMillis when it started, in milliseconds of wall-clock time since 1970; 0 where it doesn't say
  * @param service the service that it belongs to
  * @param address where it listens; its VM's IP number is also that of the node beside it
  * @param zone where its VM stands
@@ -20,6 +22,7 @@
  */
 public record CopyRecord(
         CopyName copy,
+        long startedAtMillis,
         ServiceName service,
         NetworkAddress address,
         AvailabilityZone zone,
@@ -32,4 +35,14 @@
             throw new IllegalArgumentException("a copy has at least one slot");
         }
     }
+
+    /**
+     * Tells whether two records speak of the same process.
+     *
+     * @param other the other record
+     * @return whether name and start are the same
+     */
+    public boolean isSameStart(CopyRecord other) {
+        return copy.equals(other.copy) && startedAtMillis == other.startedAtMillis;
+    }
 }
--- a/model/src/main/java/org/carawaysill/model/fleet/FleetConfiguration.java
+++ b/model/src/main/java/org/carawaysill/model/fleet/FleetConfiguration.java
@@ -1,6 +1,8 @@
 package org.carawaysill.model.fleet;
 
 import java.util.List;
+import java.util.Set;
+import org.carawaysill.model.identity.ServiceName;
 
 /**
  * The operators' configuration of a whole fleet, in one version.
@@ -9,11 +11,13 @@
  *
  * @param version rises with each publication
  * @param limits what clients may send
+ * @param services all services that it names; a copy of any other one gets no work
  * @param routes all routes
  */
-public record FleetConfiguration(long version, ClientLimits limits, List<Route> routes) {
+public record FleetConfiguration(long version, ClientLimits limits, Set<ServiceName> services, List<Route> routes) {
 
     public FleetConfiguration {
+        services = Set.copyOf(services);
         routes = List.copyOf(routes);
     }
 }
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -147,6 +147,7 @@
         switch (effect) {
             case FleetEffect.HandToCopy hand -> copy.hand(hand);
             case FleetEffect.CancelAtCopy cancel -> copy.cancel(cancel.attempt());
+            case FleetEffect.CloseIdleAtCopy _ -> copy.closeIdle();
             case FleetEffect.AnswerExchange answer -> entry.answer(answer.exchange(), answer.outcome());
             case FleetEffect.SendToPeer send -> peers.send(send.peer(), send.message());
             case FleetEffect.ConnectPeer connect -> peers.connect(connect.peer());
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -211,6 +211,11 @@
         }
     }
 
+    /** Closes the connections that carry no request. */
+    public void closeIdle() {
+        List.copyOf(idle).forEach(CopyConnection::close);
+    }
+
     void ended(CopyExchange exchange, Outcome outcome) {
         if (exchange.end()) {
             running.remove(exchange.request().attempt());
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
@@ -158,6 +158,8 @@
             case Publication.Unreadable(String fault) -> {
                 effects.count(ConfigurationCount.REFUSED);
                 effects.log(new Decision.EntryRefused(entry.key(), entry.revision(), fault));
+                // The last value that could be read holds no longer: nobody knows who is at that address now.
+                copies.remove(now, entry.key(), now).ifPresent(copy -> gone(copy, entry.revision()));
             }
         }
     }
@@ -176,6 +178,7 @@
         Map<String, Route> byName = new HashMap<>();
         published.routes().forEach(route -> byName.put(route.name(), route));
         routesByName = byName;
+        copies.named(published.services());
         effects.add(new FleetEffect.LimitClients(published.limits()));
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetEffect.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetEffect.java
@@ -42,6 +42,12 @@
      */
     record CancelAtCopy(AttemptIdentifier attempt) implements FleetEffect {}
 
+    /**
+     * Close the connections to the local copy that carry no request: its process was started anew, and whatever is sent on
+     * a connection to the earlier one is lost.
+     */
+    record CloseIdleAtCopy() implements FleetEffect {}
+
     /**
      * Tell a client what its request came to.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -108,7 +108,7 @@
             case FleetEvent.RequestArrived arrival -> outgoing.arrived(now, arrival);
             case FleetEvent.ExchangeClosed closed -> outgoing.exchangeClosed(now, closed.exchange());
             case FleetEvent.CopyAnswered answered -> localRuns.answered(now, answered.attempt(), answered.outcome());
-            case FleetEvent.PeerReceived received -> received(now, received.from(), received.message());
+            case FleetEvent.PeerReceived received -> received(moment, received.from(), received.message());
             case FleetEvent.PeerConnected connected -> peerConnected(now, connected.peer());
             case FleetEvent.PeerLost lost -> {
                 peers.lost(lost.peer());
@@ -120,7 +120,7 @@
             case FleetEvent.PeerUnsent _, FleetEvent.WakeUp _ -> {}
             case FleetEvent.EntriesRead read -> {
                 beliefs.read(now, read);
-                publicationChanged(now);
+                publicationChanged(moment);
             }
             case FleetEvent.EntriesReadFailed failed -> readFailed(now, failed);
             case FleetEvent.SettingsChanged changed -> reload(changed.settings());
@@ -137,7 +137,8 @@
         lastNanos = now;
     }
 
-    private void received(long now, NodeName from, PeerMessage message) {
+    private void received(Moment moment, NodeName from, PeerMessage message) {
+        long now = moment.nanos();
         peers.heard(now, from);
         switch (message) {
             case PeerMessage.CopyRequest request -> localRuns.accept(now, Optional.of(from), request);
@@ -149,7 +150,7 @@
                         from, new PeerMessage.Entries(beliefs.asOf(), beliefs.toldToOthers())));
             case PeerMessage.Entries entries -> {
                 beliefs.told(now, entries.entries());
-                publicationChanged(now);
+                publicationChanged(moment);
             }
             case PeerMessage.PeerRequest _,
                     PeerMessage.PeerAnswer _,
@@ -210,14 +211,15 @@
         peers.connected().forEach(peer -> effects.add(new FleetEffect.SendToPeer(peer, report)));
     }
 
-    private void publicationChanged(long now) {
+    private void publicationChanged(Moment moment) {
+        long now = moment.nanos();
         tellRevision();
         if (beliefs.configuration().isPresent() && configuredNanos == Long.MAX_VALUE) {
             configuredNanos = now;
         }
         peers.published(now, beliefs.copies().hosts());
         outgoing.nodes(peers.count());
-        beliefs.copies().at(settings.copyAddress()).ifPresent(copy -> localRuns.published(now, copy.record()));
+        beliefs.copies().at(settings.copyAddress()).ifPresent(copy -> localRuns.published(moment, copy.record()));
     }
 
     /** Takes the bounds over; who the node is and where it listens can't change while it runs. */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -18,6 +18,8 @@
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 import org.carawaysill.policy.message.PeerMessage.SlotTime;
+import org.carawaysill.policy.time.Moment;
+import org.carawaysill.policy.time.Nanos;
 
 /**
  * The requests for the local copy, whichever node sent them.
@@ -42,6 +44,7 @@
     private final CopyGate gate = new CopyGate();
     private final Map<String, LocalRun> runningByName = new HashMap<>();
     private LocalSender localSender = (_, _, _, _) -> {};
+    private Optional<CopyRecord> known = Optional.empty();
     private boolean leaving;
 
     /** Hears what a request of this node's own came to. */
@@ -72,14 +75,43 @@
     }
 
     /** Takes in what is published of the local copy. */
-    void published(long now, CopyRecord record) {
+    void published(Moment moment, CopyRecord record) {
+        long now = moment.nanos();
         gate.limit(record.slots());
+        if (known.isPresent() && !known.get().isSameStart(record)) {
+            startedAnew(moment, record);
+        }
+        known = Optional.of(record);
         leaving = record.draining();
         if (leaving) {
             gate.takeQueue().forEach(run -> refuse(now, run, RefusalReason.DRAINING, Step.QUEUE));
         }
     }
 
+    /**
+     * Ends what was handed to the copy's process before this one: it may have run, and its answer will never come.
+     *
+     * <p>Guards against a copy that lost power and is back before its connections are known to be dead: their requests
+     * would hold slots until their deadlines, and the next ones would be sent into the silence. Where the copy doesn't say
+     * when it started, only the connections without a request are closed.
+     */
+    private void startedAnew(Moment moment, CopyRecord record) {
+        gate.renewed();
+        effects.add(new FleetEffect.CloseIdleAtCopy());
+        for (LocalRun run : gate.all()) {
+            long startedMillis = moment.epochMillis() - Nanos.toMillis(moment.nanos() - run.startedNanos());
+            if (run.isRunning() && startedMillis < record.startedAtMillis()) {
+                endAsUnknown(moment.nanos(), run, UnknownReason.COPY_LOST);
+            }
+        }
+    }
+
+    private void endAsUnknown(long now, LocalRun run, UnknownReason reason) {
+        AttemptIdentifier attempt = run.request().attempt();
+        effects.add(new FleetEffect.CancelAtCopy(attempt));
+        answered(now, attempt, new Outcome.Unknown(reason, Step.COPY_WAIT, Optional.empty()));
+    }
+
     /** Finds the running request in whose name the local copy makes a call: its own name begins that of the call. */
     Optional<LocalRun> parentOf(String callName) {
         int end = callName.lastIndexOf('.');
@@ -184,11 +216,7 @@
     void endOverdue(long now) {
         for (LocalRun run : gate.all()) {
             if (run.isRunning() && now - run.deadlineNanos() > OVERDUE_NANOS) {
-                effects.add(new FleetEffect.CancelAtCopy(run.request().attempt()));
-                answered(
-                        now,
-                        run.request().attempt(),
-                        new Outcome.Unknown(UnknownReason.DEADLINE, Step.COPY_WAIT, Optional.empty()));
+                endAsUnknown(now, run, UnknownReason.DEADLINE);
             }
         }
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
@@ -80,6 +80,11 @@
         }
     }
 
+    /** Notes that the copy was started anew: what the earlier process refused says nothing of this one. */
+    public void renewed() {
+        limit = slots;
+    }
+
     /** Notes that the copy refused a request although it should have had a slot. */
     public void refused() {
         limit = Math.max(Math.max(1, slots * LEAST_USED_PART), Math.min(limit, running) - 1);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
@@ -1,13 +1,13 @@
 package org.carawaysill.policy.fleet.copy;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.carawaysill.model.fleet.CopyRecord;
 import org.carawaysill.model.identity.NetworkAddress;
 import org.carawaysill.model.identity.ServiceName;
@@ -16,15 +16,37 @@
  * The published copies, by service.
  *
  * <p>Invariants: a copy that is draining or gone is not among those that may get work; of two copies with one address only
- * the newer may, since an address is used again after its copy has ended. Not thread safe: owned by the policy.
+ * the newer may, since an address is used again after its copy has ended; a copy of a service that the configuration doesn't
+ * name is as if it weren't published. Not thread safe: owned by the policy.
  */
 public final class CopyTable {
 
     private final Map<String, Copy> byKey = new HashMap<>();
+    private Optional<Set<ServiceName>> named = Optional.empty();
     private final Map<ServiceName, List<Copy>> usable = new HashMap<>();
 
     /**
-     * Takes in what is published of a copy.
+     * Takes in which services there are. Guards against an entry of another writer that has the address of a living copy:
+     * it would take the copy's place, and its slots and state would hold for it.
+     *
+     * @param services the services that the configuration in force names
+     */
+    public void named(Set<ServiceName> services) {
+        named = Optional.of(services);
+        rebuild();
+    }
+
+    private boolean isNamed(Copy copy) {
+        return named.isEmpty() || named.get().contains(copy.record().service());
+    }
+
+    private Stream<Copy> namedCopies() {
+        return byKey.values().stream().filter(this::isNamed);
+    }
+
+    /**
+     * Takes in what is published of a copy. Of a start before the one that is known nothing is taken in: it was written
+     * late. All that was known of an earlier start is void.
      *
      * @param now the monotonic time
      * @param key the entry's key
@@ -34,7 +56,10 @@
      */
     public Optional<Copy> put(long now, String key, CopyRecord record, long revision) {
         Copy copy = byKey.get(key);
-        if (copy == null || !copy.record().copy().equals(record.copy())) {
+        if (copy != null && record.startedAtMillis() < copy.record().startedAtMillis()) {
+            return Optional.empty();
+        }
+        if (copy == null || !copy.record().isSameStart(record)) {
             copy = new Copy(record, now, revision);
             byKey.put(key, copy);
             rebuild();
@@ -106,9 +131,9 @@
     private void rebuild() {
         usable.clear();
         Map<NetworkAddress, Copy> newest = new HashMap<>();
-        for (Copy copy : byKey.values()) {
-            newest.merge(copy.record().address(), copy, (one, other) -> one.isNewerThan(other) ? one : other);
-        }
+        namedCopies()
+                .forEach(copy -> newest.merge(
+                        copy.record().address(), copy, (one, other) -> one.isNewerThan(other) ? one : other));
         for (Copy copy : newest.values()) {
             if (!copy.record().draining()) {
                 usable.computeIfAbsent(copy.record().service(), _ -> new ArrayList<>())
@@ -134,7 +159,7 @@
      * @return the copy
      */
     public Optional<Copy> at(NetworkAddress address) {
-        return byKey.values().stream()
+        return namedCopies()
                 .filter(copy -> copy.record().address().equals(address))
                 .reduce((one, other) -> one.isNewerThan(other) ? one : other);
     }
@@ -144,8 +169,8 @@
      *
      * @return the copies
      */
-    public Collection<Copy> all() {
-        return byKey.values();
+    public List<Copy> all() {
+        return namedCopies().toList();
     }
 
     /**
@@ -155,7 +180,7 @@
      */
     public Set<String> hosts() {
         Set<String> hosts = new HashSet<>();
-        byKey.values().forEach(copy -> hosts.add(copy.record().address().host()));
+        namedCopies().forEach(copy -> hosts.add(copy.record().address().host()));
         return hosts;
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/LocalRun.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/LocalRun.java
@@ -99,7 +99,12 @@
         return times;
     }
 
-    long startedNanos() {
+    /**
+     * Tells when it was handed to the copy.
+     *
+     * @return the monotonic time, 0 while it waits
+     */
+    public long startedNanos() {
         return startedNanos;
     }
 }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/FleetPolicyTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/FleetPolicyTest.java
@@ -165,6 +165,52 @@
         }
     }
 
+    @Nested
+    class Silence {
+
+        private static final int SLOTS = 4;
+
+        private VirtualNode silentCopy() {
+            fleet.configure(route("/entry/", "front", false, 1, 5000));
+            VirtualNode node = service("front", 1, 1, SLOTS, Map.of("/entry/", new Work(10 * MILLI, List.of())))
+                    .getFirst();
+            fleet.runUntil(3 * SECOND);
+            node.silent = true;
+            for (int i = 0; i < 3 * SLOTS; i++) {
+                fleet.send(node, "r" + i, "/entry/", 5 * SECOND, (_, outcome) -> outcomes.put("old", outcome));
+            }
+            fleet.runUntil(4 * SECOND);
+            return node;
+        }
+
+        /*
+         * A copy never answers a request for which it has no room, nor any later one on that connection. It must never be
+         * handed more than its slots, however many wait.
+         */
+        @Test
+        void ofACopyGetsItNoMoreThanItsSlots() {
+            silentCopy();
+            assertEquals(SLOTS, fleet.runs.size());
+        }
+
+        /*
+         * A copy loses power with requests at it, and starts again under its name. Its node waited for the answers of the
+         * earlier process until their deadlines, with all slots taken. They are unknown at once, since they may have run,
+         * and what waited goes to the new process.
+         */
+        @Test
+        void ofACopyEndsWhenItStartsAgainUnderItsName() {
+            VirtualNode node = silentCopy();
+            node.copyStartsAnew();
+            fleet.runUntil(4 * SECOND + 900 * MILLI);
+            assertEquals(3 * SLOTS, fleet.runs.size());
+            send(node, "new", "/entry/");
+            fleet.runUntil(6 * SECOND);
+            assertEquals(1, good("new"));
+            assertTrue(outcomes.get("old") instanceof Outcome.Answered, "what waited ran at the new process");
+        }
+    }
+
     @Nested
     class AtMostOnce {
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -4,11 +4,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import org.carawaysill.model.fleet.ClientLimits;
@@ -92,7 +94,15 @@
         publish(
                 "configuration",
                 Optional.of(new Publication.Configured(
-                        new FleetConfiguration(revision, ClientLimits.DEFAULTS, List.of(routes)))));
+                        new FleetConfiguration(revision, ClientLimits.DEFAULTS, services(routes), List.of(routes)))));
+    }
+
+    private static Set<ServiceName> services(Route... routes) {
+        Set<ServiceName> services = new HashSet<>();
+        for (Route route : routes) {
+            route.destinations().forEach(part -> services.add(part.service()));
+        }
+        return services;
     }
 
     VirtualNode add(String service, String host, String zone, int slots) {
@@ -129,7 +139,11 @@
         boolean ready;
         boolean stopped;
         double speed = 1;
+        /** Takes requests and answers none, as a copy that lost power or hangs. */
+        boolean silent;
+
         int copyNumber = 1;
+        long startedAtMillis;
         private long life;
         private long wakeAt = Long.MAX_VALUE;
 
@@ -151,7 +165,7 @@
                     Duration.ofSeconds(6),
                     new RetrySettings(0.2, 48, Duration.ofSeconds(10)));
             PublicationDecoder decoder = (_, text) -> meanings.get(text);
-            return new FleetPolicy(settings, decoder, random.split(), new Moment(now, 0));
+            return new FleetPolicy(settings, decoder, random.split(), new Moment(now, now / MILLI));
         }
 
         String copy() {
@@ -163,6 +177,7 @@
                     "copy " + copy(),
                     Optional.of(new Publication.Listed(new CopyRecord(
                             new CopyName(copy()),
+                            startedAtMillis,
                             new ServiceName(service),
                             new NetworkAddress(name.value(), 80),
                             new AvailabilityZone(zone),
@@ -175,6 +190,14 @@
             VirtualFleet.this.publish("copy " + copy(), Optional.empty());
         }
 
+        /** Starts the copy's process again under its name; it knows nothing of what was handed to it. */
+        void copyStartsAnew() {
+            startedAtMillis = now / MILLI;
+            silent = false;
+            atCopy.clear();
+            publish(false);
+        }
+
         void start() {
             deliver(new FleetEvent.WakeUp());
         }
@@ -206,7 +229,7 @@
             if (!alive) {
                 return;
             }
-            List<FleetEffect> effects = policy.decide(new Moment(now, 0), event);
+            List<FleetEffect> effects = policy.decide(new Moment(now, now / MILLI), event);
             effects.forEach(this::carryOut);
             long due = policy.nextWakeNanos();
             if (due < wakeAt) {
@@ -240,6 +263,7 @@
                 case FleetEffect.Log logged -> log.add(logged.decision());
                 case FleetEffect.StopProcess _ -> stopped = true;
                 case FleetEffect.Count _,
+                        FleetEffect.CloseIdleAtCopy _,
                         FleetEffect.DisconnectPeer _,
                         FleetEffect.ResetPeer _,
                         FleetEffect.LimitClients _ -> {}
@@ -316,8 +340,9 @@
             }
             runs.add(new Run(now, hand.requestName(), copy()));
             atCopy.put(hand.attempt(), true);
-            Work work = works.get(hand.content().path());
-            call(hand, work, 0);
+            if (!silent) {
+                call(hand, works.get(hand.content().path()), 0);
+            }
         }
 
         private void call(FleetEffect.HandToCopy hand, Work work, int index) {
--- a/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyTableTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyTableTest.java
@@ -1,10 +1,12 @@
 package org.carawaysill.policy.fleet.copy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.fleet.CopyRecord;
 import org.carawaysill.model.identity.AvailabilityZone;
@@ -21,8 +23,13 @@
     private final CopyTable table = new CopyTable();
 
     private static CopyRecord record(String name, ServiceName service, String host, boolean draining) {
+        return record(name, 0, service, host, draining);
+    }
+
+    private static CopyRecord record(String name, long startedAt, ServiceName service, String host, boolean draining) {
         return new CopyRecord(
                 new CopyName(name),
+                startedAt,
                 service,
                 new NetworkAddress(host, 80),
                 new AvailabilityZone("zone"),
@@ -72,6 +79,71 @@
         }
     }
 
+    @Nested
+    class Starts {
+
+        /*
+         * A copy lost power while it drained, and started again under its name before its entry had lapsed. It was taken for
+         * the same process, with the failures and the load of the dead one.
+         */
+        @Test
+        void underTheSameNameMakeAnotherCopy() {
+            Copy before = table.put(0, "a", record("a", 100, DEEP, "10.0.0.1", true), 0)
+                    .orElseThrow();
+            before.sent();
+            before.ended(false);
+            Copy after = table.put(5, "a", record("a", 200, DEEP, "10.0.0.1", false), 5)
+                    .orElseThrow();
+            assertNotSame(before, after);
+            assertEquals(0.25, after.expectedLoad(5), 0.001);
+            assertEquals(List.of("a"), usable(DEEP));
+        }
+
+        /*
+         * The last heartbeat of a copy's earlier process was written late, behind the first one of its new process: it said
+         * that the copy drains.
+         */
+        @Test
+        void beforeTheKnownOneChangeNothing() {
+            table.put(0, "a", record("a", 200, DEEP, "10.0.0.1", false), 0);
+            assertTrue(table.put(5, "a", record("a", 100, DEEP, "10.0.0.1", true), 5)
+                    .isEmpty());
+            assertEquals(List.of("a"), usable(DEEP));
+        }
+    }
+
+    @Nested
+    class Services {
+
+        /*
+         * Another program publishes an entry of a service that nobody knows, with the address of a living copy. The copy got
+         * no work any more, and its node took the other entry's slots for its own.
+         */
+        @Test
+        void thatAreNotNamedHaveNoCopies() {
+            table.put(0, "a", record("a", DEEP, "10.0.0.1", false), 0);
+            table.put(5, "b", record("b", OTHER, "10.0.0.1", false), 5);
+            table.named(Set.of(DEEP));
+            assertEquals(List.of("a"), usable(DEEP));
+            assertEquals(List.of(), usable(OTHER));
+            assertEquals(
+                    "a",
+                    table.at(new NetworkAddress("10.0.0.1", 80))
+                            .orElseThrow()
+                            .record()
+                            .copy()
+                            .value());
+        }
+
+        @Test
+        void thatAreNamedLaterHaveTheirCopiesThen() {
+            table.named(Set.of(DEEP));
+            table.put(5, "b", record("b", OTHER, "10.0.0.2", false), 5);
+            table.named(Set.of(DEEP, OTHER));
+            assertEquals(List.of("b"), usable(OTHER));
+        }
+    }
+
     @Nested
     class Addresses {
 
