Weigh nearness by how large the answers of a route are

Change: each node learns how large the answers on a route usually are; the nearness of a copy, in as far as it counts while there is room, grows with that.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -202,6 +202,7 @@
         }
         peers.published(now, beliefs.copies().hosts());
         outgoing.nodes(peers.count());
+        outgoing.routes(beliefs.routesByName().keySet());
         beliefs.copies().at(settings.copyAddress()).ifPresent(copy -> localRuns.published(moment, copy.record()));
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -1,6 +1,7 @@
 package org.carawaysill.policy.fleet;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -19,6 +20,7 @@
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.policy.fleet.OutgoingRequest.Origin;
+import org.carawaysill.policy.fleet.copy.AnswerSizes;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.CopyChoice;
 import org.carawaysill.policy.fleet.copy.LocalRun;
@@ -55,6 +57,7 @@
     private final SplitShares splits = new SplitShares();
     private final ShareGate shareGate = new ShareGate();
     private final CopyChoice choice;
+    private final AnswerSizes answerSizes = new AnswerSizes();
     private final RetryAllowance allowance;
     private final FinalAnswers answers;
     private final InnerRoutes innerRoutes = new InnerRoutes();
@@ -86,6 +89,11 @@
         return byExchange.size();
     }
 
+    /** Takes in which routes are published. */
+    void routes(Collection<String> names) {
+        answerSizes.retain(names);
+    }
+
     void retries(RetrySettings bound) {
         allowance.settings(bound);
     }
@@ -151,8 +159,10 @@
     private void send(long now, OutgoingRequest request) {
         ServiceName service = request.service();
         List<Copy> copies = beliefs.copies().usable(service);
-        Optional<Copy> chosen = choice.choose(now, copies, request.tried(), peers::inReach)
-                .or(() -> choice.choose(now, copies, request.tried(), node -> peers.inReachAsLastResort(now, node)));
+        double bytes = answerSizes.usual(request.route().name());
+        Optional<Copy> chosen = choice.choose(now, copies, request.tried(), bytes, peers::inReach)
+                .or(() -> choice.choose(
+                        now, copies, request.tried(), bytes, node -> peers.inReachAsLastResort(now, node)));
         if (chosen.isEmpty()) {
             finish(now, request, notRun(RefusalReason.NO_COPY, UNREACHABLE_RETRY_AFTER, Step.ROUTING));
             return;
@@ -225,7 +235,11 @@
         request.attemptEnded();
         AttemptRules.judge(copy, outcome);
         switch (outcome) {
-            case Outcome.Answered _ -> finish(now, request, outcome);
+            case Outcome.Answered whole -> {
+                answerSizes.answered(
+                        request.route().name(), whole.content().body().length());
+                finish(now, request, outcome);
+            }
             case Outcome.NotRun notRun -> afterNotRun(now, request, copy, notRun);
             case Outcome.Unknown unknown -> afterUnknown(now, request, copy, unknown);
         }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyChoice.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyChoice.java
@@ -29,6 +29,12 @@
      */
     private static final double ZONE_GAIN_WHEN_IDLE = 0.5;
 
+    /**
+     * An answer of so many bytes makes that gain twice as great. A hop costs some 600 bytes by itself, and an answer of a few
+     * kilobytes several times that, while a slow copy delays both alike.
+     */
+    private static final double BYTES_THAT_DOUBLE_IT = 1000;
+
     /**
      * How much more loaded a copy counts that takes twice as long as usual, times the part of all slots that is idle. Copies
      * of one service differ by up to three times, which a chain of a dozen calls adds up. In virtual time, 0.97 in place of
@@ -63,10 +69,12 @@
      * @param now the monotonic time
      * @param copies the copies that may get the request
      * @param tried copies that had it already
+     * @param answerBytes how large its answer is likely to be
      * @param inReach tells whether a node can be reached
      * @return the copy, empty where none is in reach
      */
-    public Optional<Copy> choose(long now, List<Copy> copies, Set<CopyName> tried, Predicate<NodeName> inReach) {
+    public Optional<Copy> choose(
+            long now, List<Copy> copies, Set<CopyName> tried, double answerBytes, Predicate<NodeName> inReach) {
         double idlePart = idlePart(now, copies);
         double usualSeconds = usualSeconds(copies);
         Copy best = null;
@@ -76,7 +84,7 @@
                 double cost = copy.expectedLoad(now, settings.without())
                         + JITTER * random.nextDouble()
                         + idlePart * slowness(copy, usualSeconds)
-                        - nearness(copy, idlePart);
+                        - nearness(copy, idlePart, answerBytes);
                 if (cost < bestCost) {
                     best = copy;
                     bestCost = cost;
@@ -113,12 +121,12 @@
         return SPEED_WEIGHT * Math.min(MOST_SLOWNESS, copy.workSeconds() / usualSeconds);
     }
 
-    private double nearness(Copy copy, double idlePart) {
+    private double nearness(Copy copy, double idlePart, double answerBytes) {
         if (settings.without().contains(Mechanism.NEARNESS)
                 || !copy.record().zone().equals(settings.zone())) {
             return 0;
         }
         double gain = copy.node().equals(settings.self()) ? LOCAL_GAIN : ZONE_GAIN;
-        return gain + idlePart * ZONE_GAIN_WHEN_IDLE;
+        return gain + idlePart * ZONE_GAIN_WHEN_IDLE * (1 + answerBytes / BYTES_THAT_DOUBLE_IT);
     }
 }
--- /dev/null
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyChoiceTest.java
@@ -0,0 +1,108 @@
+package org.carawaysill.policy.fleet.copy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.carawaysill.model.fleet.CopyName;
+import org.carawaysill.model.fleet.CopyRecord;
+import org.carawaysill.model.identity.AvailabilityZone;
+import org.carawaysill.model.identity.NetworkAddress;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.policy.fleet.FleetSettings;
+import org.carawaysill.policy.fleet.retry.RetrySettings;
+import org.carawaysill.policy.message.PeerMessage.LoadReport;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class CopyChoiceTest {
+
+    private static final int SLOTS = 20;
+    private static final ServiceName DEEP = new ServiceName("deep");
+
+    private final List<Copy> copies = new ArrayList<>();
+    private final CopyChoice choice = new CopyChoice(
+            new FleetSettings(
+                    new NodeName("10.0.0.9"),
+                    new AvailabilityZone("near"),
+                    new ServiceName("front"),
+                    new NetworkAddress("10.0.0.9", 80),
+                    Duration.ofSeconds(2),
+                    Duration.ofSeconds(6),
+                    new RetrySettings(0.2, 48, Duration.ofSeconds(10)),
+                    Set.of()),
+            new SplittableRandom(3));
+
+    private void add(String name, String zone, int inFlight, double workSeconds) {
+        CopyRecord record = new CopyRecord(
+                new CopyName(name),
+                0,
+                DEEP,
+                new NetworkAddress("10.0.0." + copies.size(), 80),
+                new AvailabilityZone(zone),
+                SLOTS,
+                false,
+                Duration.ZERO);
+        Copy copy = new Copy(record, 0, copies.size());
+        copy.told(new LoadReport(inFlight, SLOTS, 0, 0));
+        copy.works(workSeconds);
+        copies.add(copy);
+    }
+
+    private String chosen(double answerBytes) {
+        return choice.choose(1, copies, Set.of(), answerBytes, _ -> true)
+                .orElseThrow()
+                .record()
+                .copy()
+                .value();
+    }
+
+    @Nested
+    class Speed {
+
+        @Test
+        void countsWhileThereIsRoom() {
+            add("slow", "near", 4, 0.1);
+            add("fast", "far", 4, 0.03);
+            assertEquals("fast", chosen(0));
+        }
+
+        /** Near saturation all slots are needed, also those of slow copies. */
+        @Test
+        void countsForNothingWhereAllSlotsAreTaken() {
+            add("slow", "far", 19, 0.1);
+            add("fast", "far", 30, 0.03);
+            assertEquals("slow", chosen(0));
+        }
+
+        @Test
+        void countsForNothingWhereItIsNotKnown() {
+            add("unknown", "near", 4, 0);
+            add("known", "far", 4, 0.05);
+            assertEquals("unknown", chosen(0));
+        }
+    }
+
+    @Nested
+    class Nearness {
+
+        @Test
+        void countsMoreForLargeAnswers() {
+            add("slow", "near", 4, 0.1);
+            add("fast", "far", 4, 0.03);
+            assertEquals("slow", chosen(5000));
+        }
+
+        /** A large answer is no reason to queue at a near copy while a far one is free. */
+        @Test
+        void countsLittleWhereTheNearCopyIsFull() {
+            add("near", "near", 40, 0.05);
+            add("far", "far", 17, 0.05);
+            assertEquals("far", chosen(5000));
+        }
+    }
+}
