Tell demands and costs only in each second report, or more seldom in a large fleet

Cause: all nodes tell all others a report each 0.4 s.

Change: a brief report leaves them out and says so; the receiver keeps what was told last. One whole report in two up to 59 nodes, one in n / 20 above, one in eight at most. Load, speed and life signs stay in each report.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -33,6 +33,19 @@
 
     private static final double LOGGED_SHARE_CHANGE = 0.1;
 
+    /**
+     * For each so many nodes one more report is brief before the next whole one. All nodes tell all others, so that the
+     * bytes of demands and costs, which are most of a report, grow with the square of the fleet: half of all bytes between
+     * availability zones on a quiet day with 16 nodes or a heavy one with 81. With 16 nodes, where every other report is
+     * whole, the same share of requests is served in virtual time, within 0.004; where one in four is, within 0.006.
+     */
+    private static final int NODES_FOR_A_BRIEF_REPORT = 20;
+
+    private static final int FEWEST_REPORTS_FOR_DETAILS = 2;
+
+    /** Details older than this many reports, 3.2 s, would follow no burst. */
+    private static final int MOST_REPORTS_FOR_DETAILS = 8;
+
     private FleetSettings settings;
     private final Effects effects = new Effects();
     private final Beliefs beliefs;
@@ -241,13 +254,19 @@
         localRuns.endOverdue(now);
         demand.close(now);
         NodeReport own = report(now);
-        tellAll(own);
+        tellAll(isWholeReportDue() ? own : own.inBrief());
         List<NodeReport> reports = new ArrayList<>(peers.reports());
         reports.add(own);
         plan.update(reports, loads.sum(now), beliefs.routesByName());
         logShares(reports.size());
     }
 
+    private boolean isWholeReportDue() {
+        int interval = Math.clamp(
+                peers.count() / NODES_FOR_A_BRIEF_REPORT, FEWEST_REPORTS_FOR_DETAILS, MOST_REPORTS_FOR_DETAILS);
+        return sequence % interval == 0;
+    }
+
     private boolean isReader() {
         List<Readers.Candidate> candidates = new ArrayList<>();
         if (beliefs.readsPlatform()) {
@@ -270,6 +289,7 @@
                 settings.service(),
                 localRuns.load(now),
                 (float) localRuns.workSeconds(now),
+                false,
                 demand.demands(),
                 plan.ownCosts());
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
@@ -121,7 +121,7 @@
 
     void reported(long now, NodeName name, NodeReport report) {
         Peer peer = peer(name);
-        peer.report = Optional.of(report);
+        peer.report = Optional.of(peer.report.map(report::completedBy).orElse(report));
         if (report.leaving() && !peer.leaving) {
             peer.leaving = true;
             peer.leavingNanos = now;
--- a/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
@@ -352,6 +352,7 @@
      * @param service the service of the sender's copy
      * @param load the load of the sender's copy
      * @param workSeconds what the sender's copy lately took for a request, without its calls; 0 where that is not known
+     * @param brief whether demands and costs are left out, since they are as the sender told them last
      * @param demands what callers ask of the sender, by route
      * @param costs what a request of each route costs at each service, as the sender has seen
      */
@@ -363,6 +364,7 @@
             ServiceName service,
             LoadReport load,
             float workSeconds,
+            boolean brief,
             List<RouteDemand> demands,
             List<RouteCost> costs)
             implements PeerMessage {
@@ -371,6 +373,39 @@
             demands = List.copyOf(demands);
             costs = List.copyOf(costs);
         }
+
+        /**
+         * Leaves out demands and costs.
+         *
+         * @return the brief report
+         */
+        public NodeReport inBrief() {
+            return with(true, List.of(), List.of());
+        }
+
+        /**
+         * Completes a brief report.
+         *
+         * @param before the sender's last report, completed
+         * @return the whole report, this one if it is not brief
+         */
+        public NodeReport completedBy(NodeReport before) {
+            return brief ? with(false, before.demands, before.costs) : this;
+        }
+
+        private NodeReport with(boolean isBrief, List<RouteDemand> otherDemands, List<RouteCost> otherCosts) {
+            return new NodeReport(
+                    sequence,
+                    publishedRevision,
+                    readsPlatform,
+                    leaving,
+                    service,
+                    load,
+                    workSeconds,
+                    isBrief,
+                    otherDemands,
+                    otherCosts);
+        }
     }
 
     /**
--- a/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
@@ -35,6 +35,7 @@
                 DEEP,
                 new LoadReport(SLOTS, SLOTS, 0, 0),
                 0,
+                false,
                 List.of(new RouteDemand(LOOKUP, offered, completed)),
                 plan.ownCosts());
         plan.update(List.of(report), Map.of(DEEP, new ServiceLoad(SLOTS, SLOTS, 0)), Map.of(LOOKUP, route(LOOKUP, 2)));
@@ -120,6 +121,7 @@
                     DEEP,
                     new LoadReport(running, slots, 0, 0),
                     0,
+                    false,
                     List.of(demands),
                     List.of(
                             new RouteCost("book", DEEP, 0.4f),
@@ -168,6 +170,7 @@
                             DEEP,
                             new LoadReport(0, 10, 0, 0),
                             0,
+                            false,
                             List.of(offered("book", 10)),
                             List.of(new RouteCost("book", DEEP, 0.4f)))),
                     Map.of(),
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
@@ -66,7 +66,8 @@
                 .setLeaving(report.leaving())
                 .setService(report.service().value())
                 .setLoad(LoadCodec.encode(report.load()))
-                .setWorkSeconds(report.workSeconds());
+                .setWorkSeconds(report.workSeconds())
+                .setBrief(report.brief());
         for (RouteDemand demand : report.demands()) {
             frame.addDemands(RouteDemandFrame.newBuilder()
                     .setRoute(demand.route())
@@ -105,6 +106,7 @@
                 Fields.service(frame.getService()),
                 LoadCodec.decode(frame.hasLoad(), frame.getLoad()),
                 Fields.notNegative(frame.getWorkSeconds(), "work seconds"),
+                frame.getBrief(),
                 demands,
                 costs);
     }
--- a/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
@@ -126,6 +126,7 @@
                 service(),
                 load(),
                 random.nextFloat(),
+                random.nextBoolean(),
                 several(() -> new RouteDemand(text(), random.nextFloat(), random.nextFloat())),
                 several(() -> new RouteCost(text(), service(), random.nextFloat())));
     }
