--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -23,11 +23,6 @@
 import org.carawaysill.policy.fleet.copy.AnswerSizes;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.CopyChoice;
-import org.carawaysill.policy.fleet.copy.LocalRun;
-import org.carawaysill.policy.fleet.entry.DemandMeter;
-import org.carawaysill.policy.fleet.entry.EntryPlan;
-import org.carawaysill.policy.fleet.entry.ShareGate;
-import org.carawaysill.policy.fleet.retry.RetryAllowance;
 import org.carawaysill.policy.fleet.retry.RetrySettings;
 import org.carawaysill.policy.fleet.route.SplitShares;
 import org.carawaysill.policy.message.PeerMessage;
@@ -51,16 +46,13 @@
     private final Beliefs beliefs;
     private final Peers peers;
     private final LocalRuns localRuns;
-    private final DemandMeter demand;
-    private final EntryPlan plan;
     private final RandomGenerator random;
     private final SplitShares splits = new SplitShares();
-    private final ShareGate shareGate = new ShareGate();
     private final CopyChoice choice;
     private final AnswerSizes answerSizes = new AnswerSizes();
-    private final RetryAllowance allowance;
+    private final Repeats repeats;
+    private final Admission admission;
     private final FinalAnswers answers;
-    private final InnerRoutes innerRoutes = new InnerRoutes();
     private final Map<ExchangeIdentifier, OutgoingRequest> byExchange = new HashMap<>();
     private final Map<AttemptIdentifier, OutgoingRequest> byAttempt = new HashMap<>();
     private final PriorityQueue<OutgoingRequest> byLimit =
@@ -72,11 +64,10 @@
         this.beliefs = parts.beliefs();
         this.peers = parts.peers();
         this.localRuns = parts.localRuns();
-        this.demand = parts.demand();
-        this.plan = parts.plan();
         this.random = random;
         choice = new CopyChoice(settings, random);
-        allowance = new RetryAllowance(settings.retries());
+        repeats = new Repeats(parts);
+        admission = new Admission(parts, random);
         answers = new FinalAnswers(parts);
         localRuns.localSender(this::answered);
     }
@@ -95,11 +86,11 @@
     }
 
     void retries(RetrySettings bound) {
-        allowance.settings(bound);
+        repeats.bound(bound);
     }
 
     void nodes(int count) {
-        allowance.nodes(count);
+        repeats.nodes(count);
     }
 
     void arrived(long now, FleetEvent.RequestArrived arrival) {
@@ -116,11 +107,7 @@
             return;
         }
         Route route = found.get();
-        Origin origin = origin(arrival, route);
-        boolean fromCaller = origin.parent().isEmpty() && !innerRoutes.contains(route.name());
-        if (fromCaller) {
-            demand.offered(route.name());
-        }
+        Origin origin = admission.origin(arrival, route);
         Duration wait = arrival.patience()
                 .filter(patience -> patience.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
@@ -129,31 +116,11 @@
         origin.parent().ifPresent(parent -> parent.callBegan(now));
         byExchange.put(arrival.exchange(), request);
         byLimit.add(request);
-        double share = plan.share(route.name());
-        if (fromCaller && !shareGate.letIn(route.name(), share)) {
-            finish(now, request, notRun(RefusalReason.OVERLOAD, comeBack(route), Step.ADMISSION));
-            return;
-        }
-        send(now, request);
-    }
-
-    /**
-     * Tells when to come back: spread, so that returns do not come as a herd, and soon enough that an answer is still worth
-     * most to the caller, who counts from the first try. A later time does not lower the load: each client comes back once.
-     */
-    private Duration comeBack(Route route) {
-        long aim = route.aim().toNanos();
-        return Duration.ofNanos(aim / 8 + random.nextLong(Math.max(1, aim / 4)));
-    }
-
-    private Origin origin(FleetEvent.RequestArrived arrival, Route route) {
-        Optional<LocalRun> parent = localRuns.parentOf(arrival.requestName());
-        if (parent.isPresent()) {
-            CopyRequest running = parent.get().request();
-            innerRoutes.called(route.name());
-            return new Origin(running.rootRoute(), running.rank(), running.depth() + 1, parent);
+        if (admission.letIn(route, origin)) {
+            send(now, request);
+        } else {
+            finish(now, request, notRun(RefusalReason.OVERLOAD, admission.comeBack(route), Step.ADMISSION));
         }
-        return new Origin(route.name(), route.rank(), 0, Optional.empty());
     }
 
     private void send(long now, OutgoingRequest request) {
@@ -174,7 +141,7 @@
         copy.sent();
         byAttempt.put(attempt, request);
         if (request.sends() == 1) {
-            allowance.first(now, service);
+            repeats.first(now, service);
         }
         logSent(request, copy, load);
         CopyRequest message = message(now, request, copy, attempt);
@@ -252,7 +219,7 @@
         }
         boolean again = AttemptRules.isWorthAnotherCopy(notRun.reason())
                 && AttemptRules.hasTimeAndSends(now, request)
-                && (!reachedCopy || mayRepeat(now, request));
+                && (!reachedCopy || repeats.isAllowed(now, request));
         if (again) {
             retry(now, request, copy, notRun, AttemptRules.retryReason(notRun.reason()));
         } else {
@@ -265,7 +232,7 @@
         boolean again = request.route().idempotent()
                 && unknown.reason() != UnknownReason.DEADLINE
                 && AttemptRules.hasTimeAndSends(now, request)
-                && mayRepeat(now, request);
+                && repeats.isAllowed(now, request);
         if (again) {
             retry(now, request, copy, unknown, RetryReason.ANSWER_LOST);
         } else {
@@ -273,18 +240,6 @@
         }
     }
 
-    private boolean mayRepeat(long now, OutgoingRequest request) {
-        return request.handedCount() < request.route().maximumAttempts()
-                && hasUntriedCopy(request)
-                && allowance.take(now, request.service());
-    }
-
-    private boolean hasUntriedCopy(OutgoingRequest request) {
-        List<Copy> copies = beliefs.copies().usable(request.service());
-        return copies.stream()
-                .anyMatch(copy -> !request.tried().contains(copy.record().copy()) && peers.inReach(copy.node()));
-    }
-
     private void retry(long now, OutgoingRequest request, Copy copy, Outcome outcome, RetryReason reason) {
         effects.count(reason);
         effects.log(new Decision.Retried(
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Repeats.java
@@ -0,0 +1,52 @@
+package org.carawaysill.policy.fleet;
+
+import java.util.List;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.policy.fleet.copy.Copy;
+import org.carawaysill.policy.fleet.retry.RetryAllowance;
+import org.carawaysill.policy.fleet.retry.RetrySettings;
+
+/**
+ * Who may be sent to another copy, of the requests that may have reached one.
+ *
+ * <p>Invariants: no more copies get a request than its route allows, and no service gets more repeats from this node than its
+ * part of the fleet's bound. Not thread safe: owned by the policy.
+ */
+final class Repeats {
+
+    private final Beliefs beliefs;
+    private final Peers peers;
+    private final RetryAllowance allowance;
+
+    Repeats(FleetParts parts) {
+        beliefs = parts.beliefs();
+        peers = parts.peers();
+        allowance = new RetryAllowance(parts.settings().retries());
+    }
+
+    void bound(RetrySettings newer) {
+        allowance.settings(newer);
+    }
+
+    void nodes(int count) {
+        allowance.nodes(count);
+    }
+
+    /** Counts a request that is sent for the first time. */
+    void first(long now, ServiceName service) {
+        allowance.first(now, service);
+    }
+
+    /** Decides about a repeat, and takes it out of the bound if there may be one. */
+    boolean isAllowed(long now, OutgoingRequest request) {
+        return request.handedCount() < request.route().maximumAttempts()
+                && hasUntriedCopy(request)
+                && allowance.take(now, request.service());
+    }
+
+    private boolean hasUntriedCopy(OutgoingRequest request) {
+        List<Copy> copies = beliefs.copies().usable(request.service());
+        return copies.stream()
+                .anyMatch(copy -> !request.tried().contains(copy.record().copy()) && peers.inReach(copy.node()));
+    }
+}
