--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -31,6 +31,12 @@
     /** A process that was away for so long can't tell from silence that others are gone. */
     private static final Duration PAUSE = Duration.ofMillis(800);
 
+    /**
+     * For so long after its start a node tells details in each report. Where all nodes started anew, none knows what requests
+     * cost, and each knows another part of it a moment later: told later, all are let in for longer, and fail.
+     */
+    private static final Duration LEARNING = Duration.ofSeconds(10);
+
     private static final double LOGGED_SHARE_CHANGE = 0.1;
 
     /**
@@ -56,6 +62,7 @@
     private final OutgoingRequests outgoing;
     private final ServiceLoads loads;
     private final PlannedStop plannedStop;
+    private final long startNanos;
     private final Map<String, Double> loggedShares = new HashMap<>();
     private long nextTickNanos;
     private long lastNanos;
@@ -87,6 +94,7 @@
         plannedStop = new PlannedStop(effects, outgoing, localRuns);
         nextTickNanos = now;
         lastNanos = now;
+        startNanos = now;
     }
 
     /**
@@ -254,17 +262,18 @@
         localRuns.endOverdue(now);
         demand.close(now);
         NodeReport own = report(now);
-        tellAll(isWholeReportDue() ? own : own.inBrief());
+        tellAll(isWholeReportDue(now) ? own : own.inBrief());
         List<NodeReport> reports = new ArrayList<>(peers.reports());
         reports.add(own);
         plan.update(reports, loads.sum(now), beliefs.routesByName());
         logShares(reports.size());
     }
 
-    private boolean isWholeReportDue() {
+    private boolean isWholeReportDue(long now) {
         int interval = Math.clamp(
                 peers.count() / NODES_FOR_A_BRIEF_REPORT, FEWEST_REPORTS_FOR_DETAILS, MOST_REPORTS_FOR_DETAILS);
-        return sequence % interval == 0;
+        boolean learning = now - startNanos < LEARNING.toNanos();
+        return learning || sequence % interval == 0;
     }
 
     private boolean isReader() {
