Log when a gate's limit or the trust in a copy changes

Both beliefs decide where requests go and how many, and left no line. One line at a change, at most one for each report of the node and for each copy that crosses half of its requests failed.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
@@ -235,6 +235,45 @@
         }
     }
 
+    /**
+     * The gate in front of the local copy lets another number of requests through.
+     *
+     * @param limit how many may be at the copy now
+     * @param inFlight how many are
+     * @param queued how many wait
+     */
+    record LimitChanged(int limit, int inFlight, int queued) implements OfBelief {
+
+        @Override
+        public String subject() {
+            return "gate";
+        }
+
+        @Override
+        public String fields() {
+            return "limit=" + limit + " in_flight=" + inFlight + " queued=" + queued;
+        }
+    }
+
+    /**
+     * A copy is held off since it fails more than before, or no longer is.
+     *
+     * @param copy the copy
+     * @param success the share of this node's requests that it lately did
+     */
+    record CopyJudged(CopyName copy, double success) implements OfBelief {
+
+        @Override
+        public String subject() {
+            return copy.value();
+        }
+
+        @Override
+        public String fields() {
+            return "success=" + Math.round(success * 100) / 100.0;
+        }
+    }
+
     /**
      * The node starts or stops taking clients, or is stopping.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -260,6 +260,7 @@
         peers.passTime(now);
         beliefs.reader(now, isReader());
         localRuns.endOverdue(now);
+        localRuns.logLimit(now);
         demand.close(now);
         NodeReport own = report(now);
         tellAll(isWholeReportDue(now) ? own : own.inBrief());
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -48,6 +48,7 @@
     private final Map<String, LocalRun> runningByName = new HashMap<>();
     private LocalSender localSender = (_, _, _, _) -> {};
     private Optional<CopyRecord> known = Optional.empty();
+    private int loggedLimit;
     private boolean leaving;
 
     /** Hears what a request of this node's own came to. */
@@ -217,6 +218,15 @@
         overdue.forEach(run -> refuse(now, run, RefusalReason.DEADLINE, Step.QUEUE));
     }
 
+    /** Tells how many requests may be at the copy, where that changed. */
+    void logLimit(long now) {
+        LoadReport load = gate.load(now);
+        if (load.limit() != loggedLimit) {
+            loggedLimit = load.limit();
+            effects.log(new Decision.LimitChanged(load.limit(), load.inFlight(), load.queued()));
+        }
+    }
+
     /**
      * Ends what should have been answered long ago. Guards against an answer that never comes, as from a connection that
      * went silent: its slot would be taken for good, and the copy would look busier with each of them.
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -41,6 +41,9 @@
     /** When to come back where no copy is in reach: by then connections are dialled anew. */
     private static final Duration UNREACHABLE_RETRY_AFTER = Duration.ofMillis(300);
 
+    /** Below this share of good answers, a copy that fails alone gets next to nothing: told in the log. */
+    private static final double TRUSTED_SUCCESS = 0.5;
+
     private final FleetSettings settings;
     private final Effects effects;
     private final Beliefs beliefs;
@@ -200,7 +203,7 @@
         request.times().addAll(times);
         Copy copy = request.copy().orElseThrow();
         request.attemptEnded();
-        AttemptRules.judge(now, copy, outcome);
+        judge(now, copy, outcome);
         switch (outcome) {
             case Outcome.Answered whole -> {
                 answerSizes.answered(
@@ -212,6 +215,14 @@
         }
     }
 
+    private void judge(long now, Copy copy, Outcome outcome) {
+        boolean trusted = copy.success(now) >= TRUSTED_SUCCESS;
+        AttemptRules.judge(now, copy, outcome);
+        if (trusted != copy.success(now) >= TRUSTED_SUCCESS) {
+            effects.log(new Decision.CopyJudged(copy.record().copy(), copy.success(now)));
+        }
+    }
+
     private void afterNotRun(long now, OutgoingRequest request, Copy copy, Outcome.NotRun notRun) {
         boolean reachedCopy = notRun.reason() == RefusalReason.COPY_REFUSED;
         if (reachedCopy) {
