--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyChoice.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyChoice.java
@@ -48,8 +48,8 @@
 
     /**
      * How much more loaded a copy counts that fails all while another one fails none. Guards against a copy that answers with
-     * errors at once, which shows as one copy of a service that gets half of all requests and does none: it is idle and seems
-     * fast. A factor on its load does not hold it off, as no load times ten is no load. In virtual time, with one of four
+     * errors at once, which shows as one copy of a service that gets a multiple of its share and does none of it: it is idle
+     * and seems fast. A factor on its load does not hold it off, as no load times ten is no load. In virtual time, with one of four
      * copies of a service failing all for seven seconds, 0.96 in place of 0.76 of the requests end within their aim; its
      * failures count in comparison, since where all copies fail alike the cause is behind them.
      */
