--- a/node/src/main/java/org/carawaysill/node/peer/PeerAdapter.java
+++ b/node/src/main/java/org/carawaysill/node/peer/PeerAdapter.java
@@ -167,6 +167,9 @@
             case PeerMessage.CopyRequest ignored -> offerNotice(event);
             case PeerMessage.CopyAnswer ignored -> offerNotice(event);
             case PeerMessage.NodeReport ignored -> offerNotice(event);
+            case PeerMessage.ReportWanted ignored -> offerNotice(event);
+            case PeerMessage.GroupSummary ignored -> offerNotice(event);
+            case PeerMessage.FleetSummary ignored -> offerNotice(event);
             case PeerMessage.EntriesWanted ignored -> offerNotice(event);
             case PeerMessage.Entries ignored -> offerNotice(event);
         }
--- a/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
+++ b/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
@@ -148,6 +148,9 @@
                     PeerMessage.CopyRequest _,
                     PeerMessage.CopyAnswer _,
                     PeerMessage.NodeReport _,
+                    PeerMessage.ReportWanted _,
+                    PeerMessage.GroupSummary _,
+                    PeerMessage.FleetSummary _,
                     PeerMessage.EntriesWanted _,
                     PeerMessage.Entries _ -> List.of();
         };
--- a/policy/src/main/java/org/carawaysill/policy/engine/BaselinePolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/BaselinePolicy.java
@@ -167,6 +167,9 @@
                     PeerMessage.CopyRequest _,
                     PeerMessage.CopyAnswer _,
                     PeerMessage.NodeReport _,
+                    PeerMessage.ReportWanted _,
+                    PeerMessage.GroupSummary _,
+                    PeerMessage.FleetSummary _,
                     PeerMessage.EntriesWanted _,
                     PeerMessage.Entries _ -> {}
         }
--- a/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
@@ -143,6 +143,9 @@
                     PeerMessage.CopyRequest _,
                     PeerMessage.CopyAnswer _,
                     PeerMessage.NodeReport _,
+                    PeerMessage.ReportWanted _,
+                    PeerMessage.GroupSummary _,
+                    PeerMessage.FleetSummary _,
                     PeerMessage.EntriesWanted _,
                     PeerMessage.Entries _ -> {}
         }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
@@ -34,14 +34,19 @@
     }
 
     /** Tells for whose sake a request is made. */
-    Origin origin(FleetEvent.RequestArrived arrival, Route route) {
+    Origin origin(long now, FleetEvent.RequestArrived arrival, Route route) {
         Optional<LocalRun> parent = localRuns.parentOf(arrival.requestName());
         if (parent.isPresent()) {
             CopyRequest running = parent.get().request();
             innerRoutes.called(route.name());
-            return new Origin(running.rootRoute(), running.rank(), running.depth() + 1, parent);
+            return new Origin(
+                    running.rootRoute(),
+                    running.rank(),
+                    running.depth() + 1,
+                    parent.get().rootArrivedNanos(),
+                    parent);
         }
-        return new Origin(route.name(), route.rank(), 0, Optional.empty());
+        return new Origin(route.name(), route.rank(), 0, now, Optional.empty());
     }
 
     /** Counts a caller's request and decides whether it is let in; calls of copies are. */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
@@ -1,6 +1,7 @@
 package org.carawaysill.policy.fleet;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,11 +14,14 @@
 import org.carawaysill.model.request.ConfigurationCount;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.CopyTable;
+import org.carawaysill.policy.fleet.publication.ChangeLog;
 import org.carawaysill.policy.fleet.publication.PlatformReads;
 import org.carawaysill.policy.fleet.publication.PublicationDecoder;
 import org.carawaysill.policy.fleet.publication.PublicationDecoder.Publication;
 import org.carawaysill.policy.fleet.publication.PublishedEntries;
 import org.carawaysill.policy.fleet.route.RouteTable;
+import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.PublishedState;
 import org.carawaysill.policy.time.Nanos;
 
 /**
@@ -29,16 +33,20 @@
  */
 final class Beliefs {
 
+    private static final long NOT_KNOWN = 0;
+
     private final Effects effects;
     private final PublicationDecoder decoder;
     private final PublishedEntries entries = new PublishedEntries();
     private final CopyTable copies = new CopyTable();
     private final PlatformReads reads;
     private final Map<String, PublishedEntry> decidedBy = new HashMap<>();
+    private final ChangeLog changes = new ChangeLog();
+    private final List<String> droppedLate = new ArrayList<>();
     private Optional<FleetConfiguration> configuration = Optional.empty();
     private RouteTable routes = new RouteTable(List.of());
     private Map<String, Route> routesByName = Map.of();
-    private long revision;
+    private long digest = NOT_KNOWN;
 
     Beliefs(long now, Duration drainLimit, PublicationDecoder decoder, RandomGenerator random, Effects effects) {
         this.decoder = decoder;
@@ -66,13 +74,13 @@
         return copies;
     }
 
-    /** The newest revision of an entry that says more than that a copy lives. */
-    long revision() {
-        return revision;
+    boolean mayReadPlatform() {
+        return reads.mayRead();
     }
 
-    boolean readsPlatform() {
-        return reads.readable();
+    /** Notes that another node lately failed to read the platform. */
+    void othersFailToRead(long now) {
+        reads.othersFail(now);
     }
 
     void reader(long now, boolean forOthers) {
@@ -92,7 +100,7 @@
         if (reads.succeeded(now)) {
             effects.log(new Decision.DependencyChanged("platform", "readable", "as_of=" + read.asOf()));
         }
-        take(now, entries.merge(read.asOf(), read.complete(), read.entries()));
+        take(now, entries.merge(read.asOf(), read.complete(), read.entries()), reads.returnsUntilNanos(now), 0);
     }
 
     void readFailed(long now, FleetEvent.ReadFailure failure) {
@@ -106,51 +114,66 @@
         }
     }
 
-    /** Takes in what another node knows. */
-    void told(long now, List<PublishedEntry> given) {
-        take(now, entries.mergeTold(given));
+    /**
+     * Takes in what another node knows. It has waited for entries that may come back, so that what it tells as removed is
+     * gone.
+     */
+    void told(long now, PeerMessage.Entries told) {
+        take(now, entries.mergeTold(told.upTo(), told.complete(), told.entries()), now, told.upTo());
+        changes.caughtUp(told.upTo());
+        if (configuration.isPresent()) {
+            reads.told(now);
+        }
     }
 
     /**
-     * Gives what another node is told. An entry that may be back soon is told as it was last: the other node may read the
+     * Gives what another node lacks. An entry that may be back soon is told as it was last: the other node may read the
      * platform without a gap and know better.
+     *
+     * @param since up to which revision the other node knows all changes
      */
-    List<PublishedEntry> toldToOthers() {
-        return entries.all().stream()
+    PeerMessage.Entries toldToOthers(long since) {
+        boolean complete = !changes.remembers(since);
+        List<PublishedEntry> lacking = changes.since(complete ? 0 : since).stream()
+                .map(entries::find)
+                .flatMap(Optional::stream)
                 .map(entry -> copies.isMissing(entry.key()) ? decidedBy.getOrDefault(entry.key(), entry) : entry)
                 .toList();
+        return new PeerMessage.Entries(changes.revision(), complete, lacking);
     }
 
     long asOf() {
         return entries.asOf();
     }
 
-    private void take(long now, List<PublishedEntry> newer) {
+    /** Takes in entries; those told by another node count as changed as of when it told them. */
+    private void take(long now, List<PublishedEntry> newer, long missingUntilNanos, long toldAsOf) {
         for (PublishedEntry entry : newer) {
+            long asOf = Math.max(entry.revision(), toldAsOf);
             if (entry.text().isEmpty()) {
-                remove(now, entry);
+                remove(now, entry, missingUntilNanos, asOf);
             } else {
-                adopt(now, entry, entry.text().get());
+                adopt(now, entry, entry.text().get(), asOf);
             }
         }
     }
 
-    private void remove(long now, PublishedEntry entry) {
-        copies.remove(now, entry.key(), reads.returnsUntilNanos(now)).ifPresent(copy -> gone(copy, entry.revision()));
+    private void remove(long now, PublishedEntry entry, long missingUntilNanos, long asOf) {
+        copies.remove(now, entry.key(), missingUntilNanos).ifPresent(copy -> gone(entry.key(), copy, asOf));
     }
 
-    private void gone(Copy copy, long atRevision) {
-        revision = Math.max(revision, atRevision);
+    private void gone(String key, Copy copy, long atRevision) {
+        changed(key, atRevision);
         logCopy(copy, "gone", atRevision);
     }
 
-    private void adopt(long now, PublishedEntry entry, String text) {
+    private void adopt(long now, PublishedEntry entry, String text, long asOf) {
         switch (decoder.decode(entry.key(), text)) {
-            case Publication.Configured(FleetConfiguration published) -> adopt(published, entry.revision());
+            case Publication.Configured(FleetConfiguration published) -> adopt(entry.key(), published, asOf);
             case Publication.Listed(CopyRecord record) -> {
                 decidedBy.put(entry.key(), entry);
                 copies.put(now, entry.key(), record, entry.revision()).ifPresent(copy -> {
-                    revision = Math.max(revision, entry.revision());
+                    changed(entry.key(), asOf);
                     logCopy(copy, copy.isLeaving() ? "draining" : "ready", entry.revision());
                 });
             }
@@ -159,12 +182,12 @@
                 effects.count(ConfigurationCount.REFUSED);
                 effects.log(new Decision.EntryRefused(entry.key(), entry.revision(), fault));
                 // The last value that could be read holds no longer: nobody knows who is at that address now.
-                copies.remove(now, entry.key(), now).ifPresent(copy -> gone(copy, entry.revision()));
+                copies.remove(now, entry.key(), now).ifPresent(copy -> gone(entry.key(), copy, asOf));
             }
         }
     }
 
-    private void adopt(FleetConfiguration published, long atRevision) {
+    private void adopt(String key, FleetConfiguration published, long atRevision) {
         if (published.version() <= version()) {
             effects.count(ConfigurationCount.STALE_READ);
             return;
@@ -172,7 +195,7 @@
         effects.count(ConfigurationCount.ADOPTED);
         effects.log(new Decision.ConfigurationAdopted(
                 published.version(), version(), published.routes().size(), atRevision));
-        revision = Math.max(revision, atRevision);
+        changed(key, atRevision);
         configuration = Optional.of(published);
         routes = new RouteTable(published.routes());
         Map<String, Route> byName = new HashMap<>();
@@ -184,8 +207,45 @@
 
     /** Drops what did not come back after the platform did, and forgets what was removed long ago. */
     void passTime(long now) {
-        copies.dropMissing(now).forEach(copy -> gone(copy, revision));
-        entries.forgetRemoved(now).forEach(decidedBy::remove);
+        copies.dropMissing(now).forEach((key, copy) -> {
+            digest = NOT_KNOWN;
+            droppedLate.add(key);
+            logCopy(copy, "gone", entries.asOf());
+        });
+        tellDroppedLate();
+        entries.forgetRemoved(now).forEach(key -> {
+            decidedBy.remove(key);
+            changes.forget(key);
+        });
+    }
+
+    /**
+     * Others may know all changes up to a revision after that of the removal, since it was not told while the entry could
+     * come back: they are told of it as of a newer one.
+     */
+    private void tellDroppedLate() {
+        if (entries.asOf() > changes.revision()) {
+            droppedLate.forEach(key -> changed(key, entries.asOf()));
+            droppedLate.clear();
+        }
+    }
+
+    private void changed(String key, long atRevision) {
+        digest = NOT_KNOWN;
+        changes.changed(key, atRevision);
+    }
+
+    /** What this node decides by, in a form in which two nodes can compare it. */
+    PublishedState published() {
+        if (digest == NOT_KNOWN) {
+            digest = PublishedState.digest(version(), copies.all().stream().map(Copy::record));
+        }
+        return new PublishedState(changes.revision(), digest);
+    }
+
+    /** Notes that another node decides by the same, and knows all changes up to a revision. */
+    void sameAs(PublishedState theirs) {
+        changes.caughtUp(theirs.revision());
     }
 
     private void logCopy(Copy copy, String state, long atRevision) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetParts.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetParts.java
@@ -11,7 +11,8 @@
  * @param settings who the node is
  * @param effects what was decided
  * @param beliefs what is published
- * @param peers the other nodes
+ * @param peers the connections to other nodes
+ * @param reach which nodes may get work
  * @param localRuns the requests for the local copy
  * @param demand what is asked of this node
  * @param plan what is let in
@@ -21,6 +22,7 @@
         Effects effects,
         Beliefs beliefs,
         Peers peers,
+        Reach reach,
         LocalRuns localRuns,
         DemandMeter demand,
         EntryPlan plan) {}
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -15,6 +15,8 @@
 import org.carawaysill.policy.fleet.publication.Readers;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.NodeReport;
+import org.carawaysill.policy.message.StateSummary;
+import org.carawaysill.policy.message.StateSummary.NodeState;
 import org.carawaysill.policy.time.Moment;
 
 /**
@@ -31,45 +33,26 @@
     /** A process that was away for so long can't tell from silence that others are gone. */
     private static final Duration PAUSE = Duration.ofMillis(800);
 
-    /**
-     * For so long after its start a node tells details in each report. Where all nodes started anew, none knows what requests
-     * cost, and each knows another part of it a moment later: told later, all are let in for longer, and fail.
-     */
-    private static final Duration LEARNING = Duration.ofSeconds(10);
-
     private static final double LOGGED_SHARE_CHANGE = 0.1;
 
-    /**
-     * For each so many nodes one more report is brief before the next whole one. All nodes tell all others, so that the
-     * bytes of demands and costs, which are most of a report, grow with the square of the fleet: half of all bytes between
-     * availability zones on a quiet day with 16 nodes or a heavy one with 81. With 16 nodes, where every other report is
-     * whole, the same share of requests is served in virtual time, within 0.004; where one in four is, within 0.006.
-     */
-    private static final int NODES_FOR_A_BRIEF_REPORT = 20;
-
-    private static final int FEWEST_REPORTS_FOR_DETAILS = 2;
-
-    /** Details older than this many reports, 3.2 s, would follow no burst. */
-    private static final int MOST_REPORTS_FOR_DETAILS = 8;
-
     private FleetSettings settings;
     private final Effects effects = new Effects();
     private final Beliefs beliefs;
     private final Peers peers;
+    private final FleetState state;
+    private final PublicationExchange exchange;
     private final DemandMeter demand;
     private final EntryPlan plan;
     private final LocalRuns localRuns;
     private final OutgoingRequests outgoing;
     private final ServiceLoads loads;
     private final PlannedStop plannedStop;
-    private final long startNanos;
     private final Map<String, Double> loggedShares = new HashMap<>();
     private long nextTickNanos;
     private long lastNanos;
     private long configuredNanos = Long.MAX_VALUE;
     private long sequence;
-    private long askedRevision;
-    private long toldRevision;
+    private long toldDigest;
     private boolean ready;
 
     /**
@@ -85,16 +68,19 @@
         long now = start.nanos();
         beliefs = new Beliefs(now, settings.drainLimit(), decoder, random, effects);
         peers = new Peers(settings.self(), effects);
+        state = new FleetState(settings, effects, beliefs, peers);
+        exchange = new PublicationExchange(effects, beliefs);
+        toldDigest = beliefs.published().digest();
         demand = new DemandMeter(now);
         plan = new EntryPlan(settings.without());
         localRuns = new LocalRuns(settings, effects);
+        Reach reach = new Reach(settings.self(), peers, state);
         outgoing = new OutgoingRequests(
-                new FleetParts(settings, effects, beliefs, peers, localRuns, demand, plan), random);
-        loads = new ServiceLoads(settings, beliefs, peers, localRuns);
+                new FleetParts(settings, effects, beliefs, peers, reach, localRuns, demand, plan), random);
+        loads = new ServiceLoads(settings, beliefs, reach, state, localRuns);
         plannedStop = new PlannedStop(effects, outgoing, localRuns);
         nextTickNanos = now;
         lastNanos = now;
-        startNanos = now;
     }
 
     /**
@@ -115,6 +101,7 @@
             case FleetEvent.PeerConnected connected -> peerConnected(now, connected.peer());
             case FleetEvent.PeerLost lost -> {
                 peers.lost(lost.peer());
+                state.lost(lost.peer());
                 localRuns.senderLost(now, lost.peer());
                 outgoing.peerLost(now, lost.peer());
             }
@@ -125,7 +112,7 @@
                 beliefs.read(now, read);
                 publicationChanged(moment);
             }
-            case FleetEvent.EntriesReadFailed failed -> readFailed(now, failed);
+            case FleetEvent.EntriesReadFailed failed -> beliefs.readFailed(now, failed.failure());
             case FleetEvent.SettingsChanged changed -> reload(changed.settings());
             case FleetEvent.StopOrdered _ -> plannedStop.order(now);
         }
@@ -148,11 +135,19 @@
             case PeerMessage.CopyAnswer answer -> outgoing.peerAnswered(now, from, answer);
             case PeerMessage.CancelAttempt cancel -> localRuns.cancelled(now, cancel.attempt());
             case PeerMessage.NodeReport report -> reported(now, from, report);
-            case PeerMessage.EntriesWanted _ ->
-                effects.add(new FleetEffect.SendToPeer(
-                        from, new PeerMessage.Entries(beliefs.asOf(), beliefs.toldToOthers())));
+            case PeerMessage.ReportWanted _ ->
+                effects.add(new FleetEffect.SendToPeer(from, report(now).withoutRoutes(false)));
+            case PeerMessage.GroupSummary(StateSummary summary) -> {
+                state.groupTold(now, from, summary);
+                exchange.heard(now, from, summary.published());
+            }
+            case PeerMessage.FleetSummary(StateSummary summary) -> {
+                state.fleetTold(now, from, summary);
+                exchange.heard(now, from, summary.published());
+            }
+            case PeerMessage.EntriesWanted wanted -> exchange.wanted(from, wanted);
             case PeerMessage.Entries entries -> {
-                beliefs.told(now, entries.entries());
+                beliefs.told(now, entries);
                 publicationChanged(moment);
             }
             case PeerMessage.PeerRequest _,
@@ -172,52 +167,39 @@
 
     private void reported(long now, NodeName from, NodeReport report) {
         peers.reported(now, from, report);
+        state.reported(now, from, report);
         for (Copy copy : beliefs.copies().all()) {
             if (copy.node().equals(from)) {
-                copy.told(report.load());
+                copy.told(now, report.load());
                 copy.works(report.workSeconds());
             }
         }
-        askIfBehind(from, report.publishedRevision());
-    }
-
-    /** Asks at once whoever decides by something newer, so that a node that can't read the platform is not left behind. */
-    private void askIfBehind(NodeName peer, long theirRevision) {
-        if (theirRevision > Math.max(Math.max(beliefs.asOf(), beliefs.revision()), askedRevision)) {
-            askedRevision = theirRevision;
-            effects.add(new FleetEffect.SendToPeer(peer, new PeerMessage.EntriesWanted()));
-        }
+        exchange.heard(now, from, report.published());
     }
 
     private void peerConnected(long now, NodeName peer) {
         peers.connected(now, peer);
-        effects.add(new FleetEffect.SendToPeer(peer, report(now)));
-        if (beliefs.configuration().isEmpty()) {
-            effects.add(new FleetEffect.SendToPeer(peer, new PeerMessage.EntriesWanted()));
-        }
-    }
-
-    private void readFailed(long now, FleetEvent.EntriesReadFailed failed) {
-        beliefs.readFailed(now, failed.failure());
-        // What is asked for again may now be told by another node, or by the same one anew.
-        askedRevision = 0;
+        effects.add(new FleetEffect.SendToPeer(peer, report(now).withoutRoutes(false)));
     }
 
-    /** Tells all others at once: they ask for what is newer, and are not kept waiting for the next report. */
-    private void tellRevision(long now) {
-        if (beliefs.revision() > toldRevision) {
-            toldRevision = beliefs.revision();
-            tellAll(report(now));
+    /** Tells at once that this node decides by something newer: what is told at intervals reaches others too late. */
+    private void tellPublished(long now) {
+        long digest = beliefs.published().digest();
+        if (digest != toldDigest) {
+            toldDigest = digest;
+            state.tellPublished(now, report(now));
         }
     }
 
-    private void tellAll(NodeReport report) {
+    /** Tells all nodes, also those that hear of this one from others only: none may send work here any more. */
+    private void tellLeaving(long now) {
+        NodeReport report = report(now).withoutRoutes(false);
         peers.connected().forEach(peer -> effects.add(new FleetEffect.SendToPeer(peer, report)));
     }
 
     private void publicationChanged(Moment moment) {
         long now = moment.nanos();
-        tellRevision(now);
+        tellPublished(now);
         if (beliefs.configuration().isPresent() && configuredNanos == Long.MAX_VALUE) {
             configuredNanos = now;
         }
@@ -250,51 +232,57 @@
         outgoing.passTime(now);
         showReadiness(now);
         if (plannedStop.isLeavingToBeTold(now)) {
-            tellAll(report(now));
+            tellLeaving(now);
         }
         plannedStop.passTime(now, settings.stopLimit());
     }
 
     private void tick(long now) {
         beliefs.passTime(now);
-        peers.passTime(now);
-        beliefs.reader(now, isReader());
+        peers.passTime(now, outgoing.waitedFor());
         localRuns.endOverdue(now);
         localRuns.logLimit(now);
         demand.close(now);
-        NodeReport own = report(now);
-        tellAll(isWholeReportDue(now) ? own : own.inBrief());
-        List<NodeReport> reports = new ArrayList<>(peers.reports());
-        reports.add(own);
-        plan.update(reports, loads.sum(now), beliefs.routesByName());
-        logShares(reports.size());
-    }
-
-    private boolean isWholeReportDue(long now) {
-        int interval = Math.clamp(
-                peers.count() / NODES_FOR_A_BRIEF_REPORT, FEWEST_REPORTS_FOR_DETAILS, MOST_REPORTS_FOR_DETAILS);
-        boolean learning = now - startNanos < LEARNING.toNanos();
-        return learning || sequence % interval == 0;
+        state.tick(now, report(now));
+        chooseReaders(now);
+        plan.update(state.routes(), loads.sum(now), beliefs.routesByName());
+        logShares(state.states().size());
     }
 
-    private boolean isReader() {
-        List<Readers.Candidate> candidates = new ArrayList<>();
-        if (beliefs.readsPlatform()) {
-            candidates.add(new Readers.Candidate(settings.self(), settings.zone()));
+    /** Where none can read, those that would read try again. */
+    private void chooseReaders(long now) {
+        List<Readers.Candidate> able = new ArrayList<>();
+        List<Readers.Candidate> all = new ArrayList<>();
+        Readers.Candidate self = new Readers.Candidate(settings.self(), settings.zone());
+        all.add(self);
+        if (beliefs.mayReadPlatform()) {
+            able.add(self);
         }
         for (Copy copy : beliefs.copies().all()) {
-            if (peers.readsPlatform(copy.node())) {
-                candidates.add(new Readers.Candidate(copy.node(), copy.record().zone()));
+            NodeName node = copy.node();
+            if (!node.equals(settings.self()) && peers.inTouch(node) && state.isListed(node)) {
+                Readers.Candidate candidate =
+                        new Readers.Candidate(node, copy.record().zone());
+                all.add(candidate);
+                if (readsPlatform(node)) {
+                    able.add(candidate);
+                } else {
+                    beliefs.othersFailToRead(now);
+                }
             }
         }
-        return Readers.isReader(settings.self(), candidates);
+        beliefs.reader(now, Readers.isReader(settings.self(), able.isEmpty() ? all : able));
+    }
+
+    private boolean readsPlatform(NodeName node) {
+        return state.state(node).map(NodeState::readsPlatform).orElseGet(() -> peers.readsPlatform(node));
     }
 
     private NodeReport report(long now) {
         return new NodeReport(
                 ++sequence,
-                beliefs.revision(),
-                beliefs.readsPlatform(),
+                beliefs.published(),
+                beliefs.mayReadPlatform(),
                 plannedStop.isLeavingTold(),
                 settings.service(),
                 localRuns.load(now),
@@ -304,13 +292,13 @@
                 plan.ownCosts());
     }
 
-    private void logShares(int reports) {
+    private void logShares(int nodes) {
         for (String route : beliefs.routesByName().keySet()) {
             double share = plan.share(route);
             double logged = loggedShares.getOrDefault(route, 1.0);
             if (Math.abs(share - logged) >= LOGGED_SHARE_CHANGE) {
                 loggedShares.put(route, share);
-                effects.log(new Decision.ShareChanged(route, share, plan.offered(route), reports));
+                effects.log(new Decision.ShareChanged(route, share, plan.offered(route), nodes));
             }
         }
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
@@ -38,9 +38,10 @@
      * @param rootRoute the route of the caller's request
      * @param rank the place of that in the order of refusal
      * @param depth calls between that and this one
+     * @param rootArrivedNanos when the caller's request arrived, on this node's clock
      * @param parent the running request that makes this call, where it is known
      */
-    record Origin(String rootRoute, int rank, int depth, Optional<LocalRun> parent) {}
+    record Origin(String rootRoute, int rank, int depth, long rootArrivedNanos, Optional<LocalRun> parent) {}
 
     OutgoingRequest(
             FleetEvent.RequestArrived arrival,
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -4,10 +4,12 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.AttemptIdentifier;
@@ -48,6 +50,7 @@
     private final Effects effects;
     private final Beliefs beliefs;
     private final Peers peers;
+    private final Reach reach;
     private final LocalRuns localRuns;
     private final RandomGenerator random;
     private final SplitShares splits = new SplitShares();
@@ -66,6 +69,7 @@
         this.effects = parts.effects();
         this.beliefs = parts.beliefs();
         this.peers = parts.peers();
+        this.reach = parts.reach();
         this.localRuns = parts.localRuns();
         this.random = random;
         choice = new CopyChoice(settings.self(), settings.zone(), settings.without(), random);
@@ -83,6 +87,14 @@
         return byExchange.size();
     }
 
+    /** The nodes that owe an answer to a request. */
+    Set<NodeName> waitedFor() {
+        Set<NodeName> nodes = new HashSet<>();
+        byAttempt.values().forEach(request -> request.copy().ifPresent(copy -> nodes.add(copy.node())));
+        nodes.remove(settings.self());
+        return nodes;
+    }
+
     /** Takes in which routes are published. */
     void routes(Collection<String> names) {
         answerSizes.retain(names);
@@ -110,7 +122,7 @@
             return;
         }
         Route route = found.get();
-        Origin origin = admission.origin(arrival, route);
+        Origin origin = admission.origin(now, arrival, route);
         Duration wait = arrival.patience()
                 .filter(patience -> patience.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
@@ -130,9 +142,9 @@
         ServiceName service = request.service();
         List<Copy> copies = beliefs.copies().usable(service);
         double bytes = answerSizes.usual(request.route().name());
-        Optional<Copy> chosen = choice.choose(now, copies, request.tried(), bytes, peers::inReach)
+        Optional<Copy> chosen = choice.choose(now, copies, request.tried(), bytes, node -> reach.contains(now, node))
                 .or(() -> choice.choose(
-                        now, copies, request.tried(), bytes, node -> peers.inReachAsLastResort(now, node)));
+                        now, copies, request.tried(), bytes, node -> reach.containsAsLastResort(now, node)));
         if (chosen.isEmpty()) {
             finish(now, request, notRun(RefusalReason.NO_COPY, UNREACHABLE_RETRY_AFTER, Step.ROUTING));
             return;
@@ -152,6 +164,7 @@
             localRuns.accept(now, Optional.empty(), message);
         } else {
             effects.add(new FleetEffect.SendToPeer(copy.node(), message));
+            peers.asked(now, copy.node());
         }
     }
 
@@ -166,6 +179,7 @@
                 request.origin().rank(),
                 request.route().idempotent(),
                 request.origin().depth(),
+                now - request.origin().rootArrivedNanos(),
                 request.limitNanos() - now,
                 request.arrival().content());
     }
@@ -191,7 +205,7 @@
         Copy copy = request.copy().get();
         if (copy.node().equals(from)) {
             answered(now, answer.attempt(), answer.outcome(), answer.times());
-            copy.told(answer.load());
+            copy.told(now, answer.load());
         }
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
@@ -2,30 +2,38 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.NodeReport;
 import org.carawaysill.policy.time.Nanos;
 
 /**
- * The other nodes, and which of them can be reached.
+ * The connections to other nodes, and which of them carry something.
  *
- * <p>Each node tells all others a report every {@link #REPORT_INTERVAL}; a connection on which none comes carries nothing.
- * Not thread safe: owned by the policy.
+ * <p>Idle connections are silent: a connection is watched from the moment at which something is sent on it that the other
+ * node answers, until anything comes back. Not thread safe: owned by the policy.
  */
 final class Peers {
 
     static final Duration REPORT_INTERVAL = Duration.ofMillis(400);
 
-    /** Two reports missed in a row: a lost packet is sent again by the operating system within about 200 ms. */
+    /**
+     * How long after a request the other node is asked for a sign of life: most answers come before, and cost no message
+     * more.
+     */
+    private static final Duration PROBE_AFTER = Duration.ofMillis(200);
+
+    /** A lost packet is sent again by the operating system within about 200 ms, and what it carried is answered then. */
     static final Duration SUSPECT_AFTER = Duration.ofMillis(1200);
 
+    /** How often idle connections are tried at the most, as soon as one turned out to be silent. */
+    private static final Duration IDLE_PROBES_APART = Duration.ofSeconds(10);
+
     /**
      * Guards against a connection that goes silent without a reset, which shows as requests that time out one after the
      * other while a new connection would work: it is given up, and what waits on it is known to be lost.
@@ -44,6 +52,7 @@
     private final NodeName self;
     private final Effects effects;
     private final Map<NodeName, Peer> known = new HashMap<>();
+    private long idleProbedNanos = -IDLE_PROBES_APART.toNanos();
 
     Peers(NodeName self, Effects effects) {
         this.self = self;
@@ -94,7 +103,7 @@
     void connected(long now, NodeName name) {
         Peer peer = peer(name);
         peer.connected = true;
-        peer.heardNanos = now;
+        peer.heard(now);
         peer.suspected = false;
         peer.leaving = false;
         effects.log(new Decision.DependencyChanged(
@@ -104,14 +113,14 @@
     void lost(NodeName name) {
         Peer peer = peer(name);
         peer.connected = false;
-        peer.report = Optional.empty();
+        peer.readsPlatform = false;
         effects.log(new Decision.DependencyChanged(
                 "node " + name, "lost", "peers=" + connected().size()));
     }
 
     void heard(long now, NodeName name) {
         Peer peer = peer(name);
-        peer.heardNanos = now;
+        peer.heard(now);
         if (peer.suspected) {
             peer.suspected = false;
             effects.log(new Decision.DependencyChanged(
@@ -121,45 +130,92 @@
 
     void reported(long now, NodeName name, NodeReport report) {
         Peer peer = peer(name);
-        peer.report = Optional.of(peer.report.map(report::completedBy).orElse(report));
+        peer.readsPlatform = report.readsPlatform();
         if (report.leaving() && !peer.leaving) {
             peer.leaving = true;
             peer.leavingNanos = now;
         }
     }
 
+    /** Notes that something was sent that the other node answers. */
+    void asked(long now, NodeName name) {
+        peer(name).awaits(now);
+    }
+
     /** Notes that this process was paused, so that the silence says nothing about the others. */
     void paused(long now) {
-        known.values().forEach(peer -> peer.heardNanos = now);
+        known.values().stream().filter(Peer::isAwaited).forEach(peer -> peer.awaitedNanos = now);
     }
 
-    /** Suspects and resets what is silent, and lets go of what has not been published for long. */
-    void passTime(long now) {
+    /**
+     * Suspects and resets what is silent, and lets go of what has not been published for long.
+     *
+     * @param waitedFor the nodes that still owe an answer
+     */
+    void passTime(long now, Set<NodeName> waitedFor) {
         forgetMissing(now);
+        waitedFor.forEach(name -> peer(name).stillAwaits(now));
+        known.forEach((name, peer) -> watch(now, name, peer));
+    }
+
+    private void watch(long now, NodeName name, Peer peer) {
+        if (!peer.connected || !peer.isAwaited()) {
+            return;
+        }
+        long silent = now - peer.awaitedNanos;
+        if (silent > PROBE_AFTER.toNanos() && !peer.probed) {
+            probe(now, name, peer);
+        }
+        if (silent > SUSPECT_AFTER.toNanos() && !peer.suspected) {
+            peer.suspected = true;
+            effects.log(
+                    new Decision.DependencyChanged("node " + name, "suspected", "silent_ms=" + Nanos.toMillis(silent)));
+            probeIdle(now);
+        }
+        if (silent > RESET_AFTER.toNanos()) {
+            peer.awaitedNanos = now;
+            effects.add(new FleetEffect.ResetPeer(name));
+        }
+    }
+
+    private void probe(long now, NodeName name, Peer peer) {
+        peer.awaits(now);
+        peer.probed = true;
+        effects.add(new FleetEffect.SendToPeer(name, new PeerMessage.ReportWanted()));
+    }
+
+    /**
+     * Tries the connections on which nothing is expected.
+     *
+     * <p>Guards against many connections that went silent at once, as behind a link that forgets them: each would be found
+     * only by requests that are lost on it, and each node has one to all others.
+     */
+    private void probeIdle(long now) {
+        if (now - idleProbedNanos < IDLE_PROBES_APART.toNanos()) {
+            return;
+        }
+        idleProbedNanos = now;
         known.forEach((name, peer) -> {
-            long silent = now - peer.heardNanos;
-            if (peer.connected && !peer.suspected && silent > SUSPECT_AFTER.toNanos()) {
-                peer.suspected = true;
-                effects.log(new Decision.DependencyChanged(
-                        "node " + name, "suspected", "silent_ms=" + Nanos.toMillis(silent)));
-            }
-            if (peer.connected && silent > RESET_AFTER.toNanos()) {
-                peer.heardNanos = now;
-                effects.add(new FleetEffect.ResetPeer(name));
+            if (peer.connected && !peer.isAwaited() && !peer.isHeardLately(now)) {
+                probe(now, name, peer);
             }
         });
     }
 
-    boolean inReach(NodeName name) {
-        if (name.equals(self)) {
-            return true;
-        }
+    /** Tells whether a connection carries something, by all that was seen here, and its node takes new work. */
+    boolean inTouch(NodeName name) {
         Peer peer = known.get(name);
         return peer != null && peer.isHeard() && !peer.leaving;
     }
 
+    /** Tells whether something came from a node so lately that nobody else needs to say that it lives. */
+    boolean isHeardLately(long now, NodeName name) {
+        Peer peer = known.get(name);
+        return peer != null && peer.isHeardLately(now);
+    }
+
     /** Tells whether a node can be reached that has said it leaves, and may still take work. */
-    boolean inReachAsLastResort(long now, NodeName name) {
+    boolean isJustLeaving(long now, NodeName name) {
         Peer peer = known.get(name);
         return peer != null && peer.isHeard() && peer.leaving && now - peer.leavingNanos < LAST_RESORT.toNanos();
     }
@@ -174,24 +230,9 @@
         return names;
     }
 
-    /** The latest reports of the nodes that can be reached. */
-    Collection<NodeReport> reports() {
-        List<NodeReport> reports = new ArrayList<>();
-        known.values().forEach(peer -> {
-            if (peer.isHeard()) {
-                peer.report.ifPresent(reports::add);
-            }
-        });
-        return reports;
-    }
-
-    /** Tells whether a node can be reached and said last that it can read the platform. */
+    /** Tells whether a node can be reached and last said itself that it can read the platform. */
     boolean readsPlatform(NodeName name) {
-        Peer peer = known.get(name);
-        return peer != null
-                && peer.isHeard()
-                && !peer.leaving
-                && peer.report.filter(NodeReport::readsPlatform).isPresent();
+        return inTouch(name) && known.get(name).readsPlatform;
     }
 
     /** How many nodes there are, this one included. */
@@ -207,17 +248,49 @@
 
     private static final class Peer {
 
+        private static final long NOTHING = Long.MAX_VALUE;
+
         private boolean wanted;
         private boolean connected;
         private boolean suspected;
         private boolean leaving;
+        private boolean readsPlatform;
+        private boolean probed;
         private long leavingNanos;
         private long heardNanos;
+        private long awaitedNanos = NOTHING;
         private long missingNanos = Long.MAX_VALUE;
-        private Optional<NodeReport> report = Optional.empty();
 
         private boolean isHeard() {
             return connected && !suspected;
         }
+
+        private boolean isHeardLately(long now) {
+            return now - heardNanos < SUSPECT_AFTER.toNanos();
+        }
+
+        private boolean isAwaited() {
+            return awaitedNanos != NOTHING;
+        }
+
+        private void heard(long now) {
+            heardNanos = now;
+            awaitedNanos = NOTHING;
+            probed = false;
+        }
+
+        /** Counts from the first of several messages without an answer. */
+        private void awaits(long now) {
+            if (!isAwaited()) {
+                awaitedNanos = now;
+            }
+        }
+
+        /** Something else that came did not end the wait for an answer. */
+        private void stillAwaits(long now) {
+            if (now - heardNanos > REPORT_INTERVAL.toNanos()) {
+                awaits(heardNanos);
+            }
+        }
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Repeats.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Repeats.java
@@ -15,12 +15,12 @@
 final class Repeats {
 
     private final Beliefs beliefs;
-    private final Peers peers;
+    private final Reach reach;
     private final RetryAllowance allowance;
 
     Repeats(FleetParts parts) {
         beliefs = parts.beliefs();
-        peers = parts.peers();
+        reach = parts.reach();
         allowance = new RetryAllowance(parts.settings().retries());
     }
 
@@ -40,13 +40,13 @@
     /** Decides about a repeat, and takes it out of the bound if there may be one. */
     boolean isAllowed(long now, OutgoingRequest request) {
         return request.handedCount() < request.route().maximumAttempts()
-                && hasUntriedCopy(request)
+                && hasUntriedCopy(now, request)
                 && allowance.take(now, request.service());
     }
 
-    private boolean hasUntriedCopy(OutgoingRequest request) {
+    private boolean hasUntriedCopy(long now, OutgoingRequest request) {
         List<Copy> copies = beliefs.copies().usable(request.service());
         return copies.stream()
-                .anyMatch(copy -> !request.tried().contains(copy.record().copy()) && peers.inReach(copy.node()));
+                .anyMatch(copy -> !request.tried().contains(copy.record().copy()) && reach.contains(now, copy.node()));
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/ServiceLoads.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/ServiceLoads.java
@@ -6,7 +6,7 @@
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.entry.ServiceLoad;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
-import org.carawaysill.policy.message.PeerMessage.NodeReport;
+import org.carawaysill.policy.message.StateSummary.NodeState;
 
 /**
  * Sums up what the copies of each service are doing that may get work now.
@@ -20,36 +20,38 @@
 
     private final FleetSettings settings;
     private final Beliefs beliefs;
-    private final Peers peers;
+    private final Reach reach;
+    private final FleetState state;
     private final LocalRuns localRuns;
 
-    ServiceLoads(FleetSettings settings, Beliefs beliefs, Peers peers, LocalRuns localRuns) {
+    ServiceLoads(FleetSettings settings, Beliefs beliefs, Reach reach, FleetState state, LocalRuns localRuns) {
         this.settings = settings;
         this.beliefs = beliefs;
-        this.peers = peers;
+        this.reach = reach;
+        this.state = state;
         this.localRuns = localRuns;
     }
 
     /** Gives the loads by service; a service without a copy that may get work is not there. */
     Map<ServiceName, ServiceLoad> sum(long now) {
         lookAtOwnCopy(now);
-        return settings.without().contains(Mechanism.USABLE_SLOTS) ? ofAllNodes(now) : ofUsableCopies();
+        return settings.without().contains(Mechanism.USABLE_SLOTS) ? ofAllNodes(now) : ofUsableCopies(now);
     }
 
     /** Nobody reports this node's own copy to it. */
     private void lookAtOwnCopy(long now) {
         for (Copy copy : beliefs.copies().usable(settings.service())) {
             if (copy.node().equals(settings.self())) {
-                copy.told(localRuns.load(now));
+                copy.told(now, localRuns.load(now));
                 copy.works(localRuns.workSeconds(now));
             }
         }
     }
 
-    private Map<ServiceName, ServiceLoad> ofUsableCopies() {
+    private Map<ServiceName, ServiceLoad> ofUsableCopies(long now) {
         Map<ServiceName, ServiceLoad> loads = new HashMap<>();
         for (Copy copy : beliefs.copies().usable()) {
-            if (peers.inReach(copy.node())) {
+            if (reach.contains(now, copy.node())) {
                 loads.merge(copy.record().service(), ServiceLoad.of(copy.load()), ServiceLoad::plus);
             }
         }
@@ -59,9 +61,9 @@
     private Map<ServiceName, ServiceLoad> ofAllNodes(long now) {
         Map<ServiceName, ServiceLoad> loads = new HashMap<>();
         loads.put(settings.service(), ServiceLoad.of(localRuns.load(now)));
-        for (NodeReport report : peers.reports()) {
-            if (!report.leaving()) {
-                loads.merge(report.service(), ServiceLoad.of(report.load()), ServiceLoad::plus);
+        for (NodeState node : state.states()) {
+            if (!node.leaving() && !node.node().equals(settings.self())) {
+                loads.merge(node.service(), ServiceLoad.of(node.load()), ServiceLoad::plus);
             }
         }
         return loads;
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
@@ -23,6 +23,12 @@
      */
     private static final double FORGIVEN_AFTER_NANOS = Duration.ofSeconds(4).toNanos();
 
+    /**
+     * What its own node told with an answer is newer than what others heard of it, for so long: that takes three intervals
+     * of 0.4 s to come here. Without it, a busy copy's load went back to what it was a second ago, at each summary.
+     */
+    private static final long KNOWN_BETTER_NANOS = Duration.ofMillis(800).toNanos();
+
     /** A cold copy works at about half its speed. */
     private static final double COLD_LOAD_FACTOR = 2;
 
@@ -38,6 +44,7 @@
     private int outstanding;
     private int othersLoad;
     private LoadReport load;
+    private long toldNanos;
     private double workSeconds;
     private double success = 1;
     private long answeredNanos;
@@ -45,6 +52,7 @@
     Copy(CopyRecord record, long now, long revision) {
         this.record = record;
         firstSeenNanos = now;
+        toldNanos = now - KNOWN_BETTER_NANOS;
         firstRevision = revision;
         node = new NodeName(record.address().host());
         load = new LoadReport(0, record.slots(), 0, 0);
@@ -161,9 +169,27 @@
     /**
      * Takes in the load that its node told.
      *
+     * @param now the monotonic time
      * @param newest the load
      */
-    public void told(LoadReport newest) {
+    public void told(long now, LoadReport newest) {
+        toldNanos = now;
+        take(newest);
+    }
+
+    /**
+     * Takes in the load that others heard from its node, unless the node itself told it lately.
+     *
+     * @param now the monotonic time
+     * @param heard the load
+     */
+    public void toldByOthers(long now, LoadReport heard) {
+        if (now - toldNanos >= KNOWN_BETTER_NANOS) {
+            take(heard);
+        }
+    }
+
+    private void take(LoadReport newest) {
         othersLoad = Math.max(0, newest.inFlight() + newest.queued() - outstanding);
         load = newest;
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
@@ -98,15 +98,16 @@
      * Drops the copies whose entries did not come back in time.
      *
      * @param now the monotonic time
-     * @return the copies that are gone
+     * @return the copies that are gone, by the keys of their entries
      */
-    public List<Copy> dropMissing(long now) {
-        List<Copy> gone = new ArrayList<>();
-        for (Map.Entry<String, Copy> entry : List.copyOf(byKey.entrySet())) {
-            if (entry.getValue().isMissingAt(now)) {
-                gone.add(drop(entry.getKey(), entry.getValue()));
+    public Map<String, Copy> dropMissing(long now) {
+        Map<String, Copy> gone = new HashMap<>();
+        byKey.forEach((key, copy) -> {
+            if (copy.isMissingAt(now)) {
+                gone.put(key, copy);
             }
-        }
+        });
+        gone.forEach(this::drop);
         return gone;
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/LocalRun.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/LocalRun.java
@@ -22,6 +22,7 @@
     private final Optional<NodeName> sender;
     private final long arrivedNanos;
     private final long deadlineNanos;
+    private final long rootArrivedNanos;
     private final SlotTimes times = new SlotTimes();
     private long startedNanos;
     private int runningAtStart;
@@ -42,6 +43,7 @@
         this.sender = sender;
         arrivedNanos = now;
         deadlineNanos = now + request.remainingNanos();
+        rootArrivedNanos = now - request.rootAgeNanos();
     }
 
     /**
@@ -62,6 +64,15 @@
         return sender;
     }
 
+    /**
+     * Tells when the caller's request arrived behind which it is made.
+     *
+     * @return the monotonic time on this node, but for the time that messages were on their way
+     */
+    public long rootArrivedNanos() {
+        return rootArrivedNanos;
+    }
+
     /**
      * Tells when it arrived.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/EntryPlan.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/EntryPlan.java
@@ -1,7 +1,6 @@
 package org.carawaysill.policy.fleet.entry;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,7 +10,7 @@
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
-import org.carawaysill.policy.message.PeerMessage.NodeReport;
+import org.carawaysill.policy.fleet.summary.RouteSums;
 import org.carawaysill.policy.message.PeerMessage.RouteCost;
 import org.carawaysill.policy.message.PeerMessage.SlotTime;
 
@@ -55,13 +54,12 @@
     /**
      * Plans anew.
      *
-     * @param reports the latest report of each node in reach, this one's included
+     * @param demand what callers ask of all nodes, and what it costs
      * @param loads what the copies that may get work now are doing, by service; a service that is not there has none
      * @param routes the routes by name
      */
-    public void update(Collection<NodeReport> reports, Map<ServiceName, ServiceLoad> loads, Map<String, Route> routes) {
-        FleetDemand demand = new FleetDemand(reports);
-        costs.average(reports);
+    public void update(RouteSums demand, Map<ServiceName, ServiceLoad> loads, Map<String, Route> routes) {
+        costs.average(demand);
         costs.retain(routes.keySet());
         if (without.contains(Mechanism.ENTRY_PLAN)) {
             return;
@@ -81,7 +79,7 @@
         offered = newOffered;
     }
 
-    private SortedMap<Integer, List<PlannedRoute>> byRank(FleetDemand demand, Map<String, Route> routes) {
+    private SortedMap<Integer, List<PlannedRoute>> byRank(RouteSums demand, Map<String, Route> routes) {
         SortedMap<Integer, List<PlannedRoute>> byRank = new TreeMap<>();
         for (String name : demand.routes()) {
             Route route = routes.get(name);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/RouteCosts.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/RouteCosts.java
@@ -6,9 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import org.carawaysill.model.identity.ServiceName;
-import org.carawaysill.policy.message.PeerMessage.NodeReport;
+import org.carawaysill.policy.fleet.summary.RouteSums;
 import org.carawaysill.policy.message.PeerMessage.RouteCost;
-import org.carawaysill.policy.message.PeerMessage.RouteDemand;
 import org.carawaysill.policy.message.PeerMessage.SlotTime;
 
 /**
@@ -29,12 +28,6 @@
      */
     private static final float REQUEST_WEIGHT = 0.2f;
 
-    /**
-     * How much a node's figures count for a route of which nothing completes there, as completions a second: enough where
-     * nothing completes anywhere, next to nothing else.
-     */
-    private static final double FAILING_WEIGHT = 0.001;
-
     private final Map<String, Map<ServiceName, Float>> own = new HashMap<>();
     private final Map<String, Map<ServiceName, Double>> ofFleet = new HashMap<>();
 
@@ -78,28 +71,10 @@
         return costs;
     }
 
-    /**
-     * Averages what the nodes have learned, by how much of the route each completes. A route of which nobody knows anything
-     * now keeps what was known before.
-     */
-    void average(Collection<NodeReport> reports) {
-        Map<String, Map<ServiceName, double[]>> sums = new HashMap<>();
-        for (NodeReport report : reports) {
-            Map<String, Float> weights = new HashMap<>();
-            for (RouteDemand demand : report.demands()) {
-                weights.put(demand.route(), demand.completedPerSecond());
-            }
-            for (RouteCost cost : report.costs()) {
-                double weight = weights.getOrDefault(cost.route(), 0f) + FAILING_WEIGHT;
-                double[] sum = sums.computeIfAbsent(cost.route(), _ -> new HashMap<>())
-                        .computeIfAbsent(cost.service(), _ -> new double[2]);
-                sum[0] += weight * cost.slotSeconds();
-                sum[1] += weight;
-            }
-        }
-        sums.forEach((route, byService) -> byService.forEach((service, sum) -> {
-            ofFleet.computeIfAbsent(route, _ -> new HashMap<>()).put(service, sum[0] / sum[1]);
-        }));
+    /** Takes in what all nodes have learned. A route of which nobody knows anything now keeps what was known before. */
+    void average(RouteSums sums) {
+        sums.forEachCost((route, costs) ->
+                ofFleet.computeIfAbsent(route, _ -> new HashMap<>()).putAll(costs));
     }
 
     Map<ServiceName, Double> of(String route) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/PlatformReads.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/PlatformReads.java
@@ -9,7 +9,8 @@
 /**
  * When this node reads at the platform, and whether it can.
  *
- * <p>Invariants: at most one read at a time; the pause after a failed read is never shorter than {@link #SHORTEST_PAUSE}. Not
+ * <p>Only the nodes that read for all do, and those that know nothing: who is told by others does not read to show that it
+ * could. Invariants: at most one read at a time; the pause after a failed read is never shorter than {@link #SHORTEST_PAUSE}. Not
  * thread safe: owned by the policy.
  */
 public final class PlatformReads {
@@ -22,11 +23,18 @@
      */
     private static final int PARTS_OF_DRAIN_LIMIT = 5;
 
+    /** The pause of a node whose reads fail while others read: it only shows that it could take over again. */
+    private static final Duration FAILING_PAUSE = Duration.ofSeconds(5);
+
     /**
-     * The pause of a node that others read for, as long as it hears from them: it only shows that it could take over. One
-     * read takes 4 ms of the platform; at 3,500 nodes this makes 700 reads a second of 2,000.
+     * The time over which nodes that start together spread their first reads. Whoever has read connects to all others, so that
+     * most of them are told before they come to it, by a node of their own zone as a rule: a complete read takes two calls
+     * or more of the platform. A node that starts alone is told by the others within some 10 ms.
      */
-    private static final Duration IDLE_PAUSE = Duration.ofSeconds(5);
+    private static final Duration START_SPREAD = Duration.ofMillis(300);
+
+    /** How long a node that was told before its first read waits until it knows whether it is to read for others. */
+    private static final Duration TOLD_PAUSE = Duration.ofMillis(600);
 
     /** The pause after a failure; other nodes are asked meanwhile, see {@link #readable}. */
     static final Duration SHORTEST_PAUSE = Duration.ofMillis(200);
@@ -37,20 +45,27 @@
      */
     private static final Duration RETURN_GRACE = Duration.ofMillis(2500);
 
+    /** A reader's next read ends at most two paces after the last one, and some time for the answer. */
+    private static final int PACES_WITHOUT_GAP = 3;
+
+    private static final long NEVER = Long.MAX_VALUE;
+
     private final RandomGenerator random;
-    private Duration pace;
+    private final Duration pace;
     private long nextNanos;
     private long sentNanos;
     private long lastNanos;
-    private boolean reader = true;
+    private boolean reader;
     private boolean reading;
+    private boolean told;
     private boolean everything = true;
     private boolean readable;
-    private boolean failedBefore;
+    private boolean failing;
     private long returnedNanos;
+    private long othersFailedNanos;
 
     /**
-     * Starts with a read that is due at once.
+     * Starts with a read that is due soon.
      *
      * @param now the monotonic time
      * @param drainLimit within which a leaving copy must be known everywhere
@@ -59,9 +74,11 @@
     public PlatformReads(long now, Duration drainLimit, RandomGenerator random) {
         this.random = random;
         pace = drainLimit.dividedBy(PARTS_OF_DRAIN_LIMIT);
-        nextNanos = now;
+        nextNanos = now + random.nextLong(START_SPREAD.toNanos());
         sentNanos = now;
+        lastNanos = now - pace.toNanos();
         returnedNanos = now - RETURN_GRACE.toNanos();
+        othersFailedNanos = returnedNanos;
     }
 
     /**
@@ -71,17 +88,45 @@
      * @param forOthers whether it does
      */
     public void reader(long now, boolean forOthers) {
-        if (reader != forOthers) {
-            reader = forOthers;
-            if (readable) {
-                nextNanos = Math.max(now, lastNanos + pause());
-            }
+        if (reader == forOthers) {
+            return;
+        }
+        reader = forOthers;
+        if (!readable && !failing && !told) {
+            // The first read is due in any case.
+            return;
+        }
+        if (reader) {
+            nextNanos = Math.min(nextNanos, Math.max(now, lastNanos + pace.toNanos()));
+        } else {
+            nextNanos = failing ? now + failingPause() : NEVER;
+        }
+    }
+
+    /**
+     * Notes that another node told what it knows.
+     *
+     * @param now the monotonic time
+     */
+    public void told(long now) {
+        if (!told && !readable && !failing) {
+            nextNanos = now + TOLD_PAUSE.toNanos();
         }
+        told = true;
+    }
+
+    /**
+     * Notes that another node lately failed to read.
+     *
+     * @param now the monotonic time
+     */
+    public void othersFail(long now) {
+        othersFailedNanos = now;
     }
 
-    private long pause() {
-        long pause = reader ? pace.toNanos() : IDLE_PAUSE.toNanos();
-        return reader ? pause : pause + random.nextLong(pause / 2);
+    private long failingPause() {
+        long pause = FAILING_PAUSE.toNanos();
+        return pause + random.nextLong(pause / 2);
     }
 
     /**
@@ -112,27 +157,39 @@
      * Notes that a read succeeded.
      *
      * @param now the monotonic time
-     * @return whether reads failed before
+     * @return whether reads failed before, or this is the first one
      */
     public boolean succeeded(long now) {
         boolean back = !readable;
-        if (back && failedBefore) {
+        if (failing || hadGap(now) && now - othersFailedNanos < RETURN_GRACE.toNanos()) {
             returnedNanos = now;
         }
         reading = false;
         readable = true;
+        failing = false;
         everything = false;
         lastNanos = now;
-        nextNanos = now + pause();
+        nextNanos = reader ? now + pace.toNanos() : NEVER;
         return back;
     }
 
+    /**
+     * Tells whether others read meanwhile, so that the platform may have been away without a sign here.
+     *
+     * <p>Guards against copies that are taken for gone since they could not write while the platform was away, which shows as
+     * no copy in reach for two seconds after its return: the node that takes over from the readers that failed has not
+     * failed itself, and finds most entries missing.
+     */
+    private boolean hadGap(long now) {
+        return everything || now - lastNanos > PACES_WITHOUT_GAP * pace.toNanos();
+    }
+
     /**
      * Notes that a read failed.
      *
      * @param now the monotonic time
      * @param failure how
-     * @return whether reads succeeded before
+     * @return whether reads succeeded before, or this is the first one
      */
     public boolean failed(long now, ReadFailure failure) {
         reading = false;
@@ -141,21 +198,21 @@
             nextNanos = now;
             return false;
         }
-        boolean lost = readable;
+        boolean lost = !failing;
         readable = false;
-        failedBefore = true;
+        failing = true;
         long pause = SHORTEST_PAUSE.toNanos();
-        nextNanos = now + pause + random.nextLong(pause);
+        nextNanos = now + (reader || !told ? pause + random.nextLong(pause) : failingPause());
         return lost;
     }
 
     /**
-     * Tells whether the last read succeeded.
+     * Tells whether this node could read for others: its last read, if there was one, did not fail.
      *
-     * @return whether the platform can be read
+     * @return whether it could
      */
-    public boolean readable() {
-        return readable;
+    public boolean mayRead() {
+        return !failing;
     }
 
     /**
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/PublishedEntries.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/PublishedEntries.java
@@ -30,6 +30,7 @@
     private final Map<String, PublishedEntry> entries = new HashMap<>();
     private final Map<String, Long> removedNanos = new HashMap<>();
     private long asOf;
+    private long forgottenUpTo;
 
     /**
      * Takes in what the platform gave.
@@ -57,18 +58,23 @@
      *
      * <p>Guards against a copy that comes back from the dead, which shows as requests to an address that another service
      * has by now: a node that was cut off for long still tells an entry whose removal is forgotten here. All up to
-     * {@link #asOf} is known, so what is unknown and not newer than that was removed.
+     * {@link #asOf}, and up to the last removal that was forgotten, is known, so what is unknown and not newer was removed.
      *
+     * @param upTo the revision as of which they were told
+     * @param complete whether entries that are not given don't exist
      * @param given the entries
-     * @return those that are newer than what was known
+     * @return those that are newer than what was known, removed ones with an empty text
      */
-    public List<PublishedEntry> mergeTold(List<PublishedEntry> given) {
+    public List<PublishedEntry> mergeTold(long upTo, boolean complete, List<PublishedEntry> given) {
         List<PublishedEntry> newer = new ArrayList<>();
         for (PublishedEntry entry : given) {
-            if (entries.containsKey(entry.key()) || entry.revision() > asOf) {
+            if (entries.containsKey(entry.key()) || entry.revision() > Math.max(asOf, forgottenUpTo)) {
                 takeIfNewer(entry, newer);
             }
         }
+        if (complete) {
+            removeMissing(upTo, given, newer);
+        }
         return newer;
     }
 
@@ -106,12 +112,13 @@
     }
 
     /**
-     * Gives all entries, to be told to another node.
+     * Finds an entry.
      *
-     * @return the entries, removed ones included
+     * @param key its key
+     * @return the entry, also one that was removed, as long as that is remembered
      */
-    public List<PublishedEntry> all() {
-        return List.copyOf(entries.values());
+    public Optional<PublishedEntry> find(String key) {
+        return Optional.ofNullable(entries.get(key));
     }
 
     /**
@@ -125,9 +132,10 @@
         List<String> old = removedNanos.entrySet().stream()
                 .filter(removed -> now - removed.getValue() > REMOVAL_TOLD.toNanos())
                 .map(Map.Entry::getKey)
-                .filter(key -> entries.get(key).revision() <= asOf)
                 .toList();
-        old.forEach(entries::remove);
+        for (String key : old) {
+            forgottenUpTo = Math.max(forgottenUpTo, entries.remove(key).revision());
+        }
         old.forEach(removedNanos::remove);
         return old;
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/Readers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/Readers.java
@@ -1,22 +1,30 @@
 package org.carawaysill.policy.fleet.publication;
 
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.carawaysill.model.identity.AvailabilityZone;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.policy.fleet.summary.NodeRank;
 
 /**
  * Which nodes read the platform for all others.
  *
- * <p>In each availability zone the node of lowest rank that can read does, and at least two in all. All nodes hear which
- * nodes can read, so that they come to the same readers without an election; while they differ, there is a reader too many
- * or the next rank steps in. Without it each node reads at the readers' pace, and the platform's limit of reads is met
- * at a few thousand nodes. Stateless and thread safe.
+ * <p>They are the node of lowest rank of each of three availability zones, and two nodes of one zone where there is only that
+ * one, out of those that can read. All nodes hear which can, so that they come to the same readers without an election; while
+ * they differ, there is a reader too many or the next rank steps in. A zone that is cut off from the others has readers of
+ * its own. With a reader in each zone and a read now and then of all others, 95 nodes made some 900 calls in half a minute,
+ * each of which the platform counts; no more than three are needed, since all tell one another what is new. Stateless and
+ * thread safe.
  */
 public final class Readers {
 
+    /** Two can fail one after the other, and the third is still in time. */
+    private static final int MOST_READERS = 3;
+
     private static final int LEAST_READERS = 2;
 
     /**
@@ -34,25 +42,21 @@
      *
      * @param self the node
      * @param candidates all nodes that can read the platform
-     * @return whether it reads for the others; also where it is no candidate and there are too few
+     * @return whether it reads for the others
      */
     public static boolean isReader(NodeName self, List<Candidate> candidates) {
         List<Candidate> ranked = candidates.stream()
-                .sorted(Comparator.<Candidate>comparingInt(each -> rank(each.node()))
-                        .thenComparing(each -> each.node().value()))
+                .sorted(Comparator.comparing(Candidate::node, NodeRank.ORDER))
                 .toList();
-        Map<AvailabilityZone, NodeName> firsts = new HashMap<>();
+        Map<AvailabilityZone, NodeName> firsts = new LinkedHashMap<>();
         ranked.forEach(each -> firsts.putIfAbsent(each.zone(), each.node()));
-        if (firsts.containsValue(self) || ranked.size() < LEAST_READERS) {
-            return true;
-        }
-        return firsts.size() < LEAST_READERS
-                && ranked.stream()
-                        .limit(LEAST_READERS)
-                        .anyMatch(each -> each.node().equals(self));
-    }
-
-    private static int rank(NodeName node) {
-        return node.value().hashCode() * 0x9E3779B1;
+        Set<NodeName> readers =
+                new LinkedHashSet<>(firsts.values().stream().limit(MOST_READERS).toList());
+        ranked.stream().limit(LEAST_READERS).map(Candidate::node).forEach(node -> {
+            if (readers.size() < LEAST_READERS) {
+                readers.add(node);
+            }
+        });
+        return readers.contains(self);
     }
 }
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/summary/Group.java
@@ -0,0 +1,91 @@
+package org.carawaysill.policy.fleet.summary;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.policy.message.PeerMessage.NodeReport;
+import org.carawaysill.policy.message.StateSummary;
+import org.carawaysill.policy.message.StateSummary.NodeState;
+
+/**
+ * The nodes that report to this one, so that it sums them up.
+ *
+ * <p>Whoever gets such reports sums up; no election has to agree on it. Not thread safe: owned by the policy.
+ */
+public final class Group {
+
+    /**
+     * A node that has not reported for so long is not listed, and gets no work of those who have not heard it themselves:
+     * two reports missed, and the time in which the operating system sends a lost packet again.
+     */
+    static final Duration LISTED_FOR = Duration.ofMillis(1100);
+
+    private final Map<NodeName, Member> members = new HashMap<>();
+
+    private record Member(NodeReport report, long heardNanos) {}
+
+    /**
+     * Takes in a report that is to be summed up.
+     *
+     * @param now the monotonic time
+     * @param node who reports
+     * @param report what it says
+     */
+    public void reported(long now, NodeName node, NodeReport report) {
+        members.put(node, new Member(report, now));
+    }
+
+    /**
+     * Notes that the connection to a node ended.
+     *
+     * @param node the node
+     */
+    public void lost(NodeName node) {
+        members.remove(node);
+    }
+
+    /**
+     * Forgets who reports no more.
+     *
+     * @param now the monotonic time
+     */
+    public void passTime(long now) {
+        members.values().removeIf(member -> now - member.heardNanos() > LISTED_FOR.toNanos());
+    }
+
+    /**
+     * Names the nodes that report to this one.
+     *
+     * @return the names
+     */
+    public List<NodeName> members() {
+        return List.copyOf(members.keySet());
+    }
+
+    /**
+     * Sums up.
+     *
+     * @param self this node
+     * @param own its own report, with demands and costs where no other node adds them up
+     * @return the state of the members and of this node
+     */
+    public StateSummary summary(NodeName self, NodeReport own) {
+        List<NodeState> states = new ArrayList<>(members.size() + 1);
+        RouteSums sums = new RouteSums();
+        states.add(state(self, own));
+        sums.add(own);
+        members.forEach((node, member) -> {
+            states.add(state(node, member.report()));
+            sums.add(member.report());
+        });
+        return new StateSummary(own.published(), states, sums.summaries());
+    }
+
+    private static NodeState state(NodeName node, NodeReport report) {
+        return new NodeState(
+                node, report.service(), report.leaving(), report.readsPlatform(), report.load(), report.workSeconds());
+    }
+}
--- a/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
@@ -325,6 +325,7 @@
      * @param rank the place in the order of refusal, 0 last
      * @param idempotent whether running it twice does no harm
      * @param depth calls between the caller's request and this one, 0 for the caller's own
+     * @param rootAgeNanos time since the caller's request arrived behind which this one is made
      * @param remainingNanos time left until the deadline
      * @param content the request
      */
@@ -338,33 +339,35 @@
             int rank,
             boolean idempotent,
             int depth,
+            long rootAgeNanos,
             long remainingNanos,
             RequestContent content)
             implements PeerMessage {}
 
     /**
-     * What a node tells all others at short intervals; its absence shows that the node or the connection is gone.
+     * What a node says of itself: at short intervals to those that sum up for its availability zone, to others when the two
+     * have just connected, when it is asked, and when it leaves.
      *
      * @param sequence rises by one with each report of this process
-     * @param publishedRevision the newest revision of a published entry that the sender decides by
-     * @param readsPlatform whether the sender's last read at the platform succeeded
+     * @param published what the sender decides by of all that is published
+     * @param readsPlatform whether the sender could read the platform for others: no read of it failed lately
      * @param leaving whether the sender takes no new work
      * @param service the service of the sender's copy
      * @param load the load of the sender's copy
      * @param workSeconds what the sender's copy lately took for a request, without its calls; 0 where that is not known
-     * @param brief whether demands and costs are left out, since they are as the sender told them last
-     * @param demands what callers ask of the sender, by route
-     * @param costs what a request of each route costs at each service, as the sender has seen
+     * @param summed whether the receiver is to sum it up with others, and to tell the sender what it knows of the fleet
+     * @param demands what callers ask of the sender, by route; empty but for the one receiver that adds them up
+     * @param costs what a request of each route costs at each service, as the sender has seen; empty as the demands
      */
     record NodeReport(
             long sequence,
-            long publishedRevision,
+            PublishedState published,
             boolean readsPlatform,
             boolean leaving,
             ServiceName service,
             LoadReport load,
             float workSeconds,
-            boolean brief,
+            boolean summed,
             List<RouteDemand> demands,
             List<RouteCost> costs)
             implements PeerMessage {
@@ -375,39 +378,56 @@
         }
 
         /**
-         * Leaves out demands and costs.
+         * Leaves out demands and costs, for a receiver that does not add them up.
          *
-         * @return the brief report
+         * @param toBeSummed whether the receiver is to sum it up with others
+         * @return the shorter report
          */
-        public NodeReport inBrief() {
-            return with(true, List.of(), List.of());
+        public NodeReport withoutRoutes(boolean toBeSummed) {
+            return with(toBeSummed, List.of(), List.of());
         }
 
         /**
-         * Completes a brief report.
+         * Asks the receiver to sum it up with others.
          *
-         * @param before the sender's last report, completed
-         * @return the whole report, this one if it is not brief
+         * @return the report, else the same
          */
-        public NodeReport completedBy(NodeReport before) {
-            return brief ? with(false, before.demands, before.costs) : this;
+        public NodeReport toBeSummed() {
+            return with(true, demands, costs);
         }
 
-        private NodeReport with(boolean isBrief, List<RouteDemand> otherDemands, List<RouteCost> otherCosts) {
+        private NodeReport with(boolean isSummed, List<RouteDemand> otherDemands, List<RouteCost> otherCosts) {
             return new NodeReport(
                     sequence,
-                    publishedRevision,
+                    published,
                     readsPlatform,
                     leaving,
                     service,
                     load,
                     workSeconds,
-                    isBrief,
+                    isSummed,
                     otherDemands,
                     otherCosts);
         }
     }
 
+    /** Asks for a report at once; without an answer, the connection or the receiver is gone. */
+    record ReportWanted() implements PeerMessage {}
+
+    /**
+     * What a node that sums up tells the others that do: the state of the nodes that report to it.
+     *
+     * @param summary their state
+     */
+    record GroupSummary(StateSummary summary) implements PeerMessage {}
+
+    /**
+     * What a node that sums up tells those that report to it: the state of the whole fleet.
+     *
+     * @param summary its state
+     */
+    record FleetSummary(StateSummary summary) implements PeerMessage {}
+
     /**
      * What callers ask of one route at one node.
      *
@@ -450,16 +470,21 @@
      */
     record SlotTime(ServiceName service, float seconds) {}
 
-    /** Asks for all published entries that the receiver knows. */
-    record EntriesWanted() implements PeerMessage {}
+    /**
+     * Asks for the published entries that changed what nodes decide by.
+     *
+     * @param since up to which revision the sender knows all of them; 0 where it knows none
+     */
+    record EntriesWanted(long since) implements PeerMessage {}
 
     /**
-     * All published entries that the sender knows.
+     * The answer to {@link EntriesWanted}.
      *
-     * @param asOf all that was published up to this revision is among them
+     * @param upTo with these, the receiver knows all changes up to this revision
+     * @param complete whether these are all entries that there are: the sender no longer knows what was removed since
      * @param entries the entries, removed ones included as long as they are remembered
      */
-    record Entries(long asOf, List<PublishedEntry> entries) implements PeerMessage {
+    record Entries(long upTo, boolean complete, List<PublishedEntry> entries) implements PeerMessage {
 
         public Entries {
             entries = List.copyOf(entries);
--- /dev/null
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/FleetStateTest.java
@@ -0,0 +1,274 @@
+package org.carawaysill.policy.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+import org.carawaysill.policy.fleet.VirtualFleet.Told;
+import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
+import org.carawaysill.policy.fleet.VirtualFleet.Work;
+import org.carawaysill.policy.fleet.summary.NodeRank;
+import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.StateSummary.NodeState;
+import org.carawaysill.policy.message.StateSummary.RouteSummary;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class FleetStateTest {
+
+    private static final long MILLI = VirtualFleet.MILLI;
+    private static final long SECOND = 1000 * MILLI;
+    private static final long SETTLED = 8 * SECOND;
+    private static final String PATH = "/entry/";
+    private static final int ZONES = 5;
+
+    private final VirtualFleet fleet = new VirtualFleet(7);
+    private final List<VirtualNode> nodes = new ArrayList<>();
+
+    /** Nodes of one service in five availability zones, all of which know one another. */
+    private void settled(int count) {
+        fleet.configure(Routes.route(PATH, "front", true, 1, 900, 500));
+        for (int i = 0; i < count; i++) {
+            VirtualNode node = fleet.add("front", "10." + i % ZONES + ".0." + (i + 1), "zone-" + i % ZONES, 10);
+            node.works.put(PATH, new Work(20 * MILLI, List.of()));
+            nodes.add(node);
+        }
+        fleet.runUntil(SETTLED);
+    }
+
+    private List<VirtualNode> zone(int zone) {
+        return Stream.iterate(zone, i -> i < nodes.size(), i -> i + ZONES)
+                .map(nodes::get)
+                .toList();
+    }
+
+    /** Those that tell a node of the fleet. */
+    private static List<String> tellersOf(VirtualNode node) {
+        return node.told.keySet().stream().map(name -> name.value()).toList();
+    }
+
+    /** The node of a zone that is the last to sum up for it. */
+    private static VirtualNode member(List<VirtualNode> zone) {
+        return zone.stream()
+                .max(Comparator.comparing(node -> node.name, NodeRank.ORDER))
+                .orElseThrow();
+    }
+
+    private static double offered(Told told) {
+        return told.summary().routes().stream()
+                .filter(route -> route.route().equals(PATH))
+                .mapToDouble(RouteSummary::offeredPerSecond)
+                .sum();
+    }
+
+    private static Told latest(VirtualNode node) {
+        return node.told.values().stream()
+                .max(Comparator.comparingLong(Told::at))
+                .orElseThrow();
+    }
+
+    @Nested
+    class Size {
+
+        private static final double SECONDS = 10;
+
+        private double messagesOfANode(int count) {
+            FleetStateTest test = new FleetStateTest();
+            test.settled(count);
+            long before = test.fleet.control.messages;
+            test.fleet.runUntil(SETTLED + (long) (SECONDS * SECOND));
+            return (test.fleet.control.messages - before) / SECONDS / count;
+        }
+
+        /*
+         * Reports went from all nodes to all. At 95 nodes each of them sent and got 235 a second, which made over half of the
+         * bytes between availability zones, and at ten times the nodes it would have been ten times as many. A node's share of
+         * the work must be the same at any size.
+         */
+        @Test
+        void ofTheFleetLeavesTheMessagesOfANodeAsTheyAre() {
+            double few = messagesOfANode(30);
+            double many = messagesOfANode(200);
+            assertTrue(few < 30, () -> few + " messages a second");
+            assertTrue(many < 1.2 * few, () -> "from " + few + " to " + many + " messages a second");
+        }
+
+        @Test
+        void ofTheFleetHardlyCountsInBytesBetweenZones() {
+            settled(95);
+            long before = fleet.control.bytesAcrossZones;
+            fleet.runUntil(SETTLED + (long) (SECONDS * SECOND));
+            double each = (fleet.control.bytesAcrossZones - before) / SECONDS;
+            // From all to all, 95 x 94 brief reports in each interval, four fifths of them between zones: 1.1 MB a
+            // second.
+            assertTrue(each < 0.11e6, () -> each + " bytes a second");
+        }
+    }
+
+    @Nested
+    class Demand {
+
+        /*
+         * Clients of one availability zone come in a rush. Entries of all zones must know before queues have grown, so that
+         * they let in what fits of all.
+         */
+        @Test
+        void isKnownEverywhereSoonAndCountedOnce() {
+            settled(30);
+            int perSecond = 200;
+            for (int i = 0; i < 5 * perSecond; i++) {
+                VirtualNode entry = zone(2).get(i % zone(2).size());
+                String name = "r" + i;
+                fleet.at(SETTLED + i * SECOND / perSecond, () -> fleet.send(entry, name, PATH, SECOND, (_, _) -> {}));
+            }
+            fleet.runUntil(SETTLED + 1200 * MILLI);
+            for (int zone = 0; zone < ZONES; zone++) {
+                Told told = latest(member(zone(zone)));
+                assertTrue(offered(told) > 0, "zone " + zone);
+            }
+            fleet.runUntil(SETTLED + 5 * SECOND);
+            Told told = latest(member(zone(0)));
+            assertEquals(perSecond, offered(told), 0.2 * perSecond);
+        }
+    }
+
+    @Nested
+    class Loss {
+
+        private List<String> listed(VirtualNode node) {
+            return latest(node).summary().nodes().stream()
+                    .map(NodeState::node)
+                    .map(name -> name.value())
+                    .toList();
+        }
+
+        /*
+         * A node that sums up for its zone loses power, without a sign on its connections. Its zone must go on hearing of the
+         * others from the second one, and all others of its zone.
+         */
+        @Test
+        void ofOneThatSumsUpLeavesNoZoneBlind() {
+            settled(40);
+            VirtualNode watcher = member(zone(3));
+            String lost = tellersOf(watcher).getFirst();
+            fleet.nodes.get(lost).vanish();
+            for (int step = 1; step <= 20; step++) {
+                fleet.runUntil(SETTLED + step * 200 * MILLI);
+                long age = fleet.now - latest(watcher).at();
+                assertTrue(age <= 500 * MILLI, "blind for " + age / MILLI + " ms");
+            }
+            for (VirtualNode node : nodes) {
+                if (node.told.size() >= 2 && node.alive) {
+                    List<String> listed = listed(node);
+                    assertEquals(nodes.size() - 1, listed.size(), node.name.value());
+                    assertTrue(!listed.contains(lost));
+                }
+            }
+        }
+
+        /*
+         * A node loses power to which most others have sent nothing for long. Each of them would lose its first requests to
+         * it, until it has found out for itself; those that hear its reports tell.
+         */
+        @Test
+        void ofANodeIsKnownToThoseWhoDoNotTalkToIt() {
+            settled(40);
+            VirtualNode lost = member(zone(1));
+            lost.vanish();
+            lost.unpublish();
+            lost.publish(false);
+            fleet.runUntil(SETTLED + 2200 * MILLI);
+            List<Boolean> good = new ArrayList<>();
+            for (int i = 0; i < 400; i++) {
+                VirtualNode entry = nodes.get(i % nodes.size());
+                if (entry.alive) {
+                    String name = "r" + i;
+                    fleet.at(
+                            fleet.now + i * MILLI,
+                            () -> fleet.send(
+                                    entry, name, PATH, SECOND, (_, outcome) -> good.add(Outcomes.isGood(outcome))));
+                }
+            }
+            fleet.runUntil(fleet.now + 2 * SECOND);
+            assertTrue(
+                    good.size() > 380 && !good.contains(false),
+                    () -> good.stream().filter(each -> !each).count() + " of " + good.size() + " lost");
+        }
+    }
+
+    @Nested
+    class Silence {
+
+        /*
+         * A connection between two nodes goes silent without a reset, with a request on it. Requests that follow would be lost
+         * one after the other; it is found within about 1.2 s, and given up for a new one.
+         */
+        @Test
+        void ofAConnectionThatCarriesRequestsIsFound() {
+            fleet.configure(
+                    Routes.route("/entry/", "front", true, 1, 900, 500),
+                    Routes.route("/deep/", "back", true, 1, 900, 500));
+            VirtualNode front = fleet.add("front", "10.0.0.1", "zone-0", 20);
+            front.works.put("/entry/", new Work(MILLI, List.of("/deep/")));
+            List<VirtualNode> back =
+                    List.of(fleet.add("back", "10.0.0.2", "zone-0", 20), fleet.add("back", "10.0.0.3", "zone-0", 20));
+            back.forEach(node -> node.works.put("/deep/", new Work(5 * MILLI, List.of())));
+            fleet.runUntil(SETTLED);
+            fleet.silence(front, back.get(0));
+            List<Long> failed = new ArrayList<>();
+            for (int i = 0; i < 400; i++) {
+                String name = "r" + i;
+                long at = SETTLED + i * 10 * MILLI;
+                fleet.at(
+                        at,
+                        () -> fleet.send(front, name, "/entry/", SECOND, (_, outcome) -> {
+                            if (!Outcomes.isGood(outcome)) {
+                                failed.add(at - SETTLED);
+                            }
+                        }));
+            }
+            fleet.runUntil(SETTLED + 6 * SECOND);
+            long last = failed.stream().mapToLong(at -> at).max().orElse(0);
+            assertTrue(last > 0, "some were lost");
+            assertTrue(last <= 1600 * MILLI, "the last one lost was sent after " + last / MILLI + " ms");
+            long after = fleet.runs.stream()
+                    .filter(run -> run.copy().equals(back.get(0).copy()) && run.at() > SETTLED + 3 * SECOND)
+                    .count();
+            assertTrue(after > 0, "a new connection is in use");
+        }
+    }
+
+    @Nested
+    class Entries {
+
+        /*
+         * All nodes start at the same moment and none knows another. Each read all entries of the platform, two calls or more,
+         * of which the platform allows and prices each; whoever is told first needs none.
+         */
+        @Test
+        void areReadByFewAndToldToTheRest() {
+            settled(95);
+            assertTrue(fleet.reads < 95 / 2 + 3 * 15, () -> fleet.reads + " reads");
+        }
+
+        /*
+         * A node starts again in a fleet where nothing has changed. It has seen newer revisions than the others, which are
+         * those of heartbeats: they asked it for all entries, 25 kB for each node.
+         */
+        @Test
+        void areNotAskedForWhereNothingIsNew() {
+            settled(40);
+            nodes.forEach(node -> node.publish(false));
+            fleet.runUntil(SETTLED + 2 * SECOND);
+            long before = fleet.told(PeerMessage.Entries.class);
+            VirtualNode node = member(zone(0));
+            node.kill();
+            node.restart();
+            fleet.runUntil(SETTLED + 6 * SECOND);
+            assertTrue(fleet.told(PeerMessage.Entries.class) - before <= 3);
+        }
+    }
+}
--- a/policy/src/test/java/org/carawaysill/policy/fleet/Outcomes.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/Outcomes.java
@@ -13,7 +13,6 @@
 /** Outcomes that tests hand to a policy. Stateless and thread safe. */
 final class Outcomes {
 
-    static final Outcome GOOD = new Outcome.Answered(new AnswerContent(200, List.of(), Body.ofText("answer")));
     static final Outcome FAILED = new Outcome.Answered(new AnswerContent(500, List.of(), Body.ofText("failure")));
     static final Outcome LOST = new Outcome.Unknown(UnknownReason.COPY_LOST, Step.COPY_WAIT, Optional.empty());
     static final Outcome REFUSED =
@@ -21,6 +20,10 @@
 
     private Outcomes() {}
 
+    static Outcome good(Body body) {
+        return new Outcome.Answered(new AnswerContent(200, List.of(), body));
+    }
+
     static boolean isGood(Outcome outcome) {
         return outcome instanceof Outcome.Answered answered
                 && answered.content().status() < 500;
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -32,6 +32,7 @@
 import org.carawaysill.policy.fleet.publication.PublicationDecoder.Publication;
 import org.carawaysill.policy.fleet.retry.RetrySettings;
 import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.StateSummary;
 import org.carawaysill.policy.time.Moment;
 
 /**
@@ -57,14 +58,44 @@
             new PriorityQueue<>(Comparator.comparingLong(Timed::at).thenComparingLong(Timed::order));
     long now = 1000 * MILLI;
     boolean platformDown;
+    /** Connections that carry nothing any more, without a sign at either end. */
+    private final Set<Set<NodeName>> silenced = new HashSet<>();
+
     long answerLost;
+    /** Reads of the platform. */
+    int reads;
+
+    private final Map<Class<?>, Integer> sent = new HashMap<>();
     /** Requests that were sent to a copy in another availability zone. */
     long sentAcrossZones;
+    /** All messages between nodes that are neither requests nor answers. */
+    final Traffic control = new Traffic();
+    /** Requests, answers and cancellations between nodes. */
+    final Traffic payload = new Traffic();
 
     private long order;
     private long revision;
     private long exchanges;
 
+    /** What was sent between nodes. */
+    static final class Traffic {
+
+        long messages;
+        long acrossZones;
+        long bytesAcrossZones;
+
+        private void add(PeerMessage message, boolean crosses) {
+            messages++;
+            if (crosses) {
+                acrossZones++;
+                bytesAcrossZones += MessageSizes.of(message);
+            }
+        }
+    }
+
+    /** A summary of the whole fleet, and when it came. */
+    record Told(long at, StateSummary summary) {}
+
     /** A run of a request at a copy. */
     record Run(long at, String requestName, String copy) {}
 
@@ -124,6 +155,16 @@
         return node;
     }
 
+    /** How many messages of a kind nodes sent to one another. */
+    int told(Class<? extends PeerMessage> kind) {
+        return sent.getOrDefault(kind, 0);
+    }
+
+    /** Lets the connection between two nodes go silent, until one of them gives it up. */
+    void silence(VirtualNode one, VirtualNode other) {
+        silenced.add(Set.of(one.name, other.name));
+    }
+
     /** Sends a request of a client; the outcome comes when there is one. */
     void send(VirtualNode entry, String name, String path, long patience, BiConsumer<Long, Outcome> receiver) {
         entry.arrive(name, path, Optional.of(Duration.ofNanos(patience)), receiver);
@@ -135,13 +176,18 @@
      * @param nanos mean time of its own work
      * @param spread how much that varies: the standard deviation of its logarithm
      * @param calls the paths that it calls
+     * @param answer what it answers
      */
-    record Work(long nanos, double spread, List<String> calls) {
+    record Work(long nanos, double spread, List<String> calls, Body answer) {
 
         Work(long nanos, List<String> calls) {
             this(nanos, 0, calls);
         }
 
+        Work(long nanos, double spread, List<String> calls) {
+            this(nanos, spread, calls, Body.ofText("answer"));
+        }
+
         long draw(SplittableRandom random) {
             return spread == 0
                     ? nanos
@@ -161,6 +207,9 @@
         private final Map<ExchangeIdentifier, BiConsumer<Long, Outcome>> receivers = new HashMap<>();
         private final Map<Object, Boolean> atCopy = new HashMap<>();
         private final List<NodeName> connected = new ArrayList<>();
+        /** What those that sum up for its zone told it last. */
+        final Map<NodeName, Told> told = new HashMap<>();
+
         FleetPolicy policy;
         boolean alive = true;
         boolean readable = true;
@@ -256,6 +305,26 @@
             }
         }
 
+        /** Loses power: nothing shows on its connections. */
+        void vanish() {
+            alive = false;
+            life++;
+            wakeAt = Long.MAX_VALUE;
+            receivers.clear();
+            atCopy.clear();
+        }
+
+        private void reset(NodeName peer) {
+            VirtualNode other = nodes.get(peer.value());
+            if (connected.remove(peer)) {
+                silenced.remove(Set.of(name, peer));
+                other.connected.remove(name);
+                at(now, () -> deliver(new FleetEvent.PeerLost(peer)));
+                at(now + HOP, () -> other.deliver(new FleetEvent.PeerLost(name)));
+                dialLater(peer);
+            }
+        }
+
         void restart() {
             alive = true;
             ready = false;
@@ -296,14 +365,17 @@
                 }
                 case FleetEffect.SendToPeer send -> sendToPeer(send.peer(), send.message());
                 case FleetEffect.ConnectPeer connect -> connect(connect.peer());
-                case FleetEffect.ReadEntries read -> at(now + READ, () -> read(read));
+                case FleetEffect.ReadEntries read -> {
+                    reads++;
+                    at(now + READ, () -> read(read));
+                }
                 case FleetEffect.ShowReadiness shown -> ready = shown.ready();
                 case FleetEffect.Log logged -> log.add(logged.decision());
                 case FleetEffect.StopProcess _ -> stopped = true;
+                case FleetEffect.ResetPeer reset -> reset(reset.peer());
                 case FleetEffect.Count _,
                         FleetEffect.CloseIdleAtCopy _,
                         FleetEffect.DisconnectPeer _,
-                        FleetEffect.ResetPeer _,
                         FleetEffect.LimitClients _ -> {}
             }
         }
@@ -324,7 +396,11 @@
 
         private void sendToPeer(NodeName peer, PeerMessage message) {
             VirtualNode other = nodes.get(peer.value());
-            if (message instanceof PeerMessage.CopyRequest && !other.zone.equals(zone)) {
+            sent.merge(message.getClass(), 1, Integer::sum);
+            boolean crosses = !other.zone.equals(zone);
+            boolean carriesWork = isPayload(message);
+            (carriesWork ? payload : control).add(message, crosses);
+            if (message instanceof PeerMessage.CopyRequest && crosses) {
                 sentAcrossZones++;
             }
             if (!connected.contains(peer)) {
@@ -332,12 +408,25 @@
                 return;
             }
             at(now + HOP, () -> {
-                if (connected.contains(peer)) {
-                    other.deliver(new FleetEvent.PeerReceived(name, message));
+                if (connected.contains(peer) && !silenced.contains(Set.of(name, peer))) {
+                    other.receive(name, message);
                 }
             });
         }
 
+        private void receive(NodeName from, PeerMessage message) {
+            if (message instanceof PeerMessage.FleetSummary(StateSummary summary)) {
+                told.put(from, new Told(now, summary));
+            }
+            deliver(new FleetEvent.PeerReceived(from, message));
+        }
+
+        private static boolean isPayload(PeerMessage message) {
+            return message instanceof PeerMessage.CopyRequest
+                    || message instanceof PeerMessage.CopyAnswer
+                    || message instanceof PeerMessage.CancelAttempt;
+        }
+
         private void connect(NodeName peer) {
             VirtualNode other = nodes.get(peer.value());
             at(now + 2 * HOP, () -> {
@@ -382,7 +471,7 @@
             runs.add(new Run(now, hand.requestName(), copy()));
             atCopy.put(hand.attempt(), true);
             if (failing > 0 && random.nextDouble() < failing) {
-                at(now + 2 * MILLI, () -> answer(hand, false));
+                at(now + 2 * MILLI, () -> answer(hand, Outcomes.FAILED));
             } else if (!silent) {
                 call(hand, works.get(hand.content().path()), 0);
             }
@@ -394,7 +483,7 @@
             }
             if (index == work.calls().size()) {
                 double factor = atCopy.size() >= knee * slots ? speed * kneeFactor : speed;
-                at(now + (long) (work.draw(random) * factor), () -> answer(hand, true));
+                at(now + (long) (work.draw(random) * factor), () -> answer(hand, Outcomes.good(work.answer())));
                 return;
             }
             String callName = hand.requestName() + ".%016x".formatted(random.nextLong());
@@ -404,18 +493,17 @@
                         && answered.content().status() < 500) {
                     call(hand, work, index + 1);
                 } else {
-                    answer(hand, false);
+                    answer(hand, Outcomes.FAILED);
                 }
             });
         }
 
-        private void answer(FleetEffect.HandToCopy hand, boolean good) {
+        private void answer(FleetEffect.HandToCopy hand, Outcome made) {
             if (atCopy.remove(hand.attempt()) == null) {
                 return;
             }
             boolean lost = answerLost > 0 && random.nextLong(answerLost) == 0;
-            Outcome outcome = lost ? Outcomes.LOST : good ? Outcomes.GOOD : Outcomes.FAILED;
-            deliver(new FleetEvent.CopyAnswered(hand.attempt(), outcome));
+            deliver(new FleetEvent.CopyAnswered(hand.attempt(), lost ? Outcomes.LOST : made));
         }
     }
 }
--- /dev/null
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
@@ -0,0 +1,197 @@
+package org.carawaysill.policy.fleet;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.carawaysill.model.fleet.Route;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
+import org.carawaysill.policy.fleet.VirtualFleet.Work;
+import org.carawaysill.policy.fleet.mechanism.Mechanism;
+
+/**
+ * A customer's site in virtual time: kinds of requests, services with copies of different speeds, and clients that come back
+ * once as they are told, and some at once and more often.
+ *
+ * <p>Not thread safe.
+ */
+abstract class VirtualSite {
+
+    static final long MILLI = VirtualFleet.MILLI;
+    static final long SECOND = 1000 * MILLI;
+    static final long START = 4 * SECOND;
+
+    private static final long CLIENT_HOP = 3 * MILLI;
+
+    /** A kind of request, as the sheet has it. */
+    record Kind(
+            String name,
+            String service,
+            boolean idempotent,
+            int rank,
+            long timeout,
+            long aim,
+            long deadline,
+            double perSecond,
+            double worth) {
+
+        String path() {
+            return '/' + name + '/';
+        }
+    }
+
+    /** What became of the requests of one kind that began within one window. */
+    static final class Tally {
+
+        int owed;
+        int inAim;
+        int failed;
+    }
+
+    final List<Kind> kinds;
+    final VirtualFleet fleet;
+    final SplittableRandom random;
+    final Map<String, List<VirtualNode>> services = new LinkedHashMap<>();
+    final List<VirtualNode> nodes = new ArrayList<>();
+    final Map<String, Map<Integer, Tally>> tallies = new LinkedHashMap<>();
+    private double abusers;
+    private int abuses;
+    private long requests;
+
+    /** Starts without nodes; some mechanisms of the policy may be switched off. */
+    VirtualSite(long seed, Set<Mechanism> without, List<Kind> kinds) {
+        this.kinds = kinds;
+        fleet = new VirtualFleet(seed, without);
+        random = new SplittableRandom(seed + 1);
+    }
+
+    /** Publishes routes for the kinds of requests, and for the calls that copies make. */
+    final void configure(Route... calls) {
+        List<Route> routes = new ArrayList<>(List.of(calls));
+        kinds.forEach(kind -> routes.add(
+                Routes.route(kind.path(), kind.service(), kind.idempotent(), kind.rank(), kind.timeout(), kind.aim())));
+        fleet.configure(routes.toArray(Route[]::new));
+    }
+
+    /** Adds a copy with its node. */
+    final void add(String service, String host, String zone, int slots, double speed, Map<String, Work> works) {
+        VirtualNode node = fleet.add(service, host, zone, slots);
+        node.speed = 1 / speed;
+        node.works.putAll(works);
+        services.computeIfAbsent(service, _ -> new ArrayList<>()).add(node);
+        nodes.add(node);
+    }
+
+    /** Lets the copies of a service slow down when less than a twentieth of their slots is free. */
+    final void slowsDownWhenNearlyFull(String service) {
+        services.get(service).forEach(node -> {
+            node.knee = 0.95;
+            node.kneeFactor = 1.3;
+        });
+    }
+
+    /** Lets a share of the clients repeat so many times more, at once. */
+    void abuse(double share, int times) {
+        abusers = share;
+        abuses = times;
+    }
+
+    /** Lets requests of all kinds come at a multiple of their usual rates, by chance and evenly over the nodes. */
+    void offer(double factor, double fromSecond, double untilSecond) {
+        for (Kind kind : kinds) {
+            double at = fromSecond;
+            while (true) {
+                at += -Math.log(1 - random.nextDouble()) / (factor * kind.perSecond());
+                if (at >= untilSecond) {
+                    break;
+                }
+                long when = START + (long) (at * SECOND);
+                int window = (int) (at / 2);
+                fleet.at(when, () -> begin(kind, window));
+            }
+        }
+    }
+
+    private void begin(Kind kind, int window) {
+        Tally tally = tallies.computeIfAbsent(kind.name(), _ -> new LinkedHashMap<>())
+                .computeIfAbsent(window, _ -> new Tally());
+        tally.owed++;
+        boolean abuser = random.nextDouble() < abusers;
+        attempt(kind, tally, fleet.now, abuser, abuser ? 1 + abuses : 1);
+    }
+
+    private void attempt(Kind kind, Tally tally, long began, boolean abuser, int repeats) {
+        VirtualNode entry = nodes.get(random.nextInt(nodes.size()));
+        long left = began + kind.deadline() * MILLI - fleet.now;
+        if (left <= 0) {
+            tally.failed++;
+            return;
+        }
+        fleet.at(
+                fleet.now + CLIENT_HOP,
+                () -> fleet.send(
+                        entry,
+                        kind.name() + '-' + ++requests,
+                        kind.path(),
+                        left,
+                        (at, outcome) -> ended(kind, tally, began, abuser, repeats, outcome)));
+    }
+
+    private void ended(Kind kind, Tally tally, long began, boolean abuser, int repeats, Outcome outcome) {
+        long took = fleet.now + CLIENT_HOP - began;
+        if (Outcomes.isGood(outcome)) {
+            if (took <= kind.aim() * MILLI) {
+                tally.inAim++;
+            }
+            return;
+        }
+        boolean notRun = outcome instanceof Outcome.NotRun;
+        if (repeats == 0 || !notRun && !kind.idempotent()) {
+            tally.failed += notRun ? 0 : 1;
+            return;
+        }
+        long left = kind.deadline() * MILLI - took;
+        long wait = abuser || !(outcome instanceof Outcome.NotRun refusal)
+                ? MILLI
+                : Math.min(refusal.retryAfter().toNanos(), left / 3);
+        fleet.at(fleet.now + wait, () -> attempt(kind, tally, began, abuser, repeats - 1));
+    }
+
+    /** Plays until so many seconds after the start of traffic. */
+    void play(double seconds) {
+        fleet.runUntil(START + (long) (seconds * SECOND));
+    }
+
+    /** Does something at a time after the start of traffic. */
+    void at(double seconds, Runnable action) {
+        fleet.at(START + (long) (seconds * SECOND), action);
+    }
+
+    /** The part of what is owed in some windows of two seconds that was answered within its aim, weighed by worth. */
+    double served(int firstWindow, int lastWindow) {
+        return served(kinds, firstWindow, lastWindow);
+    }
+
+    /** The part of one kind's requests in some windows that was answered within its aim. */
+    double served(String name, int firstWindow, int lastWindow) {
+        List<Kind> named =
+                kinds.stream().filter(kind -> kind.name().equals(name)).toList();
+        return served(named, firstWindow, lastWindow);
+    }
+
+    private double served(List<Kind> counted, int firstWindow, int lastWindow) {
+        double owed = 0;
+        double inAim = 0;
+        for (Kind kind : counted) {
+            for (int window = firstWindow; window <= lastWindow; window++) {
+                Tally tally = tallies.getOrDefault(kind.name(), Map.of()).getOrDefault(window, new Tally());
+                owed += kind.worth() * tally.owed;
+                inAim += kind.worth() * tally.inAim;
+            }
+        }
+        return owed == 0 ? 1 : inAim / owed;
+    }
+}
--- a/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyChoiceTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyChoiceTest.java
@@ -37,7 +37,7 @@
                 false,
                 Duration.ZERO);
         Copy copy = new Copy(record, 0, copies.size());
-        copy.told(new LoadReport(inFlight, SLOTS, 0, 0));
+        copy.told(0, new LoadReport(inFlight, SLOTS, 0, 0));
         copy.works(workSeconds);
         copies.add(copy);
     }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyGateTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyGateTest.java
@@ -29,6 +29,10 @@
     private long attempts;
 
     private LocalRun run(int rank, int depth, long remainingNanos) {
+        return run(rank, depth, 0, remainingNanos);
+    }
+
+    private LocalRun run(int rank, int depth, long rootAgeNanos, long remainingNanos) {
         CopyRequest request = new CopyRequest(
                 new AttemptIdentifier(0, ++attempts),
                 "request-" + attempts,
@@ -39,15 +43,20 @@
                 rank,
                 true,
                 depth,
+                rootAgeNanos,
                 remainingNanos,
                 new RequestContent("GET", "/", List.of(), Body.EMPTY));
         return new LocalRun(request, Optional.empty(), 0);
     }
 
     private void fill(int slots) {
-        gate.limit(0, slots);
+        fill(gate, slots);
+    }
+
+    private void fill(CopyGate empty, int slots) {
+        empty.limit(0, slots);
         for (int i = 0; i < slots; i++) {
-            assertInstanceOf(CopyGate.Offered.Started.class, gate.offer(0, run(9, 0, SECOND)));
+            assertInstanceOf(CopyGate.Offered.Started.class, empty.offer(0, run(9, 0, SECOND)));
         }
     }
 
@@ -60,20 +69,43 @@
          */
         @Test
         void isByRankThenByWorkDoneThenByTimeLeft() {
-            fill(1);
-            LocalRun running = gate.all().getFirst();
+            CopyGate without = new CopyGate(Set.of(Mechanism.OLDEST_FIRST));
+            fill(without, 1);
+            LocalRun running = without.all().getFirst();
             LocalRun lookup = run(2, 3, SECOND);
             LocalRun shallow = run(0, 0, SECOND);
             LocalRun hurried = run(0, 2, SECOND / 2);
             LocalRun deep = run(0, 2, SECOND);
-            List.of(lookup, shallow, deep, hurried).forEach(each -> gate.offer(0, each));
-            gate.finished(0, running, CopyGate.Ending.DONE);
-            for (LocalRun expected : List.of(hurried, deep, shallow, lookup)) {
-                assertEquals(List.of(expected), gate.startNext(0));
-                gate.finished(0, expected, CopyGate.Ending.DONE);
+            List.of(lookup, shallow, deep, hurried).forEach(each -> without.offer(0, each));
+            without.finished(0, running, CopyGate.Ending.DONE);
+            assertStartedInOrder(without, List.of(hurried, deep, shallow, lookup));
+        }
+
+        private void assertStartedInOrder(CopyGate tested, List<LocalRun> order) {
+            for (LocalRun expected : order) {
+                assertEquals(List.of(expected), tested.startNext(0));
+                tested.finished(0, expected, CopyGate.Ending.DONE);
             }
         }
 
+        /*
+         * Two lookups wait at a deep service: the seventh of eight calls of one, and the first of the other. Both calls have
+         * just come, and the first lookup has 0.2 s left in all. It must go first, or all its calls were for nothing; and an
+         * issuance that has just come goes before both.
+         */
+        @Test
+        void isByRankThenByHowLongAgoTheCallerAsked() {
+            fill(1);
+            LocalRun running = gate.all().getFirst();
+            LocalRun begun = run(2, 3, SECOND / 10, SECOND / 4);
+            LocalRun nearlyDone = run(2, 3, 6 * SECOND / 10, SECOND / 5);
+            LocalRun shallow = run(2, 0, SECOND / 2, SECOND / 10);
+            LocalRun issuance = run(0, 0, 0, SECOND);
+            List.of(begun, shallow, nearlyDone, issuance).forEach(each -> gate.offer(0, each));
+            gate.finished(0, running, CopyGate.Ending.DONE);
+            assertStartedInOrder(gate, List.of(issuance, nearlyDone, shallow, begun));
+        }
+
         @Test
         void evictsTheLeastImportantWhenFull() {
             fill(1);
--- a/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyTableTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyTableTest.java
@@ -6,6 +6,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.fleet.CopyRecord;
@@ -65,7 +66,7 @@
             table.put(0, "a", record("a", DEEP, "10.0.0.1", false), 0);
             assertTrue(table.remove(10, "a", 20).isEmpty());
             assertEquals(List.of("a"), usable(DEEP));
-            assertEquals(1, table.dropMissing(20).size());
+            assertEquals(Set.of("a"), table.dropMissing(20).keySet());
             assertEquals(List.of(), usable(DEEP));
         }
 
@@ -74,7 +75,7 @@
             table.put(0, "a", record("a", DEEP, "10.0.0.1", false), 0);
             table.remove(10, "a", 20);
             table.put(15, "a", record("a", DEEP, "10.0.0.1", false), 15);
-            assertEquals(List.of(), table.dropMissing(30));
+            assertEquals(Map.of(), table.dropMissing(30));
             assertEquals(List.of("a"), usable(DEEP));
         }
     }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
@@ -10,11 +10,13 @@
 import org.carawaysill.model.fleet.Destination;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.policy.fleet.summary.RouteSums;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 import org.carawaysill.policy.message.PeerMessage.NodeReport;
 import org.carawaysill.policy.message.PeerMessage.RouteCost;
 import org.carawaysill.policy.message.PeerMessage.RouteDemand;
 import org.carawaysill.policy.message.PeerMessage.SlotTime;
+import org.carawaysill.policy.message.PublishedState;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -26,19 +28,22 @@
 
     private final EntryPlan plan = new EntryPlan(Set.of());
 
+    private static NodeReport report(LoadReport load, List<RouteDemand> demands, List<RouteCost> costs) {
+        return new NodeReport(1, PublishedState.NOTHING, true, false, DEEP, load, 0, true, demands, costs);
+    }
+
+    private static RouteSums sums(NodeReport report) {
+        RouteSums sums = new RouteSums();
+        sums.add(report);
+        return sums;
+    }
+
     private void report(float offered, float completed) {
-        NodeReport report = new NodeReport(
-                1,
-                1,
-                true,
-                false,
-                DEEP,
+        NodeReport report = report(
                 new LoadReport(SLOTS, SLOTS, 0, 0),
-                0,
-                false,
                 List.of(new RouteDemand(LOOKUP, offered, completed)),
                 plan.ownCosts());
-        plan.update(List.of(report), Map.of(DEEP, new ServiceLoad(SLOTS, SLOTS, 0)), Map.of(LOOKUP, route(LOOKUP, 2)));
+        plan.update(sums(report), Map.of(DEEP, new ServiceLoad(SLOTS, SLOTS, 0)), Map.of(LOOKUP, route(LOOKUP, 2)));
     }
 
     private static Route route(String name, int rank) {
@@ -113,21 +118,14 @@
                 route("free", 2));
 
         private void plan(int slots, int running, RouteDemand... demands) {
-            NodeReport report = new NodeReport(
-                    1,
-                    1,
-                    true,
-                    false,
-                    DEEP,
+            NodeReport report = report(
                     new LoadReport(running, slots, 0, 0),
-                    0,
-                    false,
                     List.of(demands),
                     List.of(
                             new RouteCost("book", DEEP, 0.4f),
                             new RouteCost("lookup", DEEP, 0.2f),
                             new RouteCost("price", DEEP, 0.8f)));
-            plan.update(List.of(report), Map.of(DEEP, new ServiceLoad(slots, running, 0)), routes);
+            plan.update(sums(report), Map.of(DEEP, new ServiceLoad(slots, running, 0)), routes);
         }
 
         private static RouteDemand offered(String route, float rate) {
@@ -161,20 +159,11 @@
 
         @Test
         void isNotThereWithoutACopy() {
-            plan.update(
-                    List.of(new NodeReport(
-                            1,
-                            1,
-                            true,
-                            false,
-                            DEEP,
-                            new LoadReport(0, 10, 0, 0),
-                            0,
-                            false,
-                            List.of(offered("book", 10)),
-                            List.of(new RouteCost("book", DEEP, 0.4f)))),
-                    Map.of(),
-                    routes);
+            NodeReport report = report(
+                    new LoadReport(0, 10, 0, 0),
+                    List.of(offered("book", 10)),
+                    List.of(new RouteCost("book", DEEP, 0.4f)));
+            plan.update(sums(report), Map.of(), routes);
             assertEquals(0, plan.share("book"), 0.001);
         }
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/publication/PublishedEntriesTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/publication/PublishedEntriesTest.java
@@ -36,8 +36,8 @@
         @Test
         void keepsTheNewerWhoeverTellsIt() {
             entries.merge(5, true, List.of(written("a", 5)));
-            assertEquals(List.of(), entries.mergeTold(List.of(written("a", 4))));
-            assertEquals(List.of(written("a", 7)), entries.mergeTold(List.of(written("a", 7))));
+            assertEquals(List.of(), entries.mergeTold(0, false, List.of(written("a", 4))));
+            assertEquals(List.of(written("a", 7)), entries.mergeTold(0, false, List.of(written("a", 7))));
             assertEquals(List.of(), entries.merge(6, false, List.of(written("a", 6))));
         }
 
@@ -49,7 +49,7 @@
 
         @Test
         void doesNotTakeForRemovedWhatWasWrittenAfterTheRead() {
-            entries.mergeTold(List.of(written("a", 12)));
+            entries.mergeTold(0, false, List.of(written("a", 12)));
             assertEquals(List.of(), entries.merge(9, true, List.of()));
         }
 
@@ -65,8 +65,9 @@
             assertEquals(List.of(), entries.forgetRemoved(Duration.ofMinutes(5).toNanos()));
             assertEquals(
                     List.of("a"), entries.forgetRemoved(Duration.ofMinutes(6).toNanos()));
-            assertEquals(List.of(written("b", 5)), entries.all());
-            assertEquals(List.of(), entries.mergeTold(List.of(written("a", 4))));
+            assertEquals(Optional.empty(), entries.find("a"));
+            assertEquals(Optional.of(written("b", 5)), entries.find("b"));
+            assertEquals(List.of(), entries.mergeTold(0, false, List.of(written("a", 4))));
         }
 
         @Test
@@ -75,7 +76,7 @@
             entries.forgetRemoved(0);
             entries.merge(12, false, List.of(written("a", 12)));
             assertEquals(List.of(), entries.forgetRemoved(Duration.ofMinutes(6).toNanos()));
-            assertEquals(List.of(written("a", 12)), entries.all());
+            assertEquals(Optional.of(written("a", 12)), entries.find("a"));
         }
 
         /*
@@ -85,7 +86,7 @@
         @Test
         void goesOnReadingFromWhereThePlatformStopped() {
             entries.merge(5, true, List.of(written("a", 5)));
-            entries.mergeTold(List.of(written("b", 20)));
+            entries.mergeTold(0, false, List.of(written("b", 20)));
             assertEquals(5, entries.asOf());
         }
     }
@@ -97,11 +98,13 @@
         PublishedEntries merged = new PublishedEntries();
         for (int revision : revisions) {
             String key = "key " + revision % 3;
-            merged.mergeTold(List.of(written(key, revision)));
+            merged.mergeTold(0, false, List.of(written(key, revision)));
             newest.merge(key, (long) revision, Math::max);
         }
         Map<String, Long> known = new HashMap<>();
-        merged.all().forEach(entry -> known.put(entry.key(), entry.revision()));
+        for (int key = 0; key < 3; key++) {
+            merged.find("key " + key).ifPresent(entry -> known.put(entry.key(), entry.revision()));
+        }
         assertEquals(newest, known);
     }
 
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
@@ -12,6 +12,7 @@
 import org.carawaysill.policy.message.PeerMessage.RouteCost;
 import org.carawaysill.policy.message.PeerMessage.RouteDemand;
 import org.carawaysill.policy.message.PeerMessage.SlotTime;
+import org.carawaysill.policy.message.PublishedState;
 import org.carawaysill.protocol.generated.CopyAnswerFrame;
 import org.carawaysill.protocol.generated.CopyRequestFrame;
 import org.carawaysill.protocol.generated.EntriesFrame;
@@ -37,6 +38,7 @@
                 .setRank(request.rank())
                 .setIdempotent(request.idempotent())
                 .setDepth(request.depth())
+                .setRootAgeNanos(Fields.fittingNanos(request.rootAgeNanos()))
                 .setRemainingNanos(Fields.fittingNanos(request.remainingNanos()))
                 .setContent(ContentCodec.encode(request.content()))
                 .build();
@@ -54,6 +56,7 @@
                 Fields.notNegative(frame.getRank(), "rank"),
                 frame.getIdempotent(),
                 Fields.notNegative(frame.getDepth(), "depth"),
+                Fields.durationNanos(frame.getRootAgeNanos(), "age of the caller's request"),
                 Fields.durationNanos(frame.getRemainingNanos(), "remaining time"),
                 ContentCodec.decode(frame.getContent()));
     }
@@ -61,13 +64,14 @@
     static NodeReportFrame encode(NodeReport report) {
         NodeReportFrame.Builder frame = NodeReportFrame.newBuilder()
                 .setSequence(report.sequence())
-                .setPublishedRevision(report.publishedRevision())
+                .setPublishedRevision(report.published().revision())
+                .setPublishedDigest(report.published().digest())
                 .setReadsPlatform(report.readsPlatform())
                 .setLeaving(report.leaving())
                 .setService(report.service().value())
                 .setLoad(LoadCodec.encode(report.load()))
                 .setWorkSeconds(report.workSeconds())
-                .setBrief(report.brief());
+                .setSummed(report.summed());
         for (RouteDemand demand : report.demands()) {
             frame.addDemands(RouteDemandFrame.newBuilder()
                     .setRoute(demand.route())
@@ -100,13 +104,15 @@
         }
         return new NodeReport(
                 Fields.notNegative(frame.getSequence(), "sequence"),
-                Fields.notNegative(frame.getPublishedRevision(), "published revision"),
+                new PublishedState(
+                        Fields.notNegative(frame.getPublishedRevision(), "published revision"),
+                        frame.getPublishedDigest()),
                 frame.getReadsPlatform(),
                 frame.getLeaving(),
                 Fields.service(frame.getService()),
                 LoadCodec.decode(frame.hasLoad(), frame.getLoad()),
                 Fields.notNegative(frame.getWorkSeconds(), "work seconds"),
-                frame.getBrief(),
+                frame.getSummed(),
                 demands,
                 costs);
     }
@@ -138,7 +144,8 @@
     }
 
     static EntriesFrame encode(Entries entries) {
-        EntriesFrame.Builder frame = EntriesFrame.newBuilder().setAsOf(entries.asOf());
+        EntriesFrame.Builder frame =
+                EntriesFrame.newBuilder().setUpTo(entries.upTo()).setComplete(entries.complete());
         for (PublishedEntry entry : entries.entries()) {
             PublishedEntryFrame.Builder encoded =
                     PublishedEntryFrame.newBuilder().setKey(entry.key()).setRevision(entry.revision());
@@ -156,6 +163,6 @@
                     Fields.notNegative(entry.getRevision(), "revision"),
                     entry.hasText() ? Optional.of(entry.getText()) : Optional.empty()));
         }
-        return new Entries(Fields.notNegative(frame.getAsOf(), "as of"), entries);
+        return new Entries(Fields.notNegative(frame.getUpTo(), "up to"), frame.getComplete(), entries);
     }
 }
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/PeerMessageCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/PeerMessageCodec.java
@@ -10,6 +10,8 @@
 import org.carawaysill.policy.message.PeerMessage.DrainNotice;
 import org.carawaysill.policy.message.PeerMessage.Entries;
 import org.carawaysill.policy.message.PeerMessage.EntriesWanted;
+import org.carawaysill.policy.message.PeerMessage.FleetSummary;
+import org.carawaysill.policy.message.PeerMessage.GroupSummary;
 import org.carawaysill.policy.message.PeerMessage.Heartbeat;
 import org.carawaysill.policy.message.PeerMessage.HolderHandover;
 import org.carawaysill.policy.message.PeerMessage.LeaseReply;
@@ -17,9 +19,12 @@
 import org.carawaysill.policy.message.PeerMessage.NodeReport;
 import org.carawaysill.policy.message.PeerMessage.PeerAnswer;
 import org.carawaysill.policy.message.PeerMessage.PeerRequest;
+import org.carawaysill.policy.message.PeerMessage.ReportWanted;
+import org.carawaysill.policy.message.StateSummary;
 import org.carawaysill.protocol.generated.DrainNoticeFrame;
 import org.carawaysill.protocol.generated.EntriesWantedFrame;
 import org.carawaysill.protocol.generated.Frame;
+import org.carawaysill.protocol.generated.ReportWantedFrame;
 
 /**
  * Translates the policy's messages to frames and back.
@@ -55,7 +60,11 @@
             case CopyRequest request -> frame.setCopyRequest(FleetCodec.encode(request));
             case CopyAnswer answer -> frame.setCopyAnswer(FleetCodec.encode(answer));
             case NodeReport report -> frame.setNodeReport(FleetCodec.encode(report));
-            case EntriesWanted _ -> frame.setEntriesWanted(EntriesWantedFrame.getDefaultInstance());
+            case ReportWanted _ -> frame.setReportWanted(ReportWantedFrame.getDefaultInstance());
+            case GroupSummary(StateSummary summary) -> frame.setGroupSummary(SummaryCodec.encode(summary));
+            case FleetSummary(StateSummary summary) -> frame.setFleetSummary(SummaryCodec.encode(summary));
+            case EntriesWanted(long since) ->
+                frame.setEntriesWanted(EntriesWantedFrame.newBuilder().setSince(since));
             case Entries entries -> frame.setEntries(FleetCodec.encode(entries));
         }
         return frame.build();
@@ -84,7 +93,11 @@
             case COPY_REQUEST -> FleetCodec.decode(frame.getCopyRequest());
             case COPY_ANSWER -> FleetCodec.decode(frame.getCopyAnswer());
             case NODE_REPORT -> FleetCodec.decode(frame.getNodeReport());
-            case ENTRIES_WANTED -> new EntriesWanted();
+            case REPORT_WANTED -> new ReportWanted();
+            case GROUP_SUMMARY -> new GroupSummary(SummaryCodec.decode(frame.getGroupSummary()));
+            case FLEET_SUMMARY -> new FleetSummary(SummaryCodec.decode(frame.getFleetSummary()));
+            case ENTRIES_WANTED ->
+                new EntriesWanted(Fields.notNegative(frame.getEntriesWanted().getSince(), "since"));
             case ENTRIES -> FleetCodec.decode(frame.getEntries());
             case HELLO, ACCEPTED, REFUSED, PROBE, PROBE_REPLY, KIND_NOT_SET ->
                 throw new ProtocolFault(
--- /dev/null
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/SummaryCodec.java
@@ -0,0 +1,120 @@
+package org.carawaysill.protocol.codec;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.policy.message.PeerMessage.LoadReport;
+import org.carawaysill.policy.message.PublishedState;
+import org.carawaysill.policy.message.StateSummary;
+import org.carawaysill.policy.message.StateSummary.NodeState;
+import org.carawaysill.policy.message.StateSummary.RouteSummary;
+import org.carawaysill.policy.message.StateSummary.ServiceCost;
+import org.carawaysill.protocol.generated.NodeStateFrame;
+import org.carawaysill.protocol.generated.RouteSummaryFrame;
+import org.carawaysill.protocol.generated.ServiceCostFrame;
+import org.carawaysill.protocol.generated.StateSummaryFrame;
+
+/**
+ * Translates summaries of the state of many nodes.
+ *
+ * <p>The names of services, which come again with each node and cost, travel once: a node takes about 27 bytes. Stateless and
+ * thread safe.
+ */
+final class SummaryCodec {
+
+    private SummaryCodec() {}
+
+    static StateSummaryFrame encode(StateSummary summary) {
+        Map<ServiceName, Integer> services = new LinkedHashMap<>();
+        StateSummaryFrame.Builder frame = StateSummaryFrame.newBuilder()
+                .setPublishedRevision(summary.published().revision())
+                .setPublishedDigest(summary.published().digest());
+        summary.nodes().forEach(node -> frame.addNodes(encode(node, services)));
+        summary.routes().forEach(route -> frame.addRoutes(encode(route, services)));
+        services.keySet().forEach(service -> frame.addServices(service.value()));
+        return frame.build();
+    }
+
+    private static int indexOf(ServiceName service, Map<ServiceName, Integer> services) {
+        return services.computeIfAbsent(service, _ -> services.size());
+    }
+
+    private static NodeStateFrame encode(NodeState node, Map<ServiceName, Integer> services) {
+        return NodeStateFrame.newBuilder()
+                .setNode(node.node().value())
+                .setServiceIndex(indexOf(node.service(), services))
+                .setLeaving(node.leaving())
+                .setUnableToReadPlatform(!node.readsPlatform())
+                .setInFlight(node.load().inFlight())
+                .setLimit(node.load().limit())
+                .setQueued(node.load().queued())
+                .setWorkSeconds(node.workSeconds())
+                .build();
+    }
+
+    private static RouteSummaryFrame encode(RouteSummary route, Map<ServiceName, Integer> services) {
+        RouteSummaryFrame.Builder frame =
+                RouteSummaryFrame.newBuilder().setRoute(route.route()).setOfferedPerSecond(route.offeredPerSecond());
+        for (ServiceCost cost : route.costs()) {
+            frame.addCosts(ServiceCostFrame.newBuilder()
+                    .setServiceIndex(indexOf(cost.service(), services))
+                    .setSlotSeconds(cost.slotSeconds())
+                    .setWeight(cost.weight()));
+        }
+        return frame.build();
+    }
+
+    static StateSummary decode(StateSummaryFrame frame) throws ProtocolFault {
+        List<ServiceName> services = new ArrayList<>(frame.getServicesCount());
+        for (String service : frame.getServicesList()) {
+            services.add(Fields.service(service));
+        }
+        List<NodeState> nodes = new ArrayList<>(frame.getNodesCount());
+        for (NodeStateFrame node : frame.getNodesList()) {
+            nodes.add(decode(node, services));
+        }
+        List<RouteSummary> routes = new ArrayList<>(frame.getRoutesCount());
+        for (RouteSummaryFrame route : frame.getRoutesList()) {
+            routes.add(decode(route, services));
+        }
+        return new StateSummary(
+                new PublishedState(
+                        Fields.notNegative(frame.getPublishedRevision(), "published revision"),
+                        frame.getPublishedDigest()),
+                nodes,
+                routes);
+    }
+
+    private static ServiceName service(int index, List<ServiceName> services) throws ProtocolFault {
+        return services.get(Fields.between(index, 0, services.size() - 1, "service index"));
+    }
+
+    private static NodeState decode(NodeStateFrame node, List<ServiceName> services) throws ProtocolFault {
+        return new NodeState(
+                new NodeName(Fields.notBlank(node.getNode(), "node")),
+                service(node.getServiceIndex(), services),
+                node.getLeaving(),
+                !node.getUnableToReadPlatform(),
+                new LoadReport(
+                        Fields.notNegative(node.getInFlight(), "in flight"),
+                        Fields.notNegative(node.getLimit(), "limit"),
+                        Fields.notNegative(node.getQueued(), "queued"),
+                        0),
+                Fields.notNegative(node.getWorkSeconds(), "work seconds"));
+    }
+
+    private static RouteSummary decode(RouteSummaryFrame route, List<ServiceName> services) throws ProtocolFault {
+        List<ServiceCost> costs = new ArrayList<>(route.getCostsCount());
+        for (ServiceCostFrame cost : route.getCostsList()) {
+            costs.add(new ServiceCost(
+                    service(cost.getServiceIndex(), services),
+                    Fields.notNegative(cost.getSlotSeconds(), "slot seconds"),
+                    Fields.notNegative(cost.getWeight(), "weight")));
+        }
+        return new RouteSummary(
+                route.getRoute(), Fields.notNegative(route.getOfferedPerSecond(), "offered per second"), costs);
+    }
+}
--- a/protocol/src/main/java/org/carawaysill/protocol/link/TrafficKind.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/TrafficKind.java
@@ -37,7 +37,7 @@
             case HOLDER_HANDOVER -> HANDOVER;
             case CONFIGURATION_WANTED, CONFIGURATION_DOCUMENT, CONFIGURATION_CHANGE, ENTRIES_WANTED, ENTRIES ->
                 CONFIGURATION;
-            case NODE_REPORT -> REPORT;
+            case NODE_REPORT, REPORT_WANTED, GROUP_SUMMARY, FLEET_SUMMARY -> REPORT;
         };
     }
 }
--- a/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
@@ -35,6 +35,8 @@
 import org.carawaysill.policy.message.PeerMessage.DrainNotice;
 import org.carawaysill.policy.message.PeerMessage.Entries;
 import org.carawaysill.policy.message.PeerMessage.EntriesWanted;
+import org.carawaysill.policy.message.PeerMessage.FleetSummary;
+import org.carawaysill.policy.message.PeerMessage.GroupSummary;
 import org.carawaysill.policy.message.PeerMessage.Heartbeat;
 import org.carawaysill.policy.message.PeerMessage.HolderEntry;
 import org.carawaysill.policy.message.PeerMessage.HolderHandover;
@@ -47,12 +49,18 @@
 import org.carawaysill.policy.message.PeerMessage.PeerAnswer;
 import org.carawaysill.policy.message.PeerMessage.PeerRequest;
 import org.carawaysill.policy.message.PeerMessage.Purpose;
+import org.carawaysill.policy.message.PeerMessage.ReportWanted;
 import org.carawaysill.policy.message.PeerMessage.RosterMember;
 import org.carawaysill.policy.message.PeerMessage.RosterView;
 import org.carawaysill.policy.message.PeerMessage.RouteCost;
 import org.carawaysill.policy.message.PeerMessage.RouteDemand;
 import org.carawaysill.policy.message.PeerMessage.ServiceCut;
 import org.carawaysill.policy.message.PeerMessage.SlotTime;
+import org.carawaysill.policy.message.PublishedState;
+import org.carawaysill.policy.message.StateSummary;
+import org.carawaysill.policy.message.StateSummary.NodeState;
+import org.carawaysill.policy.message.StateSummary.RouteSummary;
+import org.carawaysill.policy.message.StateSummary.ServiceCost;
 
 /** Draws messages of every kind with all their values, the least and the greatest more often than others. */
 record RandomMessages(RandomGenerator random) {
@@ -61,7 +69,7 @@
     private static final String CHARACTERS = "\u0000\t\r\n aZ0\u00e8\u0416\u20ac\uffff";
 
     PeerMessage next() {
-        return switch (random.nextInt(16)) {
+        return switch (random.nextInt(19)) {
             case 0 -> request();
             case 1 -> answer();
             case 2 -> new CancelAttempt(attempt());
@@ -76,11 +84,14 @@
             case 9 -> new ConfigurationDocument(service(), version(), text());
             case 10 -> copyRequest();
             case 11 -> nodeReport();
-            case 12 -> new EntriesWanted();
+            case 12 -> new EntriesWanted(version());
             case 14 ->
                 new CopyAnswer(
                         attempt(), outcome(), load(), several(() -> new SlotTime(service(), random.nextFloat())));
-            case 13 -> new Entries(version(), several(this::published));
+            case 13 -> new Entries(version(), random.nextBoolean(), several(this::published));
+            case 15 -> new ReportWanted();
+            case 16 -> new GroupSummary(summary());
+            case 17 -> new FleetSummary(summary());
             default -> new ConfigurationChange(service(), version(), version(), several(this::edit), random.nextInt());
         };
     }
@@ -114,13 +125,14 @@
                 random.nextBoolean(),
                 count(),
                 nanos(),
+                nanos(),
                 new RequestContent(word(), "/" + word(), several(this::header), body()));
     }
 
     private NodeReport nodeReport() {
         return new NodeReport(
                 version(),
-                version(),
+                publishedState(),
                 random.nextBoolean(),
                 random.nextBoolean(),
                 service(),
@@ -131,6 +143,26 @@
                 several(() -> new RouteCost(text(), service(), random.nextFloat())));
     }
 
+    private PublishedState publishedState() {
+        return new PublishedState(version(), random.nextLong());
+    }
+
+    private StateSummary summary() {
+        return new StateSummary(publishedState(), several(this::nodeState), several(this::routeSummary));
+    }
+
+    private NodeState nodeState() {
+        LoadReport load = new LoadReport(count(), count(), count(), 0);
+        return new NodeState(node(), service(), random.nextBoolean(), random.nextBoolean(), load, random.nextFloat());
+    }
+
+    private RouteSummary routeSummary() {
+        return new RouteSummary(
+                text(),
+                random.nextFloat(),
+                several(() -> new ServiceCost(service(), random.nextFloat(), random.nextFloat())));
+    }
+
     private PublishedEntry published() {
         return new PublishedEntry(word(), version(), maybe(this::text));
     }
