--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/RouteCosts.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/RouteCosts.java
@@ -28,6 +28,9 @@
      */
     private static final float REQUEST_WEIGHT = 0.2f;
 
+    /** Less than any work takes: what is left of a cost that no request has had for long. */
+    private static final float NEGLIGIBLE_SECONDS = 1e-5f;
+
     private final Map<String, Map<ServiceName, Float>> own = new HashMap<>();
     private final Map<String, Map<ServiceName, Double>> ofFleet = new HashMap<>();
 
@@ -37,6 +40,7 @@
         Map<ServiceName, Float> seen = sums(times);
         known.replaceAll((service, cost) -> cost + REQUEST_WEIGHT * (seen.getOrDefault(service, 0f) - cost));
         seen.forEach(known::putIfAbsent);
+        known.values().removeIf(cost -> cost < NEGLIGIBLE_SECONDS);
     }
 
     /**
@@ -71,10 +75,15 @@
         return costs;
     }
 
-    /** Takes in what all nodes have learned. A route of which nobody knows anything now keeps what was known before. */
+    /**
+     * Takes in what all nodes have learned. A route of which nobody knows anything now keeps what was known before; of one that
+     * somebody knows, only what is known now counts.
+     *
+     * <p>Guards against a route that is kept out for good, since it once needed a service that has no copies any more, as after
+     * a configuration that sends its calls elsewhere.
+     */
     void average(RouteSums sums) {
-        sums.forEachCost((route, costs) ->
-                ofFleet.computeIfAbsent(route, _ -> new HashMap<>()).putAll(costs));
+        sums.forEachCost(ofFleet::put);
     }
 
     Map<ServiceName, Double> of(String route) {
--- a/policy/src/test/java/org/carawaysill/policy/fleet/FleetStateTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/FleetStateTest.java
@@ -6,14 +6,21 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.stream.Stream;
+import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.policy.fleet.VirtualFleet.Told;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
 import org.carawaysill.policy.fleet.VirtualFleet.Work;
 import org.carawaysill.policy.fleet.summary.NodeRank;
 import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.PeerMessage.LoadReport;
+import org.carawaysill.policy.message.PublishedState;
+import org.carawaysill.policy.message.StateSummary;
 import org.carawaysill.policy.message.StateSummary.NodeState;
 import org.carawaysill.policy.message.StateSummary.RouteSummary;
+import org.carawaysill.policy.message.StateSummary.ServiceCost;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -271,4 +278,80 @@
             assertTrue(fleet.told(PeerMessage.Entries.class) - before <= 3);
         }
     }
+
+    @Nested
+    class Nonsense {
+
+        private final SplittableRandom random = new SplittableRandom(5);
+
+        private int any() {
+            return random.nextInt(4) == 0 ? Integer.MAX_VALUE : random.nextInt(50);
+        }
+
+        private float anyFloat() {
+            return random.nextInt(4) == 0 ? Float.MAX_VALUE : (float) random.nextDouble();
+        }
+
+        private String anyName() {
+            return random.nextInt(3) == 0
+                    ? "10.9.9." + random.nextInt(9)
+                    : nodes.get(random.nextInt(nodes.size())).name.value();
+        }
+
+        private ServiceName anyService() {
+            return new ServiceName(random.nextBoolean() ? "front" : "unknown");
+        }
+
+        private StateSummary anySummary() {
+            List<NodeState> states = Stream.generate(() -> new NodeState(
+                            new NodeName(anyName()),
+                            anyService(),
+                            random.nextBoolean(),
+                            random.nextBoolean(),
+                            new LoadReport(any(), any(), any(), 0),
+                            anyFloat()))
+                    .limit(random.nextInt(30))
+                    .toList();
+            List<RouteSummary> routes = Stream.generate(() -> new RouteSummary(
+                            random.nextBoolean() ? PATH : "unknown",
+                            anyFloat(),
+                            List.of(new ServiceCost(anyService(), anyFloat(), anyFloat()))))
+                    .limit(random.nextInt(5))
+                    .toList();
+            return new StateSummary(new PublishedState(random.nextInt(1000), random.nextLong()), states, routes);
+        }
+
+        /*
+         * A node tells others sums that make no sense, of nodes and services that nobody knows. None of them may fail over it,
+         * and once it has stopped and a few requests have shown again what they cost, all are served as before.
+         */
+        @Test
+        void thatANodeTellsIsForgottenSoon() {
+            settled(20);
+            VirtualNode liar = nodes.getFirst();
+            for (int i = 0; i < 2000; i++) {
+                VirtualNode victim = nodes.get(1 + random.nextInt(nodes.size() - 1));
+                StateSummary summary = anySummary();
+                PeerMessage message = random.nextBoolean()
+                        ? new PeerMessage.GroupSummary(summary)
+                        : new PeerMessage.FleetSummary(summary);
+                fleet.at(SETTLED + i * MILLI, () -> victim.deliver(new FleetEvent.PeerReceived(liar.name, message)));
+            }
+            fleet.runUntil(SETTLED + 5 * SECOND);
+            List<Boolean> good = new ArrayList<>();
+            for (int i = 0; i < 400; i++) {
+                VirtualNode entry = nodes.get(i % nodes.size());
+                String name = "r" + i;
+                fleet.at(
+                        fleet.now + i * 10 * MILLI,
+                        () -> fleet.send(
+                                entry, name, PATH, SECOND, (_, outcome) -> good.add(Outcomes.isGood(outcome))));
+            }
+            fleet.runUntil(SETTLED + 11 * SECOND);
+            assertEquals(400, good.size());
+            assertEquals(
+                    List.of(),
+                    good.subList(200, 400).stream().filter(each -> !each).toList());
+        }
+    }
 }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
@@ -104,6 +104,29 @@
         }
     }
 
+    @Nested
+    class FormerCosts {
+
+        private static final ServiceName FORMER = new ServiceName("former");
+
+        /*
+         * A configuration sends the calls of a route to another service, and the copies of the former one are taken away. All
+         * requests of the route were refused from then on: what one had cost there never fell to nothing, and a service without
+         * copies has no room.
+         */
+        @Test
+        void areForgottenWhereNoRequestHasThemAnyMore() {
+            plan.learn(LOOKUP, List.of(new SlotTime(DEEP, 0.01f), new SlotTime(FORMER, 0.01f)));
+            report(100, 100);
+            assertEquals(0, plan.share(LOOKUP), 0.001, "its service has no copies");
+            for (int i = 0; i < 100; i++) {
+                plan.learn(LOOKUP, took(0.01f));
+            }
+            report(100, 100);
+            assertEquals(1, plan.share(LOOKUP), 0.001);
+        }
+    }
+
     @Nested
     class Room {
 
--- /dev/null
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/publication/PlatformReadsTest.java
@@ -0,0 +1,113 @@
+package org.carawaysill.policy.fleet.publication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import org.carawaysill.policy.fleet.FleetEvent.ReadFailure;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PlatformReadsTest {
+
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+    private static final Duration DRAIN_LIMIT = Duration.ofSeconds(2);
+    private static final long NEVER = Long.MAX_VALUE;
+
+    private final PlatformReads reads = new PlatformReads(0, DRAIN_LIMIT, new SplittableRandom(3));
+
+    private void read(long now) {
+        reads.start(now, 1);
+        reads.succeeded(now);
+    }
+
+    @Nested
+    class Start {
+
+        @Test
+        void readsWithinASecondWhereNobodyTellsAnything() {
+            assertTrue(reads.dueNanos() <= SECOND);
+        }
+
+        /*
+         * All nodes of a fleet start at once. Each that read everything although it had just been told cost the platform two
+         * calls or more; it must know first whether it is to read for the others.
+         */
+        @Test
+        void waitsWhereOthersHaveToldAndReadsNeverUnlessItIsAReader() {
+            reads.told(SECOND / 100);
+            assertTrue(reads.dueNanos() > SECOND / 2);
+            reads.reader(SECOND / 10, true);
+            reads.reader(SECOND / 5, false);
+            assertEquals(NEVER, reads.dueNanos());
+        }
+    }
+
+    @Nested
+    class Takeover {
+
+        @Test
+        void readsAtOnceAndEverything() {
+            reads.told(SECOND);
+            reads.reader(SECOND, true);
+            reads.reader(2 * SECOND, false);
+            reads.reader(9 * SECOND, true);
+            assertEquals(9 * SECOND, reads.dueNanos());
+            assertEquals(OptionalLong.empty(), reads.start(9 * SECOND, 0).after());
+        }
+
+        /*
+         * The platform was down for so long that all entries of copies lapsed, and is back. The node that takes over from the
+         * readers has not failed itself, finds no copy, and would have told all others that there is none, for the two seconds
+         * until the copies have written again.
+         */
+        @Test
+        void waitsForEntriesThatMayComeBackWhereOthersFailed() {
+            reads.told(SECOND);
+            reads.reader(SECOND, true);
+            reads.othersFail(8 * SECOND);
+            read(9 * SECOND);
+            assertTrue(reads.returnsUntilNanos(9 * SECOND) > 11 * SECOND);
+        }
+
+        @Test
+        void takesAMissingEntryForGoneWhereNobodyFailed() {
+            reads.reader(SECOND, true);
+            read(9 * SECOND);
+            assertTrue(reads.returnsUntilNanos(9 * SECOND) <= 9 * SECOND);
+        }
+
+        /** One node that is turned away must not delay what a reader sees that has read all the time. */
+        @Test
+        void trustsAReaderWithoutAGapWhereOthersFail() {
+            reads.reader(0, true);
+            read(SECOND);
+            reads.othersFail(SECOND);
+            read(SECOND + SECOND / 2);
+            assertTrue(reads.returnsUntilNanos(2 * SECOND) <= 2 * SECOND);
+        }
+    }
+
+    @Nested
+    class Failure {
+
+        @Test
+        void ofANodeThatDoesNotReadForOthersIsTriedAgainAfterSeconds() {
+            reads.told(0);
+            reads.start(0, 1);
+            assertTrue(reads.failed(0, ReadFailure.REFUSED));
+            assertTrue(!reads.mayRead());
+            assertTrue(reads.dueNanos() >= 5 * SECOND);
+        }
+
+        @Test
+        void ofAReaderIsTriedAgainSoon() {
+            reads.reader(0, true);
+            reads.start(0, 1);
+            reads.failed(0, ReadFailure.TIMEOUT);
+            assertTrue(reads.dueNanos() < SECOND / 2);
+        }
+    }
+}
