--- a/policy/src/test/java/org/carawaysill/policy/fleet/BillSite.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/BillSite.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.carawaysill.model.request.Body;
-import org.carawaysill.policy.fleet.VirtualFleet.Work;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
 
 /**
--- a/policy/src/test/java/org/carawaysill/policy/fleet/FleetPolicyTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/FleetPolicyTest.java
@@ -13,7 +13,6 @@
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
-import org.carawaysill.policy.fleet.VirtualFleet.Work;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/policy/src/test/java/org/carawaysill/policy/fleet/FleetStateTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/FleetStateTest.java
@@ -12,7 +12,6 @@
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.policy.fleet.VirtualFleet.Told;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
-import org.carawaysill.policy.fleet.VirtualFleet.Work;
 import org.carawaysill.policy.fleet.summary.NodeRank;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
--- a/policy/src/test/java/org/carawaysill/policy/fleet/QuoteSite.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/QuoteSite.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.carawaysill.policy.fleet.VirtualFleet.Work;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
 
 /**
--- a/policy/src/test/java/org/carawaysill/policy/fleet/RandomSiteTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/RandomSiteTest.java
@@ -10,7 +10,6 @@
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
-import org.carawaysill.policy.fleet.VirtualFleet.Work;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
--- /dev/null
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/Traffic.java
@@ -0,0 +1,22 @@
+package org.carawaysill.policy.fleet;
+
+import org.carawaysill.policy.message.PeerMessage;
+
+/** What was sent between nodes. Not thread safe. */
+final class Traffic {
+
+    long messages;
+    long acrossZones;
+    long bytes;
+    long bytesAcrossZones;
+
+    void add(PeerMessage message, boolean crosses) {
+        messages++;
+        long size = MessageSizes.of(message);
+        bytes += size;
+        if (crosses) {
+            acrossZones++;
+            bytesAcrossZones += size;
+        }
+    }
+}
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -77,25 +77,6 @@
     private long revision;
     private long exchanges;
 
-    /** What was sent between nodes. */
-    static final class Traffic {
-
-        long messages;
-        long acrossZones;
-        long bytes;
-        long bytesAcrossZones;
-
-        private void add(PeerMessage message, boolean crosses) {
-            messages++;
-            long size = MessageSizes.of(message);
-            bytes += size;
-            if (crosses) {
-                acrossZones++;
-                bytesAcrossZones += size;
-            }
-        }
-    }
-
     /** A summary of the whole fleet, and when it came. */
     record Told(long at, StateSummary summary) {}
 
@@ -173,31 +154,6 @@
         entry.arrive(name, path, Optional.of(Duration.ofNanos(patience)), receiver);
     }
 
-    /**
-     * What a copy does for a request: its own work, before it the calls, one after the other.
-     *
-     * @param nanos mean time of its own work
-     * @param spread how much that varies: the standard deviation of its logarithm
-     * @param calls the paths that it calls
-     * @param answer what it answers
-     */
-    record Work(long nanos, double spread, List<String> calls, Body answer) {
-
-        Work(long nanos, List<String> calls) {
-            this(nanos, 0, calls);
-        }
-
-        Work(long nanos, double spread, List<String> calls) {
-            this(nanos, spread, calls, Body.ofText("answer"));
-        }
-
-        long draw(SplittableRandom random) {
-            return spread == 0
-                    ? nanos
-                    : (long) (nanos * Math.exp(spread * random.nextGaussian() - spread * spread / 2));
-        }
-    }
-
     /** A node, the copy beside it, and their VM. */
     final class VirtualNode {
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
@@ -9,7 +9,6 @@
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
-import org.carawaysill.policy.fleet.VirtualFleet.Work;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
 
 /**
