--- a/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
@@ -91,6 +91,12 @@
         return reads.dueNanos();
     }
 
+    /** Reads everything soon, whoever else reads. */
+    void readEverything(long now) {
+        effects.log(new Decision.DependencyChanged("platform", "read_anew", "others decide by something else"));
+        reads.everythingAt(now);
+    }
+
     void startRead(long now) {
         effects.count(ConfigurationCount.READ);
         effects.add(reads.start(now, entries.asOf()));
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -69,7 +69,7 @@
         beliefs = new Beliefs(now, settings.drainLimit(), decoder, random, effects);
         peers = new Peers(settings.self(), effects);
         state = new FleetState(settings, effects, beliefs, peers);
-        exchange = new PublicationExchange(effects, beliefs);
+        exchange = new PublicationExchange(now, effects, beliefs);
         toldDigest = beliefs.published().digest();
         demand = new DemandMeter(now);
         plan = new EntryPlan(settings.without());
@@ -135,15 +135,14 @@
             case PeerMessage.CopyAnswer answer -> outgoing.peerAnswered(now, from, answer);
             case PeerMessage.CancelAttempt cancel -> localRuns.cancelled(now, cancel.attempt());
             case PeerMessage.NodeReport report -> reported(now, from, report);
-            case PeerMessage.ReportWanted _ ->
-                effects.add(new FleetEffect.SendToPeer(from, report(now).withoutRoutes(false)));
+            case PeerMessage.ReportWanted _ -> state.tell(from, report(now));
             case PeerMessage.GroupSummary(StateSummary summary) -> {
                 state.groupTold(now, from, summary);
-                exchange.heard(now, from, summary.published());
+                exchange.heard(now, from, false, summary.published());
             }
             case PeerMessage.FleetSummary(StateSummary summary) -> {
                 state.fleetTold(now, from, summary);
-                exchange.heard(now, from, summary.published());
+                exchange.heard(now, from, true, summary.published());
             }
             case PeerMessage.EntriesWanted wanted -> exchange.wanted(from, wanted);
             case PeerMessage.Entries entries -> {
@@ -174,12 +173,12 @@
                 copy.works(report.workSeconds());
             }
         }
-        exchange.heard(now, from, report.published());
+        exchange.heard(now, from, report.sameZone(), report.published());
     }
 
     private void peerConnected(long now, NodeName peer) {
         peers.connected(now, peer);
-        effects.add(new FleetEffect.SendToPeer(peer, report(now).withoutRoutes(false)));
+        state.tell(peer, report(now));
     }
 
     /** Tells at once that this node decides by something newer: what is told at intervals reaches others too late. */
@@ -193,8 +192,8 @@
 
     /** Tells all nodes, also those that hear of this one from others only: none may send work here any more. */
     private void tellLeaving(long now) {
-        NodeReport report = report(now).withoutRoutes(false);
-        peers.connected().forEach(peer -> effects.add(new FleetEffect.SendToPeer(peer, report)));
+        NodeReport report = report(now);
+        peers.connected().forEach(peer -> state.tell(peer, report));
     }
 
     private void publicationChanged(Moment moment) {
@@ -228,6 +227,7 @@
         if (now >= beliefs.dueNanos()) {
             beliefs.startRead(now);
         }
+        exchange.passTime(now);
         localRuns.passTime(now);
         outgoing.passTime(now);
         showReadiness(now);
@@ -288,6 +288,7 @@
                 localRuns.load(now),
                 (float) localRuns.workSeconds(now),
                 false,
+                false,
                 demand.demands(),
                 plan.ownCosts());
     }
@@ -324,7 +325,7 @@
      * @return a time on the monotonic clock in nanoseconds
      */
     public long nextWakeNanos() {
-        long control = Math.min(nextTickNanos, beliefs.dueNanos());
+        long control = Math.min(Math.min(nextTickNanos, beliefs.dueNanos()), exchange.nextNanos());
         long stop = plannedStop.nextNanos(lastNanos, settings.stopLimit());
         return Math.min(Math.min(control, stop), Math.min(localRuns.nextNanos(), outgoing.nextNanos()));
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetState.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetState.java
@@ -86,7 +86,7 @@
         aggregators = new Aggregators(reachableByZone());
         boolean primary = report(now, own);
         if (sumsUp()) {
-            sumUp(now, primary ? own : own.withoutRoutes(false));
+            sumUp(now, primary ? own : own.toBeKnown(true));
         } else {
             takeOver(now, ofFleet.all());
             addOwn(own);
@@ -114,7 +114,7 @@
         for (NodeName receiver : receivers) {
             if (!receiver.equals(settings.self())) {
                 boolean whole = receiver.equals(primary);
-                send(now, receiver, whole ? own.toBeSummed() : own.withoutRoutes(true));
+                send(now, receiver, own.toBeSummed(whole));
             }
         }
         return primary.equals(settings.self());
@@ -184,11 +184,17 @@
             Set<NodeName> receivers = others();
             receivers.addAll(group.members());
             receivers.removeAll(aggregators.of(settings.zone()));
-            NodeReport news = own.withoutRoutes(false);
-            receivers.forEach(receiver -> effects.add(new FleetEffect.SendToPeer(receiver, news)));
+            receivers.forEach(receiver -> tell(receiver, own));
         }
     }
 
+    /** Tells another node of this one, without asking it to sum that up. */
+    void tell(NodeName receiver, NodeReport own) {
+        boolean sameZone =
+                beliefs.copies().zone(receiver).filter(settings.zone()::equals).isPresent();
+        effects.add(new FleetEffect.SendToPeer(receiver, own.toBeKnown(sameZone)));
+    }
+
     /** Tells whether others that are in touch with a node were heard to say so lately; without any, nobody knows. */
     boolean isListed(NodeName node) {
         return states.isEmpty() || states.containsKey(node);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
@@ -9,7 +9,9 @@
 import java.util.Set;
 import java.util.stream.Stream;
 import org.carawaysill.model.fleet.CopyRecord;
+import org.carawaysill.model.identity.AvailabilityZone;
 import org.carawaysill.model.identity.NetworkAddress;
+import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
 
 /**
@@ -183,6 +185,19 @@
         return namedCopies().toList();
     }
 
+    /**
+     * Finds where a node stands.
+     *
+     * @param node the node
+     * @return the availability zone of a copy beside it
+     */
+    public Optional<AvailabilityZone> zone(NodeName node) {
+        return namedCopies()
+                .filter(copy -> copy.node().equals(node))
+                .map(copy -> copy.record().zone())
+                .findFirst();
+    }
+
     /**
      * Gives the IP numbers of the VMs of all copies.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/PlatformReads.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/PlatformReads.java
@@ -116,6 +116,16 @@
         told = true;
     }
 
+    /**
+     * Lets the next read be one of everything, at once.
+     *
+     * @param now the monotonic time
+     */
+    public void everythingAt(long now) {
+        everything = true;
+        nextNanos = now;
+    }
+
     /**
      * Notes that another node lately failed to read.
      *
--- a/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
@@ -355,6 +355,7 @@
      * @param service the service of the sender's copy
      * @param load the load of the sender's copy
      * @param workSeconds what the sender's copy lately took for a request, without its calls; 0 where that is not known
+     * @param sameZone whether the receiver stands in the sender's availability zone, as far as the sender knows
      * @param summed whether the receiver is to sum it up with others, and to tell the sender what it knows of the fleet
      * @param demands what callers ask of the sender, by route; empty but for the one receiver that adds them up
      * @param costs what a request of each route costs at each service, as the sender has seen; empty as the demands
@@ -367,6 +368,7 @@
             ServiceName service,
             LoadReport load,
             float workSeconds,
+            boolean sameZone,
             boolean summed,
             List<RouteDemand> demands,
             List<RouteCost> costs)
@@ -378,25 +380,27 @@
         }
 
         /**
-         * Leaves out demands and costs, for a receiver that does not add them up.
+         * Leaves out demands and costs, for a receiver that does not sum it up.
          *
-         * @param toBeSummed whether the receiver is to sum it up with others
+         * @param inSameZone whether the receiver stands in the sender's availability zone
          * @return the shorter report
          */
-        public NodeReport withoutRoutes(boolean toBeSummed) {
-            return with(toBeSummed, List.of(), List.of());
+        public NodeReport toBeKnown(boolean inSameZone) {
+            return with(inSameZone, false, List.of(), List.of());
         }
 
         /**
-         * Asks the receiver to sum it up with others.
+         * Asks a receiver of the sender's availability zone to sum it up with others.
          *
-         * @return the report, else the same
+         * @param whole whether the receiver adds up demands and costs; else they are left out
+         * @return the report
          */
-        public NodeReport toBeSummed() {
-            return with(true, demands, costs);
+        public NodeReport toBeSummed(boolean whole) {
+            return whole ? with(true, true, demands, costs) : with(true, true, List.of(), List.of());
         }
 
-        private NodeReport with(boolean isSummed, List<RouteDemand> otherDemands, List<RouteCost> otherCosts) {
+        private NodeReport with(
+                boolean inSameZone, boolean isSummed, List<RouteDemand> otherDemands, List<RouteCost> otherCosts) {
             return new NodeReport(
                     sequence,
                     published,
@@ -405,6 +409,7 @@
                     service,
                     load,
                     workSeconds,
+                    inSameZone,
                     isSummed,
                     otherDemands,
                     otherCosts);
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
@@ -71,6 +71,7 @@
                 .setService(report.service().value())
                 .setLoad(LoadCodec.encode(report.load()))
                 .setWorkSeconds(report.workSeconds())
+                .setSameZone(report.sameZone())
                 .setSummed(report.summed());
         for (RouteDemand demand : report.demands()) {
             frame.addDemands(RouteDemandFrame.newBuilder()
@@ -112,6 +113,7 @@
                 Fields.service(frame.getService()),
                 LoadCodec.decode(frame.hasLoad(), frame.getLoad()),
                 Fields.notNegative(frame.getWorkSeconds(), "work seconds"),
+                frame.getSameZone(),
                 frame.getSummed(),
                 demands,
                 costs);
--- a/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
@@ -139,6 +139,7 @@
                 load(),
                 random.nextFloat(),
                 random.nextBoolean(),
+                random.nextBoolean(),
                 several(() -> new RouteDemand(text(), random.nextFloat(), random.nextFloat())),
                 several(() -> new RouteCost(text(), service(), random.nextFloat())));
     }
