--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/PlatformReads.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/PlatformReads.java
@@ -37,7 +37,7 @@
     /** How long a node that was told before its first read waits until it knows whether it is to read for others. */
     private static final Duration TOLD_PAUSE = Duration.ofMillis(600);
 
-    /** The pause after a failure; other nodes are asked meanwhile, see {@link #readable}. */
+    /** The pause after a failure; meanwhile others that can read do, see {@link #mayRead}. */
     static final Duration SHORTEST_PAUSE = Duration.ofMillis(200);
 
     /**
