--- a/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
@@ -52,7 +52,7 @@
     private final NodeName self;
     private final Effects effects;
     private final Map<NodeName, Peer> known = new HashMap<>();
-    private long idleProbedNanos = -IDLE_PROBES_APART.toNanos();
+    private long nextIdleProbeNanos = Long.MIN_VALUE;
 
     Peers(NodeName self, Effects effects) {
         this.self = self;
@@ -191,10 +191,10 @@
      * only by requests that are lost on it, and each node has one to all others.
      */
     private void probeIdle(long now) {
-        if (now - idleProbedNanos < IDLE_PROBES_APART.toNanos()) {
+        if (now < nextIdleProbeNanos) {
             return;
         }
-        idleProbedNanos = now;
+        nextIdleProbeNanos = now + IDLE_PROBES_APART.toNanos();
         known.forEach((name, peer) -> {
             if (peer.connected && !peer.isAwaited() && !peer.isHeardLately(now)) {
                 probe(now, name, peer);
