--- a/policy/src/test/java/org/carawaysill/policy/fleet/FleetStateTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/FleetStateTest.java
@@ -8,12 +8,10 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.stream.Stream;
-import org.carawaysill.model.fleet.PublishedEntry;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.policy.fleet.VirtualFleet.Told;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
-import org.carawaysill.policy.fleet.summary.NodeRank;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 import org.carawaysill.policy.message.PublishedState;
@@ -24,46 +22,13 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class FleetStateTest {
-
-    private static final long MILLI = VirtualFleet.MILLI;
-    private static final long SECOND = 1000 * MILLI;
-    private static final long SETTLED = 8 * SECOND;
-    private static final String PATH = "/entry/";
-    private static final int ZONES = 5;
-
-    private final VirtualFleet fleet = new VirtualFleet(7);
-    private final List<VirtualNode> nodes = new ArrayList<>();
-
-    /** Nodes of one service in five availability zones, all of which know one another. */
-    private void settled(int count) {
-        fleet.configure(Routes.route(PATH, "front", true, 1, 900, 500));
-        for (int i = 0; i < count; i++) {
-            VirtualNode node = fleet.add("front", "10." + i % ZONES + ".0." + (i + 1), "zone-" + i % ZONES, 10);
-            node.works.put(PATH, new Work(20 * MILLI, List.of()));
-            nodes.add(node);
-        }
-        fleet.runUntil(SETTLED);
-    }
-
-    private List<VirtualNode> zone(int zone) {
-        return Stream.iterate(zone, i -> i < nodes.size(), i -> i + ZONES)
-                .map(nodes::get)
-                .toList();
-    }
+class FleetStateTest extends SettledFleet {
 
     /** Those that tell a node of the fleet. */
     private static List<String> tellersOf(VirtualNode node) {
         return node.told.keySet().stream().map(name -> name.value()).toList();
     }
 
-    /** The node of a zone that is the last to sum up for it. */
-    private static VirtualNode member(List<VirtualNode> zone) {
-        return zone.stream()
-                .max(Comparator.comparing(node -> node.name, NodeRank.ORDER))
-                .orElseThrow();
-    }
-
     private static double offered(Told told) {
         return told.summary().routes().stream()
                 .filter(route -> route.route().equals(PATH))
@@ -248,90 +213,6 @@
         }
     }
 
-    @Nested
-    class Entries {
-
-        /*
-         * All nodes start at the same moment and none knows another. Each read all entries of the platform, two calls or more,
-         * of which the platform allows and prices each; whoever is told first needs none.
-         */
-        @Test
-        void areReadByFewAndToldToTheRest() {
-            settled(95);
-            assertTrue(fleet.reads < 95 / 2 + 3 * 15, () -> fleet.reads + " reads");
-        }
-
-        /*
-         * A node starts again in a fleet where nothing has changed. It has seen newer revisions than the others, which are
-         * those of heartbeats: they asked it for all entries, 25 kB for each node.
-         */
-        @Test
-        void areNotAskedForWhereNothingIsNew() {
-            settled(40);
-            nodes.forEach(node -> node.publish(false));
-            fleet.runUntil(SETTLED + 2 * SECOND);
-            long before = fleet.told(PeerMessage.Entries.class);
-            VirtualNode node = member(zone(0));
-            node.kill();
-            node.restart();
-            fleet.runUntil(SETTLED + 6 * SECOND);
-            assertTrue(fleet.told(PeerMessage.Entries.class) - before <= 3);
-        }
-
-        /*
-         * A node starts again. It was told all entries by whichever node connected first, mostly one of another zone; with a
-         * thousand routes these are 300 kB.
-         */
-        @Test
-        void areAskedOfTheOwnZone() {
-            settled(40);
-            VirtualNode node = member(zone(0));
-            node.kill();
-            fleet.runUntil(SETTLED + SECOND);
-            long before = fleet.control.bytesAcrossZones;
-            node.restart();
-            fleet.runUntil(fleet.now + 400 * MILLI);
-            assertTrue(node.ready);
-            long entries = 260 * 40;
-            long across = fleet.control.bytesAcrossZones - before;
-            // 400 ms of summaries between zones, and a greeting of each of 32 nodes both ways.
-            assertTrue(across < 0.4 * 50_000 + 64 * 70 + entries / 2, () -> across + " bytes");
-        }
-
-        /*
-         * A node reads everything in the very moment in which the entry of a copy has lapsed and is not back yet. The readers
-         * see the two changes together as none, so that nobody tells it: it would never use that copy again.
-         */
-        @Test
-        void thatOneNodeMissedAreReadAgain() {
-            settled(20);
-            VirtualNode node = member(zone(0));
-            VirtualNode missed = zone(1).getFirst();
-            List<PublishedEntry> others = fleet.platform.values().stream()
-                    .filter(entry -> !entry.key().endsWith(missed.copy()))
-                    .toList();
-            long newest = fleet.platform.values().stream()
-                    .mapToLong(PublishedEntry::revision)
-                    .max()
-                    .orElseThrow();
-            node.deliver(new FleetEvent.EntriesRead(newest, true, others));
-            assertEquals("gone", lastStateOf(missed, node));
-            missed.publish(false);
-            fleet.runUntil(SETTLED + 6 * SECOND);
-            assertEquals("ready", lastStateOf(missed, node));
-        }
-
-        private String lastStateOf(VirtualNode copy, VirtualNode node) {
-            return node.log.stream()
-                    .filter(Decision.CopyChanged.class::isInstance)
-                    .map(Decision.CopyChanged.class::cast)
-                    .filter(change -> change.copy().value().equals(copy.copy()))
-                    .reduce((_, last) -> last)
-                    .orElseThrow()
-                    .state();
-        }
-    }
-
     @Nested
     class Nonsense {
 
--- /dev/null
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/PublicationExchangeTest.java
@@ -0,0 +1,98 @@
+package org.carawaysill.policy.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.carawaysill.model.fleet.PublishedEntry;
+import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
+import org.carawaysill.policy.message.PeerMessage;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PublicationExchangeTest extends SettledFleet {
+
+    @Nested
+    class Entries {
+
+        /*
+         * All nodes start at the same moment and none knows another. Each read all entries of the platform, two calls or more,
+         * of which the platform allows and prices each; whoever is told first needs none.
+         */
+        @Test
+        void areReadByFewAndToldToTheRest() {
+            settled(95);
+            assertTrue(fleet.reads < 95 / 2 + 3 * 15, () -> fleet.reads + " reads");
+        }
+
+        /*
+         * A node starts again in a fleet where nothing has changed. It has seen newer revisions than the others, which are
+         * those of heartbeats: they asked it for all entries, 25 kB for each node.
+         */
+        @Test
+        void areNotAskedForWhereNothingIsNew() {
+            settled(40);
+            nodes.forEach(node -> node.publish(false));
+            fleet.runUntil(SETTLED + 2 * SECOND);
+            long before = fleet.told(PeerMessage.Entries.class);
+            VirtualNode node = member(zone(0));
+            node.kill();
+            node.restart();
+            fleet.runUntil(SETTLED + 6 * SECOND);
+            assertTrue(fleet.told(PeerMessage.Entries.class) - before <= 3);
+        }
+
+        /*
+         * A node starts again. It was told all entries by whichever node connected first, mostly one of another zone; with a
+         * thousand routes these are 300 kB.
+         */
+        @Test
+        void areAskedOfTheOwnZone() {
+            settled(40);
+            VirtualNode node = member(zone(0));
+            node.kill();
+            fleet.runUntil(SETTLED + SECOND);
+            long before = fleet.control.bytesAcrossZones;
+            node.restart();
+            fleet.runUntil(fleet.now + 400 * MILLI);
+            assertTrue(node.ready);
+            long entries = 260 * 40;
+            long across = fleet.control.bytesAcrossZones - before;
+            // 400 ms of summaries between zones, and a greeting of each of 32 nodes both ways.
+            assertTrue(across < 0.4 * 50_000 + 64 * 70 + entries / 2, () -> across + " bytes");
+        }
+
+        /*
+         * A node reads everything in the very moment in which the entry of a copy has lapsed and is not back yet. The readers
+         * see the two changes together as none, so that nobody tells it: it would never use that copy again.
+         */
+        @Test
+        void thatOneNodeMissedAreReadAgain() {
+            settled(20);
+            VirtualNode node = member(zone(0));
+            VirtualNode missed = zone(1).getFirst();
+            List<PublishedEntry> others = fleet.platform.values().stream()
+                    .filter(entry -> !entry.key().endsWith(missed.copy()))
+                    .toList();
+            long newest = fleet.platform.values().stream()
+                    .mapToLong(PublishedEntry::revision)
+                    .max()
+                    .orElseThrow();
+            node.deliver(new FleetEvent.EntriesRead(newest, true, others));
+            assertEquals("gone", lastStateOf(missed, node));
+            missed.publish(false);
+            fleet.runUntil(SETTLED + 6 * SECOND);
+            assertEquals("ready", lastStateOf(missed, node));
+        }
+
+        private String lastStateOf(VirtualNode copy, VirtualNode node) {
+            return node.log.stream()
+                    .filter(Decision.CopyChanged.class::isInstance)
+                    .map(Decision.CopyChanged.class::cast)
+                    .filter(change -> change.copy().value().equals(copy.copy()))
+                    .reduce((_, last) -> last)
+                    .orElseThrow()
+                    .state();
+        }
+    }
+}
