--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -167,11 +167,9 @@
     private void reported(long now, NodeName from, NodeReport report) {
         peers.reported(now, from, report);
         state.reported(now, from, report);
-        for (Copy copy : beliefs.copies().all()) {
-            if (copy.node().equals(from)) {
-                copy.told(now, report.load());
-                copy.works(report.workSeconds());
-            }
+        for (Copy copy : beliefs.copies().beside(from)) {
+            copy.told(now, report.load());
+            copy.works(report.workSeconds());
         }
         exchange.heard(now, from, report.sameZone(), report.published());
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetState.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetState.java
@@ -190,8 +190,8 @@
 
     /** Tells another node of this one, without asking it to sum that up. */
     void tell(NodeName receiver, NodeReport own) {
-        boolean sameZone =
-                beliefs.copies().zone(receiver).filter(settings.zone()::equals).isPresent();
+        boolean sameZone = beliefs.copies().beside(receiver).stream()
+                .anyMatch(copy -> copy.record().zone().equals(settings.zone()));
         effects.add(new FleetEffect.SendToPeer(receiver, own.toBeKnown(sameZone)));
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Reach.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Reach.java
@@ -31,6 +31,6 @@
      * lately, but its connection stands.
      */
     boolean containsAsLastResort(long now, NodeName node) {
-        return contains(now, node) || peers.isJustLeaving(now, node) || peers.inTouch(node);
+        return node.equals(self) || peers.inTouch(node) || peers.isJustLeaving(now, node);
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.stream.Stream;
 import org.carawaysill.model.fleet.CopyRecord;
-import org.carawaysill.model.identity.AvailabilityZone;
 import org.carawaysill.model.identity.NetworkAddress;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
@@ -186,16 +185,13 @@
     }
 
     /**
-     * Finds where a node stands.
+     * Gives the published copies beside a node.
      *
      * @param node the node
-     * @return the availability zone of a copy beside it
+     * @return the copies: more than one while an address is used again
      */
-    public Optional<AvailabilityZone> zone(NodeName node) {
-        return namedCopies()
-                .filter(copy -> copy.node().equals(node))
-                .map(copy -> copy.record().zone())
-                .findFirst();
+    public List<Copy> beside(NodeName node) {
+        return namedCopies().filter(copy -> copy.node().equals(node)).toList();
     }
 
     /**
--- a/policy/src/main/java/org/carawaysill/policy/fleet/summary/Group.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/summary/Group.java
@@ -2,9 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.policy.message.PeerMessage.NodeReport;
 import org.carawaysill.policy.message.StateSummary;
@@ -23,9 +21,7 @@
      */
     static final Duration LISTED_FOR = Duration.ofMillis(1100);
 
-    private final Map<NodeName, Member> members = new HashMap<>();
-
-    private record Member(NodeReport report, long heardNanos) {}
+    private final LatestByNode<NodeReport> members = new LatestByNode<>();
 
     /**
      * Takes in a report that is to be summed up.
@@ -35,7 +31,7 @@
      * @param report what it says
      */
     public void reported(long now, NodeName node, NodeReport report) {
-        members.put(node, new Member(report, now));
+        members.put(now, node, report);
     }
 
     /**
@@ -53,7 +49,7 @@
      * @param now the monotonic time
      */
     public void passTime(long now) {
-        members.values().removeIf(member -> now - member.heardNanos() > LISTED_FOR.toNanos());
+        members.dropOlderThan(now, LISTED_FOR);
     }
 
     /**
@@ -62,7 +58,7 @@
      * @return the names
      */
     public List<NodeName> members() {
-        return List.copyOf(members.keySet());
+        return members.nodes();
     }
 
     /**
@@ -73,13 +69,13 @@
      * @return the state of the members and of this node
      */
     public StateSummary summary(NodeName self, NodeReport own) {
-        List<NodeState> states = new ArrayList<>(members.size() + 1);
+        List<NodeState> states = new ArrayList<>();
         RouteSums sums = new RouteSums();
         states.add(state(self, own));
         sums.add(own);
-        members.forEach((node, member) -> {
-            states.add(state(node, member.report()));
-            sums.add(member.report());
+        members.forEach((node, report) -> {
+            states.add(state(node, report));
+            sums.add(report);
         });
         return new StateSummary(own.published(), states, sums.summaries());
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/summary/Summaries.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/summary/Summaries.java
@@ -2,8 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,9 +20,7 @@
     /** Three intervals missed: by then the nodes behind it report to another one, and would be added twice. */
     static final Duration KEPT_FOR = Duration.ofMillis(1500);
 
-    private final Map<NodeName, Told> bySender = new HashMap<>();
-
-    private record Told(StateSummary summary, long nanos) {}
+    private final LatestByNode<StateSummary> bySender = new LatestByNode<>();
 
     /**
      * Takes in a summary, in place of the sender's last one.
@@ -34,7 +30,7 @@
      * @param summary what it says
      */
     public void told(long now, NodeName sender, StateSummary summary) {
-        bySender.put(sender, new Told(summary, now));
+        bySender.put(now, sender, summary);
     }
 
     /**
@@ -52,16 +48,7 @@
      * @param now the monotonic time
      */
     public void passTime(long now) {
-        bySender.values().removeIf(told -> now - told.nanos() > KEPT_FOR.toNanos());
-    }
-
-    /**
-     * Tells whether there is none.
-     *
-     * @return whether nothing is known of other nodes
-     */
-    public boolean isEmpty() {
-        return bySender.isEmpty();
+        bySender.dropOlderThan(now, KEPT_FOR);
     }
 
     /**
@@ -70,7 +57,7 @@
      * @return the names
      */
     public List<NodeName> senders() {
-        return List.copyOf(bySender.keySet());
+        return bySender.nodes();
     }
 
     /**
@@ -79,10 +66,7 @@
      * @return the summaries
      */
     public List<StateSummary> all() {
-        return bySender.values().stream()
-                .sorted(Comparator.comparingLong(Told::nanos))
-                .map(Told::summary)
-                .toList();
+        return bySender.values();
     }
 
     /**
--- a/policy/src/main/java/org/carawaysill/policy/message/PublishedState.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/PublishedState.java
@@ -16,9 +16,6 @@
  */
 public record PublishedState(long revision, long digest) {
 
-    /** Of a node that knows nothing. */
-    public static final PublishedState NOTHING = new PublishedState(0, 0);
-
     /** Odd, with its bits spread: sums of products with it differ where the factors do, but for one case in 2 to the 32. */
     private static final long SPREAD = 0x9E3779B97F4A7C15L;
 
