Show that the launcher leaves a process behind where nobody reads what it says

Symptom: someone whose pager or terminal is gone stops the demo, and what is deaf to a polite end stays behind and holds its ports. The launcher ends with 141, SIGPIPE, within 0.1 s of its signal.

The test there, endWithALauncherThatIsInterrupted, has the same end: Process.destroy closes the launcher's output. The new test waits for the deaf process; it fails with 141 in place of 143. Until the mend it has the tag known-red.

Ruled out: a sleep that can't be forked, a reaped job, a second signal, a process that is only unreaped (it is in state S).

--- a/load/src/test/java/org/carawaysill/load/launcher/LauncherTest.java
+++ b/load/src/test/java/org/carawaysill/load/launcher/LauncherTest.java
@@ -19,6 +19,9 @@
     private static final Path HOME = Path.of("..").toAbsolutePath().normalize();
     private static final long LIMIT_SECONDS = 60;
 
+    /** Exit status of a launcher that ends at the signal for a polite end. */
+    private static final int TERMINATED = 143;
+
     private static Process start(String... words) throws IOException {
         return new ProcessBuilder(words)
                 .directory(HOME.toFile())
@@ -58,6 +61,18 @@
                 %s
                 """;
 
+        /** Names the second process once it is deaf to a polite end. */
+        private static final String DEAF_PROCESS = """
+                set -euo pipefail
+                . launcher/processes.sh
+                leave_nothing_behind
+                start_process /dev/null sleep 600
+                start_process /dev/null bash -c 'trap "" TERM; : >"$0/deaf"; while true; do sleep 1; done' "$work"
+                until [ -e "$work/deaf" ]; do sleep 0.01; done
+                echo "${processes[1]}"
+                wait
+                """;
+
         private void leaveNothingBehind(String rest, boolean interrupted) throws Exception {
             Process launcher = start("bash", "-c", TWO_PROCESSES.formatted(rest));
             try (BufferedReader lines = launcher.inputReader()) {
@@ -84,6 +99,23 @@
             leaveNothingBehind("wait", true);
         }
 
+        @Test
+        @Tag("known-red")
+        void endWithALauncherThatNobodyReadsAnyMore() throws Exception {
+            // Someone pipes the demo into a pager, leaves the pager and stops the demo. The processes that don't end
+            // by themselves stay behind and hold the ports. Seen: the launcher ends by SIGPIPE (141) within 0.1 s of
+            // its signal, before it kills the process that is deaf to the polite end.
+            Process launcher = start("bash", "-c", DEAF_PROCESS);
+            try (BufferedReader lines = launcher.inputReader()) {
+                ProcessHandle deaf =
+                        ProcessHandle.of(Long.parseLong(lines.readLine())).orElseThrow();
+                launcher.getInputStream().close();
+                launcher.destroy();
+                assertEquals(TERMINATED, exitCode(launcher));
+                deaf.onExit().get(LIMIT_SECONDS, TimeUnit.SECONDS);
+            }
+        }
+
         @Test
         void endWithALauncherThatFails() throws Exception {
             leaveNothingBehind("false", false);
