Take the launcher's clean-up to its end where nobody reads what it says

Callers saw: a demo that is stopped leaves a process behind, which holds its ports, and the next demo can't start.

Cause: with job control on, the shell reports each job that a signal ends. It does so between the polite end and the kill, and where its output is closed (Process.destroy closes it, as does leaving a pager) it was ended by SIGPIPE there: status 141, not 143. The test failed at times only, since nothing is left where the second process is not deaf yet.

The mend holds because the clean-up ignores SIGPIPE before its first write, and none of its steps can end it by failing.

--- a/launcher/processes.sh
+++ b/launcher/processes.sh
@@ -14,9 +14,14 @@
   trap 'exit 143' TERM HUP
 }
 
+# Guards against a clean-up that breaks off half-way, which shows as processes that stay behind and hold their ports: the
+# shell itself reports each job that ends by a signal, and where nobody reads that any more (a pager was left, a terminal
+# closed) it would be ended by SIGPIPE before it kills what is deaf to a polite end. With the signal ignored such a write only
+# fails; and no step that fails ends the clean-up.
 clean_up() {
   local status=$?
-  trap '' INT TERM HUP
+  trap '' INT TERM HUP PIPE
+  set +e
   [ $status -ne 1 ] || tell_who_ended
   stop_processes
   rm -rf "$work"
--- a/load/src/test/java/org/carawaysill/load/launcher/LauncherTest.java
+++ b/load/src/test/java/org/carawaysill/load/launcher/LauncherTest.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -91,7 +90,6 @@
         }
 
         @Test
-        @Tag("known-red")
         void endWithALauncherThatIsInterrupted() throws Exception {
             // Someone stops the demo half-way. Thirty processes stay behind, hold the ports, and the next demo fails:
             // the
@@ -100,11 +98,10 @@
         }
 
         @Test
-        @Tag("known-red")
         void endWithALauncherThatNobodyReadsAnyMore() throws Exception {
             // Someone pipes the demo into a pager, leaves the pager and stops the demo. The processes that don't end
-            // by themselves stay behind and hold the ports. Seen: the launcher ends by SIGPIPE (141) within 0.1 s of
-            // its signal, before it kills the process that is deaf to the polite end.
+            // by themselves stay behind and hold the ports. The shell itself reports "Terminated" for the process that
+            // ended politely; nobody reads that, so it was ended by SIGPIPE (141) before it killed the deaf one.
             Process launcher = start("bash", "-c", DEAF_PROCESS);
             try (BufferedReader lines = launcher.inputReader()) {
                 ProcessHandle deaf =
