Run the launcher's whole clean-up at a second signal

Callers saw (in tries; nobody reported it): where two signals come in quick succession, as at the end of a session whose terminal is closed, all processes of a demo stay behind.

Cause: a signal made the shell exit, and the exit ran the clean-up. A second signal that came before the clean-up ignored it made the shell exit again, which ends it, since the clean-up is not run twice.

The mend holds because each signal runs the whole clean-up itself: one that comes before signals are ignored begins it anew, and later ones are ignored.

--- a/launcher/processes.sh
+++ b/launcher/processes.sh
@@ -9,22 +9,25 @@
 leave_nothing_behind() {
   set -m
   work=$(mktemp -d)
-  trap clean_up EXIT
-  trap 'exit 130' INT
-  trap 'exit 143' TERM HUP
+  trap 'clean_up $?' EXIT
+  trap 'clean_up 130' INT
+  trap 'clean_up 143' TERM HUP
 }
 
-# Guards against a clean-up that breaks off half-way, which shows as processes that stay behind and hold their ports: the
-# shell itself reports each job that ends by a signal, and where nobody reads that any more (a pager was left, a terminal
-# closed) it would be ended by SIGPIPE before it kills what is deaf to a polite end. With the signal ignored such a write only
-# fails; and no step that fails ends the clean-up.
+# Guards against a clean-up that breaks off half-way, which shows as processes that stay behind and hold their ports:
+# - The shell itself reports each job that ends by a signal, and where nobody reads that any more (a pager was left, a terminal
+#   closed) it would be ended by SIGPIPE before it kills what is deaf to a polite end. With the signal ignored such a write
+#   only fails; and no step that fails ends the clean-up.
+# - A second signal may come until the first command has ignored it, as both that a closed terminal sends do. It begins the
+#   clean-up anew and takes it to its end.
 clean_up() {
-  local status=$?
   trap '' INT TERM HUP PIPE
+  trap - EXIT
   set +e
-  [ $status -ne 1 ] || tell_who_ended
+  [ "$1" -ne 1 ] || tell_who_ended
   stop_processes
   rm -rf "$work"
+  exit "$1"
 }
 
 start_process() {
--- a/load/src/test/java/org/carawaysill/load/launcher/LauncherTest.java
+++ b/load/src/test/java/org/carawaysill/load/launcher/LauncherTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -72,6 +73,20 @@
                 wait
                 """;
 
+        /** Gets a second signal before the given command that follows the first one. */
+        private static final String INTERRUPTED_TWICE = """
+                set -euo pipefail
+                . launcher/processes.sh
+                leave_nothing_behind
+                start_process /dev/null sleep 600
+                echo "${processes[0]}"
+                commands=0
+                set -T
+                trap '[ $((++commands)) -ne %d ] || kill -TERM $$' DEBUG
+                kill -HUP $$
+                wait
+                """;
+
         private void leaveNothingBehind(String rest, boolean interrupted) throws Exception {
             Process launcher = start("bash", "-c", TWO_PROCESSES.formatted(rest));
             try (BufferedReader lines = launcher.inputReader()) {
@@ -113,6 +128,22 @@
             }
         }
 
+        @ParameterizedTest
+        @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 15, 20})
+        void endWithALauncherThatIsInterruptedTwice(int command) throws Exception {
+            // Someone closes the terminal, and the session's end sends a second signal. All processes stay behind. The
+            // second signal came after the launcher had begun to end and before its clean-up ignored signals: it ended
+            // in the midst of it, with nothing done.
+            Process launcher = start("bash", "-c", INTERRUPTED_TWICE.formatted(command));
+            try (BufferedReader lines = launcher.inputReader()) {
+                Optional<ProcessHandle> process = ProcessHandle.of(Long.parseLong(lines.readLine()));
+                assertEquals(TERMINATED, exitCode(launcher));
+                if (process.isPresent()) {
+                    process.get().onExit().get(LIMIT_SECONDS, TimeUnit.SECONDS);
+                }
+            }
+        }
+
         @Test
         void endWithALauncherThatFails() throws Exception {
             leaveNothingBehind("false", false);
