End what the launcher has started but not noted down yet

Callers would see: someone stops the demo while it starts, and one of its processes stays behind.

Cause: a process is started, then its number is noted down; a signal between the two runs a clean-up that doesn't know it.

Before: a process left in both ways of starting one. After: none, twice; the other tests of the launcher as before.

The mend holds because the shell has a job in its own list from the moment it is started.

--- a/launcher/processes.sh
+++ b/launcher/processes.sh
@@ -20,11 +20,13 @@
 #   only fails; and no step that fails ends the clean-up.
 # - A second signal may come until the first command has ignored it, as both that a closed terminal sends do. It begins the
 #   clean-up anew and takes it to its end.
+# - A signal may come after a process was started and before it was noted down. The shell's own list of jobs has it.
 clean_up() {
   trap '' INT TERM HUP PIPE
   trap - EXIT
   set +e
   [ "$1" -ne 1 ] || tell_who_ended
+  mapfile -t processes < <(jobs -p)
   stop_processes
   rm -rf "$work"
   exit "$1"
--- a/load/src/test/java/org/carawaysill/load/launcher/LauncherTest.java
+++ b/load/src/test/java/org/carawaysill/load/launcher/LauncherTest.java
@@ -87,6 +87,17 @@
                 wait
                 """;
 
+        /** Gets a signal after a process was started and before the launcher has noted it down. */
+        private static final String INTERRUPTED_WHILE_IT_STARTS = """
+                set -euo pipefail
+                . launcher/processes.sh
+                leave_nothing_behind
+                set -T
+                trap 'case $BASH_COMMAND in processes+=*) echo $!; kill -TERM $$ ;; esac' DEBUG
+                %s
+                wait
+                """;
+
         private void leaveNothingBehind(String rest, boolean interrupted) throws Exception {
             Process launcher = start("bash", "-c", TWO_PROCESSES.formatted(rest));
             try (BufferedReader lines = launcher.inputReader()) {
@@ -134,7 +145,21 @@
             // Someone closes the terminal, and the session's end sends a second signal. All processes stay behind. The
             // second signal came after the launcher had begun to end and before its clean-up ignored signals: it ended
             // in the midst of it, with nothing done.
-            Process launcher = start("bash", "-c", INTERRUPTED_TWICE.formatted(command));
+            endWithTheLauncher(INTERRUPTED_TWICE.formatted(command));
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {"start_process /dev/null sleep 600", "java_words() { words=(sleep); }; run_program load 600"
+                })
+        void endWithALauncherThatIsInterruptedWhileItStarts(String start) throws Exception {
+            // Someone stops the demo while it starts its thirty processes. One of them stays behind: the signal came
+            // after that process was started and before its number was noted down, so the clean-up didn't know it.
+            endWithTheLauncher(INTERRUPTED_WHILE_IT_STARTS.formatted(start));
+        }
+
+        private static void endWithTheLauncher(String script) throws Exception {
+            Process launcher = start("bash", "-c", script);
             try (BufferedReader lines = launcher.inputReader()) {
                 Optional<ProcessHandle> process = ProcessHandle.of(Long.parseLong(lines.readLine()));
                 assertEquals(TERMINATED, exitCode(launcher));
