--- a/node/src/main/java/org/carawaysill/node/lifecycle/EventLoopFactory.java
+++ b/node/src/main/java/org/carawaysill/node/lifecycle/EventLoopFactory.java
@@ -1,5 +1,7 @@
 package org.carawaysill.node.lifecycle;
 
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
@@ -22,6 +24,8 @@
             "io.netty.allocator.maxOrder", "3",
             // Else Netty looks through all network interfaces for an address to name its channels by.
             "io.netty.machineId", "00:00:00:00:00:00:00:01",
+            // Else Vert.x looks for logging libraries that are not shipped, and reads a class from a file for each.
+            "vertx.logger-delegate-factory-class-name", "io.vertx.core.logging.JULLogDelegateFactory",
             "vertx.disableDnsResolver", "true",
             "vertx.disableMetrics", "true",
             "vertx.disableWebsockets", "true");
@@ -37,6 +41,8 @@
                 System.setProperty(name, value);
             }
         });
+        // Else Netty looks for such libraries too.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
     }
 
     /**
