Say what a stopping node still waits for a second before it is killed

Now and then a process is still there at the end of its time for a stop and killed, and nothing tells why. Its log now says, a second before that, how many requests that began there and how many for its copy are left, and how many of them were sent. Stops that are over by then have no such line. No behaviour changes; FleetPolicyTest.Stop holds the moment and the line.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -80,6 +80,11 @@
         return gate.all().size();
     }
 
+    /** Those that were handed to the copy. */
+    long runningCount() {
+        return gate.all().stream().filter(LocalRun::isRunning).count();
+    }
+
     /** Takes in what is published of the local copy. */
     void published(Moment moment, CopyRecord record) {
         long now = moment.nanos();
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -87,6 +87,11 @@
         return byExchange.size();
     }
 
+    /** Those that were sent and are not answered. */
+    int sentCount() {
+        return byAttempt.size();
+    }
+
     /** The nodes that owe an answer to a request. */
     Set<NodeName> waitedFor() {
         Set<NodeName> nodes = new HashSet<>();
--- a/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
@@ -31,6 +31,12 @@
      */
     private static final Duration STOP_MARGIN = Duration.ofMillis(700);
 
+    /**
+     * How long before the end of the time for a stop the node says what it still waits for: late enough that most stops are
+     * over, and early enough that the line is written before the process is killed.
+     */
+    private static final Duration LATE_BEFORE_END = Duration.ofSeconds(1);
+
     private static final long NOT_ORDERED = Long.MAX_VALUE;
 
     private final Effects effects;
@@ -38,6 +44,7 @@
     private final LocalRuns localRuns;
     private long orderedNanos = NOT_ORDERED;
     private boolean leavingTold;
+    private boolean lateTold;
     private boolean ended;
 
     PlannedStop(Effects effects, OutgoingRequests outgoing, LocalRuns localRuns) {
@@ -49,8 +56,7 @@
     void order(long now) {
         if (!isOrdered()) {
             orderedNanos = now;
-            effects.log(new Decision.NodeChanged(
-                    "stopping", "requests=" + outgoing.count() + " at_copy=" + localRuns.count()));
+            effects.log(new Decision.NodeChanged("stopping", waitsFor()));
         }
     }
 
@@ -83,7 +89,8 @@
             return NOT_ORDERED;
         }
         long next = NOT_ORDERED;
-        for (Duration step : List.of(LEAVING_TOLD_AFTER, CLIENTS_GONE_AFTER, limit.minus(STOP_MARGIN))) {
+        for (Duration step : List.of(
+                LEAVING_TOLD_AFTER, CLIENTS_GONE_AFTER, limit.minus(LATE_BEFORE_END), limit.minus(STOP_MARGIN))) {
             long due = orderedNanos + step.toNanos();
             if (due > now) {
                 next = Math.min(next, due);
@@ -98,15 +105,30 @@
             return;
         }
         long stopping = now - orderedNanos;
+        tellIfLate(stopping, limit);
         boolean idle = outgoing.isEmpty() && localRuns.isEmpty();
         boolean over = stopping >= limit.minus(STOP_MARGIN).toNanos();
         if (over || idle && stopping >= CLIENTS_GONE_AFTER.toNanos()) {
             ended = true;
-            effects.log(new Decision.NodeChanged(
-                    "stopped",
-                    "requests=" + outgoing.count() + " at_copy=" + localRuns.count() + " took_ms="
-                            + Nanos.toMillis(stopping)));
+            effects.log(new Decision.NodeChanged("stopped", waitsFor() + tookMillis(stopping)));
             effects.add(new FleetEffect.StopProcess());
         }
     }
+
+    private void tellIfLate(long stopping, Duration limit) {
+        if (!lateTold && stopping >= limit.minus(LATE_BEFORE_END).toNanos()) {
+            lateTold = true;
+            effects.log(new Decision.NodeChanged("stop_late", waitsFor() + tookMillis(stopping)));
+        }
+    }
+
+    /** Requests that began here and those of them that are at another node or at the copy; requests for the copy and those at it. */
+    private String waitsFor() {
+        return "requests=" + outgoing.count() + " sent=" + outgoing.sentCount() + " at_copy=" + localRuns.count()
+                + " running=" + localRuns.runningCount();
+    }
+
+    private static String tookMillis(long stopping) {
+        return " took_ms=" + Nanos.toMillis(stopping);
+    }
 }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/FleetPolicyTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/FleetPolicyTest.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.request.Outcome;
@@ -166,17 +167,42 @@
         @ParameterizedTest
         @ValueSource(longs = {0, 90, 180, 270, 360})
         void leavesTimeToCloseWhereOneLongRequestIsLeft(long offsetMillis) {
+            long ordered = 4 * SECOND + offsetMillis * MILLI;
+            VirtualNode node = orderedWithALongRequest(ordered);
+            fleet.runUntil(ordered + LIMIT.toNanos() - 690 * MILLI);
+            assertTrue(node.stopped, "0.7 s are left");
+        }
+
+        /*
+         * A process was killed at the end of its time for a stop, and nothing says what it waited for. A second before that
+         * it tells; a stop that is over by then has no such line.
+         */
+        @Test
+        void tellsWhatItWaitsForASecondBeforeItsEnd() {
+            VirtualNode node = orderedWithALongRequest(4 * SECOND);
+            fleet.runUntil(4 * SECOND + LIMIT.toNanos() - 1010 * MILLI);
+            assertFalse(late(node).isPresent());
+            fleet.runUntil(4 * SECOND + LIMIT.toNanos() - 990 * MILLI);
+            assertEquals(Optional.of("state=stop_late requests=1 sent=1 at_copy=1 running=1 took_ms=5000"), late(node));
+        }
+
+        private VirtualNode orderedWithALongRequest(long ordered) {
             fleet.configure(route("/entry/", "front", false, 1, 30_000));
             VirtualNode node = service("front", 1, 1, 4, Map.of("/entry/", new Work(MILLI, List.of())))
                     .getFirst();
             fleet.runUntil(3 * SECOND);
             node.silent = true;
             fleet.send(node, "long", "/entry/", 30 * SECOND, (_, _) -> {});
-            long ordered = 4 * SECOND + offsetMillis * MILLI;
             fleet.runUntil(ordered);
             node.deliver(new FleetEvent.StopOrdered());
-            fleet.runUntil(ordered + LIMIT.toNanos() - 690 * MILLI);
-            assertTrue(node.stopped, "0.7 s are left");
+            return node;
+        }
+
+        private static Optional<String> late(VirtualNode node) {
+            return node.log.stream()
+                    .map(Decision::fields)
+                    .filter(fields -> fields.startsWith("state=stop_late"))
+                    .findFirst();
         }
     }
 
