Refuse what reaches a node after its planned stop has ended

Callers saw: a client that keeps a connection open to a stopping node sends a request just after the node has nothing left to do, and gets no answer; the copy may have worked for nobody.

Before: FleetPolicyTest.Stop.refusesWhatComesAfterItsEnd gets no answer. After: refused at once, and it has not run.

The mend holds because the same decision that ends the process closes both ways in, from clients and from other nodes.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/FinalAnswers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FinalAnswers.java
@@ -24,7 +24,7 @@
         plan = parts.plan();
     }
 
-    /** Answers a request for which there is no route. */
+    /** Answers a request that is refused before it has a route. */
     void refuseUnrouted(FleetEvent.RequestArrived arrival, Outcome.NotRun refusal) {
         effects.count(refusal.reason());
         effects.log(new Decision.Answered(arrival.requestName(), "-", refusal, 0, 0, 1, beliefs.version()));
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -47,6 +47,7 @@
     private Optional<CopyRecord> known = Optional.empty();
     private int loggedLimit;
     private boolean leaving;
+    private boolean closed;
 
     /** Hears what a request of this node's own came to. */
     @FunctionalInterface
@@ -129,6 +130,11 @@
         return end <= 0 ? Optional.empty() : Optional.ofNullable(runningByName.get(callName.substring(0, end)));
     }
 
+    /** Refuses what arrives from now on, as {@link OutgoingRequests#close} does; its sender tries another copy. */
+    void close() {
+        closed = true;
+    }
+
     void accept(long now, Optional<NodeName> sender, CopyRequest request) {
         LocalRun run = new LocalRun(request, sender, now);
         // Guards against two runs under one attempt, after which one could get the other's answer.
@@ -136,7 +142,7 @@
             reply(now, run, refusal(now, RefusalReason.DUPLICATE, Step.QUEUE));
             return;
         }
-        if (leaving) {
+        if (leaving || closed) {
             reply(now, run, refusal(now, RefusalReason.DRAINING, Step.QUEUE));
             return;
         }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -64,6 +64,8 @@
     private final PriorityQueue<OutgoingRequest> byLimit =
             new PriorityQueue<>(Comparator.comparingLong(OutgoingRequest::limitNanos));
 
+    private boolean closed;
+
     OutgoingRequests(FleetParts parts, RandomGenerator random) {
         this.settings = parts.settings();
         this.effects = parts.effects();
@@ -113,7 +115,22 @@
         repeats.nodes(count);
     }
 
+    /**
+     * Refuses what arrives from now on.
+     *
+     * <p>Guards against a request that comes while the process closes its connections, which shows as a client without an
+     * answer and a copy that works for nobody: it would be handed over, and the process ends under it within 0.1 s. Refused
+     * at once, it has not run, and other nodes take it.
+     */
+    void close() {
+        closed = true;
+    }
+
     void arrived(long now, FleetEvent.RequestArrived arrival) {
+        if (closed) {
+            answers.refuseUnrouted(arrival, notRun(RefusalReason.DRAINING, UNREACHABLE_RETRY_AFTER, Step.DRAIN));
+            return;
+        }
         if (beliefs.configuration().isEmpty()) {
             answers.refuseUnrouted(
                     arrival, notRun(RefusalReason.NO_CONFIGURATION, UNREACHABLE_RETRY_AFTER, Step.CONFIGURATION));
--- a/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
@@ -111,6 +111,8 @@
         if (over || idle && stopping >= CLIENTS_GONE_AFTER.toNanos()) {
             ended = true;
             effects.log(new Decision.NodeChanged("stopped", waitsFor() + tookMillis(stopping)));
+            outgoing.close();
+            localRuns.close();
             effects.add(new FleetEffect.StopProcess());
         }
     }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/FleetPolicyTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/FleetPolicyTest.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -186,6 +187,30 @@
             assertEquals(Optional.of("state=stop_late requests=1 sent=1 at_copy=1 running=1 took_ms=5000"), late(node));
         }
 
+        /*
+         * A client keeps a connection open to a node that stops, and sends a request on it just after the node has nothing
+         * left to do. It was handed to the copy, and the process ended under it within 0.1 s: the client had no answer, and
+         * the copy had worked for nobody. It is refused at once, and truly not run.
+         */
+        @Test
+        void refusesWhatComesAfterItsEnd() {
+            fleet.configure(route("/entry/", "front", false, 1, 900));
+            List<VirtualNode> nodes = service("front", 1, 2, 4, Map.of("/entry/", new Work(10 * MILLI, List.of())));
+            VirtualNode stopping = nodes.getFirst();
+            fleet.runUntil(3 * SECOND);
+            stopping.deliver(new FleetEvent.StopOrdered());
+            fleet.runUntil(6 * SECOND);
+            assertTrue(stopping.stopped);
+            send(stopping, "late", "/entry/");
+            fleet.runUntil(6 * SECOND + 2 * MILLI);
+            assertEquals(
+                    Optional.of(RefusalReason.DRAINING),
+                    Optional.ofNullable(outcomes.get("late"))
+                            .filter(Outcome.NotRun.class::isInstance)
+                            .map(outcome -> ((Outcome.NotRun) outcome).reason()));
+            assertEquals(0, fleet.runs.size());
+        }
+
         private VirtualNode orderedWithALongRequest(long ordered) {
             fleet.configure(route("/entry/", "front", false, 1, 30_000));
             VirtualNode node = service("front", 1, 1, 4, Map.of("/entry/", new Work(MILLI, List.of())))
