Write up code 134, and say why an archive of classes can't be made

Callers have lost next to nothing by it, since the process ended before it listened. assemble.sh prints the end of the training's log where that fails, in place of an exit status alone.

--- a/deploy/assemble.sh
+++ b/deploy/assemble.sh
@@ -30,14 +30,19 @@
 training=$!
 node=""
 trap 'kill $training $node 2>/dev/null || true' EXIT
+training_failed() {
+  echo "assemble.sh: the training run failed:" >&2
+  tail -n 5 "$directory/training.log" >&2
+  exit 1
+}
 until [ -e "$settings" ]; do
-  kill -0 $training
+  kill -0 $training 2>/dev/null || training_failed
   sleep 0.05
 done
 "$java" $options -XX:AOTMode=record -XX:AOTConfiguration="$recorded" -cp "$class_path" \
   org.carawaysill.platform.PlatformMain --settings "$settings" >"$directory/recorded.log" 2>&1 &
 node=$!
-wait $training
+wait $training || training_failed
 kill -TERM $node
 wait $node
 trap - EXIT
