Give the tests of a planned stop a class of their own, and show that other nodes' work is not handed over after its end

The case of one long request moved with its checks, offsets and limits as they were; it is now PlannedStopTest.Time.isLeftToCloseWhereOneLongRequestIsLeft. The new case fails without the guard in LocalRuns (one run in place of none).

--- a/policy/src/test/java/org/carawaysill/policy/fleet/FleetPolicyTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/FleetPolicyTest.java
@@ -4,16 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.TreeMap;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.request.Outcome;
-import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -155,82 +152,6 @@
         }
     }
 
-    @Nested
-    class Stop {
-
-        private static final Duration LIMIT = Duration.ofSeconds(6);
-
-        /*
-         * A node is told to stop while its copy works on a request that lasts longer than the node may take. Nothing else
-         * happens there any more. It noticed the end of its time with its next report, up to 0.4 s late, had 0.3 s left to
-         * close its connections, and was killed over it now and then.
-         */
-        @ParameterizedTest
-        @ValueSource(longs = {0, 90, 180, 270, 360})
-        void leavesTimeToCloseWhereOneLongRequestIsLeft(long offsetMillis) {
-            long ordered = 4 * SECOND + offsetMillis * MILLI;
-            VirtualNode node = orderedWithALongRequest(ordered);
-            fleet.runUntil(ordered + LIMIT.toNanos() - 690 * MILLI);
-            assertTrue(node.stopped, "0.7 s are left");
-        }
-
-        /*
-         * A process was killed at the end of its time for a stop, and nothing says what it waited for. A second before that
-         * it tells; a stop that is over by then has no such line.
-         */
-        @Test
-        void tellsWhatItWaitsForASecondBeforeItsEnd() {
-            VirtualNode node = orderedWithALongRequest(4 * SECOND);
-            fleet.runUntil(4 * SECOND + LIMIT.toNanos() - 1010 * MILLI);
-            assertFalse(late(node).isPresent());
-            fleet.runUntil(4 * SECOND + LIMIT.toNanos() - 990 * MILLI);
-            assertEquals(Optional.of("state=stop_late requests=1 sent=1 at_copy=1 running=1 took_ms=5000"), late(node));
-        }
-
-        /*
-         * A client keeps a connection open to a node that stops, and sends a request on it just after the node has nothing
-         * left to do. It was handed to the copy, and the process ended under it within 0.1 s: the client had no answer, and
-         * the copy had worked for nobody. It is refused at once, and truly not run.
-         */
-        @Test
-        void refusesWhatComesAfterItsEnd() {
-            fleet.configure(route("/entry/", "front", false, 1, 900));
-            List<VirtualNode> nodes = service("front", 1, 2, 4, Map.of("/entry/", new Work(10 * MILLI, List.of())));
-            VirtualNode stopping = nodes.getFirst();
-            fleet.runUntil(3 * SECOND);
-            stopping.deliver(new FleetEvent.StopOrdered());
-            fleet.runUntil(6 * SECOND);
-            assertTrue(stopping.stopped);
-            send(stopping, "late", "/entry/");
-            fleet.runUntil(6 * SECOND + 2 * MILLI);
-            assertEquals(
-                    Optional.of(RefusalReason.DRAINING),
-                    Optional.ofNullable(outcomes.get("late"))
-                            .filter(Outcome.NotRun.class::isInstance)
-                            .map(outcome -> ((Outcome.NotRun) outcome).reason()));
-            assertEquals(0, fleet.runs.size());
-        }
-
-        private VirtualNode orderedWithALongRequest(long ordered) {
-            fleet.configure(route("/entry/", "front", false, 1, 30_000));
-            VirtualNode node = service("front", 1, 1, 4, Map.of("/entry/", new Work(MILLI, List.of())))
-                    .getFirst();
-            fleet.runUntil(3 * SECOND);
-            node.silent = true;
-            fleet.send(node, "long", "/entry/", 30 * SECOND, (_, _) -> {});
-            fleet.runUntil(ordered);
-            node.deliver(new FleetEvent.StopOrdered());
-            return node;
-        }
-
-        private static Optional<String> late(VirtualNode node) {
-            return node.log.stream()
-                    .map(Decision::fields)
-                    .filter(fields -> fields.startsWith("state=stop_late"))
-                    .findFirst();
-        }
-    }
-
     @Nested
     class Silence {
 
--- /dev/null
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/PlannedStopTest.java
@@ -0,0 +1,155 @@
+package org.carawaysill.policy.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.carawaysill.model.fleet.CopyName;
+import org.carawaysill.model.fleet.Route;
+import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.Body;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.RequestContent;
+import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
+import org.carawaysill.policy.message.PeerMessage;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class PlannedStopTest {
+
+    private static final long MILLI = VirtualFleet.MILLI;
+    private static final long SECOND = 1000 * MILLI;
+    private static final Duration LIMIT = Duration.ofSeconds(6);
+
+    private final VirtualFleet fleet = new VirtualFleet(11);
+
+    private static Route route(String path, String service, long timeoutMillis) {
+        return Routes.route(path, service, false, 1, timeoutMillis, 500);
+    }
+
+    private VirtualNode node(String service, String host) {
+        VirtualNode node = fleet.add(service, host, "zone-1", 4);
+        node.works.put('/' + service + '/', new Work(10 * MILLI, List.of()));
+        return node;
+    }
+
+    @Nested
+    class Time {
+
+        /*
+         * A node is told to stop while its copy works on a request that lasts longer than the node may take. Nothing else
+         * happens there any more. It noticed the end of its time with its next report, up to 0.4 s late, had 0.3 s left to
+         * close its connections, and was killed over it now and then.
+         */
+        @ParameterizedTest
+        @ValueSource(longs = {0, 90, 180, 270, 360})
+        void isLeftToCloseWhereOneLongRequestIsLeft(long offsetMillis) {
+            long ordered = 4 * SECOND + offsetMillis * MILLI;
+            VirtualNode node = orderedWithALongRequest(ordered);
+            fleet.runUntil(ordered + LIMIT.toNanos() - 690 * MILLI);
+            assertTrue(node.stopped, "0.7 s are left");
+        }
+
+        /*
+         * A process was killed at the end of its time for a stop, and nothing says what it waited for. A second before that
+         * it tells; a stop that is over by then has no such line.
+         */
+        @Test
+        void thatRunsOutIsSaidWithWhatIsWaitedFor() {
+            VirtualNode node = orderedWithALongRequest(4 * SECOND);
+            fleet.runUntil(4 * SECOND + LIMIT.toNanos() - 1010 * MILLI);
+            assertFalse(late(node).isPresent());
+            fleet.runUntil(4 * SECOND + LIMIT.toNanos() - 990 * MILLI);
+            assertEquals(Optional.of("state=stop_late requests=1 sent=1 at_copy=1 running=1 took_ms=5000"), late(node));
+        }
+
+        private VirtualNode orderedWithALongRequest(long ordered) {
+            fleet.configure(route("/front/", "front", 30_000));
+            VirtualNode node = node("front", "10.1.1.1");
+            fleet.runUntil(3 * SECOND);
+            node.silent = true;
+            fleet.send(node, "long", "/front/", 30 * SECOND, (_, _) -> {});
+            fleet.runUntil(ordered);
+            node.deliver(new FleetEvent.StopOrdered());
+            return node;
+        }
+
+        private static Optional<String> late(VirtualNode node) {
+            return node.log.stream()
+                    .map(Decision::fields)
+                    .filter(fields -> fields.startsWith("state=stop_late"))
+                    .findFirst();
+        }
+    }
+
+    @Nested
+    class AfterItsEnd {
+
+        /** A node without requests stops 2.5 s after its order. */
+        private static final long STOPPED = 3 * SECOND + 2600 * MILLI;
+
+        private VirtualNode stopping;
+        private VirtualNode other;
+
+        private void stopTheOnlyCopyOfBack() {
+            fleet.configure(route("/front/", "front", 900), route("/back/", "back", 900));
+            other = node("front", "10.1.1.1");
+            stopping = node("back", "10.1.2.1");
+            fleet.runUntil(3 * SECOND);
+            stopping.deliver(new FleetEvent.StopOrdered());
+            fleet.runUntil(STOPPED);
+            assertTrue(stopping.stopped);
+        }
+
+        /*
+         * A client keeps a connection open to a node that stops, and sends a request on it just after the node has nothing
+         * left to do. It was handed to the copy, and the process ended under it within 0.1 s: the client had no answer, and
+         * the copy had worked for nobody. It is refused at once, and truly not run.
+         */
+        @Test
+        void clientsAreRefusedAtOnce() {
+            stopTheOnlyCopyOfBack();
+            List<Outcome> outcomes = new ArrayList<>();
+            fleet.send(stopping, "late", "/back/", SECOND, (_, outcome) -> outcomes.add(outcome));
+            fleet.runUntil(STOPPED + 2 * MILLI);
+            assertEquals(1, outcomes.size());
+            assertTrue(
+                    outcomes.getFirst() instanceof Outcome.NotRun notRun && notRun.reason() == RefusalReason.DRAINING,
+                    outcomes.toString());
+            assertEquals(0, fleet.runs.size());
+        }
+
+        /*
+         * The same with work of another node that does not know that this one leaves, since what told it so was lost: the
+         * copy gets none of it, so that the other node may try another copy.
+         */
+        @Test
+        void workOfOtherNodesIsNotHandedOver() {
+            stopTheOnlyCopyOfBack();
+            PeerMessage.CopyRequest late = new PeerMessage.CopyRequest(
+                    new AttemptIdentifier(0, 1),
+                    "late",
+                    new ServiceName("back"),
+                    new CopyName(stopping.copy()),
+                    new ServiceName("front"),
+                    "/back/",
+                    1,
+                    false,
+                    0,
+                    0,
+                    SECOND,
+                    new RequestContent("GET", "/back/", List.of(), Body.EMPTY));
+            stopping.deliver(new FleetEvent.PeerReceived(other.name, late));
+            fleet.runUntil(8 * SECOND);
+            assertEquals(0, fleet.runs.size());
+        }
+    }
+}
