Let the launcher's tests run where the build ignores the hang-up signal

A shell can't trap a signal that was ignored when it started: beside a detached build the launcher of endWithALauncherThatIsInterruptedTwice waited for ever at its third moment (seen with nohup, once; its signal mask says so). The test starts the launcher with the signal's default; nothing that it checks changes. Not a fault of the launcher: who detaches it asks that a hang-up leaves it running.

--- a/load/src/test/java/org/carawaysill/load/launcher/LauncherTest.java
+++ b/load/src/test/java/org/carawaysill/load/launcher/LauncherTest.java
@@ -159,7 +159,9 @@
         }
 
         private static void endWithTheLauncher(String script) throws Exception {
-            Process launcher = start("bash", "-c", script);
+            // A shell can't trap a signal that was ignored when it started, as this one is where the build runs
+            // detached.
+            Process launcher = start("env", "--default-signal=HUP", "bash", "-c", script);
             try (BufferedReader lines = launcher.inputReader()) {
                 Optional<ProcessHandle> process = ProcessHandle.of(Long.parseLong(lines.readLine()));
                 assertEquals(TERMINATED, exitCode(launcher));
