Refuse clients that never leave a stopping node, so that what it has taken is answered

Callers saw: a client that keeps sending to a node that stops, whatever its readiness says, has no answer to a request that ran.

Cause: a stopping node took requests until it was idle or its time was over. Under clients that never leave it is never idle, so it ended at 5.3 s of 6 under all that its copy worked on at that moment.

Ruled out: answers that were written and lost at the close (the copy had not answered yet); the process's end (in time, status 0).

The mend holds because clients are refused from the moment at which they should have left (2.5 s), at once and truly not run, while calls of the local copy are still taken: what was taken by then has 2.8 s to be answered, and the node is idle soon.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
@@ -49,9 +49,14 @@
         return new Origin(route.name(), route.rank(), 0, now, Optional.empty());
     }
 
+    /** Tells whether a copy makes a request while it runs another, as far as its name or its route tell. */
+    boolean isCall(Route route, Origin origin) {
+        return origin.parent().isPresent() || innerRoutes.contains(route.name());
+    }
+
     /** Counts a caller's request and decides whether it is let in; calls of copies are. */
     boolean letIn(Route route, Origin origin) {
-        if (origin.parent().isPresent() || innerRoutes.contains(route.name())) {
+        if (isCall(route, origin)) {
             return true;
         }
         demand.offered(route.name());
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -130,7 +130,7 @@
         return end <= 0 ? Optional.empty() : Optional.ofNullable(runningByName.get(callName.substring(0, end)));
     }
 
-    /** Refuses what arrives from now on, as {@link OutgoingRequests#close} does; its sender tries another copy. */
+    /** Refuses what arrives from now on; its sender tries another copy. */
     void close() {
         closed = true;
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -64,7 +64,17 @@
     private final PriorityQueue<OutgoingRequest> byLimit =
             new PriorityQueue<>(Comparator.comparingLong(OutgoingRequest::limitNanos));
 
-    private boolean closed;
+    private Intake intake = Intake.ALL;
+
+    /** Which requests a node takes. */
+    enum Intake {
+        /** Those of clients, and calls of the local copy. */
+        ALL,
+        /** Calls of the local copy only: without them what it works on could not be finished. */
+        CALLS,
+        /** None. */
+        NOTHING
+    }
 
     OutgoingRequests(FleetParts parts, RandomGenerator random) {
         this.settings = parts.settings();
@@ -116,19 +126,16 @@
     }
 
     /**
-     * Refuses what arrives from now on.
-     *
-     * <p>Guards against a request that comes while the process closes its connections, which shows as a client without an
-     * answer and a copy that works for nobody: it would be handed over, and the process ends under it within 0.1 s. Refused
-     * at once, it has not run, and other nodes take it.
+     * Sets which requests are taken from now on; what was taken before is not touched. The others are refused at once, have
+     * not run, and other nodes take them.
      */
-    void close() {
-        closed = true;
+    void take(Intake allowed) {
+        intake = allowed;
     }
 
     void arrived(long now, FleetEvent.RequestArrived arrival) {
-        if (closed) {
-            answers.refuseUnrouted(arrival, notRun(RefusalReason.DRAINING, UNREACHABLE_RETRY_AFTER, Step.DRAIN));
+        if (intake == Intake.NOTHING) {
+            refuseAsStopping(arrival);
             return;
         }
         if (beliefs.configuration().isEmpty()) {
@@ -145,6 +152,10 @@
         }
         Route route = found.get();
         Origin origin = admission.origin(now, arrival, route);
+        if (intake == Intake.CALLS && !admission.isCall(route, origin)) {
+            refuseAsStopping(arrival);
+            return;
+        }
         Duration wait = arrival.patience()
                 .filter(patience -> patience.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
@@ -160,6 +171,10 @@
         }
     }
 
+    private void refuseAsStopping(FleetEvent.RequestArrived arrival) {
+        answers.refuseUnrouted(arrival, notRun(RefusalReason.DRAINING, UNREACHABLE_RETRY_AFTER, Step.DRAIN));
+    }
+
     private void send(long now, OutgoingRequest request) {
         ServiceName service = request.service();
         List<Copy> copies = beliefs.copies().usable(service);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
@@ -13,8 +13,12 @@
 final class PlannedStop {
 
     /**
-     * How long a stopping node goes on taking requests at the least: it is asked each second whether it is ready, and two
-     * refusals take it out.
+     * How long a stopping node goes on taking requests: it is asked each second whether it is ready, and two refusals take it
+     * out.
+     *
+     * <p>Guards against clients that never leave, which shows as requests without an answer that have run: the node would take
+     * them until the end of its time, and end under all that its copy works on then. Refused from here on, they come back
+     * elsewhere, and what was taken has the rest of the time, 2.8 s of 6, to be answered.
      */
     private static final Duration CLIENTS_GONE_AFTER = Duration.ofMillis(2500);
 
@@ -106,12 +110,18 @@
         }
         long stopping = now - orderedNanos;
         tellIfLate(stopping, limit);
+        if (stopping >= CLIENTS_GONE_AFTER.toNanos()) {
+            outgoing.take(OutgoingRequests.Intake.CALLS);
+        }
         boolean idle = outgoing.isEmpty() && localRuns.isEmpty();
         boolean over = stopping >= limit.minus(STOP_MARGIN).toNanos();
         if (over || idle && stopping >= CLIENTS_GONE_AFTER.toNanos()) {
             ended = true;
             effects.log(new Decision.NodeChanged("stopped", waitsFor() + tookMillis(stopping)));
-            outgoing.close();
+            // Guards against a request that comes while the process closes its connections, which shows as a client
+            // without
+            // an answer and a copy that works for nobody: it would be handed over, and the process ends within 0.1 s.
+            outgoing.take(OutgoingRequests.Intake.NOTHING);
             localRuns.close();
             effects.add(new FleetEffect.StopProcess());
         }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/PlannedStopTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/PlannedStopTest.java
@@ -6,8 +6,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.AttemptIdentifier;
@@ -90,6 +93,61 @@
         }
     }
 
+    @Nested
+    class Clients {
+
+        private static final long ORDERED = 4 * SECOND;
+        private static final long WORK = 50 * MILLI;
+
+        private final Map<String, Outcome> outcomes = new HashMap<>();
+        private Optional<List<String>> openAtTheEnd = Optional.empty();
+
+        private void send(VirtualNode node, String name) {
+            if (!node.stopped) {
+                fleet.send(node, name, "/front/", SECOND, (_, outcome) -> outcomes.put(name, outcome));
+            }
+        }
+
+        private void noteWhatIsOpen(VirtualNode node, int sent) {
+            if (node.stopped && openAtTheEnd.isEmpty()) {
+                openAtTheEnd = Optional.of(IntStream.range(0, sent)
+                        .mapToObj(i -> "r" + i)
+                        .filter(name -> !outcomes.containsKey(name))
+                        .toList());
+            }
+        }
+
+        /*
+         * Clients keep sending to a node that stops, whatever its readiness says. It went on taking their requests until the
+         * end of its time and ended under those that its copy worked on: eight clients, eight requests without an answer that
+         * had run. From the moment at which clients should have left they are refused at once, and what was taken before is
+         * answered.
+         */
+        @Test
+        void thatNeverLeaveGetAnAnswerToEachRequest() {
+            fleet.configure(route("/front/", "front", 900), route("/back/", "back", 900));
+            VirtualNode node = node("front", "10.1.1.1");
+            node.works.put("/front/", new Work(WORK, List.of("/back/")));
+            node("back", "10.1.2.1");
+            fleet.at(ORDERED, () -> node.deliver(new FleetEvent.StopOrdered()));
+            for (int i = 0; i < 280; i++) {
+                String name = "r" + i;
+                int sent = i;
+                fleet.at(3 * SECOND + i * 25 * MILLI, () -> {
+                    noteWhatIsOpen(node, sent);
+                    send(node, name);
+                });
+            }
+            fleet.runUntil(ORDERED + LIMIT.toNanos());
+            assertEquals(Optional.of(List.of()), openAtTheEnd);
+            for (Map.Entry<String, Outcome> entry : outcomes.entrySet()) {
+                boolean refused =
+                        entry.getValue() instanceof Outcome.NotRun notRun && notRun.reason() == RefusalReason.DRAINING;
+                assertTrue(refused || Outcomes.isGood(entry.getValue()), entry.toString());
+            }
+        }
+    }
+
     @Nested
     class AfterItsEnd {
 
