--- a/deploy/assemble.sh
+++ b/deploy/assemble.sh
@@ -30,21 +30,21 @@
 training=$!
 node=""
 trap 'kill $training $node 2>/dev/null || true' EXIT
-training_failed() {
-  echo "assemble.sh: the training run failed:" >&2
-  tail -n 5 "$directory/training.log" >&2
+failed() {
+  echo "assemble.sh: $1 failed:" >&2
+  tail -n 5 "$2" >&2
   exit 1
 }
 until [ -e "$settings" ]; do
-  kill -0 $training 2>/dev/null || training_failed
+  kill -0 $training 2>/dev/null || failed "the training run" "$directory/training.log"
   sleep 0.05
 done
 "$java" $options -XX:AOTMode=record -XX:AOTConfiguration="$recorded" -cp "$class_path" \
   org.carawaysill.platform.PlatformMain --settings "$settings" >"$directory/recorded.log" 2>&1 &
 node=$!
-wait $training || training_failed
+wait $training || failed "the training run" "$directory/training.log"
 kill -TERM $node
-wait $node
+wait $node || failed "the recorded node" "$directory/recorded.log"
 trap - EXIT
 "$java" $options -XX:AOTMode=create -XX:AOTConfiguration="$recorded" -XX:AOTCache="$directory/node.jsa" \
   -cp "$class_path" >>"$directory/recorded.log" 2>&1
--- a/launcher/processes.sh
+++ b/launcher/processes.sh
@@ -18,8 +18,8 @@
 # - The shell itself reports each job that ends by a signal, and where nobody reads that any more (a pager was left, a terminal
 #   closed) it would be ended by SIGPIPE before it kills what is deaf to a polite end. With the signal ignored such a write
 #   only fails; and no step that fails ends the clean-up.
-# - A second signal may come until the first command has ignored it, as both that a closed terminal sends do. It begins the
-#   clean-up anew and takes it to its end.
+# - A second signal may come before the first command has ignored it, as at the end of a session whose terminal is closed. It
+#   begins the clean-up anew and takes it to its end.
 # - A signal may come after a process was started and before it was noted down. The shell's own list of jobs has it.
 clean_up() {
   trap '' INT TERM HUP PIPE
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -98,7 +98,7 @@
      * <p>All of it happens on the event loop. Guards against two threads that are inside the same function of the system's
      * library at a time: while the platform replaces the places there that make system calls, the other one comes back to
      * half an instruction, and the process ends by SIGILL with what it was doing (code 134). It showed 0.1 to 0.2 s after
-     * one start in some 150, where the caller's thread read classes from files for one service while the services before it
+     * one start in some 250, where the caller's thread read classes from files for one service while the services before it
      * had begun to work. A caller that only waits reads nothing.
      *
      * @return completes when the node listens; fails with why it can't
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FinalAnswers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FinalAnswers.java
@@ -24,8 +24,8 @@
         plan = parts.plan();
     }
 
-    /** Answers a request that is refused before it has a route. */
-    void refuseUnrouted(FleetEvent.RequestArrived arrival, Outcome.NotRun refusal) {
+    /** Answers a request that is refused before it is taken. */
+    void refuseUntaken(FleetEvent.RequestArrived arrival, Outcome.NotRun refusal) {
         effects.count(refusal.reason());
         effects.log(new Decision.Answered(arrival.requestName(), "-", refusal, 0, 0, 1, beliefs.version()));
         effects.add(new FleetEffect.AnswerExchange(arrival.exchange(), refusal));
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -72,7 +72,10 @@
         ALL,
         /** Calls of the local copy only: without them what it works on could not be finished. */
         CALLS,
-        /** None. */
+        /**
+         * None. Guards against a request that comes while the process closes its connections, which shows as a client without
+         * an answer and a copy that works for nobody: it would be handed over, and the process ends under it within 0.1 s.
+         */
         NOTHING
     }
 
@@ -139,14 +142,14 @@
             return;
         }
         if (beliefs.configuration().isEmpty()) {
-            answers.refuseUnrouted(
+            answers.refuseUntaken(
                     arrival, notRun(RefusalReason.NO_CONFIGURATION, UNREACHABLE_RETRY_AFTER, Step.CONFIGURATION));
             return;
         }
         Optional<Route> found =
                 beliefs.routes().find(arrival.host(), arrival.content().path());
         if (found.isEmpty()) {
-            answers.refuseUnrouted(
+            answers.refuseUntaken(
                     arrival, notRun(RefusalReason.UNKNOWN_OPERATION, UNREACHABLE_RETRY_AFTER, Step.ROUTING));
             return;
         }
@@ -172,7 +175,7 @@
     }
 
     private void refuseAsStopping(FleetEvent.RequestArrived arrival) {
-        answers.refuseUnrouted(arrival, notRun(RefusalReason.DRAINING, UNREACHABLE_RETRY_AFTER, Step.DRAIN));
+        answers.refuseUntaken(arrival, notRun(RefusalReason.DRAINING, UNREACHABLE_RETRY_AFTER, Step.DRAIN));
     }
 
     private void send(long now, OutgoingRequest request) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
@@ -118,9 +118,6 @@
         if (over || idle && stopping >= CLIENTS_GONE_AFTER.toNanos()) {
             ended = true;
             effects.log(new Decision.NodeChanged("stopped", waitsFor() + tookMillis(stopping)));
-            // Guards against a request that comes while the process closes its connections, which shows as a client
-            // without
-            // an answer and a copy that works for nobody: it would be handed over, and the process ends within 0.1 s.
             outgoing.take(OutgoingRequests.Intake.NOTHING);
             localRuns.close();
             effects.add(new FleetEffect.StopProcess());
@@ -134,7 +131,7 @@
         }
     }
 
-    /** Requests that began here and those of them that are at another node or at the copy; requests for the copy and those at it. */
+    /** Requests that began here, those of them that were sent to a copy, requests for the local copy, those that it works on. */
     private String waitsFor() {
         return "requests=" + outgoing.count() + " sent=" + outgoing.sentCount() + " at_copy=" + localRuns.count()
                 + " running=" + localRuns.runningCount();
