Leave half of the time for a stop to answer what was taken, where that time is short

Callers would see, on a platform that gives a node 3 s to stop: clients that never leave are refused from 2.5 s on, but the node ends at 2.3 s, under all that its copy works on. PlannedStopTest.Clients with 3 s has a request open at the end before, none after; with 6 and 10 s nothing changes, since half of what is left there is more than 2.5 s.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
@@ -18,7 +18,8 @@
      *
      * <p>Guards against clients that never leave, which shows as requests without an answer that have run: the node would take
      * them until the end of its time, and end under all that its copy works on then. Refused from here on, they come back
-     * elsewhere, and what was taken has the rest of the time, 2.8 s of 6, to be answered.
+     * elsewhere, and what was taken has the rest of the time, 2.8 s of 6, to be answered. Where the time for a stop is so short
+     * that less than half of it would be left, they are refused from half of it on.
      */
     private static final Duration CLIENTS_GONE_AFTER = Duration.ofMillis(2500);
 
@@ -94,7 +95,7 @@
         }
         long next = NOT_ORDERED;
         for (Duration step : List.of(
-                LEAVING_TOLD_AFTER, CLIENTS_GONE_AFTER, limit.minus(LATE_BEFORE_END), limit.minus(STOP_MARGIN))) {
+                LEAVING_TOLD_AFTER, clientsGoneAfter(limit), limit.minus(LATE_BEFORE_END), limit.minus(STOP_MARGIN))) {
             long due = orderedNanos + step.toNanos();
             if (due > now) {
                 next = Math.min(next, due);
@@ -110,12 +111,13 @@
         }
         long stopping = now - orderedNanos;
         tellIfLate(stopping, limit);
-        if (stopping >= CLIENTS_GONE_AFTER.toNanos()) {
+        boolean clientsGone = stopping >= clientsGoneAfter(limit).toNanos();
+        if (clientsGone) {
             outgoing.take(OutgoingRequests.Intake.CALLS);
         }
         boolean idle = outgoing.isEmpty() && localRuns.isEmpty();
         boolean over = stopping >= limit.minus(STOP_MARGIN).toNanos();
-        if (over || idle && stopping >= CLIENTS_GONE_AFTER.toNanos()) {
+        if (over || idle && clientsGone) {
             ended = true;
             effects.log(new Decision.NodeChanged("stopped", waitsFor() + tookMillis(stopping)));
             outgoing.take(OutgoingRequests.Intake.NOTHING);
@@ -124,6 +126,11 @@
         }
     }
 
+    private static Duration clientsGoneAfter(Duration limit) {
+        Duration half = limit.minus(STOP_MARGIN).dividedBy(2);
+        return half.compareTo(CLIENTS_GONE_AFTER) < 0 ? half : CLIENTS_GONE_AFTER;
+    }
+
     private void tellIfLate(long stopping, Duration limit) {
         if (!lateTold && stopping >= limit.minus(LATE_BEFORE_END).toNanos()) {
             lateTold = true;
--- a/policy/src/test/java/org/carawaysill/policy/fleet/PlannedStopTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/PlannedStopTest.java
@@ -30,7 +30,7 @@
 
     private static final long MILLI = VirtualFleet.MILLI;
     private static final long SECOND = 1000 * MILLI;
-    private static final Duration LIMIT = Duration.ofSeconds(6);
+    private static final Duration LIMIT = VirtualFleet.STOP_LIMIT;
 
     private final VirtualFleet fleet = new VirtualFleet(11);
 
@@ -123,14 +123,18 @@
          * had run. From the moment at which clients should have left they are refused at once, and what was taken before is
          * answered.
          */
-        @Test
-        void thatNeverLeaveGetAnAnswerToEachRequest() {
+        @ParameterizedTest
+        @ValueSource(ints = {3, 6, 10})
+        void thatNeverLeaveGetAnAnswerToEachRequest(int limitSeconds) {
             fleet.configure(route("/front/", "front", 900), route("/back/", "back", 900));
             VirtualNode node = node("front", "10.1.1.1");
             node.works.put("/front/", new Work(WORK, List.of("/back/")));
             node("back", "10.1.2.1");
-            fleet.at(ORDERED, () -> node.deliver(new FleetEvent.StopOrdered()));
-            for (int i = 0; i < 280; i++) {
+            fleet.at(ORDERED, () -> {
+                node.stopWithin(Duration.ofSeconds(limitSeconds));
+                node.deliver(new FleetEvent.StopOrdered());
+            });
+            for (int i = 0; i < 440; i++) {
                 String name = "r" + i;
                 int sent = i;
                 fleet.at(3 * SECOND + i * 25 * MILLI, () -> {
@@ -138,7 +142,7 @@
                     send(node, name);
                 });
             }
-            fleet.runUntil(ORDERED + LIMIT.toNanos());
+            fleet.runUntil(ORDERED + limitSeconds * SECOND);
             assertEquals(Optional.of(List.of()), openAtTheEnd);
             for (Map.Entry<String, Outcome> entry : outcomes.entrySet()) {
                 boolean refused =
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -44,6 +44,7 @@
 
     static final long MILLI = 1_000_000;
     static final Duration DRAIN_LIMIT = Duration.ofSeconds(2);
+    static final Duration STOP_LIMIT = Duration.ofSeconds(6);
 
     private static final long HOP = MILLI;
     private static final long READ = 4 * MILLI;
@@ -200,18 +201,26 @@
             this.policy = newPolicy();
         }
 
-        private FleetPolicy newPolicy() {
-            FleetSettings settings = new FleetSettings(
+        private FleetSettings settings(Duration stopLimit) {
+            return new FleetSettings(
                     name,
                     new AvailabilityZone(zone),
                     new ServiceName(service),
                     new NetworkAddress(name.value(), 80),
                     DRAIN_LIMIT,
-                    Duration.ofSeconds(6),
+                    stopLimit,
                     new RetrySettings(0.2, 48, Duration.ofSeconds(10)),
                     without);
+        }
+
+        private FleetPolicy newPolicy() {
             PublicationDecoder decoder = (_, text) -> meanings.get(text);
-            return new FleetPolicy(settings, decoder, random.split(), new Moment(now, now / MILLI));
+            return new FleetPolicy(settings(STOP_LIMIT), decoder, random.split(), new Moment(now, now / MILLI));
+        }
+
+        /** Changes how long a planned stop of this node may take. */
+        void stopWithin(Duration limit) {
+            deliver(new FleetEvent.SettingsChanged(settings(limit)));
         }
 
         String copy() {
