--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Arrivals.java
@@ -0,0 +1,79 @@
+package org.carawaysill.policy.fleet;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.carawaysill.model.fleet.Route;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.Step;
+import org.carawaysill.policy.fleet.OutgoingRequest.Origin;
+import org.carawaysill.policy.fleet.route.SplitShares;
+
+/**
+ * Finds the route of what arrives at this node, and refuses at once what can't be taken: without a route, or while the node
+ * stops. What is refused here has not run.
+ *
+ * <p>Not thread safe: owned by the policy.
+ */
+final class Arrivals {
+
+    private final Beliefs beliefs;
+    private final Admission admission;
+    private final FinalAnswers answers;
+    private final SplitShares splits = new SplitShares();
+    private Intake intake = Intake.ALL;
+
+    /** Which requests a node takes. */
+    enum Intake {
+        /** Those of clients, and calls of the local copy. */
+        ALL,
+        /** Calls of the local copy only: without them what it works on could not be finished. */
+        CALLS,
+        /**
+         * None. Guards against a request that comes while the process closes its connections, which shows as a client without
+         * an answer and a copy that works for nobody: it would be handed over, and the process ends under it within 0.1 s.
+         */
+        NOTHING
+    }
+
+    Arrivals(Beliefs beliefs, Admission admission, FinalAnswers answers) {
+        this.beliefs = beliefs;
+        this.admission = admission;
+        this.answers = answers;
+    }
+
+    /** Sets which requests are taken from now on. */
+    void take(Intake allowed) {
+        intake = allowed;
+    }
+
+    /** Makes a request of what arrived; empty where it was refused. */
+    Optional<OutgoingRequest> accept(long now, FleetEvent.RequestArrived arrival) {
+        if (intake == Intake.NOTHING) {
+            return refused(arrival, RefusalReason.DRAINING, Step.DRAIN);
+        }
+        if (beliefs.configuration().isEmpty()) {
+            return refused(arrival, RefusalReason.NO_CONFIGURATION, Step.CONFIGURATION);
+        }
+        Optional<Route> found =
+                beliefs.routes().find(arrival.host(), arrival.content().path());
+        if (found.isEmpty()) {
+            return refused(arrival, RefusalReason.UNKNOWN_OPERATION, Step.ROUTING);
+        }
+        Route route = found.get();
+        Origin origin = admission.origin(now, arrival, route);
+        if (intake == Intake.CALLS && !admission.isCall(route, origin)) {
+            return refused(arrival, RefusalReason.DRAINING, Step.DRAIN);
+        }
+        Duration wait = arrival.patience()
+                .filter(patience -> patience.compareTo(route.timeout()) < 0)
+                .orElse(route.timeout());
+        return Optional.of(new OutgoingRequest(arrival, route, splits.next(route), origin, now, now + wait.toNanos()));
+    }
+
+    private Optional<OutgoingRequest> refused(FleetEvent.RequestArrived arrival, RefusalReason reason, Step step) {
+        answers.refuseUntaken(
+                arrival, new Outcome.NotRun(reason, OutgoingRequests.UNREACHABLE_RETRY_AFTER, step, Optional.empty()));
+        return Optional.empty();
+    }
+}
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -21,12 +21,10 @@
 import org.carawaysill.model.request.RetryReason;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
-import org.carawaysill.policy.fleet.OutgoingRequest.Origin;
 import org.carawaysill.policy.fleet.copy.AnswerSizes;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.CopyChoice;
 import org.carawaysill.policy.fleet.retry.RetrySettings;
-import org.carawaysill.policy.fleet.route.SplitShares;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.SlotTime;
@@ -41,7 +39,7 @@
 final class OutgoingRequests {
 
     /** When to come back where no copy is in reach: by then connections are dialled anew. */
-    private static final Duration UNREACHABLE_RETRY_AFTER = Duration.ofMillis(300);
+    static final Duration UNREACHABLE_RETRY_AFTER = Duration.ofMillis(300);
 
     /** Below this share of good answers, a copy that fails alone gets next to nothing: told in the log. */
     private static final double TRUSTED_SUCCESS = 0.5;
@@ -53,32 +51,17 @@
     private final Reach reach;
     private final LocalRuns localRuns;
     private final RandomGenerator random;
-    private final SplitShares splits = new SplitShares();
     private final CopyChoice choice;
     private final AnswerSizes answerSizes = new AnswerSizes();
     private final Repeats repeats;
     private final Admission admission;
+    private final Arrivals arrivals;
     private final FinalAnswers answers;
     private final Map<ExchangeIdentifier, OutgoingRequest> byExchange = new HashMap<>();
     private final Map<AttemptIdentifier, OutgoingRequest> byAttempt = new HashMap<>();
     private final PriorityQueue<OutgoingRequest> byLimit =
             new PriorityQueue<>(Comparator.comparingLong(OutgoingRequest::limitNanos));
 
-    private Intake intake = Intake.ALL;
-
-    /** Which requests a node takes. */
-    enum Intake {
-        /** Those of clients, and calls of the local copy. */
-        ALL,
-        /** Calls of the local copy only: without them what it works on could not be finished. */
-        CALLS,
-        /**
-         * None. Guards against a request that comes while the process closes its connections, which shows as a client without
-         * an answer and a copy that works for nobody: it would be handed over, and the process ends under it within 0.1 s.
-         */
-        NOTHING
-    }
-
     OutgoingRequests(FleetParts parts, RandomGenerator random) {
         this.settings = parts.settings();
         this.effects = parts.effects();
@@ -91,6 +74,7 @@
         repeats = new Repeats(parts);
         admission = new Admission(parts, random);
         answers = new FinalAnswers(parts);
+        arrivals = new Arrivals(beliefs, admission, answers);
         localRuns.localSender(this::answered);
     }
 
@@ -128,56 +112,27 @@
         repeats.nodes(count);
     }
 
-    /**
-     * Sets which requests are taken from now on; what was taken before is not touched. The others are refused at once, have
-     * not run, and other nodes take them.
-     */
-    void take(Intake allowed) {
-        intake = allowed;
+    /** Sets which requests are taken from now on; what was taken before is not touched. */
+    void take(Arrivals.Intake allowed) {
+        arrivals.take(allowed);
     }
 
     void arrived(long now, FleetEvent.RequestArrived arrival) {
-        if (intake == Intake.NOTHING) {
-            refuseAsStopping(arrival);
-            return;
-        }
-        if (beliefs.configuration().isEmpty()) {
-            answers.refuseUntaken(
-                    arrival, notRun(RefusalReason.NO_CONFIGURATION, UNREACHABLE_RETRY_AFTER, Step.CONFIGURATION));
-            return;
-        }
-        Optional<Route> found =
-                beliefs.routes().find(arrival.host(), arrival.content().path());
-        if (found.isEmpty()) {
-            answers.refuseUntaken(
-                    arrival, notRun(RefusalReason.UNKNOWN_OPERATION, UNREACHABLE_RETRY_AFTER, Step.ROUTING));
-            return;
-        }
-        Route route = found.get();
-        Origin origin = admission.origin(now, arrival, route);
-        if (intake == Intake.CALLS && !admission.isCall(route, origin)) {
-            refuseAsStopping(arrival);
-            return;
-        }
-        Duration wait = arrival.patience()
-                .filter(patience -> patience.compareTo(route.timeout()) < 0)
-                .orElse(route.timeout());
-        OutgoingRequest request =
-                new OutgoingRequest(arrival, route, splits.next(route), origin, now, now + wait.toNanos());
-        origin.parent().ifPresent(parent -> parent.callBegan(now));
-        byExchange.put(arrival.exchange(), request);
+        arrivals.accept(now, arrival).ifPresent(request -> begin(now, request));
+    }
+
+    private void begin(long now, OutgoingRequest request) {
+        request.origin().parent().ifPresent(parent -> parent.callBegan(now));
+        byExchange.put(request.arrival().exchange(), request);
         byLimit.add(request);
-        if (admission.letIn(route, origin)) {
+        Route route = request.route();
+        if (admission.letIn(route, request.origin())) {
             send(now, request);
         } else {
             finish(now, request, notRun(RefusalReason.OVERLOAD, admission.comeBack(route), Step.ADMISSION));
         }
     }
 
-    private void refuseAsStopping(FleetEvent.RequestArrived arrival) {
-        answers.refuseUntaken(arrival, notRun(RefusalReason.DRAINING, UNREACHABLE_RETRY_AFTER, Step.DRAIN));
-    }
-
     private void send(long now, OutgoingRequest request) {
         ServiceName service = request.service();
         List<Copy> copies = beliefs.copies().usable(service);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
@@ -113,14 +113,14 @@
         tellIfLate(stopping, limit);
         boolean clientsGone = stopping >= clientsGoneAfter(limit).toNanos();
         if (clientsGone) {
-            outgoing.take(OutgoingRequests.Intake.CALLS);
+            outgoing.take(Arrivals.Intake.CALLS);
         }
         boolean idle = outgoing.isEmpty() && localRuns.isEmpty();
         boolean over = stopping >= limit.minus(STOP_MARGIN).toNanos();
         if (over || idle && clientsGone) {
             ended = true;
             effects.log(new Decision.NodeChanged("stopped", waitsFor() + tookMillis(stopping)));
-            outgoing.take(OutgoingRequests.Intake.NOTHING);
+            outgoing.take(Arrivals.Intake.NOTHING);
             localRuns.close();
             effects.add(new FleetEffect.StopProcess());
         }
