--- a/policy/src/test/java/org/carawaysill/policy/fleet/Outcomes.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/Outcomes.java
@@ -17,6 +17,8 @@
     static final Outcome LOST = new Outcome.Unknown(UnknownReason.COPY_LOST, Step.COPY_WAIT, Optional.empty());
     static final Outcome REFUSED =
             new Outcome.NotRun(RefusalReason.COPY_REFUSED, Duration.ofMillis(100), Step.COPY_WAIT, Optional.empty());
+    static final Outcome UNREACHABLE = new Outcome.NotRun(
+            RefusalReason.COPY_UNREACHABLE, Duration.ofMillis(500), Step.COPY_CONNECT, Optional.empty());
 
     private Outcomes() {}
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/Routes.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/Routes.java
@@ -6,12 +6,23 @@
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.ServiceName;
 
-/** Routes of tests: named by their prefix, to one service, two attempts. Stateless and thread safe. */
+/** Routes of tests: named by their prefix, to one service. Stateless and thread safe. */
 final class Routes {
 
     private Routes() {}
 
     static Route route(String path, String service, boolean idempotent, int rank, long timeoutMillis, long aimMillis) {
+        return route(path, service, idempotent, rank, timeoutMillis, aimMillis, 2);
+    }
+
+    static Route route(
+            String path,
+            String service,
+            boolean idempotent,
+            int rank,
+            long timeoutMillis,
+            long aimMillis,
+            int maximumAttempts) {
         return new Route(
                 path,
                 "fleet.example",
@@ -19,7 +30,7 @@
                 List.of(new Destination(new ServiceName(service), 1)),
                 idempotent,
                 Duration.ofMillis(timeoutMillis),
-                2,
+                maximumAttempts,
                 Duration.ofMillis(aimMillis),
                 rank);
     }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +20,7 @@
 import org.carawaysill.model.fleet.FleetConfiguration;
 import org.carawaysill.model.fleet.PublishedEntry;
 import org.carawaysill.model.fleet.Route;
+import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.AvailabilityZone;
 import org.carawaysill.model.identity.ExchangeIdentifier;
 import org.carawaysill.model.identity.NetworkAddress;
@@ -47,6 +49,10 @@
     static final Duration STOP_LIMIT = Duration.ofSeconds(6);
 
     private static final long HOP = MILLI;
+
+    /** An entry that is not written any more lapses after three intervals of 1.5 s. */
+    private static final long LAPSE = 4500 * MILLI;
+
     private static final long READ = 4 * MILLI;
 
     private final Set<Mechanism> without;
@@ -82,7 +88,17 @@
     record Told(long at, StateSummary summary) {}
 
     /** A run of a request at a copy. */
-    record Run(long at, String requestName, String copy) {}
+    record Run(long at, String requestName, String path, String copy) {}
+
+    /**
+     * A request that ends the copy that runs it.
+     *
+     * @param prefix what its path begins with
+     * @param soonest nanoseconds after its beginning at which the copy ends at the soonest
+     * @param latest nanoseconds after its beginning before which the copy ends
+     * @param absence nanoseconds until another process listens there
+     */
+    record Fatal(String prefix, long soonest, long latest, long absence) {}
 
     private record Timed(long at, long order, Runnable action) {}
 
@@ -165,7 +181,7 @@
         final List<Decision> log = new ArrayList<>();
         private final String zone;
         private final Map<ExchangeIdentifier, BiConsumer<Long, Outcome>> receivers = new HashMap<>();
-        private final Map<Object, Boolean> atCopy = new HashMap<>();
+        private final Set<AttemptIdentifier> atCopy = new LinkedHashSet<>();
         private final List<NodeName> connected = new ArrayList<>();
         /** What those that sum up for its zone told it last. */
         final Map<NodeName, Told> told = new HashMap<>();
@@ -188,6 +204,13 @@
         /** Takes requests and answers none, as a copy that lost power or hangs. */
         boolean silent;
 
+        /** Paths that begin so end the copy that begins to run them. */
+        Optional<Fatal> fatal = Optional.empty();
+
+        /** How often its copy crashed. */
+        int crashes;
+
+        private boolean copyRuns = true;
         int copyNumber = 1;
         long startedAtMillis;
         private long life;
@@ -245,6 +268,35 @@
             VirtualFleet.this.publish("copy " + copy(), Optional.empty());
         }
 
+        /** Ends the copy's process: its connections close, and nobody listens until another one has started. */
+        void crashCopy() {
+            if (!copyRuns) {
+                return;
+            }
+            copyRuns = false;
+            crashes++;
+            List<AttemptIdentifier> lost = List.copyOf(atCopy);
+            atCopy.clear();
+            lost.forEach(attempt -> deliver(new FleetEvent.CopyAnswered(attempt, Outcomes.LOST)));
+        }
+
+        /** Ends the copy's process; another one listens after a while, and the old one's entry lapses later still. */
+        void crashCopy(long absence) {
+            if (copyRuns) {
+                String former = copy();
+                crashCopy();
+                at(now + absence, this::replaceCopy);
+                at(now + LAPSE, () -> VirtualFleet.this.publish("copy " + former, Optional.empty()));
+            }
+        }
+
+        private void replaceCopy() {
+            copyNumber++;
+            copyRuns = true;
+            startedAtMillis = now / MILLI;
+            publish(false);
+        }
+
         /** Starts the copy's process again under its name; it knows nothing of what was handed to it. */
         void copyStartsAnew() {
             startedAtMillis = now / MILLI;
@@ -432,21 +484,42 @@
         }
 
         private void hand(FleetEffect.HandToCopy hand) {
+            if (!copyRuns) {
+                at(now, () -> deliver(new FleetEvent.CopyAnswered(hand.attempt(), Outcomes.UNREACHABLE)));
+                return;
+            }
             if (atCopy.size() >= slots || shed > 0 && random.nextDouble() < shed) {
                 at(now, () -> deliver(new FleetEvent.CopyAnswered(hand.attempt(), Outcomes.REFUSED)));
                 return;
             }
-            runs.add(new Run(now, hand.requestName(), copy()));
-            atCopy.put(hand.attempt(), true);
+            runs.add(new Run(now, hand.requestName(), hand.content().path(), copy()));
+            atCopy.add(hand.attempt());
             if (failing > 0 && random.nextDouble() < failing) {
                 at(now + 2 * MILLI, () -> answer(hand, Outcomes.FAILED));
             } else if (!silent) {
-                call(hand, works.get(hand.content().path()), 0);
+                work(hand);
             }
         }
 
+        private void work(FleetEffect.HandToCopy hand) {
+            String path = hand.content().path();
+            fatal.filter(of -> path.startsWith(of.prefix()))
+                    .ifPresentOrElse(
+                            of -> at(now + random.nextLong(of.soonest(), of.latest()), () -> {
+                                if (atCopy.contains(hand.attempt())) {
+                                    crashCopy(of.absence());
+                                }
+                            }),
+                            () -> call(hand, works.get(kindOf(path)), 0));
+        }
+
+        /** The part of a path that its route and its work go by: up to the second slash. */
+        private static String kindOf(String path) {
+            return path.substring(0, path.indexOf('/', 1) + 1);
+        }
+
         private void call(FleetEffect.HandToCopy hand, Work work, int index) {
-            if (!atCopy.containsKey(hand.attempt())) {
+            if (!atCopy.contains(hand.attempt())) {
                 return;
             }
             if (index == work.calls().size()) {
@@ -467,7 +540,7 @@
         }
 
         private void answer(FleetEffect.HandToCopy hand, Outcome made) {
-            if (atCopy.remove(hand.attempt()) == null) {
+            if (!atCopy.remove(hand.attempt())) {
                 return;
             }
             boolean lost = answerLost > 0 && random.nextLong(answerLost) == 0;
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
@@ -70,11 +70,16 @@
     /** Publishes routes for the kinds of requests, and for the calls that copies make. */
     final void configure(Route... calls) {
         List<Route> routes = new ArrayList<>(List.of(calls));
-        kinds.forEach(kind -> routes.add(
-                Routes.route(kind.path(), kind.service(), kind.idempotent(), kind.rank(), kind.timeout(), kind.aim())));
+        kinds.forEach(kind -> routes.add(Routes.route(
+                kind.path(), kind.service(), kind.idempotent(), kind.rank(), kind.timeout(), kind.aim(), attempts())));
         fleet.configure(routes.toArray(Route[]::new));
     }
 
+    /** To how many copies a request may be handed. */
+    int attempts() {
+        return 2;
+    }
+
     /** Adds a copy with its node. */
     final void add(String service, String host, String zone, int slots, double speed, Map<String, Work> works) {
         VirtualNode node = fleet.add(service, host, zone, slots);
@@ -119,14 +124,23 @@
                 .computeIfAbsent(window, _ -> new Tally());
         tally.owed++;
         boolean abuser = random.nextDouble() < abusers;
-        attempt(kind, tally, fleet.now, abuser, abuser ? 1 + abuses : 1);
+        attempt(new Request(kind, tally, pathOf(kind), fleet.now, abuser), abuser ? 1 + abuses : 1);
+    }
+
+    /** The path of a new request; a client that comes back uses it again. */
+    String pathOf(Kind kind) {
+        return kind.path();
     }
 
-    private void attempt(Kind kind, Tally tally, long began, boolean abuser, int repeats) {
+    /** What a client asks for, over all its tries. */
+    private record Request(Kind kind, Tally tally, String path, long began, boolean abuser) {}
+
+    private void attempt(Request request, int repeats) {
+        Kind kind = request.kind();
         VirtualNode entry = nodes.get(random.nextInt(nodes.size()));
-        long left = began + kind.deadline() * MILLI - fleet.now;
+        long left = request.began() + kind.deadline() * MILLI - fleet.now;
         if (left <= 0) {
-            tally.failed++;
+            request.tally().failed++;
             return;
         }
         fleet.at(
@@ -134,13 +148,16 @@
                 () -> fleet.send(
                         entry,
                         kind.name() + '-' + ++requests,
-                        kind.path(),
+                        request.path(),
                         left,
-                        (at, outcome) -> ended(kind, tally, began, abuser, repeats, outcome)));
+                        (at, outcome) -> ended(request, repeats, outcome)));
     }
 
-    private void ended(Kind kind, Tally tally, long began, boolean abuser, int repeats, Outcome outcome) {
-        long took = fleet.now + CLIENT_HOP - began;
+    private void ended(Request request, int repeats, Outcome outcome) {
+        Kind kind = request.kind();
+        Tally tally = request.tally();
+        noted(kind, outcome);
+        long took = fleet.now + CLIENT_HOP - request.began();
         if (Outcomes.isGood(outcome)) {
             if (took <= kind.aim() * MILLI) {
                 tally.inAim++;
@@ -153,12 +170,15 @@
             return;
         }
         long left = kind.deadline() * MILLI - took;
-        long wait = abuser || !(outcome instanceof Outcome.NotRun refusal)
+        long wait = request.abuser() || !(outcome instanceof Outcome.NotRun refusal)
                 ? MILLI
                 : Math.min(refusal.retryAfter().toNanos(), left / 3);
-        fleet.at(fleet.now + wait, () -> attempt(kind, tally, began, abuser, repeats - 1));
+        fleet.at(fleet.now + wait, () -> attempt(request, repeats - 1));
     }
 
+    /** Hears of each answer that a client gets. */
+    void noted(Kind kind, Outcome outcome) {}
+
     /** Plays until so many seconds after the start of traffic. */
     void play(double seconds) {
         fleet.runUntil(START + (long) (seconds * SECOND));
