Tell a copy that ended from a connection that broke, and log what ran there

An on-call engineer saw copy_lost for both, five lines a second at the most, under names that change with each try: which request was under four crashes could not be found out.

When connections with requests end, the node dials the copy once, for 0.1 s at the most, before it answers for them. Where nobody listens the copy's process has ended, and all that was written to it is told as one event; where the copy takes the connection, that one serves the next request. The log line CopyCrashed names the copy, its start, and a fingerprint of each request: service, caller, path and body, the same for all tries. crashes_total{reason="copy_crashed"} counts.

What is answered and tried again is as before. CopyConnectionsTest.Crashes shows the event, a reset that is not taken for one, and a cancelled request.

--- a/model/src/main/java/org/carawaysill/model/request/Counted.java
+++ b/model/src/main/java/org/carawaysill/model/request/Counted.java
@@ -3,7 +3,8 @@
 import java.util.Locale;
 
 /** Something of which a node counts the occurrences, one counter family per kind. Immutable and thread safe. */
-public sealed interface Counted permits RefusalReason, UnknownReason, RetryReason, Invariant, ConfigurationCount {
+public sealed interface Counted
+        permits RefusalReason, UnknownReason, RetryReason, Invariant, ConfigurationCount, CrashCount {
 
     /**
      * Names the family of counters.
--- a/node/src/main/java/org/carawaysill/node/observation/Counters.java
+++ b/node/src/main/java/org/carawaysill/node/observation/Counters.java
@@ -28,14 +28,15 @@
 
     /** The names of families in the plural; others keep their own. */
     private static final Map<String, String> SERIES =
-            Map.of("refusal", "refusals", "retry", "retries", "breach", "breaches");
+            Map.of("refusal", "refusals", "retry", "retries", "breach", "breaches", "crash", "crashes");
 
     private static final Map<String, String> HELP = Map.of(
             "refusal", "Requests refused and not run",
             "unknown", "Requests of which it is not known whether they ran",
             "retry", "Requests tried again",
             "breach", "Broken promises that the program noticed about itself",
-            "configuration", "What became of configuration that was read or received");
+            "configuration", "What became of configuration that was read or received",
+            "crash", "Crashes of the copy beside the node, and what was concluded from those of all copies");
 
     private static final double[] HANDOFF_BUCKETS = {
         5e-6, 10e-6, 25e-6, 50e-6, 100e-6, 250e-6, 500e-6, 1e-3, 5e-3, 25e-3, 100e-3, 1
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
@@ -285,22 +285,28 @@
         }
     }
 
+    /** Gives up an exchange for what the copy sent: it lives. */
     private void spoilt() {
         pool.count(ConnectionFault.COPY_BROKEN);
         spoil();
-        lost();
+        takeLost().ifPresent(broken -> pool.ended(broken.exchange(), broken.outcome()));
     }
 
+    /** Gives up an exchange since its connection ended: perhaps the copy has. */
     private void lost() {
-        exchange.ifPresent(current -> {
-            exchange = Optional.empty();
-            Outcome outcome = new Outcome.Unknown(
-                    answer.isPresent() ? UnknownReason.TRUNCATED : UnknownReason.COPY_LOST,
-                    Step.COPY_WAIT,
-                    Optional.empty());
-            answer = Optional.empty();
-            pool.ended(current, outcome);
-        });
+        takeLost().ifPresent(pool::broken);
+    }
+
+    private Optional<BrokenExchange> takeLost() {
+        Optional<BrokenExchange> lost = exchange.map(current -> new BrokenExchange(
+                current,
+                new Outcome.Unknown(
+                        answer.isPresent() ? UnknownReason.TRUNCATED : UnknownReason.COPY_LOST,
+                        Step.COPY_WAIT,
+                        Optional.empty())));
+        exchange = Optional.empty();
+        answer = Optional.empty();
+        return lost;
     }
 
     /** Breaks off the request under way: the copy sees its connection end. */
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -4,13 +4,16 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -51,6 +54,12 @@
     private static final int LARGEST_HEAD_BYTES = 64 * 1024;
     private static final int CHUNK_BYTES = 64 * 1024;
 
+    /**
+     * How long the answers of broken exchanges wait for the copy to take a connection. A process that has ended refuses at
+     * once; one that takes longer is not known to have ended.
+     */
+    private static final int CHECK_LIMIT_MILLIS = 100;
+
     private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(1);
 
     /**
@@ -73,6 +82,7 @@
     private final ArrayDeque<CopyConnection> idle = new ArrayDeque<>();
     private final Set<CopyConnection> all = new HashSet<>();
     private final Map<AttemptIdentifier, CopyExchange> running = new HashMap<>();
+    private final BrokenExchanges broken = new BrokenExchanges();
 
     /**
      * Makes a pool without connections.
@@ -98,7 +108,6 @@
                 .group(eventLoop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_LIMIT_MILLIS)
                 .remoteAddress(copy.host(), copy.port());
     }
 
@@ -158,8 +167,14 @@
 
     private void connect(CopyExchange exchange) {
         CopyConnection connection = new CopyConnection(this, decoder(), USUAL_IDLE_LIMIT);
-        bootstrap
+        dial(connection, CONNECT_LIMIT_MILLIS)
+                .addListener((ChannelFuture connected) -> connected(exchange, connection, connected));
+    }
+
+    private ChannelFuture dial(CopyConnection connection, int limitMillis) {
+        return bootstrap
                 .clone()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limitMillis)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -169,8 +184,7 @@
                                 .addLast(connection);
                     }
                 })
-                .connect()
-                .addListener((ChannelFuture connected) -> connected(exchange, connection, connected));
+                .connect();
     }
 
     private static AnswerDecoder decoder() {
@@ -223,6 +237,52 @@
         }
     }
 
+    /**
+     * Takes an exchange whose connection ended, and finds out whether the copy has ended too: then nobody listens at its
+     * address.
+     *
+     * <p>Without this, a request that ends its copy looks like one whose connection was reset, and is handed to the next copy.
+     */
+    void broken(BrokenExchange exchange) {
+        if (broken.add(exchange)) {
+            CopyConnection connection = new CopyConnection(this, decoder(), USUAL_IDLE_LIMIT);
+            dial(connection, CHECK_LIMIT_MILLIS)
+                    .addListener((ChannelFuture connected) -> checked(connection, connected));
+        }
+    }
+
+    private void checked(CopyConnection connection, ChannelFuture connected) {
+        if (connected.isSuccess()) {
+            all.add(connection);
+            release(connection);
+        }
+        List<BrokenExchange> waiting = broken.take();
+        if (isRefused(connected)) {
+            crashed();
+        } else {
+            waiting.forEach(exchange -> ended(exchange.exchange(), exchange.outcome()));
+        }
+    }
+
+    private static boolean isRefused(ChannelFuture connected) {
+        return connected.cause() instanceof ConnectException && !(connected.cause() instanceof ConnectTimeoutException);
+    }
+
+    /** Ends all that was written to the copy, also where the end of its connection was not seen yet. */
+    private void crashed() {
+        List<AttemptIdentifier> lost = new ArrayList<>();
+        for (CopyExchange exchange : List.copyOf(running.values())) {
+            if (exchange.connection().isPresent() && exchange.end()) {
+                lost.add(exchange.request().attempt());
+                running.remove(exchange.request().attempt());
+                exchange.connection().get().cancel();
+            }
+        }
+        if (!lost.isEmpty()) {
+            events.accept(new FleetEvent.CopyCrashed(lost));
+        }
+    }
+
     void release(CopyConnection connection) {
         idle.addLast(connection);
     }
--- a/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
+++ b/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
@@ -6,6 +6,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.ServiceName;
@@ -127,6 +128,56 @@
         }
     }
 
+    @Nested
+    class Crashes {
+
+        /*
+         * A copy's process ends under two requests. Each used to be told as an answer that was lost, as after a reset, and
+         * was handed to the next copy; of two that ended the copy, nobody could say that they had been there together.
+         */
+        @Test
+        void areToldWithAllThatWasAtTheCopy() {
+            AttemptIdentifier first = hand("a");
+            RawConnection firstConnection = copy.accept();
+            firstConnection.readMessage();
+            AttemptIdentifier second = hand("b");
+            RawConnection secondConnection = copy.accept();
+            secondConnection.readMessage();
+            copy.close();
+            firstConnection.close();
+            secondConnection.close();
+            FleetEvent.CopyCrashed crashed = bench.next(FleetEvent.CopyCrashed.class);
+            assertEquals(Set.of(first, second), Set.copyOf(crashed.attempts()));
+            assertTrue(bench.hasNone());
+        }
+
+        /** A copy that still takes connections has not ended; the connection that showed it carries the next request. */
+        @Test
+        void areNotTakenForAConnectionThatEnds() {
+            AttemptIdentifier first = hand("a");
+            RawConnection connection = copy.accept();
+            connection.readMessage();
+            connection.close();
+            expectUnknown(first);
+            RawConnection other = copy.accept();
+            AttemptIdentifier second = hand("b");
+            other.readMessage();
+            other.write(answer("b", "two"));
+            expectGood(second, "two");
+        }
+
+        @Test
+        void tellNothingOfWhatWasCancelledMeanwhile() {
+            AttemptIdentifier first = hand("a");
+            RawConnection connection = copy.accept();
+            connection.readMessage();
+            bench.onLoop(() -> connections.cancel(first));
+            copy.close();
+            AttemptIdentifier second = hand("b");
+            expectNotRun(second, RefusalReason.COPY_UNREACHABLE);
+        }
+    }
+
     @Nested
     class FaultyCopies {
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
@@ -1,9 +1,12 @@
 package org.carawaysill.policy.fleet;
 
+import java.util.List;
+import java.util.stream.Collectors;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Outcome;
+import org.carawaysill.policy.fleet.quarantine.Fingerprint;
 import org.carawaysill.policy.time.Nanos;
 
 /**
@@ -203,6 +206,39 @@
         }
     }
 
+    /**
+     * The local copy's process ended with requests at it, and without a planned stop.
+     *
+     * @param copy the copy
+     * @param startedAtMillis when that process had started, in milliseconds since 1970; 0 where it did not say
+     * @param running requests at it
+     * @param requests their fingerprints
+     */
+    record CopyCrashed(CopyName copy, long startedAtMillis, int running, List<Fingerprint> requests)
+            implements OfBelief {
+
+        /** A line of three kilobytes; a copy has more slots than that only on large sites. */
+        private static final int MOST_LISTED = 100;
+
+        public CopyCrashed {
+            requests = List.copyOf(requests);
+        }
+
+        @Override
+        public String subject() {
+            return copy.value();
+        }
+
+        @Override
+        public String fields() {
+            return "started=" + startedAtMillis + " running=" + running + " fingerprints="
+                    + requests.stream()
+                            .limit(MOST_LISTED)
+                            .map(Fingerprint::toString)
+                            .collect(Collectors.joining(","));
+        }
+    }
+
     /**
      * Something that the node depends on was lost or is back.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetEvent.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetEvent.java
@@ -46,6 +46,18 @@
      */
     record CopyAnswered(AttemptIdentifier attempt, Outcome outcome) implements FleetEvent {}
 
+    /**
+     * The local copy's process has ended: its connections broke, and nobody listens at its address.
+     *
+     * @param attempts all that was written to it and not answered
+     */
+    record CopyCrashed(List<AttemptIdentifier> attempts) implements FleetEvent {
+
+        public CopyCrashed {
+            attempts = List.copyOf(attempts);
+        }
+    }
+
     /**
      * A connection to another node carries messages now.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -97,6 +97,7 @@
             case FleetEvent.RequestArrived arrival -> outgoing.arrived(now, arrival);
             case FleetEvent.ExchangeClosed closed -> outgoing.exchangeClosed(now, closed.exchange());
             case FleetEvent.CopyAnswered answered -> localRuns.answered(now, answered.attempt(), answered.outcome());
+            case FleetEvent.CopyCrashed crashed -> localRuns.crashed(now, crashed.attempts());
             case FleetEvent.PeerReceived received -> received(moment, received.from(), received.message());
             case FleetEvent.PeerConnected connected -> peerConnected(now, connected.peer());
             case FleetEvent.PeerLost lost -> {
@@ -203,7 +204,9 @@
         peers.published(now, beliefs.copies().hosts());
         outgoing.nodes(peers.count());
         outgoing.routes(beliefs.routesByName().keySet());
-        beliefs.copies().at(settings.copyAddress()).ifPresent(copy -> localRuns.published(moment, copy.record()));
+        beliefs.copies()
+                .at(settings.copyAddress())
+                .ifPresentOrElse(copy -> localRuns.published(moment, copy.record()), localRuns::unpublished);
     }
 
     /** Takes the bounds over; who the node is and where it listens can't change while it runs. */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -8,12 +8,15 @@
 import org.carawaysill.model.fleet.CopyRecord;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.request.CrashCount;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.policy.fleet.copy.CopyGate;
 import org.carawaysill.policy.fleet.copy.LocalRun;
+import org.carawaysill.policy.fleet.quarantine.Fingerprint;
+import org.carawaysill.policy.fleet.quarantine.Fingerprints;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
@@ -42,11 +45,13 @@
 
     private final Effects effects;
     private final CopyGate gate;
+    private final Fingerprints fingerprints = new Fingerprints();
     private final Map<String, LocalRun> runningByName = new HashMap<>();
     private LocalSender localSender = (_, _, _, _) -> {};
     private Optional<CopyRecord> known = Optional.empty();
     private int loggedLimit;
     private boolean leaving;
+    private boolean unpublished;
     private boolean closed;
 
     /** Hears what a request of this node's own came to. */
@@ -94,12 +99,39 @@
             startedAnew(moment, record);
         }
         known = Optional.of(record);
+        unpublished = false;
         leaving = record.draining();
         if (leaving) {
             gate.takeQueue().forEach(run -> refuse(now, run, RefusalReason.DRAINING, Step.QUEUE));
         }
     }
 
+    /** Notes that nothing is published of the local copy any more: it may leave without having said so. */
+    void unpublished() {
+        unpublished = true;
+    }
+
+    /** Ends what was at the copy when its process ended. */
+    void crashed(long now, List<AttemptIdentifier> attempts) {
+        List<LocalRun> lost =
+                attempts.stream().map(gate::find).flatMap(Optional::stream).toList();
+        if (known.isPresent() && !leaving && !unpublished) {
+            tellCrash(known.get(), lost);
+        }
+        Outcome outcome = new Outcome.Unknown(UnknownReason.COPY_LOST, Step.COPY_WAIT, Optional.empty());
+        attempts.forEach(attempt -> answered(now, attempt, outcome));
+    }
+
+    private void tellCrash(CopyRecord record, List<LocalRun> lost) {
+        effects.count(CrashCount.COPY_CRASHED);
+        List<Fingerprint> requests = lost.stream()
+                .map(run ->
+                        fingerprints.of(run.request().service(), run.request().content()))
+                .distinct()
+                .toList();
+        effects.log(new Decision.CopyCrashed(record.copy(), record.startedAtMillis(), lost.size(), requests));
+    }
+
     /**
      * Ends what was handed to the copy's process before this one: it may have run, and its answer will never come.
      *
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/Fingerprints.java
@@ -0,0 +1,70 @@
+package org.carawaysill.policy.fleet.quarantine;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import org.carawaysill.model.fleet.CopyRecord;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.RequestContent;
+
+/**
+ * Computes fingerprints.
+ *
+ * <p>Invariant: two requests have the same one only if service, caller, path with query, and body are the same. A
+ * cryptographic digest guards against a caller who makes a crashing request that collides with another one's: that one would
+ * be refused in its place. Not thread safe: owned by the policy.
+ */
+public final class Fingerprints {
+
+    /** The field that names the caller, where there is one (RFC 9110, section 11.6.2). */
+    private static final String CALLER_FIELD = "authorization";
+
+    private static final String ALGORITHM = "SHA-256";
+
+    private final MessageDigest digest;
+
+    /** Makes a computer of fingerprints. */
+    public Fingerprints() {
+        try {
+            digest = MessageDigest.getInstance(ALGORITHM);
+        } catch (NoSuchAlgorithmException missing) {
+            throw new IllegalStateException("each Java platform has " + ALGORITHM, missing);
+        }
+    }
+
+    /**
+     * Computes the fingerprint of a request.
+     *
+     * @param service where it goes
+     * @param content the request
+     * @return its fingerprint
+     */
+    public Fingerprint of(ServiceName service, RequestContent content) {
+        add(service.value());
+        add(content.header(CALLER_FIELD).orElse(""));
+        add(content.path());
+        digest.update(content.body().bytes());
+        ByteBuffer bits = ByteBuffer.wrap(digest.digest());
+        return new Fingerprint(bits.getLong(), bits.getLong());
+    }
+
+    /**
+     * Computes what names one start of a copy.
+     *
+     * @param record what is published of it
+     * @return the same for the same start on all nodes
+     */
+    public long start(CopyRecord record) {
+        add(record.copy().value());
+        add(Long.toString(record.startedAtMillis()));
+        return ByteBuffer.wrap(digest.digest()).getLong();
+    }
+
+    /** Adds a text with its length, so that the end of one can't pass for the beginning of the next. */
+    private void add(String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).array());
+        digest.update(bytes);
+    }
+}
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -277,7 +277,7 @@
             crashes++;
             List<AttemptIdentifier> lost = List.copyOf(atCopy);
             atCopy.clear();
-            lost.forEach(attempt -> deliver(new FleetEvent.CopyAnswered(attempt, Outcomes.LOST)));
+            deliver(new FleetEvent.CopyCrashed(lost));
         }
 
         /** Ends the copy's process; another one listens after a while, and the old one's entry lapses later still. */
