Say "not run" only of a request that no copy began, also after another attempt was refused

An attempt's answer was lost, the next one was refused, and the refusal became the answer.

Requests that are not idempotent are not touched: they are never sent again after a lost answer.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
@@ -160,8 +160,8 @@
      * Tells the nodes beside the copies of a service what is known of some requests to it; and all nodes of those that are
      * refused, so that it is remembered where all nodes beside the service start anew.
      */
-    private void tell(long now, ServiceName service, Set<Fingerprint> fingerprints) {
-        List<Suspicion> suspicions = fingerprints.stream()
+    private void tell(long now, ServiceName service, Set<Fingerprint> told) {
+        List<Suspicion> suspicions = told.stream()
                 .map(fingerprint -> table.suspicion(now, fingerprint))
                 .flatMap(Optional::stream)
                 .toList();
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
@@ -8,6 +8,7 @@
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.Outcome;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.LocalRun;
 import org.carawaysill.policy.fleet.entry.SlotTimes;
@@ -29,6 +30,7 @@
     private final SlotTimes times = new SlotTimes();
     private Optional<Copy> copy = Optional.empty();
     private Optional<AttemptIdentifier> attempt = Optional.empty();
+    private Optional<Outcome.Unknown> lost = Optional.empty();
     private Optional<NodeName> place = Optional.empty();
     private int sends;
     private int handed;
@@ -129,6 +131,24 @@
         handed++;
     }
 
+    /** Notes that a copy may have run an attempt, whose answer was lost. */
+    void lost(Outcome.Unknown outcome) {
+        lost = Optional.of(outcome);
+    }
+
+    /**
+     * Tells what the client is told.
+     *
+     * <p>Guards against a client that is told "not run" of a request that a copy began: an attempt's answer was lost, and the
+     * next attempt was refused. What is known of the whole request is what is known of the attempt that may have run.
+     *
+     * @param last what the last attempt came to
+     */
+    Outcome answer(Outcome last) {
+        boolean refused = last instanceof Outcome.NotRun;
+        return refused && lost.isPresent() ? lost.get() : last;
+    }
+
     /** Attempts that may have reached a copy. */
     int handedCount() {
         return handed;
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -277,6 +277,7 @@
 
     private void afterUnknown(long now, OutgoingRequest request, Copy copy, Outcome.Unknown unknown) {
         request.handed();
+        request.lost(unknown);
         boolean again = request.route().idempotent()
                 && AttemptRules.isWorthAnotherCopy(unknown.reason())
                 && AttemptRules.hasTimeAndSends(now, request)
@@ -302,7 +303,7 @@
             parent.times().addAll(request.times().list());
             parent.callEnded(now);
         });
-        answers.give(now, request, outcome);
+        answers.give(now, request, request.answer(outcome));
     }
 
     /** Gives up what a client no longer waits for. */
--- a/policy/src/test/java/org/carawaysill/policy/fleet/CrashingRequestsTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/CrashingRequestsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -61,6 +62,27 @@
         }
     }
 
+    @Nested
+    class Answers {
+
+        /*
+         * A client is told that its request was not run, and it was: its copy ends under it, its node tries the other copies,
+         * which have ended too, and the last refusal becomes the answer.
+         */
+        @ParameterizedTest
+        @ValueSource(longs = {1, 2, 3, 4})
+        void sayNotRunOnlyOfWhatNoCopyBegan(long seed) {
+            PostingSite site = site(seed);
+            site.at(
+                    8,
+                    () -> site.services
+                            .get(PostingSite.STATEMENTS)
+                            .forEach(node -> node.crashCopy(PostingSite.ABSENCE)));
+            site.play(SECONDS + 6);
+            assertEquals(List.of(), site.falselyToldNotRun());
+        }
+    }
+
     @Nested
     class OtherCauses {
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/PostingSite.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/PostingSite.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -64,6 +65,8 @@
     /** Answers that the clients of ordinary requests got, by what they say. */
     final Map<String, Integer> answers = new HashMap<>();
 
+    private final Set<String> toldNotRun = new HashSet<>();
+
     /** Answers that the clients of crashing requests got. */
     final List<Outcome> crashingAnswers = new ArrayList<>();
 
@@ -100,7 +103,10 @@
     }
 
     @Override
-    void noted(Kind kind, Outcome outcome) {
+    void noted(String name, Outcome outcome) {
+        if (outcome instanceof Outcome.NotRun) {
+            toldNotRun.add(name);
+        }
         String said = switch (outcome) {
             case Outcome.Answered answered -> "answered " + answered.content().status();
             case Outcome.NotRun refusal -> "not run " + refusal.reason();
@@ -153,6 +159,14 @@
         return nodes.stream().mapToInt(node -> node.crashes).sum();
     }
 
+    /** Requests whose clients were told that they were not run, although a copy had begun to run them. */
+    List<String> falselyToldNotRun() {
+        return fleet.runs.stream()
+                .map(Run::requestName)
+                .filter(toldNotRun::contains)
+                .toList();
+    }
+
     /** Clients of ordinary requests that were told a reason for a refusal, or for an unknown outcome. */
     int told(String reason) {
         return answers.entrySet().stream()
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
@@ -143,20 +143,18 @@
             request.tally().failed++;
             return;
         }
-        fleet.at(
-                fleet.now + CLIENT_HOP,
-                () -> fleet.send(
-                        entry,
-                        kind.name() + '-' + ++requests,
-                        request.path(),
-                        left,
-                        (at, outcome) -> ended(request, repeats, outcome)));
+        fleet.at(fleet.now + CLIENT_HOP, () -> {
+            String name = kind.name() + '-' + ++requests;
+            fleet.send(entry, name, request.path(), left, (_, outcome) -> {
+                noted(name, outcome);
+                ended(request, repeats, outcome);
+            });
+        });
     }
 
     private void ended(Request request, int repeats, Outcome outcome) {
         Kind kind = request.kind();
         Tally tally = request.tally();
-        noted(kind, outcome);
         long took = fleet.now + CLIENT_HOP - request.began();
         if (Outcomes.isGood(outcome)) {
             if (took <= kind.aim() * MILLI) {
@@ -177,7 +175,7 @@
     }
 
     /** Hears of each answer that a client gets. */
-    void noted(Kind kind, Outcome outcome) {}
+    void noted(String name, Outcome outcome) {}
 
     /** Plays until so many seconds after the start of traffic. */
     void play(double seconds) {
