--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -60,6 +60,9 @@
      */
     private static final int CHECK_LIMIT_MILLIS = 100;
 
+    /** The time in which the connections of a process that ends are closed one after the other. */
+    private static final int SETTLING_MILLIS = 10;
+
     private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(1);
 
     /**
@@ -238,38 +241,62 @@
     }
 
     /**
-     * Takes an exchange whose connection ended, and finds out whether the copy has ended too: then nobody listens at its
-     * address.
+     * Takes an exchange whose connection ended, and finds out whether the copy has ended too.
      *
      * <p>Without this, a request that ends its copy looks like one whose connection was reset, and is handed to the next copy.
+     * The copy has ended where nobody listens at its address, or where all its connections end at one moment: its listening
+     * socket may outlive them for some milliseconds, or for good where another process holds it.
      */
     void broken(BrokenExchange exchange) {
-        if (broken.add(exchange)) {
-            CopyConnection connection = new CopyConnection(this, decoder(), USUAL_IDLE_LIMIT);
-            dial(connection, CHECK_LIMIT_MILLIS)
-                    .addListener((ChannelFuture connected) -> checked(connection, connected));
+        if (broken.add(exchange, all)) {
+            ask();
         }
     }
 
+    private void ask() {
+        CopyConnection connection = new CopyConnection(this, decoder(), USUAL_IDLE_LIMIT);
+        dial(connection, CHECK_LIMIT_MILLIS).addListener((ChannelFuture connected) -> checked(connection, connected));
+    }
+
     private void checked(CopyConnection connection, ChannelFuture connected) {
         if (connected.isSuccess()) {
             all.add(connection);
-            release(connection);
+            eventLoop.schedule(() -> settled(connection), SETTLING_MILLIS, TimeUnit.MILLISECONDS);
+        } else if (isRefused(connected)) {
+            crashed();
+        } else {
+            endBroken();
         }
-        List<BrokenExchange> waiting = broken.take();
-        if (isRefused(connected)) {
+    }
+
+    private void settled(CopyConnection connection) {
+        if (broken.areAllGone(all)) {
+            connection.close();
             crashed();
+            return;
+        }
+        boolean usable = connection.isUsable(System.nanoTime());
+        if (usable) {
+            release(connection);
+        }
+        if (broken.isOpenStill(all, !usable)) {
+            ask();
         } else {
-            waiting.forEach(exchange -> ended(exchange.exchange(), exchange.outcome()));
+            endBroken();
         }
     }
 
+    private void endBroken() {
+        broken.take().forEach(exchange -> ended(exchange.exchange(), exchange.outcome()));
+    }
+
     private static boolean isRefused(ChannelFuture connected) {
         return connected.cause() instanceof ConnectException && !(connected.cause() instanceof ConnectTimeoutException);
     }
 
     /** Ends all that was written to the copy, also where the end of its connection was not seen yet. */
     private void crashed() {
+        broken.take();
         List<AttemptIdentifier> lost = new ArrayList<>();
         for (CopyExchange exchange : List.copyOf(running.values())) {
             if (exchange.connection().isPresent() && exchange.end()) {
--- a/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
+++ b/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
@@ -151,6 +151,39 @@
             assertTrue(bench.hasNone());
         }
 
+        /*
+         * A copy's process ends while its listening socket is still open, as it is for some milliseconds, or for good where a
+         * supervisor holds it. A dialled connection is taken, and the crash would pass for a reset of each connection.
+         */
+        @Test
+        void areSeenAlsoWhileTheAddressStillTakesConnections() {
+            AttemptIdentifier first = hand("a");
+            RawConnection firstConnection = copy.accept();
+            firstConnection.readMessage();
+            AttemptIdentifier second = hand("b");
+            RawConnection secondConnection = copy.accept();
+            secondConnection.readMessage();
+            firstConnection.close();
+            secondConnection.close();
+            FleetEvent.CopyCrashed crashed = bench.next(FleetEvent.CopyCrashed.class);
+            assertEquals(Set.of(first, second), Set.copyOf(crashed.attempts()));
+        }
+
+        /** One of two connections ends: the copy works on at the other. */
+        @Test
+        void areNotTakenForOneOfSeveralConnections() {
+            AttemptIdentifier first = hand("a");
+            RawConnection firstConnection = copy.accept();
+            firstConnection.readMessage();
+            AttemptIdentifier second = hand("b");
+            RawConnection secondConnection = copy.accept();
+            secondConnection.readMessage();
+            firstConnection.close();
+            expectUnknown(first);
+            secondConnection.write(answer("b", "two"));
+            expectGood(second, "two");
+        }
+
         /** A copy that still takes connections has not ended; the connection that showed it carries the next request. */
         @Test
         void areNotTakenForAConnectionThatEnds() {
