--- a/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
@@ -13,7 +13,10 @@
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.CrashCount;
 import org.carawaysill.model.request.Fingerprint;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.RequestContent;
+import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.LocalRun;
@@ -21,6 +24,7 @@
 import org.carawaysill.policy.fleet.quarantine.Standing;
 import org.carawaysill.policy.fleet.quarantine.SuspectTable;
 import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.Suspicion;
 import org.carawaysill.policy.routing.RendezvousRank;
 
@@ -37,6 +41,9 @@
     /** What is remembered only fades over minutes. */
     private static final long SWEEP_NANOS = Duration.ofSeconds(10).toNanos();
 
+    /** How soon a suspect may come again that is to run at another copy: its sender goes there at once. */
+    private static final Duration ELSEWHERE_RETRY_AFTER = Duration.ofMillis(50);
+
     private final FleetSettings settings;
     private final Effects effects;
     private final Beliefs beliefs;
@@ -64,17 +71,62 @@
     }
 
     /** Tells what is known of a request; costs nothing as long as no copy has crashed. */
-    Standing standing(long now, ServiceName service, RequestContent content) {
+    private Standing standing(long now, ServiceName service, RequestContent content) {
         return table.isEmpty() ? new Standing.Clear() : table.standing(now, fingerprints.of(service, content));
     }
 
+    boolean isSuspected(long now, CopyRequest request) {
+        return standing(now, request.service(), request.content()) instanceof Standing.Suspected;
+    }
+
+    /** Decides whether a request may run at the local copy. */
+    Placement placement(long now, CopyRequest request) {
+        return switch (standing(now, request.service(), request.content())) {
+            case Standing.Clear _ -> new Placement.Free();
+            case Standing.Suspected suspected -> placement(now, request, suspected);
+            case Standing.Quarantined found -> {
+                logRefused(request.requestName(), found);
+                yield new Placement.Refused(refusal(found, Step.QUEUE));
+            }
+        };
+    }
+
+    private Placement placement(long now, CopyRequest request, Standing.Suspected suspected) {
+        NodeName place = place(now, request.service(), suspected.fingerprint());
+        effects.log(new Decision.SuspectHandled(
+                request.requestName(), suspected.fingerprint(), "suspected", suspected.crashes(), place.value()));
+        if (place.equals(settings.self())) {
+            return new Placement.Here(suspected.fingerprint(), suspected.mustRunAlone());
+        }
+        return new Placement.Refused(
+                new Outcome.NotRun(RefusalReason.SUSPECTED, ELSEWHERE_RETRY_AFTER, Step.QUEUE, Optional.of(place)));
+    }
+
+    /** Refuses a client's request that copies crashed because of; empty where it is none. */
+    Optional<Outcome.NotRun> refusal(long now, String requestName, ServiceName service, RequestContent content) {
+        if (standing(now, service, content) instanceof Standing.Quarantined found) {
+            logRefused(requestName, found);
+            return Optional.of(refusal(found, Step.ADMISSION));
+        }
+        return Optional.empty();
+    }
+
+    private static Outcome.NotRun refusal(Standing.Quarantined found, Step step) {
+        return new Outcome.NotRun(
+                RefusalReason.QUARANTINED, Duration.ofNanos(found.remainingNanos()), step, Optional.empty());
+    }
+
+    private void logRefused(String requestName, Standing.Quarantined found) {
+        effects.log(new Decision.SuspectHandled(requestName, found.fingerprint(), "quarantined", found.crashes(), "-"));
+    }
+
     /**
      * Names the node beside the one copy of a service at which a suspect may run.
      *
      * <p>If each copy were free to run it, tries that come at several nodes at once would crash several copies before the first
      * crash is known.
      */
-    NodeName place(long now, ServiceName service, Fingerprint fingerprint) {
+    private NodeName place(long now, ServiceName service, Fingerprint fingerprint) {
         Set<NodeName> candidates = new HashSet<>();
         for (Copy copy : beliefs.copies().usable(service)) {
             boolean inReach = reach.contains(now, copy.node());
@@ -142,8 +194,9 @@
     }
 
     /** Takes in that the local copy answered a request; tells whether that cleared it. */
-    boolean answered(long now, ServiceName service, RequestContent content) {
-        return switch (standing(now, service, content)) {
+    boolean answered(long now, CopyRequest request) {
+        ServiceName service = request.service();
+        return switch (standing(now, service, request.content())) {
             case Standing.Clear _ -> false;
             case Standing.Suspected suspected -> clear(now, service, suspected.fingerprint(), suspected.crashes());
             case Standing.Quarantined found -> clear(now, service, found.fingerprint(), found.crashes());
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -15,7 +15,6 @@
 import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.policy.fleet.copy.CopyGate;
 import org.carawaysill.policy.fleet.copy.LocalRun;
-import org.carawaysill.policy.fleet.quarantine.Standing;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
@@ -42,7 +41,6 @@
 
     private static final Duration SHORTEST_RETRY_AFTER = Duration.ofMillis(50);
 
-    private final NodeName self;
     private final Effects effects;
     private final CrashSuspects suspects;
     private final CopyGate gate;
@@ -62,7 +60,6 @@
     }
 
     LocalRuns(FleetSettings settings, Effects effects, CrashSuspects suspects) {
-        self = settings.self();
         this.effects = effects;
         this.suspects = suspects;
         gate = new CopyGate(settings.without());
@@ -189,57 +186,30 @@
 
     /** Lets a request run, wait, or neither, by what is known of it. */
     private void admit(long now, LocalRun run) {
-        CopyRequest request = run.request();
-        switch (suspects.standing(now, request.service(), request.content())) {
-            case Standing.Clear _ -> {
+        switch (suspects.placement(now, run.request())) {
+            case Placement.Free _ -> {
                 run.clear();
                 offer(now, run);
             }
-            case Standing.Suspected suspected -> isolate(now, run, suspected);
-            case Standing.Quarantined(Fingerprint fingerprint, int crashes, long remaining) -> {
-                logSuspect(run, fingerprint, "quarantined", crashes, "-");
-                Duration retryAfter = Duration.ofNanos(remaining);
-                reply(
-                        now,
-                        run,
-                        new Outcome.NotRun(RefusalReason.QUARANTINED, retryAfter, Step.QUEUE, Optional.empty()));
+            case Placement.Here(Fingerprint fingerprint, boolean alone) -> {
+                run.suspect(fingerprint, alone);
+                if (!gate.hold(run)) {
+                    refuse(now, run, RefusalReason.QUEUE_FULL, Step.QUEUE);
+                }
             }
+            case Placement.Refused(Outcome.NotRun refusal) -> reply(now, run, refusal);
         }
     }
 
-    private void isolate(long now, LocalRun run, Standing.Suspected suspected) {
-        NodeName place = suspects.place(now, run.request().service(), suspected.fingerprint());
-        logSuspect(run, suspected.fingerprint(), "suspected", suspected.crashes(), place.value());
-        if (!place.equals(self)) {
-            reply(
-                    now,
-                    run,
-                    new Outcome.NotRun(RefusalReason.SUSPECTED, SHORTEST_RETRY_AFTER, Step.QUEUE, Optional.of(place)));
-            return;
-        }
-        run.suspect(suspected.fingerprint(), suspected.mustRunAlone());
-        if (!gate.hold(run)) {
-            refuse(now, run, RefusalReason.QUEUE_FULL, Step.QUEUE);
-        }
-    }
-
-    private void logSuspect(LocalRun run, Fingerprint fingerprint, String state, int crashes, String place) {
-        effects.log(new Decision.SuspectHandled(run.request().requestName(), fingerprint, state, crashes, place));
-    }
-
     /** Looks again at all that is here, since more is known of some requests than when they came. */
     void recheck(long now) {
         gate.all().stream()
-                .filter(run -> run.isRunning() && isSuspected(now, run.request()))
+                .filter(run -> run.isRunning() && suspects.isSuspected(now, run.request()))
                 .forEach(gate::join);
         gate.takeWaiting().forEach(run -> admit(now, run));
         startNext(now);
     }
 
-    private boolean isSuspected(long now, CopyRequest request) {
-        return suspects.standing(now, request.service(), request.content()) instanceof Standing.Suspected;
-    }
-
     private void offer(long now, LocalRun run) {
         switch (gate.offer(now, run)) {
             case CopyGate.Offered.Started _ -> hand(run);
@@ -278,8 +248,7 @@
             logFailure(now, run, outcome);
         }
         reply(now, run, outcome);
-        CopyRequest request = run.request();
-        if (outcome instanceof Outcome.Answered && suspects.answered(now, request.service(), request.content())) {
+        if (outcome instanceof Outcome.Answered && suspects.answered(now, run.request())) {
             recheck(now);
         }
         startNext(now);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -16,7 +16,6 @@
 import org.carawaysill.model.identity.ExchangeIdentifier;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
-import org.carawaysill.model.request.Fingerprint;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.RetryReason;
@@ -25,7 +24,6 @@
 import org.carawaysill.policy.fleet.copy.AnswerSizes;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.CopyChoice;
-import org.carawaysill.policy.fleet.quarantine.Standing;
 import org.carawaysill.policy.fleet.retry.RetrySettings;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
@@ -130,7 +128,11 @@
         byExchange.put(request.arrival().exchange(), request);
         byLimit.add(request);
         Route route = request.route();
-        if (isQuarantined(now, request)) {
+        FleetEvent.RequestArrived arrival = request.arrival();
+        Optional<Outcome.NotRun> refusal =
+                suspects.refusal(now, arrival.requestName(), request.service(), arrival.content());
+        if (refusal.isPresent()) {
+            finish(now, request, refusal.get());
             return;
         }
         if (admission.letIn(route, request.origin())) {
@@ -140,19 +142,6 @@
         }
     }
 
-    /** Refuses what copies crashed because of, before it costs anyone anything. */
-    private boolean isQuarantined(long now, OutgoingRequest request) {
-        Standing standing =
-                suspects.standing(now, request.service(), request.arrival().content());
-        if (standing instanceof Standing.Quarantined(Fingerprint fingerprint, int crashes, long remaining)) {
-            effects.log(new Decision.SuspectHandled(
-                    request.arrival().requestName(), fingerprint, "quarantined", crashes, "-"));
-            finish(now, request, notRun(RefusalReason.QUARANTINED, Duration.ofNanos(remaining), Step.ADMISSION));
-            return true;
-        }
-        return false;
-    }
-
     private void send(long now, OutgoingRequest request) {
         ServiceName service = request.service();
         List<Copy> copies = beliefs.copies().usable(service);
--- a/policy/src/test/java/org/carawaysill/policy/fleet/quarantine/SuspectTableTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/quarantine/SuspectTableTest.java
@@ -90,7 +90,7 @@
         void endAfterTenMinutesFollowingTwoCrashes() {
             crash(10, CAUSE);
             crashOf(CAUSE, 11);
-            long end = SuspectTable.QUARANTINE.toNanos();
+            long end = Suspect.QUARANTINE.toNanos();
             assertInstanceOf(Standing.Quarantined.class, table.standing(end - 1, CAUSE));
             Standing.Suspected after = assertInstanceOf(Standing.Suspected.class, table.standing(end, CAUSE));
             assertTrue(after.mustRunAlone());
@@ -152,19 +152,19 @@
         void keepWhatIsRefusedBeforeWhatIsSuspected() {
             crash(10, CAUSE);
             crashOf(CAUSE, 11);
-            for (int i = 0; i < 2 * SuspectTable.MOST_ENTRIES; i++) {
+            for (int i = 0; i < 2 * SuspectTable.MOST_SUSPECTS; i++) {
                 table.suspect(i, SERVICE, i, number(i + 10));
             }
-            assertTrue(table.size() <= SuspectTable.MOST_ENTRIES, table.size() + " entries");
-            assertTrue(table.size() > SuspectTable.MOST_ENTRIES / 2, table.size() + " entries");
+            assertTrue(table.size() <= SuspectTable.MOST_SUSPECTS, table.size() + " entries");
+            assertTrue(table.size() > SuspectTable.MOST_SUSPECTS / 2, table.size() + " entries");
             assertInstanceOf(Standing.Quarantined.class, table.standing(0, CAUSE));
         }
 
         @Test
         void forgetWhatDoesNotComeAgain() {
             crash(10, CAUSE, OTHER);
-            assertEquals(0, table.forget(SuspectTable.SUSPECTED_FOR.toNanos()));
-            assertEquals(2, table.forget(SuspectTable.SUSPECTED_FOR.toNanos() + 1));
+            assertEquals(0, table.forget(Suspect.SUSPECTED_FOR.toNanos()));
+            assertEquals(2, table.forget(Suspect.SUSPECTED_FOR.toNanos() + 1));
             assertTrue(table.isEmpty());
         }
     }
