Keep a suspect of several crashes waiting until all nodes know which copies are back, and remember who else was there

Lines of leaving copies and of crashes have bounds of their own in the log: the 160 lines that a node writes as it starts left them out, which made copies seem to be known to leave 3 to 4 s late.

--- a/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
@@ -46,6 +46,10 @@
         ABANDONED(3),
         /** It was malformed. */
         BAD_REQUEST(5),
+        /** A copy leaves or is gone: a node that has just started writes a line for each copy, which must not crowd it out. */
+        COPY_LEAVES(60),
+        /** The local copy crashed, or more is known of a request under which copies crashed. */
+        CRASH(60),
         /** The node believes something else now. */
         BELIEF(60);
 
@@ -100,6 +104,9 @@
             case Decision.FailedAtCopy _ -> Kind.FAILED_AT_COPY;
             case Decision.SuspectHandled _ -> Kind.SUSPECT;
             case Decision.Abandoned _ -> Kind.ABANDONED;
+            case Decision.CopyChanged changed
+            when !changed.state().equals(Decision.CopyChanged.READY) -> Kind.COPY_LEAVES;
+            case Decision.CopyCrashed _, Decision.SuspicionChanged _, Decision.SuspicionsForgotten _ -> Kind.CRASH;
             case Decision.OfBelief _ -> Kind.BELIEF;
         };
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
@@ -180,7 +180,7 @@
                 decidedBy.put(entry.key(), entry);
                 copies.put(now, entry.key(), record, entry.revision()).ifPresent(copy -> {
                     changed(entry.key(), asOf);
-                    logCopy(copy, copy.isLeaving() ? "draining" : "ready", entry.revision());
+                    logCopy(copy, copy.isLeaving() ? "draining" : Decision.CopyChanged.READY, entry.revision());
                 });
             }
             case Publication.Irrelevant _ -> {}
--- a/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
@@ -44,6 +44,9 @@
     /** How soon a suspect may come again that is to run at another copy: its sender goes there at once. */
     private static final Duration ELSEWHERE_RETRY_AFTER = Duration.ofMillis(50);
 
+    /** In this time all nodes know of a copy that has started. */
+    private static final Duration KNOWN_EVERYWHERE = Duration.ofMillis(1500);
+
     private final FleetSettings settings;
     private final Effects effects;
     private final Beliefs beliefs;
@@ -92,14 +95,18 @@
     }
 
     private Placement placement(long now, CopyRequest request, Standing.Suspected suspected) {
-        NodeName place = place(now, request.service(), suspected.fingerprint());
+        Optional<NodeName> place = place(now, request.service(), suspected);
         effects.log(new Decision.SuspectHandled(
-                request.requestName(), suspected.fingerprint(), "suspected", suspected.crashes(), place.value()));
-        if (place.equals(settings.self())) {
+                request.requestName(),
+                suspected.fingerprint(),
+                "suspected",
+                suspected.crashes(),
+                place.map(NodeName::value).orElse("-")));
+        if (place.filter(settings.self()::equals).isPresent()) {
             return new Placement.Here(suspected.fingerprint(), suspected.mustRunAlone());
         }
-        return new Placement.Refused(
-                new Outcome.NotRun(RefusalReason.SUSPECTED, ELSEWHERE_RETRY_AFTER, Step.QUEUE, Optional.of(place)));
+        Duration retryAfter = place.isPresent() ? ELSEWHERE_RETRY_AFTER : KNOWN_EVERYWHERE;
+        return new Placement.Refused(new Outcome.NotRun(RefusalReason.SUSPECTED, retryAfter, Step.QUEUE, place));
     }
 
     /** Refuses a client's request that copies crashed because of; empty where it is none. */
@@ -124,18 +131,21 @@
      * Names the node beside the one copy of a service at which a suspect may run.
      *
      * <p>If each copy were free to run it, tries that come at several nodes at once would crash several copies before the first
-     * crash is known.
+     * crash is known. Where all copies crash and come back, each node knows of its own one first: one that has crashed several
+     * copies is kept waiting until all nodes know which are back, and is not run at each of them.
      */
-    private NodeName place(long now, ServiceName service, Fingerprint fingerprint) {
+    private Optional<NodeName> place(long now, ServiceName service, Standing.Suspected suspected) {
         Set<NodeName> candidates = new HashSet<>();
         for (Copy copy : beliefs.copies().usable(service)) {
+            boolean known = !suspected.mustRunAlone() || copy.isKnownFor(now, KNOWN_EVERYWHERE);
             boolean inReach = reach.contains(now, copy.node());
-            if (inReach && !table.hasCrashed(fingerprints.start(copy.record()))) {
+            if (known && inReach && !table.hasCrashed(fingerprints.start(copy.record()))) {
                 candidates.add(copy.node());
             }
         }
-        List<NodeName> ranked = RendezvousRank.rank(fingerprint.toString(), candidates);
-        return ranked.isEmpty() ? settings.self() : ranked.getFirst();
+        String key = suspected.fingerprint().toString();
+        Optional<NodeName> first = RendezvousRank.rank(key, candidates).stream().findFirst();
+        return suspected.mustRunAlone() ? first : first.or(() -> Optional.of(settings.self()));
     }
 
     /** Concludes what can be concluded from a crash of the local copy, and tells others. */
@@ -152,13 +162,13 @@
                 && runs.stream().anyMatch(run -> isIsolated(run, suspects))
                 && table.wouldBeCause(now, record.service(), suspects.iterator().next());
         Set<Fingerprint> blamed = suspects.isEmpty() ? all : suspects;
-        // The others are noted besides the cause: should it turn out that it was there by coincidence, one of them was
-        // it.
-        note(now, record, certain ? all : blamed);
+        // Beside a cause the others are suspected too: should it have been there by coincidence, one of them was the
+        // cause.
+        note(now, record, all, certain ? all : blamed);
         if (certain) {
             quarantine(now, record, suspects.iterator().next());
         }
-        tell(now, record.service(), certain ? all : blamed);
+        tell(now, record.service(), all);
         UnknownReason ofBlamed = certain ? UnknownReason.QUARANTINED : UnknownReason.COPY_CRASHED;
         return runs.stream()
                 .map(run -> new Lost(run, blamed.contains(byRun.get(run)) ? ofBlamed : UnknownReason.COPY_LOST))
@@ -179,11 +189,15 @@
         return run.suspected().filter(suspects::contains).isPresent();
     }
 
-    private void note(long now, CopyRecord record, Set<Fingerprint> noted) {
+    private void note(long now, CopyRecord record, Set<Fingerprint> all, Set<Fingerprint> noted) {
         long start = fingerprints.start(record);
-        for (Fingerprint fingerprint : noted) {
-            table.suspect(now, record.service(), start, fingerprint);
-            effects.count(CrashCount.SUSPECTED);
+        for (Fingerprint fingerprint : all) {
+            if (noted.contains(fingerprint)) {
+                table.suspect(now, record.service(), start, fingerprint);
+                effects.count(CrashCount.SUSPECTED);
+            } else {
+                table.witness(now, record.service(), start, fingerprint);
+            }
         }
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
@@ -195,6 +195,9 @@
     record CopyChanged(CopyName copy, ServiceName service, String address, String state, long revision)
             implements OfBelief {
 
+        /** The state of a copy that may get work. */
+        public static final String READY = "ready";
+
         @Override
         public String subject() {
             return copy.value();
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
@@ -77,6 +77,17 @@
         return node;
     }
 
+    /**
+     * Tells whether this node has known it for some time.
+     *
+     * @param now the monotonic time
+     * @param time how long
+     * @return whether it has
+     */
+    public boolean isKnownFor(long now, Duration time) {
+        return now - firstSeenNanos >= time.toNanos();
+    }
+
     /** Takes in a newer record; tells whether it says more than the last one. */
     boolean update(CopyRecord newer, long now) {
         boolean changed = newer.draining() != record.draining()
--- a/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/CrashCauses.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/CrashCauses.java
@@ -42,7 +42,7 @@
 
     private static Set<Long> crashesOf(List<Suspect> suspects) {
         Set<Long> crashes = new HashSet<>();
-        suspects.forEach(suspect -> crashes.addAll(suspect.uncleared()));
+        suspects.forEach(suspect -> crashes.addAll(suspect.possible()));
         return crashes;
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/Suspect.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/Suspect.java
@@ -38,6 +38,7 @@
     private final Fingerprint fingerprint;
     private final ServiceName service;
     private final Set<Long> crashes = new HashSet<>();
+    private final Set<Long> witnessed = new HashSet<>();
     private final Set<Long> cleared = new HashSet<>();
     private int openCrashes;
     private int quarantinedAt;
@@ -68,6 +69,12 @@
         changedNanos = now;
     }
 
+    /** Notes that it was there at a crash of which others were suspected already. */
+    void witnessed(long now, long start) {
+        witnessed.add(start);
+        changedNanos = now;
+    }
+
     void answered(long now) {
         cleared.addAll(crashes);
         changedNanos = now;
@@ -87,6 +94,7 @@
     /** Joins what another node knows; tells whether anything of it was new. */
     boolean join(long now, Suspicion told) {
         boolean news = crashes.addAll(told.crashes());
+        news |= witnessed.addAll(told.witnessed());
         news |= cleared.addAll(told.cleared());
         if (told.quarantinedAt() > quarantinedAt) {
             quarantinedAt = told.quarantinedAt();
@@ -101,7 +109,7 @@
 
     Suspicion suspicion(long now) {
         long remaining = quarantinedAt == 0 ? 0 : Math.max(0, quarantinedUntilNanos - now);
-        return new Suspicion(fingerprint, crashes, cleared, quarantinedAt, remaining);
+        return new Suspicion(fingerprint, crashes, witnessed, cleared, quarantinedAt, remaining);
     }
 
     /** The crashes that no answer since has cleared it of. */
@@ -111,6 +119,13 @@
         return left;
     }
 
+    /** The crashes that it can be the cause of. */
+    Set<Long> possible() {
+        Set<Long> possible = uncleared();
+        possible.addAll(witnessed);
+        return possible;
+    }
+
     /** Sets for how many crashes it is still suspected, by all that is known of others. */
     void open(int count) {
         openCrashes = count;
--- a/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/SuspectTable.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/SuspectTable.java
@@ -163,6 +163,23 @@
         isWorkedOut = false;
     }
 
+    /**
+     * Notes that a request was at a copy when it crashed, beside others that were suspected already.
+     *
+     * <p>It is not suspected for that. But if it is found to be the cause of other crashes, it is the likely cause of this one
+     * too, and one of those others may have been there by coincidence.
+     *
+     * @param now the monotonic time
+     * @param service the service of the copy
+     * @param start the copy's start
+     * @param fingerprint the request
+     */
+    public void witness(long now, ServiceName service, long start, Fingerprint fingerprint) {
+        suspect(now, service, fingerprint).witnessed(now, start);
+        heard(now, service, start);
+        isWorkedOut = false;
+    }
+
     /**
      * Notes that a request is the cause of the crashes under it.
      *
@@ -196,6 +213,7 @@
     public boolean join(long now, ServiceName service, Suspicion told) {
         boolean news = suspect(now, service, told.fingerprint()).join(now, told);
         told.crashes().forEach(start -> heard(now, service, start));
+        told.witnessed().forEach(start -> heard(now, service, start));
         isWorkedOut = false;
         return news;
     }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/quarantine/SuspectTableTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/quarantine/SuspectTableTest.java
@@ -113,12 +113,14 @@
         @Test
         void endWhereAllCrashesHaveOtherCauses() {
             crash(10, CAUSE, OTHER);
-            crash(11, OTHER, number(3));
+            crash(11, OTHER);
+            table.witness(0, SERVICE, 11, number(3));
+            assertTrue(isClear(number(3)));
             table.quarantine(0, OTHER);
             assertInstanceOf(Standing.Quarantined.class, table.standing(0, OTHER));
             crashOf(CAUSE, 12);
             crash(13, number(3));
-            table.quarantine(0, number(3));
+            crashOf(number(3), 14);
             assertTrue(isClear(OTHER));
             assertInstanceOf(Standing.Quarantined.class, table.standing(0, CAUSE));
             assertInstanceOf(Standing.Quarantined.class, table.standing(0, number(3)));
@@ -176,8 +178,9 @@
         List<Suspicion> news = new ArrayList<>();
         for (int step = 0; step < 30; step++) {
             Fingerprint request = number(random.nextInt(5));
-            switch (random.nextInt(4)) {
+            switch (random.nextInt(5)) {
                 case 0 -> first.clear(0, request);
+                case 4 -> first.witness(0, SERVICE, random.nextInt(8), request);
                 case 1 -> first.quarantine(0, request);
                 default -> first.suspect(0, SERVICE, random.nextInt(8), request);
             }
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/SuspicionCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/SuspicionCodec.java
@@ -26,6 +26,7 @@
                 .setFingerprintHigh(suspicion.fingerprint().high())
                 .setFingerprintLow(suspicion.fingerprint().low())
                 .addAllCrashes(suspicion.crashes())
+                .addAllWitnessed(suspicion.witnessed())
                 .addAllCleared(suspicion.cleared())
                 .setQuarantinedAt(suspicion.quarantinedAt())
                 .setRemainingNanos(Fields.fittingNanos(suspicion.remainingNanos()))
@@ -44,6 +45,7 @@
         return new Suspicion(
                 new Fingerprint(frame.getFingerprintHigh(), frame.getFingerprintLow()),
                 new HashSet<>(frame.getCrashesList()),
+                new HashSet<>(frame.getWitnessedList()),
                 new HashSet<>(frame.getClearedList()),
                 Fields.notNegative(frame.getQuarantinedAt(), "crashes at quarantine"),
                 Fields.durationNanos(frame.getRemainingNanos(), "remaining quarantine"));
--- a/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
@@ -154,6 +154,7 @@
                 new Fingerprint(random.nextLong(), random.nextLong()),
                 Set.copyOf(several(random::nextLong)),
                 Set.copyOf(several(random::nextLong)),
+                Set.copyOf(several(random::nextLong)),
                 count(),
                 nanos());
     }
