--- a/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
@@ -78,6 +78,7 @@
         return table.isEmpty() ? new Standing.Clear() : table.standing(now, fingerprints.of(service, content));
     }
 
+    /** Tells whether a copy crashed while it ran a request, and nothing has cleared it. */
     boolean isSuspected(long now, CopyRequest request) {
         return standing(now, request.service(), request.content()) instanceof Standing.Suspected;
     }
@@ -162,8 +163,7 @@
                 && runs.stream().anyMatch(run -> isIsolated(run, suspects))
                 && table.wouldBeCause(now, record.service(), suspects.iterator().next());
         Set<Fingerprint> blamed = suspects.isEmpty() ? all : suspects;
-        // Beside a cause the others are suspected too: should it have been there by coincidence, one of them was the
-        // cause.
+        // Beside a cause the others are suspected too: it may have been there by coincidence.
         note(now, record, all, certain ? all : blamed);
         if (certain) {
             quarantine(now, record, suspects.iterator().next());
@@ -180,7 +180,7 @@
     }
 
     /**
-     * Tells whether a request was handed to the copy as a suspect, beside no other.
+     * Tells whether a request was handed to the copy as a suspect.
      *
      * <p>One that was there before it was suspected proves nothing: what many callers ask for is at each of several copies
      * that lose power at one moment.
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/SuspectQueue.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/SuspectQueue.java
@@ -54,10 +54,6 @@
         waiting.remove(run);
     }
 
-    boolean isEmpty() {
-        return waiting.isEmpty();
-    }
-
     List<LocalRun> waiting() {
         return List.copyOf(waiting);
     }
