Leave what the next process of a copy has taken alone when the end of the one before is found out

Callers would have seen 502 for requests that ran on. Only what was on connections that ended is lost.

--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.carawaysill.kernel.service.Service;
 import org.carawaysill.kernel.service.ServiceRegistry;
 import org.carawaysill.model.identity.AttemptIdentifier;
@@ -263,7 +264,7 @@
             all.add(connection);
             eventLoop.schedule(() -> settled(connection), SETTLING_MILLIS, TimeUnit.MILLISECONDS);
         } else if (isRefused(connected)) {
-            crashed();
+            crashed(_ -> true);
         } else {
             endBroken();
         }
@@ -272,7 +273,8 @@
     private void settled(CopyConnection connection) {
         if (broken.areAllGone(all)) {
             connection.close();
-            crashed();
+            // What another process has taken since then at the same address is not lost.
+            crashed(carrier -> !all.contains(carrier));
             return;
         }
         boolean usable = connection.isUsable(System.nanoTime());
@@ -294,12 +296,12 @@
         return connected.cause() instanceof ConnectException && !(connected.cause() instanceof ConnectTimeoutException);
     }
 
-    /** Ends all that was written to the copy, also where the end of its connection was not seen yet. */
-    private void crashed() {
+    /** Ends what was written to the copy on connections that ended with it. */
+    private void crashed(Predicate<CopyConnection> endedWithIt) {
         broken.take();
         List<AttemptIdentifier> lost = new ArrayList<>();
         for (CopyExchange exchange : List.copyOf(running.values())) {
-            if (exchange.connection().isPresent() && exchange.end()) {
+            if (exchange.connection().filter(endedWithIt).isPresent() && exchange.end()) {
                 lost.add(exchange.request().attempt());
                 running.remove(exchange.request().attempt());
                 exchange.connection().get().cancel();
--- a/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
+++ b/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
@@ -169,6 +169,27 @@
             assertEquals(Set.of(first, second), Set.copyOf(crashed.attempts()));
         }
 
+        /** Another process listens at once: what it has taken goes on. */
+        @Test
+        void doNotEndWhatTheNextProcessHasTaken() {
+            AttemptIdentifier first = hand("a");
+            RawConnection firstConnection = copy.accept();
+            firstConnection.readMessage();
+            AttemptIdentifier second = hand("b");
+            RawConnection secondConnection = copy.accept();
+            secondConnection.readMessage();
+            firstConnection.close();
+            secondConnection.close();
+            copy.accept();
+            AttemptIdentifier third = hand("c");
+            RawConnection thirdConnection = copy.accept();
+            thirdConnection.readMessage();
+            FleetEvent.CopyCrashed crashed = bench.next(FleetEvent.CopyCrashed.class);
+            assertEquals(Set.of(first, second), Set.copyOf(crashed.attempts()));
+            thirdConnection.write(answer("c", "three"));
+            expectGood(third, "three");
+        }
+
         /** One of two connections ends: the copy works on at the other. */
         @Test
         void areNotTakenForOneOfSeveralConnections() {
