Hand two requests to the copy in one place of the tests of crashes, and return nothing where the answer was always yes

Found in rereading. Four tests repeated the same six lines; CrashSuspects.clear always returned true; the comment beside the reasons that end a request's attempts spoke for one of seven. Behaviour and assertions as before.

--- a/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
+++ b/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
@@ -131,23 +131,33 @@
     @Nested
     class Crashes {
 
+        private AttemptIdentifier firstOfTwo;
+        private RawConnection firstConnection;
+        private AttemptIdentifier secondOfTwo;
+        private RawConnection secondConnection;
+
+        /** Lets the copy work on two requests, each on a connection of its own. */
+        private void handTwo() {
+            firstOfTwo = hand("a");
+            firstConnection = copy.accept();
+            firstConnection.readMessage();
+            secondOfTwo = hand("b");
+            secondConnection = copy.accept();
+            secondConnection.readMessage();
+        }
+
         /*
          * A copy's process ends under two requests. Each used to be told as an answer that was lost, as after a reset, and
          * was handed to the next copy; of two that ended the copy, nobody could say that they had been there together.
          */
         @Test
         void areToldWithAllThatWasAtTheCopy() {
-            AttemptIdentifier first = hand("a");
-            RawConnection firstConnection = copy.accept();
-            firstConnection.readMessage();
-            AttemptIdentifier second = hand("b");
-            RawConnection secondConnection = copy.accept();
-            secondConnection.readMessage();
+            handTwo();
             copy.close();
             firstConnection.close();
             secondConnection.close();
             FleetEvent.CopyCrashed crashed = bench.next(FleetEvent.CopyCrashed.class);
-            assertEquals(Set.of(first, second), Set.copyOf(crashed.attempts()));
+            assertEquals(Set.of(firstOfTwo, secondOfTwo), Set.copyOf(crashed.attempts()));
             assertTrue(bench.hasNone());
         }
 
@@ -157,27 +167,17 @@
          */
         @Test
         void areSeenAlsoWhileTheAddressStillTakesConnections() {
-            AttemptIdentifier first = hand("a");
-            RawConnection firstConnection = copy.accept();
-            firstConnection.readMessage();
-            AttemptIdentifier second = hand("b");
-            RawConnection secondConnection = copy.accept();
-            secondConnection.readMessage();
+            handTwo();
             firstConnection.close();
             secondConnection.close();
             FleetEvent.CopyCrashed crashed = bench.next(FleetEvent.CopyCrashed.class);
-            assertEquals(Set.of(first, second), Set.copyOf(crashed.attempts()));
+            assertEquals(Set.of(firstOfTwo, secondOfTwo), Set.copyOf(crashed.attempts()));
         }
 
         /** Another process listens at once: what it has taken goes on. */
         @Test
         void doNotEndWhatTheNextProcessHasTaken() {
-            AttemptIdentifier first = hand("a");
-            RawConnection firstConnection = copy.accept();
-            firstConnection.readMessage();
-            AttemptIdentifier second = hand("b");
-            RawConnection secondConnection = copy.accept();
-            secondConnection.readMessage();
+            handTwo();
             firstConnection.close();
             secondConnection.close();
             copy.accept();
@@ -185,7 +185,7 @@
             RawConnection thirdConnection = copy.accept();
             thirdConnection.readMessage();
             FleetEvent.CopyCrashed crashed = bench.next(FleetEvent.CopyCrashed.class);
-            assertEquals(Set.of(first, second), Set.copyOf(crashed.attempts()));
+            assertEquals(Set.of(firstOfTwo, secondOfTwo), Set.copyOf(crashed.attempts()));
             thirdConnection.write(answer("c", "three"));
             expectGood(third, "three");
         }
@@ -193,16 +193,11 @@
         /** One of two connections ends: the copy works on at the other. */
         @Test
         void areNotTakenForOneOfSeveralConnections() {
-            AttemptIdentifier first = hand("a");
-            RawConnection firstConnection = copy.accept();
-            firstConnection.readMessage();
-            AttemptIdentifier second = hand("b");
-            RawConnection secondConnection = copy.accept();
-            secondConnection.readMessage();
+            handTwo();
             firstConnection.close();
-            expectUnknown(first);
+            expectUnknown(firstOfTwo);
             secondConnection.write(answer("b", "two"));
-            expectGood(second, "two");
+            expectGood(secondOfTwo, "two");
         }
 
         /** A copy that still takes connections has not ended; the connection that showed it carries the next request. */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/AttemptRules.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/AttemptRules.java
@@ -65,7 +65,9 @@
     static boolean isWorthAnotherCopy(UnknownReason reason) {
         return switch (reason) {
             case PEER_LOST, COPY_LOST, COPY_CRASHED, TRUNCATED -> true;
-            // The next copy would crash too.
+            // After a quarantine the next copy would crash too, and after the deadline nobody waits; the others are not
+            // said of
+            // requests that any copy may run.
             case QUARANTINED, DEADLINE, RESTARTED, IDENTIFIER_TIME, HOLDER_UNREACHABLE, NO_LEASE, EARLIER_ATTEMPT ->
                 false;
         };
--- a/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
@@ -210,19 +210,20 @@
     /** Takes in that the local copy answered a request; tells whether that cleared it. */
     boolean answered(long now, CopyRequest request) {
         ServiceName service = request.service();
-        return switch (standing(now, service, request.content())) {
-            case Standing.Clear _ -> false;
+        Standing standing = standing(now, service, request.content());
+        switch (standing) {
+            case Standing.Clear _ -> {}
             case Standing.Suspected suspected -> clear(now, service, suspected.fingerprint(), suspected.crashes());
             case Standing.Quarantined found -> clear(now, service, found.fingerprint(), found.crashes());
-        };
+        }
+        return !(standing instanceof Standing.Clear);
     }
 
-    private boolean clear(long now, ServiceName service, Fingerprint fingerprint, int crashes) {
+    private void clear(long now, ServiceName service, Fingerprint fingerprint, int crashes) {
         table.clear(now, fingerprint);
         effects.count(CrashCount.CLEARED);
         effects.log(new Decision.SuspicionChanged(fingerprint, "cleared", crashes, 0, "answered by the copy"));
         tell(now, service, Set.of(fingerprint));
-        return true;
     }
 
     /**
