Work out once what a whole message of suspicions changes, and look at waiting suspects without a copy

Found in rereading. The list of waiting suspects was copied at each event that asks for the next deadline, and the search for that deadline stood twice. What is believed, told and logged is as before; only the lines of several quarantines in one message come after all of it is joined. Not measured.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
@@ -179,6 +179,10 @@
         return table.standing(now, fingerprint) instanceof Standing.Suspected;
     }
 
+    private boolean isQuarantined(long now, Fingerprint fingerprint) {
+        return table.standing(now, fingerprint) instanceof Standing.Quarantined;
+    }
+
     /**
      * Tells whether a request was handed to the copy as a suspect.
      *
@@ -267,17 +271,15 @@
      * before all have heard of it.
      */
     boolean told(long now, NodeName from, PeerMessage.Suspicions told) {
-        boolean news = false;
         Set<Fingerprint> quarantined = new LinkedHashSet<>();
+        told.suspicions().forEach(suspicion -> quarantined.add(suspicion.fingerprint()));
+        quarantined.removeIf(fingerprint -> isQuarantined(now, fingerprint));
+        boolean news = false;
         for (Suspicion suspicion : told.suspicions()) {
-            Fingerprint fingerprint = suspicion.fingerprint();
-            boolean wasRefused = table.standing(now, fingerprint) instanceof Standing.Quarantined;
             news |= table.join(now, told.service(), suspicion);
-            if (!wasRefused && table.standing(now, fingerprint) instanceof Standing.Quarantined) {
-                quarantined.add(fingerprint);
-                logQuarantine(now, fingerprint, "told by " + from);
-            }
         }
+        quarantined.removeIf(fingerprint -> !isQuarantined(now, fingerprint));
+        quarantined.forEach(fingerprint -> logQuarantine(now, fingerprint, "told by " + from));
         if (told.service().equals(settings.service())) {
             tell(now, told.service(), quarantined);
         }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
@@ -1,6 +1,7 @@
 package org.carawaysill.policy.fleet.copy;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -311,11 +312,12 @@
      * @return the monotonic time, {@link Long#MAX_VALUE} where none waits
      */
     public long nextOverdueNanos(long margin) {
+        return Math.min(firstOverdueNanos(queue, margin), firstOverdueNanos(suspects.waiting(), margin));
+    }
+
+    private static long firstOverdueNanos(Collection<LocalRun> waiting, long margin) {
         long first = Long.MAX_VALUE;
-        for (LocalRun run : queue) {
-            first = Math.min(first, run.deadlineNanos() - margin);
-        }
-        for (LocalRun run : suspects.waiting()) {
+        for (LocalRun run : waiting) {
             first = Math.min(first, run.deadlineNanos() - margin);
         }
         return first;
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/SuspectQueue.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/SuspectQueue.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -54,8 +55,9 @@
         waiting.remove(run);
     }
 
+    /** Those that wait; a view, which changes with this queue. */
     List<LocalRun> waiting() {
-        return List.copyOf(waiting);
+        return Collections.unmodifiableList(waiting);
     }
 
     /** When others may go on beside those that are at the copy, {@link Long#MAX_VALUE} where none waits for that. */
