--- a/model/src/main/java/org/carawaysill/model/fleet/FleetConfiguration.java
+++ b/model/src/main/java/org/carawaysill/model/fleet/FleetConfiguration.java
@@ -1,6 +1,7 @@
 package org.carawaysill.model.fleet;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.carawaysill.model.identity.ServiceName;
 
@@ -13,8 +14,14 @@
  * @param limits what clients may send
  * @param services all services that it names; a copy of any other one gets no work
  * @param routes all routes
+ * @param organisations who may send requests on routes that require a key; empty where no keys are checked
  */
-public record FleetConfiguration(long version, ClientLimits limits, Set<ServiceName> services, List<Route> routes) {
+public record FleetConfiguration(
+        long version,
+        ClientLimits limits,
+        Set<ServiceName> services,
+        List<Route> routes,
+        Optional<Organisations> organisations) {
 
     public FleetConfiguration {
         services = Set.copyOf(services);
--- /dev/null
+++ b/model/src/main/java/org/carawaysill/model/fleet/Organisations.java
@@ -0,0 +1,69 @@
+package org.carawaysill.model.fleet;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.carawaysill.model.identity.KeyDigest;
+import org.carawaysill.model.identity.OrganisationName;
+
+/**
+ * The organisations of one configuration, by name and by key.
+ *
+ * <p>Invariants: names differ; no two organisations hold the same key. Immutable and thread safe.
+ */
+public final class Organisations {
+
+    private final Map<OrganisationName, Organisation> byName = new HashMap<>();
+    private final Map<KeyDigest, Organisation> byKey = new HashMap<>();
+
+    /**
+     * Indexes organisations.
+     *
+     * @param organisations the organisations
+     * @throws IllegalArgumentException if two have the same name, or the same key
+     */
+    public Organisations(Collection<Organisation> organisations) {
+        for (Organisation organisation : organisations) {
+            if (byName.put(organisation.name(), organisation) != null) {
+                throw new IllegalArgumentException("two organisations are named " + organisation.name());
+            }
+            for (KeyDigest key : organisation.keys()) {
+                Organisation other = byKey.put(key, organisation);
+                if (other != null) {
+                    throw new IllegalArgumentException(
+                            "organisations " + other.name() + " and " + organisation.name() + " hold the same key");
+                }
+            }
+        }
+    }
+
+    /**
+     * Finds who holds a key.
+     *
+     * @param key the key's digest
+     * @return the organisation, empty where none holds it
+     */
+    public Optional<Organisation> holderOf(KeyDigest key) {
+        return Optional.ofNullable(byKey.get(key));
+    }
+
+    /**
+     * Finds an organisation.
+     *
+     * @param name its name
+     * @return the organisation, empty where none has the name
+     */
+    public Optional<Organisation> named(OrganisationName name) {
+        return Optional.ofNullable(byName.get(name));
+    }
+
+    /**
+     * Returns all organisations.
+     *
+     * @return the organisations, in no order
+     */
+    public Collection<Organisation> all() {
+        return byName.values();
+    }
+}
--- a/model/src/main/java/org/carawaysill/model/fleet/Route.java
+++ b/model/src/main/java/org/carawaysill/model/fleet/Route.java
@@ -18,6 +18,7 @@
  * @param maximumAttempts to how many copies one request may be handed
  * @param aim the time within which an answer is worth most to the caller
  * @param rank the place in the order of refusal; 0 is refused last
+ * @param keyRequired whether only requests with an organisation's key are taken, where keys are checked
  */
 public record Route(
         String name,
@@ -28,7 +29,8 @@
         Duration timeout,
         int maximumAttempts,
         Duration aim,
-        int rank) {
+        int rank,
+        boolean keyRequired) {
 
     public Route {
         destinations = List.copyOf(destinations);
--- a/model/src/main/java/org/carawaysill/model/request/RefusalReason.java
+++ b/model/src/main/java/org/carawaysill/model/request/RefusalReason.java
@@ -16,6 +16,14 @@
     NO_CONFIGURATION,
     /** The request was malformed or too large. */
     BAD_REQUEST,
+    /** It presents no key, and its route requires one. */
+    KEY_MISSING,
+    /** No organisation holds the key that it presents. */
+    KEY_UNKNOWN,
+    /** No organisation is known to hold its key, and the configuration in force here may be outdated. */
+    KEY_UNVERIFIED,
+    /** Its organisation has used up its allowance. */
+    OVER_ALLOWANCE,
     /** The local copy's queue was full of requests that matter as much or more. */
     QUEUE_FULL,
     /** A more important request took its place in the queue. */
--- a/model/src/main/java/org/carawaysill/model/request/RequestContent.java
+++ b/model/src/main/java/org/carawaysill/model/request/RequestContent.java
@@ -1,5 +1,6 @@
 package org.carawaysill.model.request;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -19,6 +20,21 @@
         headers = List.copyOf(headers);
     }
 
+    /**
+     * Adds header fields.
+     *
+     * @param added the fields
+     * @return the request with them
+     */
+    public RequestContent withHeaders(List<Header> added) {
+        if (added.isEmpty()) {
+            return this;
+        }
+        List<Header> all = new ArrayList<>(headers);
+        all.addAll(added);
+        return new RequestContent(method, path, all, body);
+    }
+
     /**
      * Finds the first header of a name.
      *
--- a/node/src/main/java/org/carawaysill/node/entry/EntryAnswers.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryAnswers.java
@@ -34,6 +34,8 @@
 
     private static final int NOT_FOUND = 404;
     private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORIZED = 401;
+    private static final int TOO_MANY_REQUESTS = 429;
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -77,6 +79,8 @@
         int status = switch (notRun.reason()) {
             case UNKNOWN_OPERATION -> NOT_FOUND;
             case BAD_REQUEST -> BAD_REQUEST;
+            case KEY_MISSING, KEY_UNKNOWN -> UNAUTHORIZED;
+            case OVER_ALLOWANCE -> TOO_MANY_REQUESTS;
             default -> UNAVAILABLE;
         };
         FullHttpResponse response = problem(
@@ -89,7 +93,10 @@
                         notRun.peer(),
                         notRun.reason().labelValue()),
                 exchange);
-        if (status == UNAVAILABLE) {
+        if (status == UNAUTHORIZED) {
+            response.headers().set(HttpHeaderNames.WWW_AUTHENTICATE, dialect.keyScheme());
+        }
+        if (status == UNAVAILABLE || status == TOO_MANY_REQUESTS) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(notRun.retryAfter()));
         }
         return response;
--- a/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
@@ -192,7 +192,12 @@
             channel.ifPresent(context -> context.channel().config().setAutoRead(false));
         }
         server.handle(new FleetEvent.RequestArrived(
-                identifier, read.requestName(), read.host(), read.patience(), read.content(Body.wrap(whole))));
+                identifier,
+                read.requestName(),
+                read.host(),
+                read.patience(),
+                read.credential(),
+                read.content(Body.wrap(whole))));
     }
 
     private String requestName() {
--- a/node/src/main/java/org/carawaysill/node/entry/RequestHead.java
+++ b/node/src/main/java/org/carawaysill/node/entry/RequestHead.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import org.carawaysill.model.fleet.ClientLimits;
 import org.carawaysill.model.request.Body;
+import org.carawaysill.model.request.Credential;
 import org.carawaysill.model.request.Header;
 import org.carawaysill.model.request.RequestContent;
 import org.carawaysill.node.exchange.HeaderHygiene;
@@ -31,6 +32,7 @@
  * @param statedLength the body's length if it is stated, else 0
  * @param keepsAlive whether the client may send more on the connection
  * @param framing whether the body ends where every reader of it must see the end
+ * @param credential what shows its organisation
  * @param headers the fields that pass
  */
 record RequestHead(
@@ -42,6 +44,7 @@
         int statedLength,
         boolean keepsAlive,
         boolean framing,
+        Credential credential,
         List<Header> headers) {
 
     private static final String CHUNKED = "chunked";
@@ -62,6 +65,7 @@
                 (int) Math.min(LONGEST_STATED, Math.max(0, HttpUtil.getContentLength(request, 0L))),
                 HttpUtil.isKeepAlive(request),
                 isFramedOnce(request),
+                Credentials.of(request.headers(), dialect.keyScheme()),
                 passing(request, host, dialect));
     }
 
@@ -108,14 +112,17 @@
     }
 
     /**
-     * The fields that are written anew for the copy. The request's name travels beside its content, and a second time in it
+     * The fields that are written anew for the copy, and the one that may hold a key. A name with underscores counts too:
+     * some programs take them for hyphens. The request's name travels beside its content, and a second time in it
      * would be a tenth of the bytes of a call three levels deep, whose name is 67 characters long.
      */
     private static boolean isOwn(String name, WireDialect dialect) {
         return name.equalsIgnoreCase(dialect.requestName())
                 || name.equalsIgnoreCase(dialect.patience())
                 || name.equalsIgnoreCase(dialect.copy())
-                || name.equalsIgnoreCase(dialect.callerService());
+                || name.equalsIgnoreCase(dialect.callerService())
+                || name.equalsIgnoreCase(HttpHeaderNames.AUTHORIZATION.toString())
+                || name.replace('_', '-').equalsIgnoreCase(dialect.organisation());
     }
 
     /** Tells what is wrong with the request, if anything. */
--- a/node/src/main/java/org/carawaysill/node/entry/WireDialect.java
+++ b/node/src/main/java/org/carawaysill/node/entry/WireDialect.java
@@ -11,6 +11,8 @@
  * @param seal the copy's mark on each of its answers
  * @param notRun the copy's statement that it did not run a request
  * @param callerService the service beside which a request began
+ * @param organisation the organisation whose key a request carried, told to copies
+ * @param keyScheme the scheme under which the Authorization field carries an organisation's key
  * @param fractionalRetryAfter whether a time to come back may be a fraction of a second
  */
 public record WireDialect(
@@ -20,6 +22,8 @@
         String seal,
         String notRun,
         String callerService,
+        String organisation,
+        String keyScheme,
         boolean fractionalRetryAfter) {
 
     /** The project's own fields. */
@@ -30,5 +34,7 @@
             "Carawaysill-Seal",
             "Carawaysill-Not-Run",
             "Carawaysill-Calling-Service",
+            "Carawaysill-Organisation",
+            "Bearer",
             false);
 }
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
@@ -121,12 +121,22 @@
         encoded.headers().set(pool.dialect().copy(), request.copy().value());
         encoded.headers()
                 .set(pool.dialect().callerService(), request.callerService().value());
+        tellOrganisation(encoded, request);
         if (content.body().length() > 0 || !isBodyless(content.method())) {
             encoded.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.body().length());
         }
         return encoded;
     }
 
+    /** Tells the copy whose key the request carried, whatever the request itself says of that, and never the key. */
+    private void tellOrganisation(FullHttpRequest encoded, FleetEffect.HandToCopy request) {
+        encoded.headers().remove(pool.dialect().organisation());
+        request.organisation().ifPresent(organisation -> {
+            encoded.headers().remove(HttpHeaderNames.AUTHORIZATION);
+            encoded.headers().set(pool.dialect().organisation(), organisation.value());
+        });
+    }
+
     private static boolean isBodyless(String method) {
         return method.equals(HttpMethod.GET.name()) || method.equals(HttpMethod.HEAD.name());
     }
--- a/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
+++ b/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
@@ -1,13 +1,16 @@
 package org.carawaysill.node.entry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.carawaysill.model.fleet.ClientLimits;
 import org.carawaysill.model.identity.ExchangeIdentifier;
+import org.carawaysill.model.identity.KeyDigest;
 import org.carawaysill.model.identity.NetworkAddress;
 import org.carawaysill.model.request.AnswerContent;
 import org.carawaysill.model.request.Body;
@@ -31,7 +34,7 @@
 class EntryServerTest {
 
     private static final WireDialect DIALECT =
-            new WireDialect("Name", "Patience", "Copy", "Seal", "Not-Run", "Caller", true);
+            new WireDialect("Name", "Patience", "Copy", "Seal", "Not-Run", "Caller", "Organisation", "Token", true);
 
     private final LoopBench bench = new LoopBench();
     private final EntryServer server = new EntryServer(
@@ -118,6 +121,92 @@
         }
     }
 
+    @Nested
+    class Keys {
+
+        private FleetEvent.RequestArrived with(String... fields) {
+            send("GET /a HTTP/1.1\r\nHost: fleet.example\r\nName: a\r\n" + String.join("\r\n", fields) + "\r\n\r\n");
+            return arrived();
+        }
+
+        private static KeyDigest digest(String key) {
+            return KeyDigest.of(key.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        @ParameterizedTest
+        @CsvSource({
+            "Authorization: Token abc",
+            "authorization:Token abc",
+            "AUTHORIZATION: token   abc",
+            "Authorization: TOKEN abc  "
+        })
+        void areReadInAnySpellingAndDoNotGoOn(String field) {
+            FleetEvent.RequestArrived request = with(field);
+            assertEquals(Optional.of(digest("abc")), request.credential().key());
+            assertEquals(
+                    List.of(new Header("Host", "fleet.example")),
+                    request.content().headers());
+        }
+
+        /** Guards against a node that chooses one of several readings of what a client presents. */
+        @ParameterizedTest
+        @CsvSource({
+            "Authorization: Token",
+            "Authorization: Token ",
+            "Authorization:",
+            "Authorization: abc",
+            "Authorization: Bearer abc",
+            "Authorization: Token abc def",
+            "Authorization: Tokenabc",
+            "'Authorization: Token abc\r\nAuthorization: Token abc'",
+            "'Authorization: Token abc\r\nAuthorization: Token def'"
+        })
+        void thatAreNotOneKeyArePresentedAndUnreadable(String fields) {
+            FleetEvent.RequestArrived request = with(fields.replace("\\r\\n", "\r\n"));
+            assertTrue(request.credential().isPresented());
+            assertEquals(Optional.empty(), request.credential().key());
+            assertEquals(
+                    List.of(new Header("Host", "fleet.example")),
+                    request.content().headers());
+        }
+
+        @Test
+        void ofAnyLengthWithinTheLimitAreOnlyDigested() {
+            limit(new ClientLimits(16_384, 10_000, Duration.ofSeconds(20), Duration.ofSeconds(20)));
+            String key = "x".repeat(10_000);
+            FleetEvent.RequestArrived request = with("Authorization: Token " + key);
+            assertEquals(Optional.of(digest(key)), request.credential().key());
+            assertFalse(request.toString().contains("xxx"), "a key in the text form of an event");
+        }
+
+        /** A field folded over two lines is obsolete, and other readers in the path may see two fields. */
+        @Test
+        void foldedOverLinesAreRefusedOrReadAsOneField() {
+            RawConnection connection = send("GET /a HTTP/1.1\r\nHost: fleet.example\r\nName: a\r\n"
+                    + "Authorization: Token\r\n abc\r\nOther: b\r\n\r\n");
+            FleetEvent.RequestArrived request = arrived();
+            assertEquals(Optional.of(digest("abc")), request.credential().key());
+            assertEquals(
+                    List.of("Host", "Other"),
+                    request.content().headers().stream().map(Header::name).toList());
+            connection.close();
+        }
+
+        @ParameterizedTest
+        @CsvSource({
+            "Organisation: forged",
+            "organisation: forged",
+            "'Organisation: a\r\nORGANISATION: b'",
+            "Connection: organisation"
+        })
+        void areNotReplacedByAnOrganisationThatTheClientNames(String fields) {
+            FleetEvent.RequestArrived request = with(fields.replace("\\r\\n", "\r\n"));
+            assertEquals(
+                    List.of(new Header("Host", "fleet.example")),
+                    request.content().headers());
+        }
+    }
+
     @Nested
     class Answers {
 
@@ -136,7 +225,15 @@
         }
 
         @ParameterizedTest
-        @CsvSource({"OVERLOAD, 503, 0.350", "UNKNOWN_OPERATION, 404, ''", "NO_CONFIGURATION, 503, 0.350"})
+        @CsvSource({
+            "OVERLOAD, 503, 0.350",
+            "UNKNOWN_OPERATION, 404, ''",
+            "NO_CONFIGURATION, 503, 0.350",
+            "KEY_MISSING, 401, ''",
+            "KEY_UNKNOWN, 401, ''",
+            "KEY_UNVERIFIED, 503, 0.350",
+            "OVER_ALLOWANCE, 429, 0.350"
+        })
         void sayThatARequestWasNotRun(RefusalReason reason, int status, String retryAfter) {
             RawConnection connection = send(get("a"));
             answer(
--- a/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
+++ b/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
@@ -1,16 +1,20 @@
 package org.carawaysill.node.upstream;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Body;
+import org.carawaysill.model.request.Header;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.RequestContent;
@@ -31,7 +35,7 @@
 class CopyConnectionsTest {
 
     private static final WireDialect DIALECT =
-            new WireDialect("Name", "Patience", "Copy", "Seal", "Not-Run", "Caller", true);
+            new WireDialect("Name", "Patience", "Copy", "Seal", "Not-Run", "Caller", "Organisation", "Token", true);
 
     private final LoopBench bench = new LoopBench();
     private final RawCopy copy = new RawCopy();
@@ -55,8 +59,13 @@
                 attempt,
                 new CopyName("copy-1"),
                 new ServiceName("front"),
+                Optional.of(new OrganisationName("agents")),
                 name,
-                new RequestContent("POST", "/bills/" + name, List.of(), Body.ofText("body of " + name)),
+                new RequestContent(
+                        "POST",
+                        "/bills/" + name,
+                        List.of(new Header("Authorization", "Token secret"), new Header("organisation", "forged")),
+                        Body.ofText("body of " + name)),
                 System.nanoTime() + patience.toNanos());
         bench.onLoop(() -> connections.hand(effect));
         return attempt;
@@ -90,6 +99,16 @@
     @Nested
     class Requests {
 
+        /** Guards against a copy that is shown a key, or an organisation that the client made up. */
+        @Test
+        void nameTheOrganisationAndNeverAKey() {
+            hand("a");
+            String request = copy.accept().readMessage();
+            assertTrue(request.contains("Organisation: agents\r\n"), request);
+            assertFalse(request.contains("forged"), request);
+            assertFalse(request.contains("secret"), request);
+        }
+
         @Test
         void nameTheCopyTheCallerAndTheTimeLeft() {
             AttemptIdentifier attempt = hand("a");
--- a/policy/src/main/java/org/carawaysill/policy/engine/RetryDecision.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/RetryDecision.java
@@ -53,7 +53,11 @@
                     HOLDER_FULL,
                     CANCELLED,
                     QUARANTINED,
-                    SUSPECTED -> Optional.empty();
+                    SUSPECTED,
+                    KEY_MISSING,
+                    KEY_UNKNOWN,
+                    KEY_UNVERIFIED,
+                    OVER_ALLOWANCE -> Optional.empty();
         };
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
@@ -3,18 +3,21 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.carawaysill.model.fleet.Organisation;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.policy.fleet.OutgoingRequest.Origin;
 import org.carawaysill.policy.fleet.copy.LocalRun;
+import org.carawaysill.policy.fleet.entry.DemandKey;
 import org.carawaysill.policy.fleet.entry.DemandMeter;
 import org.carawaysill.policy.fleet.entry.EntryPlan;
+import org.carawaysill.policy.fleet.entry.RefusalOrder;
 import org.carawaysill.policy.fleet.entry.ShareGate;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 
 /**
- * Who is let in, of the requests that begin beside this node.
+ * Decides which of the requests that begin beside this node are admitted.
  *
- * <p>Invariant: a call of a copy is never kept out here, since work has been done for the request that it belongs to. Not
+ * <p>Invariant: a call of a copy is never refused here, since work has been done for the request that it belongs to. Not
  * thread safe: owned by the policy.
  */
 final class Admission {
@@ -33,38 +36,59 @@
         this.random = random;
     }
 
-    /** Tells for whose sake a request is made. */
-    Origin origin(long now, FleetEvent.RequestArrived arrival, Route route) {
-        Optional<LocalRun> parent = localRuns.parentOf(arrival.requestName());
+    /**
+     * Returns for whose sake a request is made.
+     *
+     * <p>A request with an organisation's key is a caller's own, whatever its name says: a client that named its request as a
+     * call of a copy would else pass admission, and its organisation's allowance.
+     */
+    Origin origin(long now, FleetEvent.RequestArrived arrival, Route route, Optional<Organisation> organisation) {
+        Optional<LocalRun> parent =
+                organisation.isPresent() ? Optional.empty() : localRuns.parentOf(arrival.requestName());
         if (parent.isPresent()) {
-            CopyRequest running = parent.get().request();
-            innerRoutes.called(route.name());
-            return new Origin(
-                    running.rootRoute(),
-                    running.rank(),
-                    running.depth() + 1,
-                    parent.get().rootArrivedNanos(),
-                    parent);
+            return call(parent.get(), route);
         }
-        return new Origin(route.name(), route.rank(), 0, now, Optional.empty());
+        int organisationRank = organisation.map(Organisation::rank).orElse(0);
+        return new Origin(
+                route.name(),
+                organisation.map(Organisation::name),
+                organisationRank,
+                RefusalOrder.rank(organisationRank, route.rank()),
+                0,
+                now,
+                Optional.empty());
+    }
+
+    private Origin call(LocalRun parent, Route route) {
+        CopyRequest running = parent.request();
+        innerRoutes.called(route.name());
+        return new Origin(
+                running.rootRoute(),
+                Optional.empty(),
+                RefusalOrder.organisationRank(running.rank()),
+                running.rank(),
+                running.depth() + 1,
+                parent.rootArrivedNanos(),
+                Optional.of(parent));
     }
 
-    /** Tells whether a copy makes a request while it runs another, as far as its name or its route tell. */
+    /** Returns whether a copy makes a request while it runs another, as far as its name or its route tell. */
     boolean isCall(Route route, Origin origin) {
-        return origin.parent().isPresent() || innerRoutes.contains(route.name());
+        return origin.parent().isPresent() || origin.organisation().isEmpty() && innerRoutes.contains(route.name());
     }
 
-    /** Counts a caller's request and decides whether it is let in; calls of copies are. */
-    boolean letIn(Route route, Origin origin) {
+    /** Counts a caller's request and decides whether it is admitted; calls of copies are. */
+    boolean isAdmitted(Route route, Origin origin) {
         if (isCall(route, origin)) {
             return true;
         }
-        demand.offered(route.name());
-        return shareGate.letIn(route.name(), plan.share(route.name()));
+        DemandKey key = new DemandKey(route.name(), origin.organisationRank());
+        demand.offered(key);
+        return shareGate.letIn(key, plan.share(key));
     }
 
     /**
-     * Tells when to come back: spread, so that returns do not come as a herd, and soon enough that an answer is still worth
+     * Returns when to come back: spread, so that returns do not come as a herd, and soon enough that an answer is still worth
      * most to the caller, who counts from the first try. A later time does not lower the load: each client comes back once.
      */
     Duration comeBack(Route route) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Arrivals.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Arrivals.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.carawaysill.model.fleet.Organisation;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
@@ -10,8 +11,8 @@
 import org.carawaysill.policy.fleet.route.SplitShares;
 
 /**
- * Finds the route of what arrives at this node, and refuses at once what can't be taken: without a route, or while the node
- * stops. What is refused here has not run.
+ * Finds the route of what arrives at this node, and refuses at once what can't be taken: without a route, without the key that
+ * its route requires, or while the node stops. What is refused here has not run.
  *
  * <p>Not thread safe: owned by the policy.
  */
@@ -20,6 +21,7 @@
     private final Beliefs beliefs;
     private final Admission admission;
     private final FinalAnswers answers;
+    private final Identification identification;
     private final SplitShares splits = new SplitShares();
     private Intake intake = Intake.ALL;
 
@@ -39,6 +41,7 @@
     Arrivals(Beliefs beliefs, Admission admission, FinalAnswers answers) {
         this.beliefs = beliefs;
         this.admission = admission;
+        identification = new Identification(beliefs);
         this.answers = answers;
     }
 
@@ -61,14 +64,24 @@
             return refused(arrival, RefusalReason.UNKNOWN_OPERATION, Step.ROUTING);
         }
         Route route = found.get();
-        Origin origin = admission.origin(now, arrival, route);
+        return switch (identification.identify(now, arrival.credential(), route)) {
+            case Identification.Result.Refused(RefusalReason reason) -> refused(arrival, reason, Step.INGRESS);
+            case Identification.Result.Accepted(Optional<Organisation> organisation) ->
+                accept(now, arrival, route, organisation);
+        };
+    }
+
+    private Optional<OutgoingRequest> accept(
+            long now, FleetEvent.RequestArrived arrival, Route route, Optional<Organisation> organisation) {
+        Origin origin = admission.origin(now, arrival, route, organisation);
         if (intake == Intake.CALLS && !admission.isCall(route, origin)) {
             return refused(arrival, RefusalReason.DRAINING, Step.DRAIN);
         }
         Duration wait = arrival.patience()
                 .filter(patience -> patience.compareTo(route.timeout()) < 0)
                 .orElse(route.timeout());
-        return Optional.of(new OutgoingRequest(arrival, route, splits.next(route), origin, now, now + wait.toNanos()));
+        return Optional.of(new OutgoingRequest(
+                identification.toPass(arrival), route, splits.next(route), origin, now, now + wait.toNanos()));
     }
 
     private Optional<OutgoingRequest> refused(FleetEvent.RequestArrived arrival, RefusalReason reason, Step step) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
@@ -47,17 +47,24 @@
     private RouteTable routes = new RouteTable(List.of());
     private Map<String, Route> routesByName = Map.of();
     private long digest = NOT_KNOWN;
+    private long confirmedNanos;
 
     Beliefs(long now, Duration drainLimit, PublicationDecoder decoder, RandomGenerator random, Effects effects) {
         this.decoder = decoder;
         this.effects = effects;
         reads = new PlatformReads(now, drainLimit, random);
+        confirmedNanos = now;
     }
 
     Optional<FleetConfiguration> configuration() {
         return configuration;
     }
 
+    /** Returns whether the platform, or another node that decides by the same, was heard of so lately. */
+    boolean isConfirmedWithin(long now, Duration time) {
+        return now - confirmedNanos <= time.toNanos();
+    }
+
     long version() {
         return configuration.map(FleetConfiguration::version).orElse(0L);
     }
@@ -103,6 +110,7 @@
     }
 
     void read(long now, FleetEvent.EntriesRead read) {
+        confirmedNanos = now;
         if (reads.succeeded(now)) {
             effects.log(new Decision.DependencyChanged("platform", "readable", "as_of=" + read.asOf()));
         }
@@ -125,6 +133,7 @@
      * gone.
      */
     void told(long now, PeerMessage.Entries told) {
+        confirmedNanos = now;
         take(now, entries.mergeTold(told.upTo(), told.complete(), told.entries()), now, told.upTo());
         changes.caughtUp(told.upTo());
         if (configuration.isPresent()) {
@@ -250,7 +259,8 @@
     }
 
     /** Notes that another node decides by the same, and knows all changes up to a revision. */
-    void sameAs(PublishedState theirs) {
+    void sameAs(long now, PublishedState theirs) {
+        confirmedNanos = now;
         changes.caughtUp(theirs.revision());
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.carawaysill.model.fleet.CopyRecord;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.CrashCount;
 import org.carawaysill.model.request.Fingerprint;
@@ -74,18 +75,25 @@
     }
 
     /** Tells what is known of a request; costs nothing as long as no copy has crashed. */
-    private Standing standing(long now, ServiceName service, RequestContent content) {
-        return table.isEmpty() ? new Standing.Clear() : table.standing(now, fingerprints.of(service, content));
+    private Standing standing(
+            long now, ServiceName service, Optional<OrganisationName> organisation, RequestContent content) {
+        return table.isEmpty()
+                ? new Standing.Clear()
+                : table.standing(now, fingerprints.of(service, organisation, content));
+    }
+
+    private Standing standing(long now, CopyRequest request) {
+        return standing(now, request.service(), request.organisation(), request.content());
     }
 
     /** Tells whether a copy crashed while it ran a request, and nothing has cleared it. */
     boolean isSuspected(long now, CopyRequest request) {
-        return standing(now, request.service(), request.content()) instanceof Standing.Suspected;
+        return standing(now, request) instanceof Standing.Suspected;
     }
 
     /** Decides whether a request may run at the local copy. */
     Placement placement(long now, CopyRequest request) {
-        return switch (standing(now, request.service(), request.content())) {
+        return switch (standing(now, request)) {
             case Standing.Clear _ -> new Placement.Free();
             case Standing.Suspected suspected -> placement(now, request, suspected);
             case Standing.Quarantined found -> {
@@ -111,9 +119,11 @@
     }
 
     /** Refuses a client's request that copies crashed because of; empty where it is none. */
-    Optional<Outcome.NotRun> refusal(long now, String requestName, ServiceName service, RequestContent content) {
-        if (standing(now, service, content) instanceof Standing.Quarantined found) {
-            logRefused(requestName, found);
+    Optional<Outcome.NotRun> refusal(long now, OutgoingRequest request) {
+        FleetEvent.RequestArrived arrival = request.arrival();
+        Standing standing = standing(now, request.service(), request.origin().organisation(), arrival.content());
+        if (standing instanceof Standing.Quarantined found) {
+            logRefused(arrival.requestName(), found);
             return Optional.of(refusal(found, Step.ADMISSION));
         }
         return Optional.empty();
@@ -153,8 +163,12 @@
     List<Lost> crashed(long now, CopyRecord record, List<LocalRun> runs) {
         effects.count(CrashCount.COPY_CRASHED);
         Map<LocalRun, Fingerprint> byRun = new LinkedHashMap<>();
-        runs.forEach(run ->
-                byRun.put(run, fingerprints.of(record.service(), run.request().content())));
+        runs.forEach(run -> byRun.put(
+                run,
+                fingerprints.of(
+                        record.service(),
+                        run.request().organisation(),
+                        run.request().content())));
         Set<Fingerprint> all = new LinkedHashSet<>(byRun.values());
         effects.log(new Decision.CopyCrashed(record.copy(), record.startedAtMillis(), runs.size(), List.copyOf(all)));
         Set<Fingerprint> suspects = new LinkedHashSet<>(all);
@@ -214,7 +228,7 @@
     /** Takes in that the local copy answered a request; tells whether that cleared it. */
     boolean answered(long now, CopyRequest request) {
         ServiceName service = request.service();
-        Standing standing = standing(now, service, request.content());
+        Standing standing = standing(now, request);
         switch (standing) {
             case Standing.Clear _ -> {}
             case Standing.Suspected suspected -> clear(now, service, suspected.fingerprint(), suspected.crashes());
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
@@ -322,16 +322,18 @@
      * The share of a route's requests that is let in changed by much.
      *
      * @param subject the route
+     * @param organisationRank the rank of the organisations that ask
      * @param share the share now
      * @param offered requests a second in the whole fleet
      * @param reports how many nodes' reports are behind it
      */
-    record ShareChanged(String subject, double share, double offered, int reports) implements OfBelief {
+    record ShareChanged(String subject, int organisationRank, double share, double offered, int reports)
+            implements OfBelief {
 
         @Override
         public String fields() {
-            return "share=" + Math.round(share * 100) / 100.0 + " offered_per_second=" + Math.round(offered)
-                    + " reports=" + reports;
+            return "organisation_rank=" + organisationRank + " share=" + Math.round(share * 100) / 100.0
+                    + " offered_per_second=" + Math.round(offered) + " reports=" + reports;
         }
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FinalAnswers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FinalAnswers.java
@@ -1,6 +1,7 @@
 package org.carawaysill.policy.fleet;
 
 import org.carawaysill.model.request.Outcome;
+import org.carawaysill.policy.fleet.entry.DemandKey;
 import org.carawaysill.policy.fleet.entry.DemandMeter;
 import org.carawaysill.policy.fleet.entry.EntryPlan;
 
@@ -33,8 +34,9 @@
 
     void give(long now, OutgoingRequest request, Outcome outcome) {
         String route = request.route().name();
+        DemandKey key = new DemandKey(route, request.origin().organisationRank());
         if (request.origin().depth() == 0) {
-            learn(route, request, outcome);
+            learn(key, request, outcome);
         }
         switch (outcome) {
             case Outcome.Answered _ -> {}
@@ -47,17 +49,17 @@
                 outcome,
                 request.sends(),
                 now - request.arrivedNanos(),
-                plan.share(route),
+                plan.share(key),
                 beliefs.version()));
         effects.add(new FleetEffect.AnswerExchange(request.arrival().exchange(), outcome));
     }
 
-    private void learn(String route, OutgoingRequest request, Outcome outcome) {
+    private void learn(DemandKey key, OutgoingRequest request, Outcome outcome) {
         if (AttemptRules.isWhole(outcome)) {
-            demand.completed(route);
-            plan.learn(route, request.times().list());
+            demand.completed(key);
+            plan.learn(key.route(), request.times().list());
         } else {
-            plan.learnLeast(route, request.times().list());
+            plan.learnLeast(key.route(), request.times().list());
         }
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetEffect.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetEffect.java
@@ -1,12 +1,14 @@
 package org.carawaysill.policy.fleet;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.carawaysill.model.fleet.ClientLimits;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.ExchangeIdentifier;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Counted;
 import org.carawaysill.model.request.Outcome;
@@ -22,6 +24,7 @@
      * @param attempt the attempt
      * @param copy the copy that may run it, and no other
      * @param callerService the service beside which the request began
+     * @param organisation the organisation whose key it carried; empty where it carried none
      * @param requestName the client's own name for the request, which the answer must echo
      * @param content the request
      * @param deadlineNanos the deadline on the monotonic clock
@@ -30,6 +33,7 @@
             AttemptIdentifier attempt,
             CopyName copy,
             ServiceName callerService,
+            Optional<OrganisationName> organisation,
             String requestName,
             RequestContent content,
             long deadlineNanos)
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetEvent.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetEvent.java
@@ -7,6 +7,7 @@
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.ExchangeIdentifier;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.request.Credential;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RequestContent;
 import org.carawaysill.policy.message.PeerMessage;
@@ -21,13 +22,15 @@
      * @param requestName the client's own name for the request
      * @param host the host that it names
      * @param patience how long the client waits, if it says so
-     * @param content the request
+     * @param credential what shows its organisation
+     * @param content the request, without the fields of the credential
      */
     record RequestArrived(
             ExchangeIdentifier exchange,
             String requestName,
             String host,
             Optional<Duration> patience,
+            Credential credential,
             RequestContent content)
             implements FleetEvent {}
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.policy.fleet.copy.Copy;
+import org.carawaysill.policy.fleet.entry.DemandKey;
 import org.carawaysill.policy.fleet.entry.DemandMeter;
 import org.carawaysill.policy.fleet.entry.EntryPlan;
 import org.carawaysill.policy.fleet.publication.PublicationDecoder;
@@ -48,7 +49,7 @@
     private final OutgoingRequests outgoing;
     private final ServiceLoads loads;
     private final PlannedStop plannedStop;
-    private final Map<String, Double> loggedShares = new HashMap<>();
+    private final Map<DemandKey, Double> loggedShares = new HashMap<>();
     private long nextTickNanos;
     private long lastNanos;
     private long configuredNanos = Long.MAX_VALUE;
@@ -304,14 +305,16 @@
     }
 
     private void logShares(int nodes) {
-        for (String route : beliefs.routesByName().keySet()) {
-            double share = plan.share(route);
-            double logged = loggedShares.getOrDefault(route, 1.0);
+        for (DemandKey key : plan.keys()) {
+            double share = plan.share(key);
+            double logged = loggedShares.getOrDefault(key, 1.0);
             if (Math.abs(share - logged) >= LOGGED_SHARE_CHANGE) {
-                loggedShares.put(route, share);
-                effects.log(new Decision.ShareChanged(route, share, plan.offered(route), nodes));
+                loggedShares.put(key, share);
+                effects.log(new Decision.ShareChanged(
+                        key.route(), key.organisationRank(), share, plan.offered(key), nodes));
             }
         }
+        loggedShares.keySet().retainAll(plan.keys());
     }
 
     private void showReadiness(long now) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -227,6 +227,7 @@
                 request.attempt(),
                 request.copy(),
                 request.callerService(),
+                request.organisation(),
                 request.requestName(),
                 request.content(),
                 run.deadlineNanos()));
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
@@ -7,6 +7,7 @@
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.policy.fleet.copy.Copy;
@@ -40,12 +41,21 @@
      * For whose sake a request is made.
      *
      * @param rootRoute the route of the caller's request
-     * @param rank the place of that in the order of refusal
+     * @param organisation the organisation whose key this request carried; empty where it carried none, as calls do
+     * @param organisationRank the rank of the organisation behind the caller's request
+     * @param rank the place of that in the order of refusal, by organisation and route
      * @param depth calls between that and this one
      * @param rootArrivedNanos when the caller's request arrived, on this node's clock
      * @param parent the running request that makes this call, where it is known
      */
-    record Origin(String rootRoute, int rank, int depth, long rootArrivedNanos, Optional<LocalRun> parent) {}
+    record Origin(
+            String rootRoute,
+            Optional<OrganisationName> organisation,
+            int organisationRank,
+            int rank,
+            int depth,
+            long rootArrivedNanos,
+            Optional<LocalRun> parent) {}
 
     OutgoingRequest(
             FleetEvent.RequestArrived arrival,
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -128,14 +128,12 @@
         byExchange.put(request.arrival().exchange(), request);
         byLimit.add(request);
         Route route = request.route();
-        FleetEvent.RequestArrived arrival = request.arrival();
-        Optional<Outcome.NotRun> refusal =
-                suspects.refusal(now, arrival.requestName(), request.service(), arrival.content());
+        Optional<Outcome.NotRun> refusal = suspects.refusal(now, request);
         if (refusal.isPresent()) {
             finish(now, request, refusal.get());
             return;
         }
-        if (admission.letIn(route, request.origin())) {
+        if (admission.isAdmitted(route, request.origin())) {
             send(now, request);
         } else {
             finish(now, request, notRun(RefusalReason.OVERLOAD, admission.comeBack(route), Step.ADMISSION));
@@ -184,6 +182,7 @@
                 request.service(),
                 copy.record().copy(),
                 settings.service(),
+                request.origin().organisation(),
                 request.origin().rootRoute(),
                 request.origin().rank(),
                 request.route().idempotent(),
--- a/policy/src/main/java/org/carawaysill/policy/fleet/PublicationExchange.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PublicationExchange.java
@@ -53,7 +53,7 @@
         PublishedState own = beliefs.published();
         if (theirs.digest() == own.digest()) {
             sameNanos = now;
-            beliefs.sameAs(theirs);
+            beliefs.sameAs(now, theirs);
             return;
         }
         healDifference(now);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/DemandMeter.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/DemandMeter.java
@@ -22,8 +22,8 @@
 
     private static final double FORGOTTEN_RATE = 0.01;
 
-    private final Map<String, RateMeter> offered = new HashMap<>();
-    private final Map<String, RateMeter> completed = new HashMap<>();
+    private final Map<DemandKey, RateMeter> offered = new HashMap<>();
+    private final Map<DemandKey, RateMeter> completed = new HashMap<>();
     private long closedNanos;
 
     /**
@@ -38,19 +38,19 @@
     /**
      * Counts a caller's request.
      *
-     * @param route its route
+     * @param key its route, and the rank of its organisation
      */
-    public void offered(String route) {
-        offered.computeIfAbsent(route, _ -> new RateMeter()).add(1);
+    public void offered(DemandKey key) {
+        offered.computeIfAbsent(key, _ -> new RateMeter()).add(1);
     }
 
     /**
      * Counts a caller's request that a copy answered.
      *
-     * @param route its route
+     * @param key its route, and the rank of its organisation
      */
-    public void completed(String route) {
-        completed.computeIfAbsent(route, _ -> new RateMeter()).add(1);
+    public void completed(DemandKey key) {
+        completed.computeIfAbsent(key, _ -> new RateMeter()).add(1);
     }
 
     /**
@@ -69,22 +69,23 @@
         close(completed, seconds, weight);
     }
 
-    private static void close(Map<String, RateMeter> meters, double seconds, double weight) {
+    private static void close(Map<DemandKey, RateMeter> meters, double seconds, double weight) {
         meters.values().forEach(meter -> meter.close(seconds, weight));
         meters.values().removeIf(meter -> meter.rate() < FORGOTTEN_RATE);
     }
 
     /**
-     * Gives the demand of each route.
+     * Gives the demand of each route and rank of organisations.
      *
      * @return requests a second
      */
     public List<RouteDemand> demands() {
         List<RouteDemand> demands = new ArrayList<>(offered.size());
-        offered.forEach((route, meter) -> demands.add(new RouteDemand(
-                route,
+        offered.forEach((key, meter) -> demands.add(new RouteDemand(
+                key.route(),
+                key.organisationRank(),
                 (float) meter.rate(),
-                completed.containsKey(route) ? (float) completed.get(route).rate() : 0)));
+                completed.containsKey(key) ? (float) completed.get(key).rate() : 0)));
         return demands;
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/EntryPlan.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/EntryPlan.java
@@ -39,8 +39,8 @@
     private final RouteCosts costs = new RouteCosts();
     private final PlannedSlots slots = new PlannedSlots();
     private SharedRoom room = new SharedRoom();
-    private Map<String, Double> shares = Map.of();
-    private Map<String, Double> offered = Map.of();
+    private Map<DemandKey, Double> shares = Map.of();
+    private Map<DemandKey, Double> offered = Map.of();
 
     /**
      * Starts without a plan: everything is let in.
@@ -69,11 +69,11 @@
         room = room(loads);
         room.fill(all, LEAST_SHARE, LEAST_PART);
         byRank.values().forEach(equals -> room.fill(equals, 1, 1));
-        Map<String, Double> newShares = new HashMap<>();
-        Map<String, Double> newOffered = new HashMap<>();
+        Map<DemandKey, Double> newShares = new HashMap<>();
+        Map<DemandKey, Double> newOffered = new HashMap<>();
         for (PlannedRoute route : all) {
-            newShares.put(route.name(), route.share());
-            newOffered.put(route.name(), route.offered());
+            newShares.put(route.key(), route.share());
+            newOffered.put(route.key(), route.offered());
         }
         shares = newShares;
         offered = newOffered;
@@ -81,11 +81,11 @@
 
     private SortedMap<Integer, List<PlannedRoute>> byRank(RouteSums demand, Map<String, Route> routes) {
         SortedMap<Integer, List<PlannedRoute>> byRank = new TreeMap<>();
-        for (String name : demand.routes()) {
-            Route route = routes.get(name);
-            if (route != null && demand.offered(name) > 0) {
-                byRank.computeIfAbsent(route.rank(), _ -> new ArrayList<>())
-                        .add(new PlannedRoute(name, demand.offered(name), costs.of(name)));
+        for (DemandKey key : demand.keys()) {
+            Route route = routes.get(key.route());
+            if (route != null && demand.offered(key) > 0) {
+                byRank.computeIfAbsent(RefusalOrder.rank(key.organisationRank(), route.rank()), _ -> new ArrayList<>())
+                        .add(new PlannedRoute(key, demand.offered(key), costs.of(key.route())));
             }
         }
         return byRank;
@@ -132,20 +132,29 @@
     /**
      * Tells which share of a route's requests is let in.
      *
-     * @param route the route's name
+     * @param key the route, and the rank of the organisations that ask
      * @return 0 to 1
      */
-    public double share(String route) {
-        return shares.getOrDefault(route, 1.0);
+    public double share(DemandKey key) {
+        return shares.getOrDefault(key, 1.0);
+    }
+
+    /**
+     * Returns what is planned for.
+     *
+     * @return routes, with the ranks of the organisations that ask
+     */
+    public Set<DemandKey> keys() {
+        return shares.keySet();
     }
 
     /**
      * Tells how much is asked of a route in the whole fleet.
      *
-     * @param route the route's name
+     * @param key the route, and the rank of the organisations that ask
      * @return requests a second
      */
-    public double offered(String route) {
-        return offered.getOrDefault(route, 0.0);
+    public double offered(DemandKey key) {
+        return offered.getOrDefault(key, 0.0);
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/ShareGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/ShareGate.java
@@ -12,22 +12,22 @@
  */
 public final class ShareGate {
 
-    private final Map<String, Double> credits = new HashMap<>();
+    private final Map<DemandKey, Double> credits = new HashMap<>();
 
     /**
      * Decides about the next request.
      *
-     * @param route its route
+     * @param key its route, and the rank of its organisation
      * @param share the share that is let in, 0 to 1
      * @return whether it is let in
      */
-    public boolean letIn(String route, double share) {
+    public boolean letIn(DemandKey key, double share) {
         if (share >= 1) {
             return true;
         }
-        double credit = credits.getOrDefault(route, 0.5) + share;
+        double credit = credits.getOrDefault(key, 0.5) + share;
         boolean in = credit >= 1;
-        credits.put(route, in ? credit - 1 : credit);
+        credits.put(key, in ? credit - 1 : credit);
         return in;
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/Fingerprints.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/Fingerprints.java
@@ -4,7 +4,9 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.Optional;
 import org.carawaysill.model.fleet.CopyRecord;
+import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Fingerprint;
 import org.carawaysill.model.request.RequestContent;
@@ -18,7 +20,7 @@
  */
 public final class Fingerprints {
 
-    /** The field that names the caller, where there is one (RFC 9110, section 11.6.2). */
+    /** The field that names the caller where no keys are checked (RFC 9110, section 11.6.2). */
     private static final String CALLER_FIELD = "authorization";
 
     private static final String ALGORITHM = "SHA-256";
@@ -38,12 +40,16 @@
      * Computes the fingerprint of a request.
      *
      * @param service where it goes
+     * @param organisation the organisation whose key it carried; empty where it carried none
      * @param content the request
      * @return its fingerprint
      */
-    public Fingerprint of(ServiceName service, RequestContent content) {
+    public Fingerprint of(ServiceName service, Optional<OrganisationName> organisation, RequestContent content) {
         add(service.value());
-        add(content.header(CALLER_FIELD).orElse(""));
+        add(organisation
+                .map(OrganisationName::value)
+                .or(() -> content.header(CALLER_FIELD))
+                .orElse(""));
         add(content.path());
         digest.update(content.body().bytes());
         ByteBuffer bits = ByteBuffer.wrap(digest.digest());
--- a/policy/src/main/java/org/carawaysill/policy/fleet/summary/RouteSums.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/summary/RouteSums.java
@@ -7,9 +7,11 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.policy.fleet.entry.DemandKey;
 import org.carawaysill.policy.message.PeerMessage.NodeReport;
 import org.carawaysill.policy.message.PeerMessage.RouteCost;
 import org.carawaysill.policy.message.PeerMessage.RouteDemand;
+import org.carawaysill.policy.message.StateSummary.RankDemand;
 import org.carawaysill.policy.message.StateSummary.RouteSummary;
 import org.carawaysill.policy.message.StateSummary.ServiceCost;
 
@@ -27,7 +29,7 @@
      */
     private static final double FAILING_WEIGHT = 0.001;
 
-    private final Map<String, Double> offered = new HashMap<>();
+    private final Map<DemandKey, Double> offered = new HashMap<>();
     private final Map<String, Map<ServiceName, Mean>> costs = new HashMap<>();
 
     /**
@@ -38,8 +40,9 @@
     public void add(NodeReport report) {
         Map<String, Float> completed = new HashMap<>();
         for (RouteDemand demand : report.demands()) {
-            offered.merge(demand.route(), (double) demand.offeredPerSecond(), Double::sum);
-            completed.put(demand.route(), demand.completedPerSecond());
+            DemandKey key = new DemandKey(demand.route(), demand.organisationRank());
+            offered.merge(key, (double) demand.offeredPerSecond(), Double::sum);
+            completed.merge(demand.route(), demand.completedPerSecond(), Float::sum);
         }
         for (RouteCost cost : report.costs()) {
             double weight = completed.getOrDefault(cost.route(), 0f) + FAILING_WEIGHT;
@@ -54,7 +57,10 @@
      */
     public void add(List<RouteSummary> summaries) {
         for (RouteSummary summary : summaries) {
-            offered.merge(summary.route(), (double) summary.offeredPerSecond(), Double::sum);
+            for (RankDemand demand : summary.demands()) {
+                DemandKey key = new DemandKey(summary.route(), demand.organisationRank());
+                offered.merge(key, (double) demand.offeredPerSecond(), Double::sum);
+            }
             for (ServiceCost cost : summary.costs()) {
                 mean(summary.route(), cost.service()).add(cost.slotSeconds(), cost.weight());
             }
@@ -71,39 +77,40 @@
      * @return the sums, by route
      */
     public List<RouteSummary> summaries() {
-        List<RouteSummary> summaries = new ArrayList<>(offered.size());
-        offered.forEach((route, rate) -> summaries.add(summary(route, rate)));
-        costs.keySet().stream()
-                .filter(route -> !offered.containsKey(route))
-                .forEach(route -> summaries.add(summary(route, 0)));
+        Map<String, List<RankDemand>> demands = new HashMap<>();
+        costs.keySet().forEach(route -> demands.put(route, new ArrayList<>()));
+        offered.forEach((key, rate) -> demands.computeIfAbsent(key.route(), _ -> new ArrayList<>())
+                .add(new RankDemand(key.organisationRank(), rate.floatValue())));
+        List<RouteSummary> summaries = new ArrayList<>(demands.size());
+        demands.forEach((route, ofRoute) -> summaries.add(summary(route, ofRoute)));
         return summaries;
     }
 
-    private RouteSummary summary(String route, double rate) {
+    private RouteSummary summary(String route, List<RankDemand> demands) {
         List<ServiceCost> means = new ArrayList<>();
         costs.getOrDefault(route, Map.of())
                 .forEach((service, mean) ->
                         means.add(new ServiceCost(service, (float) mean.value(), (float) mean.weight)));
-        return new RouteSummary(route, (float) rate, means);
+        return new RouteSummary(route, demands, means);
     }
 
     /**
-     * Names the routes of which something is asked.
+     * Returns of which routes something is asked, by organisations of which ranks.
      *
-     * @return the names
+     * @return the routes and ranks
      */
-    public Set<String> routes() {
+    public Set<DemandKey> keys() {
         return offered.keySet();
     }
 
     /**
      * Tells how much is asked of a route.
      *
-     * @param route the route's name
+     * @param key the route, and the rank of the organisations
      * @return requests a second
      */
-    public double offered(String route) {
-        return offered.getOrDefault(route, 0.0);
+    public double offered(DemandKey key) {
+        return offered.getOrDefault(key, 0.0);
     }
 
     /**
--- a/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
@@ -9,6 +9,7 @@
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.CallerName;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.model.identity.RequestIdentifier;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Outcome;
@@ -321,6 +322,7 @@
      * @param service the copy's service
      * @param copy the copy that may run it, and no other
      * @param callerService the service beside which the request began
+     * @param organisation the organisation whose key the request carried; empty where it carried none
      * @param rootRoute the route of the caller's request for whose sake this one is made
      * @param rank the place in the order of refusal, 0 last
      * @param idempotent whether running it twice does no harm
@@ -335,6 +337,7 @@
             ServiceName service,
             CopyName copy,
             ServiceName callerService,
+            Optional<OrganisationName> organisation,
             String rootRoute,
             int rank,
             boolean idempotent,
@@ -434,13 +437,14 @@
     record FleetSummary(StateSummary summary) implements PeerMessage {}
 
     /**
-     * What callers ask of one route at one node.
+     * What callers of organisations of one rank ask of one route at one node.
      *
      * @param route the route's name
+     * @param organisationRank the rank of the organisations
      * @param offeredPerSecond requests that came
      * @param completedPerSecond requests that were answered by a copy
      */
-    record RouteDemand(String route, float offeredPerSecond, float completedPerSecond) {}
+    record RouteDemand(String route, int organisationRank, float offeredPerSecond, float completedPerSecond) {}
 
     /**
      * What one request of a route costs at one service.
--- a/policy/src/main/java/org/carawaysill/policy/message/StateSummary.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/StateSummary.java
@@ -43,16 +43,25 @@
      * One route, over several nodes.
      *
      * @param route the route's name
-     * @param offeredPerSecond requests of callers
+     * @param demands requests of callers, by the rank of their organisations
      * @param costs what one of them costs
      */
-    public record RouteSummary(String route, float offeredPerSecond, List<ServiceCost> costs) {
+    public record RouteSummary(String route, List<RankDemand> demands, List<ServiceCost> costs) {
 
         public RouteSummary {
+            demands = List.copyOf(demands);
             costs = List.copyOf(costs);
         }
     }
 
+    /**
+     * What organisations of one rank ask of a route.
+     *
+     * @param organisationRank their rank
+     * @param offeredPerSecond requests of callers
+     */
+    public record RankDemand(int organisationRank, float offeredPerSecond) {}
+
     /**
      * What one request of a route costs at one service, averaged over nodes.
      *
--- a/policy/src/test/java/org/carawaysill/policy/fleet/FleetStateTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/FleetStateTest.java
@@ -17,6 +17,7 @@
 import org.carawaysill.policy.message.PublishedState;
 import org.carawaysill.policy.message.StateSummary;
 import org.carawaysill.policy.message.StateSummary.NodeState;
+import org.carawaysill.policy.message.StateSummary.RankDemand;
 import org.carawaysill.policy.message.StateSummary.RouteSummary;
 import org.carawaysill.policy.message.StateSummary.ServiceCost;
 import org.junit.jupiter.api.Nested;
@@ -32,7 +33,8 @@
     private static double offered(Told told) {
         return told.summary().routes().stream()
                 .filter(route -> route.route().equals(PATH))
-                .mapToDouble(RouteSummary::offeredPerSecond)
+                .flatMap(route -> route.demands().stream())
+                .mapToDouble(RankDemand::offeredPerSecond)
                 .sum();
     }
 
@@ -248,7 +250,7 @@
                     .toList();
             List<RouteSummary> routes = Stream.generate(() -> new RouteSummary(
                             random.nextBoolean() ? PATH : "unknown",
-                            anyFloat(),
+                            List.of(new RankDemand(0, anyFloat())),
                             List.of(new ServiceCost(anyService(), anyFloat(), anyFloat()))))
                     .limit(random.nextInt(5))
                     .toList();
--- a/policy/src/test/java/org/carawaysill/policy/fleet/PlannedStopTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/PlannedStopTest.java
@@ -202,6 +202,7 @@
                     new ServiceName("back"),
                     new CopyName(stopping.copy()),
                     new ServiceName("front"),
+                    Optional.empty(),
                     "/back/",
                     1,
                     false,
--- a/policy/src/test/java/org/carawaysill/policy/fleet/Routes.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/Routes.java
@@ -32,6 +32,22 @@
                 Duration.ofMillis(timeoutMillis),
                 maximumAttempts,
                 Duration.ofMillis(aimMillis),
-                rank);
+                rank,
+                true);
+    }
+
+    /** Gives a route that is open without a key. */
+    static Route withoutKey(Route route) {
+        return new Route(
+                route.name(),
+                route.host(),
+                route.prefix(),
+                route.destinations(),
+                route.idempotent(),
+                route.timeout(),
+                route.maximumAttempts(),
+                route.aim(),
+                route.rank(),
+                false);
     }
 }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -18,6 +18,7 @@
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.fleet.CopyRecord;
 import org.carawaysill.model.fleet.FleetConfiguration;
+import org.carawaysill.model.fleet.Organisations;
 import org.carawaysill.model.fleet.PublishedEntry;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.AttemptIdentifier;
@@ -25,8 +26,10 @@
 import org.carawaysill.model.identity.ExchangeIdentifier;
 import org.carawaysill.model.identity.NetworkAddress;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Body;
+import org.carawaysill.model.request.Credential;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RequestContent;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
@@ -80,6 +83,9 @@
     /** Requests, answers and cancellations between nodes. */
     final Traffic payload = new Traffic();
 
+    /** Whose keys the next configuration holds; empty where no keys are checked. */
+    Optional<Organisations> organisations = Optional.empty();
+
     private long order;
     private long revision;
     private long exchanges;
@@ -88,7 +94,7 @@
     record Told(long at, StateSummary summary) {}
 
     /** A run of a request at a copy. */
-    record Run(long at, String requestName, String path, String copy) {}
+    record Run(long at, String requestName, String path, String copy, Optional<OrganisationName> organisation) {}
 
     /**
      * A request that ends the copy that runs it.
@@ -136,8 +142,8 @@
         revision++;
         publish(
                 "configuration",
-                Optional.of(new Publication.Configured(
-                        new FleetConfiguration(revision, ClientLimits.DEFAULTS, services(routes), List.of(routes)))));
+                Optional.of(new Publication.Configured(new FleetConfiguration(
+                        revision, ClientLimits.DEFAULTS, services(routes), List.of(routes), organisations))));
     }
 
     private static Set<ServiceName> services(Route... routes) {
@@ -168,7 +174,18 @@
 
     /** Sends a request of a client; the outcome comes when there is one. */
     void send(VirtualNode entry, String name, String path, long patience, BiConsumer<Long, Outcome> receiver) {
-        entry.arrive(name, path, Optional.of(Duration.ofNanos(patience)), receiver);
+        send(entry, name, path, Credential.NONE, patience, receiver);
+    }
+
+    /** Sends a request of a client that presents something; the outcome comes when there is one. */
+    void send(
+            VirtualNode entry,
+            String name,
+            String path,
+            Credential credential,
+            long patience,
+            BiConsumer<Long, Outcome> receiver) {
+        entry.arrive(name, path, credential, Optional.of(Duration.ofNanos(patience)), receiver);
     }
 
     /** A node, the copy beside it, and their VM. */
@@ -473,7 +490,12 @@
             at(now + 100 * MILLI, () -> connect(peer));
         }
 
-        void arrive(String requestName, String path, Optional<Duration> patience, BiConsumer<Long, Outcome> receiver) {
+        void arrive(
+                String requestName,
+                String path,
+                Credential credential,
+                Optional<Duration> patience,
+                BiConsumer<Long, Outcome> receiver) {
             ExchangeIdentifier exchange = new ExchangeIdentifier(0, ++exchanges);
             if (!alive) {
                 at(now + HOP, () -> receiver.accept(now, Outcomes.LOST));
@@ -485,6 +507,7 @@
                     requestName,
                     "fleet.example",
                     patience,
+                    credential,
                     new RequestContent("GET", path, List.of(), Body.EMPTY)));
         }
 
@@ -497,7 +520,7 @@
                 at(now, () -> deliver(new FleetEvent.CopyAnswered(hand.attempt(), Outcomes.REFUSED)));
                 return;
             }
-            runs.add(new Run(now, hand.requestName(), hand.content().path(), copy()));
+            runs.add(new Run(now, hand.requestName(), hand.content().path(), copy(), hand.organisation()));
             atCopy.add(hand.attempt());
             if (failing > 0 && random.nextDouble() < failing) {
                 at(now + 2 * MILLI, () -> answer(hand, Outcomes.FAILED));
@@ -534,7 +557,7 @@
             }
             String callName = hand.requestName() + ".%016x".formatted(random.nextLong());
             Duration left = Duration.ofNanos(Math.max(0, hand.deadlineNanos() - now));
-            arrive(callName, work.calls().get(index), Optional.of(left), (_, outcome) -> {
+            arrive(callName, work.calls().get(index), Credential.NONE, Optional.of(left), (_, outcome) -> {
                 if (outcome instanceof Outcome.Answered answered
                         && answered.content().status() < 500) {
                     call(hand, work, index + 1);
--- a/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyGateTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyGateTest.java
@@ -39,6 +39,7 @@
                 new ServiceName("deep"),
                 new CopyName("copy"),
                 new ServiceName("entry"),
+                Optional.empty(),
                 "root",
                 rank,
                 true,
--- a/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
@@ -32,6 +32,10 @@
         return new NodeReport(1, new PublishedState(0, 0), true, false, DEEP, load, 0, true, true, demands, costs);
     }
 
+    private double share(String route) {
+        return plan.share(new DemandKey(route, 0));
+    }
+
     private static RouteSums sums(NodeReport report) {
         RouteSums sums = new RouteSums();
         sums.add(report);
@@ -41,7 +45,7 @@
     private void report(float offered, float completed) {
         NodeReport report = report(
                 new LoadReport(SLOTS, SLOTS, 0, 0),
-                List.of(new RouteDemand(LOOKUP, offered, completed)),
+                List.of(new RouteDemand(LOOKUP, 0, offered, completed)),
                 plan.ownCosts());
         plan.update(sums(report), Map.of(DEEP, new ServiceLoad(SLOTS, SLOTS, 0)), Map.of(LOOKUP, route(LOOKUP, 2)));
     }
@@ -56,7 +60,8 @@
                 Duration.ofSeconds(1),
                 2,
                 Duration.ofSeconds(1),
-                rank);
+                rank,
+                true);
     }
 
     private static List<SlotTime> took(float seconds) {
@@ -76,7 +81,7 @@
             plan.learnLeast(LOOKUP, took(0.1f));
             report(300, 0);
             // Nine tenths of the slots do 90 lookups a second.
-            assertEquals(0.3, plan.share(LOOKUP), 0.07);
+            assertEquals(0.3, share(LOOKUP), 0.07);
         }
     }
 
@@ -90,7 +95,7 @@
                 plan.learnLeast(LOOKUP, took(0.01f));
             }
             report(300, 0);
-            assertTrue(plan.share(LOOKUP) < 0.4, () -> "share " + plan.share(LOOKUP));
+            assertTrue(share(LOOKUP) < 0.4, () -> "share " + share(LOOKUP));
         }
 
         @Test
@@ -100,7 +105,7 @@
                 plan.learn(LOOKUP, took(0.01f));
             }
             report(300, 300);
-            assertEquals(1, plan.share(LOOKUP), 0.001);
+            assertEquals(1, share(LOOKUP), 0.001);
         }
     }
 
@@ -118,12 +123,12 @@
         void areForgottenWhereNoRequestHasThemAnyMore() {
             plan.learn(LOOKUP, List.of(new SlotTime(DEEP, 0.01f), new SlotTime(FORMER, 0.01f)));
             report(100, 100);
-            assertEquals(0, plan.share(LOOKUP), 0.001, "its service has no copies");
+            assertEquals(0, share(LOOKUP), 0.001, "its service has no copies");
             for (int i = 0; i < 100; i++) {
                 plan.learn(LOOKUP, took(0.01f));
             }
             report(100, 100);
-            assertEquals(1, plan.share(LOOKUP), 0.001);
+            assertEquals(1, share(LOOKUP), 0.001);
         }
     }
 
@@ -152,7 +157,7 @@
         }
 
         private static RouteDemand offered(String route, float rate) {
-            return new RouteDemand(route, rate, rate);
+            return new RouteDemand(route, 0, rate, rate);
         }
 
         /*
@@ -162,8 +167,8 @@
         @Test
         void isNotUsedUpByLeastShares() {
             plan(20, 20, offered("book", 40), offered("lookup", 500), offered("price", 100));
-            assertTrue(plan.share("book") > 0.8, () -> "book " + plan.share("book"));
-            assertTrue(plan.share("lookup") < 0.1 && plan.share("lookup") > 0, () -> "lookup " + plan.share("lookup"));
+            assertTrue(share("book") > 0.8, () -> "book " + share("book"));
+            assertTrue(share("lookup") < 0.1 && share("lookup") > 0, () -> "lookup " + share("lookup"));
         }
 
         /** Equals get the same number of slots, so that neither the dear nor the cheap ones are pushed out. */
@@ -171,13 +176,13 @@
         void isSharedBetweenEqualsByWhatTheyCost() {
             plan(100, 100, offered("lookup", 400), offered("price", 100));
             // Beyond the least share, which both have.
-            assertEquals(plan.share("lookup") - 0.1, 4 * (plan.share("price") - 0.1), 0.01);
+            assertEquals(share("lookup") - 0.1, 4 * (share("price") - 0.1), 0.01);
         }
 
         @Test
         void isNotNeededByRoutesThatCostNothing() {
             plan(10, 10, offered("book", 100), offered("free", 1000));
-            assertEquals(1, plan.share("free"), 0.001);
+            assertEquals(1, share("free"), 0.001);
         }
 
         @Test
@@ -187,7 +192,7 @@
                     List.of(offered("book", 10)),
                     List.of(new RouteCost("book", DEEP, 0.4f)));
             plan.update(sums(report), Map.of(), routes);
-            assertEquals(0, plan.share("book"), 0.001);
+            assertEquals(0, share("book"), 0.001);
         }
 
         /*
@@ -197,15 +202,15 @@
         @Test
         void growsWhileSlotsStandIdle() {
             plan(100, 20, offered("price", 400));
-            double before = plan.share("price");
+            double before = share("price");
             for (int i = 0; i < 5; i++) {
                 plan(100, 20, offered("price", 400));
             }
-            assertTrue(plan.share("price") > 2 * before, () -> before + " then " + plan.share("price"));
+            assertTrue(share("price") > 2 * before, () -> before + " then " + share("price"));
             for (int i = 0; i < 10; i++) {
                 plan(100, 99, offered("price", 400));
             }
-            assertEquals(before, plan.share("price"), 0.001);
+            assertEquals(before, share("price"), 0.001);
         }
     }
 }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/quarantine/FingerprintsTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/quarantine/FingerprintsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import java.util.List;
+import java.util.Optional;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Body;
 import org.carawaysill.model.request.Fingerprint;
@@ -18,7 +19,10 @@
     private Fingerprint of(String service, String caller, String path, String body) {
         List<Header> headers =
                 List.of(new Header("Authorization", caller), new Header("Trace", "another one " + System.nanoTime()));
-        return fingerprints.of(new ServiceName(service), new RequestContent("POST", path, headers, Body.ofText(body)));
+        return fingerprints.of(
+                new ServiceName(service),
+                Optional.empty(),
+                new RequestContent("POST", path, headers, Body.ofText(body)));
     }
 
     @Test
--- a/policy/src/test/java/org/carawaysill/policy/fleet/route/RouteTableTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/route/RouteTableTest.java
@@ -25,7 +25,8 @@
                 Duration.ofSeconds(1),
                 2,
                 Duration.ofMillis(100),
-                0);
+                0,
+                true);
     }
 
     private static Destination to(String service, int weight) {
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/Codes.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/Codes.java
@@ -112,6 +112,10 @@
             case COPY_REFUSED -> RefusalCode.REFUSAL_COPY_REFUSED;
             case QUARANTINED -> RefusalCode.REFUSAL_QUARANTINED;
             case SUSPECTED -> RefusalCode.REFUSAL_SUSPECTED;
+            case KEY_MISSING -> RefusalCode.REFUSAL_KEY_MISSING;
+            case KEY_UNKNOWN -> RefusalCode.REFUSAL_KEY_UNKNOWN;
+            case KEY_UNVERIFIED -> RefusalCode.REFUSAL_KEY_UNVERIFIED;
+            case OVER_ALLOWANCE -> RefusalCode.REFUSAL_OVER_ALLOWANCE;
         };
     }
 
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/Fields.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/Fields.java
@@ -4,7 +4,9 @@
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Optional;
 import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.model.identity.RequestIdentifier;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Priority;
@@ -39,6 +41,17 @@
         return new ServiceName(notBlank(text, "service"));
     }
 
+    static Optional<OrganisationName> organisation(String text) throws ProtocolFault {
+        if (text.isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new OrganisationName(text));
+        } catch (IllegalArgumentException unreadable) {
+            throw new ProtocolFault(ProtocolFault.Kind.BAD_TEXT, "organisation");
+        }
+    }
+
     static int between(int value, int least, int greatest, String field) throws ProtocolFault {
         if (value < least || value > greatest) {
             throw new ProtocolFault(ProtocolFault.Kind.OUT_OF_RANGE, field);
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 import org.carawaysill.model.fleet.CopyName;
+import org.carawaysill.model.fleet.Organisation;
 import org.carawaysill.model.fleet.PublishedEntry;
+import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.policy.message.PeerMessage.CopyAnswer;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.Entries;
@@ -34,6 +36,8 @@
                 .setService(request.service().value())
                 .setCopy(request.copy().value())
                 .setCallerService(request.callerService().value())
+                .setOrganisation(
+                        request.organisation().map(OrganisationName::value).orElse(""))
                 .setRootRoute(request.rootRoute())
                 .setRank(request.rank())
                 .setIdempotent(request.idempotent())
@@ -52,6 +56,7 @@
                 Fields.service(frame.getService()),
                 new CopyName(Fields.line(Fields.notBlank(frame.getCopy(), "copy"), "copy")),
                 Fields.service(Fields.line(frame.getCallerService(), "caller service")),
+                Fields.organisation(frame.getOrganisation()),
                 frame.getRootRoute(),
                 Fields.notNegative(frame.getRank(), "rank"),
                 frame.getIdempotent(),
@@ -76,6 +81,7 @@
         for (RouteDemand demand : report.demands()) {
             frame.addDemands(RouteDemandFrame.newBuilder()
                     .setRoute(demand.route())
+                    .setOrganisationRank(demand.organisationRank())
                     .setOfferedPerSecond(demand.offeredPerSecond())
                     .setCompletedPerSecond(demand.completedPerSecond()));
         }
@@ -93,6 +99,7 @@
         for (RouteDemandFrame demand : frame.getDemandsList()) {
             demands.add(new RouteDemand(
                     demand.getRoute(),
+                    Fields.between(demand.getOrganisationRank(), 0, Organisation.MAX_RANK, "organisation rank"),
                     Fields.notNegative(demand.getOfferedPerSecond(), "offered per second"),
                     Fields.notNegative(demand.getCompletedPerSecond(), "completed per second")));
         }
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/SummaryCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/SummaryCodec.java
@@ -4,15 +4,18 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.carawaysill.model.fleet.Organisation;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 import org.carawaysill.policy.message.PublishedState;
 import org.carawaysill.policy.message.StateSummary;
 import org.carawaysill.policy.message.StateSummary.NodeState;
+import org.carawaysill.policy.message.StateSummary.RankDemand;
 import org.carawaysill.policy.message.StateSummary.RouteSummary;
 import org.carawaysill.policy.message.StateSummary.ServiceCost;
 import org.carawaysill.protocol.generated.NodeStateFrame;
+import org.carawaysill.protocol.generated.RankDemandFrame;
 import org.carawaysill.protocol.generated.RouteSummaryFrame;
 import org.carawaysill.protocol.generated.ServiceCostFrame;
 import org.carawaysill.protocol.generated.StateSummaryFrame;
@@ -56,8 +59,12 @@
     }
 
     private static RouteSummaryFrame encode(RouteSummary route, Map<ServiceName, Integer> services) {
-        RouteSummaryFrame.Builder frame =
-                RouteSummaryFrame.newBuilder().setRoute(route.route()).setOfferedPerSecond(route.offeredPerSecond());
+        RouteSummaryFrame.Builder frame = RouteSummaryFrame.newBuilder().setRoute(route.route());
+        for (RankDemand demand : route.demands()) {
+            frame.addDemands(RankDemandFrame.newBuilder()
+                    .setOrganisationRank(demand.organisationRank())
+                    .setOfferedPerSecond(demand.offeredPerSecond()));
+        }
         for (ServiceCost cost : route.costs()) {
             frame.addCosts(ServiceCostFrame.newBuilder()
                     .setServiceIndex(indexOf(cost.service(), services))
@@ -114,7 +121,12 @@
                     Fields.notNegative(cost.getSlotSeconds(), "slot seconds"),
                     Fields.notNegative(cost.getWeight(), "weight")));
         }
-        return new RouteSummary(
-                route.getRoute(), Fields.notNegative(route.getOfferedPerSecond(), "offered per second"), costs);
+        List<RankDemand> demands = new ArrayList<>(route.getDemandsCount());
+        for (RankDemandFrame demand : route.getDemandsList()) {
+            demands.add(new RankDemand(
+                    Fields.between(demand.getOrganisationRank(), 0, Organisation.MAX_RANK, "organisation rank"),
+                    Fields.notNegative(demand.getOfferedPerSecond(), "offered per second")));
+        }
+        return new RouteSummary(route.getRoute(), demands, costs);
     }
 }
--- a/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
@@ -11,10 +11,12 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 import org.carawaysill.model.fleet.CopyName;
+import org.carawaysill.model.fleet.Organisation;
 import org.carawaysill.model.fleet.PublishedEntry;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.CallerName;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.model.identity.RequestIdentifier;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.AnswerContent;
@@ -62,6 +64,7 @@
 import org.carawaysill.policy.message.PublishedState;
 import org.carawaysill.policy.message.StateSummary;
 import org.carawaysill.policy.message.StateSummary.NodeState;
+import org.carawaysill.policy.message.StateSummary.RankDemand;
 import org.carawaysill.policy.message.StateSummary.RouteSummary;
 import org.carawaysill.policy.message.StateSummary.ServiceCost;
 import org.carawaysill.policy.message.Suspicion;
@@ -125,6 +128,7 @@
                 service(),
                 new CopyName(word()),
                 service(),
+                maybe(() -> new OrganisationName(word())),
                 text(),
                 count(),
                 random.nextBoolean(),
@@ -145,7 +149,7 @@
                 random.nextFloat(),
                 random.nextBoolean(),
                 random.nextBoolean(),
-                several(() -> new RouteDemand(text(), random.nextFloat(), random.nextFloat())),
+                several(() -> new RouteDemand(text(), organisationRank(), random.nextFloat(), random.nextFloat())),
                 several(() -> new RouteCost(text(), service(), random.nextFloat())));
     }
 
@@ -172,10 +176,14 @@
         return new NodeState(node(), service(), random.nextBoolean(), random.nextBoolean(), load, random.nextFloat());
     }
 
+    private int organisationRank() {
+        return random.nextInt(Organisation.MAX_RANK + 1);
+    }
+
     private RouteSummary routeSummary() {
         return new RouteSummary(
                 text(),
-                random.nextFloat(),
+                several(() -> new RankDemand(organisationRank(), random.nextFloat())),
                 several(() -> new ServiceCost(service(), random.nextFloat(), random.nextFloat())));
     }
 
