Keep allowances of organisations over all nodes together, by the sums that nodes tell one another

Change: FleetAllowances, pure and in virtual time. Nodes tell in their reports what they admitted of each organisation within the window; a request is refused with 429 where the fleet's sum, with an estimate of what is not told yet, comes close to the allowance. Parts of a partition use their part only; a start remembers nothing and takes the allowance for used up, less with time. Nodes whose entries lapse without a leave keep their part for 30 s. What no copy ran is given back.

--- a/node/src/test/java/org/carawaysill/node/fleet/FleetNodeTest.java
+++ b/node/src/test/java/org/carawaysill/node/fleet/FleetNodeTest.java
@@ -16,6 +16,7 @@
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.node.entry.WireDialect;
 import org.carawaysill.policy.fleet.FleetSettings;
+import org.carawaysill.policy.fleet.allowance.AllowanceBounds;
 import org.carawaysill.policy.fleet.publication.PublicationDecoder;
 import org.carawaysill.policy.fleet.retry.RetrySettings;
 import org.junit.jupiter.api.AfterEach;
@@ -52,6 +53,7 @@
                 Duration.ofSeconds(1),
                 Duration.ofSeconds(5),
                 new RetrySettings(0.2, 10, Duration.ofSeconds(10)),
+                AllowanceBounds.STRICT,
                 Set.of());
         return new FleetNodeSettings(policy, ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT, WireDialect.OWN);
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
@@ -3,9 +3,15 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.carawaysill.model.fleet.FleetConfiguration;
 import org.carawaysill.model.fleet.Organisation;
 import org.carawaysill.model.fleet.Route;
+import org.carawaysill.model.identity.OrganisationName;
+import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.Step;
 import org.carawaysill.policy.fleet.OutgoingRequest.Origin;
+import org.carawaysill.policy.fleet.allowance.FleetAllowances;
 import org.carawaysill.policy.fleet.copy.LocalRun;
 import org.carawaysill.policy.fleet.entry.DemandKey;
 import org.carawaysill.policy.fleet.entry.DemandMeter;
@@ -22,7 +28,9 @@
  */
 final class Admission {
 
+    private final Beliefs beliefs;
     private final LocalRuns localRuns;
+    private final FleetAllowances allowances;
     private final DemandMeter demand;
     private final EntryPlan plan;
     private final RandomGenerator random;
@@ -30,7 +38,9 @@
     private final InnerRoutes innerRoutes = new InnerRoutes();
 
     Admission(FleetParts parts, RandomGenerator random) {
+        beliefs = parts.beliefs();
         localRuns = parts.localRuns();
+        allowances = parts.allowances();
         demand = parts.demand();
         plan = parts.plan();
         this.random = random;
@@ -77,21 +87,52 @@
         return origin.parent().isPresent() || origin.organisation().isEmpty() && innerRoutes.contains(route.name());
     }
 
-    /** Counts a caller's request and decides whether it is admitted; calls of copies are. */
-    boolean isAdmitted(Route route, Origin origin) {
+    /** Counts a caller's request and decides about it; empty where it is admitted, as calls of copies are. */
+    Optional<Outcome.NotRun> refusal(long now, OutgoingRequest request) {
+        Route route = request.route();
+        Origin origin = request.origin();
         if (isCall(route, origin)) {
-            return true;
+            return Optional.empty();
+        }
+        Optional<Organisation> organisation = origin.organisation().flatMap(this::published);
+        Optional<Duration> room = organisation.flatMap(known -> allowances.refusal(now, known));
+        if (room.isPresent()) {
+            return Optional.of(notRun(RefusalReason.OVER_ALLOWANCE, room.get()));
         }
         DemandKey key = new DemandKey(route.name(), origin.organisationRank());
         demand.offered(key);
-        return shareGate.letIn(key, plan.share(key));
+        if (!shareGate.letIn(key, plan.share(key))) {
+            return Optional.of(notRun(RefusalReason.OVERLOAD, comeBack(route)));
+        }
+        organisation.ifPresent(known -> {
+            allowances.take(now, known.name());
+            request.charge(known.name());
+        });
+        return Optional.empty();
+    }
+
+    private Optional<Organisation> published(OrganisationName name) {
+        return beliefs.configuration()
+                .flatMap(FleetConfiguration::organisations)
+                .flatMap(organisations -> organisations.named(name));
+    }
+
+    private static Outcome.NotRun notRun(RefusalReason reason, Duration retryAfter) {
+        return new Outcome.NotRun(reason, retryAfter, Step.ADMISSION, Optional.empty());
+    }
+
+    /** Returns what a request was charged to its organisation, where it turned out that no copy ran it. */
+    void ended(long now, OutgoingRequest request, Outcome outcome) {
+        if (outcome instanceof Outcome.NotRun) {
+            request.charged().ifPresent(name -> allowances.giveBack(now, name, request.arrivedNanos()));
+        }
     }
 
     /**
      * Returns when to come back: spread, so that returns do not come as a herd, and soon enough that an answer is still worth
      * most to the caller, who counts from the first try. A later time does not lower the load: each client comes back once.
      */
-    Duration comeBack(Route route) {
+    private Duration comeBack(Route route) {
         long aim = route.aim().toNanos();
         return Duration.ofNanos(aim / 8 + random.nextLong(Math.max(1, aim / 4)));
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
@@ -43,6 +43,7 @@
     private final Map<String, PublishedEntry> decidedBy = new HashMap<>();
     private final ChangeLog changes = new ChangeLog();
     private final List<String> droppedLate = new ArrayList<>();
+    private final LapsedNodes lapsed = new LapsedNodes();
     private Optional<FleetConfiguration> configuration = Optional.empty();
     private RouteTable routes = new RouteTable(List.of());
     private Map<String, Route> routesByName = Map.of();
@@ -174,7 +175,10 @@
     }
 
     private void remove(long now, PublishedEntry entry, long missingUntilNanos, long asOf) {
-        copies.remove(now, entry.key(), missingUntilNanos).ifPresent(copy -> gone(entry.key(), copy, asOf));
+        copies.remove(now, entry.key(), missingUntilNanos).ifPresent(copy -> {
+            lapsed.add(now, copy);
+            gone(entry.key(), copy, asOf);
+        });
     }
 
     private void gone(String key, Copy copy, long atRevision) {
@@ -223,6 +227,7 @@
     /** Drops what did not come back after the platform did, and forgets what was removed long ago. */
     void passTime(long now) {
         copies.dropMissing(now).forEach((key, copy) -> {
+            lapsed.add(now, copy);
             digest = NOT_KNOWN;
             droppedLate.add(key);
             logCopy(copy, "gone", entries.asOf());
@@ -258,6 +263,11 @@
         return new PublishedState(changes.revision(), digest);
     }
 
+    /** Returns how many nodes may serve callers now: the published ones, and those that lately lapsed without leaving. */
+    int nodeCount(long now) {
+        return lapsed.countWith(now, copies.hosts());
+    }
+
     /** Notes that another node decides by the same, and knows all changes up to a revision. */
     void sameAs(long now, PublishedState theirs) {
         confirmedNanos = now;
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetParts.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetParts.java
@@ -1,5 +1,6 @@
 package org.carawaysill.policy.fleet;
 
+import org.carawaysill.policy.fleet.allowance.FleetAllowances;
 import org.carawaysill.policy.fleet.entry.DemandMeter;
 import org.carawaysill.policy.fleet.entry.EntryPlan;
 
@@ -15,6 +16,7 @@
  * @param reach which nodes may get work
  * @param suspects which requests may have crashed copies
  * @param localRuns the requests for the local copy
+ * @param allowances how much organisations may send
  * @param demand what is asked of this node
  * @param plan what is let in
  */
@@ -26,5 +28,6 @@
         Reach reach,
         CrashSuspects suspects,
         LocalRuns localRuns,
+        FleetAllowances allowances,
         DemandMeter demand,
         EntryPlan plan) {}
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.policy.fleet.allowance.FleetAllowances;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.entry.DemandKey;
 import org.carawaysill.policy.fleet.entry.DemandMeter;
@@ -42,6 +43,7 @@
     private final Peers peers;
     private final FleetState state;
     private final PublicationExchange exchange;
+    private final FleetAllowances allowances;
     private final DemandMeter demand;
     private final EntryPlan plan;
     private final CrashSuspects suspects;
@@ -70,7 +72,8 @@
         long now = start.nanos();
         beliefs = new Beliefs(now, settings.drainLimit(), decoder, random, effects);
         peers = new Peers(settings.self(), effects);
-        state = new FleetState(settings, effects, beliefs, peers);
+        allowances = new FleetAllowances(now, settings.allowances(), random);
+        state = new FleetState(settings, effects, beliefs, peers, allowances);
         exchange = new PublicationExchange(now, effects, beliefs);
         toldDigest = beliefs.published().digest();
         demand = new DemandMeter(now);
@@ -79,7 +82,8 @@
         suspects = new CrashSuspects(settings, effects, beliefs, peers, reach);
         localRuns = new LocalRuns(settings, effects, suspects);
         outgoing = new OutgoingRequests(
-                new FleetParts(settings, effects, beliefs, peers, reach, suspects, localRuns, demand, plan), random);
+                new FleetParts(settings, effects, beliefs, peers, reach, suspects, localRuns, allowances, demand, plan),
+                random);
         loads = new ServiceLoads(settings, beliefs, reach, state, localRuns);
         plannedStop = new PlannedStop(effects, outgoing, localRuns);
         nextTickNanos = now;
@@ -222,6 +226,7 @@
     private void reload(FleetSettings newer) {
         settings = newer;
         outgoing.retries(newer.retries());
+        allowances.bounds(newer.allowances());
         effects.log(new Decision.NodeChanged(
                 "reloaded",
                 "stop_limit_ms=" + newer.stopLimit().toMillis() + " retry_ratio="
@@ -254,6 +259,7 @@
         localRuns.endOverdue(now);
         localRuns.logLimit(now);
         demand.close(now);
+        allowances.nodes(beliefs.nodeCount(now));
         state.tick(now, report(now));
         chooseReaders(now);
         plan.update(state.routes(), loads.sum(now), beliefs.routesByName());
@@ -301,7 +307,8 @@
                 false,
                 false,
                 demand.demands(),
-                plan.ownCosts());
+                plan.ownCosts(),
+                allowances.own(now));
     }
 
     private void logShares(int nodes) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetSettings.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetSettings.java
@@ -6,6 +6,7 @@
 import org.carawaysill.model.identity.NetworkAddress;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.policy.fleet.allowance.AllowanceBounds;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
 import org.carawaysill.policy.fleet.retry.RetrySettings;
 
@@ -21,6 +22,7 @@
  * @param drainLimit within which a leaving copy must get no new work any more
  * @param stopLimit how long a planned stop may take before the process is killed
  * @param retries the bound of repeats in the whole fleet
+ * @param allowances how far the requests of an organisation may exceed its allowance in the whole fleet
  * @param without what is switched off, to measure its worth; nothing in usual operation
  */
 public record FleetSettings(
@@ -31,6 +33,7 @@
         Duration drainLimit,
         Duration stopLimit,
         RetrySettings retries,
+        AllowanceBounds allowances,
         Set<Mechanism> without) {
 
     public FleetSettings {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetState.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetState.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.carawaysill.model.identity.AvailabilityZone;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.policy.fleet.allowance.FleetAllowances;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.summary.Aggregators;
 import org.carawaysill.policy.fleet.summary.Group;
@@ -34,6 +35,7 @@
     private final Effects effects;
     private final Beliefs beliefs;
     private final Peers peers;
+    private final FleetAllowances allowances;
     private final Group group = new Group();
     private final Summaries ofGroups = new Summaries();
     private final Summaries ofFleet = new Summaries();
@@ -41,11 +43,12 @@
     private Map<NodeName, NodeState> states = Map.of();
     private RouteSums routes = new RouteSums();
 
-    FleetState(FleetSettings settings, Effects effects, Beliefs beliefs, Peers peers) {
+    FleetState(FleetSettings settings, Effects effects, Beliefs beliefs, Peers peers, FleetAllowances allowances) {
         this.settings = settings;
         this.effects = effects;
         this.beliefs = beliefs;
         this.peers = peers;
+        this.allowances = allowances;
     }
 
     /** Takes in what another node says of itself. */
@@ -65,6 +68,7 @@
         ofFleet.told(now, from, summary);
         if (!sumsUp()) {
             takeOver(now, ofFleet.all());
+            tellUses(now, summary);
         }
     }
 
@@ -138,6 +142,11 @@
             }
         }
         takeOver(now, List.of(joined));
+        tellUses(now, joined);
+    }
+
+    private void tellUses(long now, StateSummary summary) {
+        allowances.told(now, summary.uses(), summary.nodes().size());
     }
 
     /**
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
@@ -33,6 +33,7 @@
     private Optional<AttemptIdentifier> attempt = Optional.empty();
     private Optional<Outcome.Unknown> lost = Optional.empty();
     private Optional<NodeName> place = Optional.empty();
+    private Optional<OrganisationName> charged = Optional.empty();
     private int sends;
     private int handed;
     private boolean finished;
@@ -97,6 +98,15 @@
         return limitNanos;
     }
 
+    /** Notes that it was counted against an organisation's allowance. */
+    void charge(OrganisationName organisation) {
+        charged = Optional.of(organisation);
+    }
+
+    Optional<OrganisationName> charged() {
+        return charged;
+    }
+
     void sent(Copy to, AttemptIdentifier identifier) {
         copy = Optional.of(to);
         attempt = Optional.of(identifier);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -11,7 +11,6 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.random.RandomGenerator;
-import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.ExchangeIdentifier;
 import org.carawaysill.model.identity.NodeName;
@@ -127,16 +126,11 @@
         request.origin().parent().ifPresent(parent -> parent.callBegan(now));
         byExchange.put(request.arrival().exchange(), request);
         byLimit.add(request);
-        Route route = request.route();
-        Optional<Outcome.NotRun> refusal = suspects.refusal(now, request);
+        Optional<Outcome.NotRun> refusal = suspects.refusal(now, request).or(() -> admission.refusal(now, request));
         if (refusal.isPresent()) {
             finish(now, request, refusal.get());
-            return;
-        }
-        if (admission.isAdmitted(route, request.origin())) {
-            send(now, request);
         } else {
-            finish(now, request, notRun(RefusalReason.OVERLOAD, admission.comeBack(route), Step.ADMISSION));
+            send(now, request);
         }
     }
 
@@ -291,7 +285,9 @@
             parent.times().addAll(request.times().list());
             parent.callEnded(now);
         });
-        answers.give(now, request, request.answer(outcome));
+        Outcome answer = request.answer(outcome);
+        admission.ended(now, request, answer);
+        answers.give(now, request, answer);
     }
 
     /** Gives up what a client no longer waits for. */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/summary/Group.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/summary/Group.java
@@ -71,13 +71,16 @@
     public StateSummary summary(NodeName self, NodeReport own) {
         List<NodeState> states = new ArrayList<>();
         RouteSums sums = new RouteSums();
+        UseSums uses = new UseSums();
         states.add(state(self, own));
         sums.add(own);
+        uses.add(own.uses());
         members.forEach((node, report) -> {
             states.add(state(node, report));
             sums.add(report);
+            uses.add(report.uses());
         });
-        return new StateSummary(own.published(), states, sums.summaries());
+        return new StateSummary(own.published(), states, sums.summaries(), uses.uses());
     }
 
     private static NodeState state(NodeName node, NodeReport report) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/summary/Summaries.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/summary/Summaries.java
@@ -90,7 +90,11 @@
      */
     public static StateSummary join(PublishedState published, List<StateSummary> summaries) {
         RouteSums sums = new RouteSums();
-        summaries.forEach(summary -> sums.add(summary.routes()));
-        return new StateSummary(published, new ArrayList<>(states(summaries).values()), sums.summaries());
+        UseSums uses = new UseSums();
+        summaries.forEach(summary -> {
+            sums.add(summary.routes());
+            uses.add(summary.uses());
+        });
+        return new StateSummary(published, new ArrayList<>(states(summaries).values()), sums.summaries(), uses.uses());
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
@@ -362,6 +362,7 @@
      * @param summed whether the receiver is to sum it up with others, and to tell the sender what it knows of the fleet
      * @param demands what callers ask of the sender, by route; empty but for the one receiver that adds them up
      * @param costs what a request of each route costs at each service, as the sender has seen; empty as the demands
+     * @param uses what organisations lately used of their allowances here
      */
     record NodeReport(
             long sequence,
@@ -374,36 +375,42 @@
             boolean sameZone,
             boolean summed,
             List<RouteDemand> demands,
-            List<RouteCost> costs)
+            List<RouteCost> costs,
+            List<OrganisationUse> uses)
             implements PeerMessage {
 
         public NodeReport {
             demands = List.copyOf(demands);
             costs = List.copyOf(costs);
+            uses = List.copyOf(uses);
         }
 
         /**
-         * Leaves out demands and costs, for a receiver that does not sum it up.
+         * Leaves out demands, costs and uses, for a receiver that does not sum it up.
          *
          * @param inSameZone whether the receiver stands in the sender's availability zone
          * @return the shorter report
          */
         public NodeReport toBeKnown(boolean inSameZone) {
-            return with(inSameZone, false, List.of(), List.of());
+            return with(inSameZone, false, List.of(), List.of(), List.of());
         }
 
         /**
          * Asks a receiver of the sender's availability zone to sum it up with others.
          *
-         * @param whole whether the receiver adds up demands and costs; else they are left out
+         * @param whole whether the receiver adds up demands, costs and uses; else they are left out
          * @return the report
          */
         public NodeReport toBeSummed(boolean whole) {
-            return whole ? with(true, true, demands, costs) : with(true, true, List.of(), List.of());
+            return whole ? with(true, true, demands, costs, uses) : with(true, true, List.of(), List.of(), List.of());
         }
 
         private NodeReport with(
-                boolean inSameZone, boolean isSummed, List<RouteDemand> otherDemands, List<RouteCost> otherCosts) {
+                boolean inSameZone,
+                boolean isSummed,
+                List<RouteDemand> otherDemands,
+                List<RouteCost> otherCosts,
+                List<OrganisationUse> otherUses) {
             return new NodeReport(
                     sequence,
                     published,
@@ -415,7 +422,8 @@
                     inSameZone,
                     isSummed,
                     otherDemands,
-                    otherCosts);
+                    otherCosts,
+                    otherUses);
         }
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/message/StateSummary.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/StateSummary.java
@@ -13,12 +13,15 @@
  * @param published what the sender decides by of all that is published
  * @param nodes the nodes that were heard of lately
  * @param routes what callers ask of these nodes, and what that costs
+ * @param uses what organisations lately used of their allowances at these nodes
  */
-public record StateSummary(PublishedState published, List<NodeState> nodes, List<RouteSummary> routes) {
+public record StateSummary(
+        PublishedState published, List<NodeState> nodes, List<RouteSummary> routes, List<OrganisationUse> uses) {
 
     public StateSummary {
         nodes = List.copyOf(nodes);
         routes = List.copyOf(routes);
+        uses = List.copyOf(uses);
     }
 
     /**
--- a/policy/src/test/java/org/carawaysill/policy/fleet/FleetStateTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/FleetStateTest.java
@@ -254,7 +254,8 @@
                             List.of(new ServiceCost(anyService(), anyFloat(), anyFloat()))))
                     .limit(random.nextInt(5))
                     .toList();
-            return new StateSummary(new PublishedState(random.nextInt(1000), random.nextLong()), states, routes);
+            return new StateSummary(
+                    new PublishedState(random.nextInt(1000), random.nextLong()), states, routes, List.of());
         }
 
         /*
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -32,6 +32,7 @@
 import org.carawaysill.model.request.Credential;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RequestContent;
+import org.carawaysill.policy.fleet.allowance.AllowanceBounds;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
 import org.carawaysill.policy.fleet.publication.PublicationDecoder;
 import org.carawaysill.policy.fleet.publication.PublicationDecoder.Publication;
@@ -253,6 +254,7 @@
                     DRAIN_LIMIT,
                     stopLimit,
                     new RetrySettings(0.2, 48, Duration.ofSeconds(10)),
+                    new AllowanceBounds(Duration.ofSeconds(5), 0.25, 20),
                     without);
         }
 
--- /dev/null
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/allowance/AllowanceMethod.java
@@ -0,0 +1,143 @@
+package org.carawaysill.policy.fleet.allowance;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.carawaysill.model.fleet.Allowance;
+import org.carawaysill.model.fleet.Organisation;
+import org.carawaysill.policy.message.OrganisationUse;
+
+/** A way in which one node may keep to an allowance of the whole fleet, to be compared with others. Not thread safe. */
+sealed interface AllowanceMethod {
+
+    /** Decides about a request, and counts it if it is admitted. */
+    boolean admit(long now);
+
+    /** What the node tells of itself. */
+    int report(long now);
+
+    /** Receives the sum of what some nodes told. */
+    void told(long now, int sum, int ofNodes);
+
+    /** Sums of what the nodes told lately, the policy's own way. */
+    final class FleetSums implements AllowanceMethod {
+
+        private final FleetAllowances allowances;
+        private final Organisation organisation;
+
+        FleetSums(long now, AllowanceBounds bounds, Organisation organisation, int nodes, SplittableRandom random) {
+            allowances = new FleetAllowances(now, bounds, random);
+            allowances.nodes(nodes);
+            this.organisation = organisation;
+        }
+
+        @Override
+        public boolean admit(long now) {
+            boolean admitted = allowances.refusal(now, organisation).isEmpty();
+            if (admitted) {
+                allowances.take(now, organisation.name());
+            }
+            return admitted;
+        }
+
+        @Override
+        public int report(long now) {
+            return allowances.own(now).stream()
+                    .mapToInt(OrganisationUse::admitted)
+                    .sum();
+        }
+
+        @Override
+        public void told(long now, int sum, int ofNodes) {
+            allowances.told(now, List.of(new OrganisationUse(organisation.name(), sum)), ofNodes);
+        }
+    }
+
+    /** The same part of the allowance for each node: the baseline. */
+    final class EvenShare implements AllowanceMethod {
+
+        private final double tokensPerNano;
+        private final double most;
+        private double tokens;
+        private long refilledNanos;
+
+        EvenShare(long now, AllowanceBounds bounds, Allowance allowance, int nodes) {
+            tokensPerNano = allowance.perSecond()
+                    * (1 + bounds.overshoot())
+                    / nodes
+                    / Duration.ofSeconds(1).toNanos();
+            most = Math.max(1, (allowance.burst() * (1 + bounds.overshoot()) + bounds.slack()) / nodes);
+            tokens = most;
+            refilledNanos = now;
+        }
+
+        @Override
+        public boolean admit(long now) {
+            tokens = Math.min(most, tokens + (now - refilledNanos) * tokensPerNano);
+            refilledNanos = now;
+            boolean admitted = tokens >= 1;
+            tokens -= admitted ? 1 : 0;
+            return admitted;
+        }
+
+        @Override
+        public int report(long now) {
+            return 0;
+        }
+
+        @Override
+        public void told(long now, int sum, int ofNodes) {}
+    }
+
+    /** A part that follows what callers ask of each node, with a floor for nodes that were asked nothing yet. */
+    final class FollowingShare implements AllowanceMethod {
+
+        /** The part of the allowance that is shared evenly. */
+        private static final double EVEN_PART = 0.2;
+
+        private final AdmittedWindow asked;
+        private final double perNano;
+        private final double burst;
+        private final int nodes;
+        private double share;
+        private double tokens;
+        private long refilledNanos;
+
+        FollowingShare(long now, AllowanceBounds bounds, Allowance allowance, int nodes) {
+            asked = new AdmittedWindow(now, bounds.window().toNanos());
+            perNano = allowance.perSecond()
+                    * (1 + bounds.overshoot())
+                    / Duration.ofSeconds(1).toNanos();
+            burst = allowance.burst() * (1 + bounds.overshoot()) + bounds.slack();
+            this.nodes = nodes;
+            share = 1.0 / nodes;
+            tokens = most();
+            refilledNanos = now;
+        }
+
+        private double most() {
+            return Math.max(1, burst * share);
+        }
+
+        @Override
+        public boolean admit(long now) {
+            asked.add(now);
+            tokens = Math.min(most(), tokens + (now - refilledNanos) * perNano * share);
+            refilledNanos = now;
+            boolean admitted = tokens >= 1;
+            tokens -= admitted ? 1 : 0;
+            return admitted;
+        }
+
+        @Override
+        public int report(long now) {
+            return asked.sum(now);
+        }
+
+        @Override
+        public void told(long now, int sum, int ofNodes) {
+            double following = sum > 0 ? Math.min(1.0, asked.sum(now) / (double) sum) : 1.0 / nodes;
+            share = EVEN_PART / nodes + (1 - EVEN_PART) * following;
+        }
+    }
+}
--- a/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
@@ -29,7 +29,8 @@
     private final EntryPlan plan = new EntryPlan(Set.of());
 
     private static NodeReport report(LoadReport load, List<RouteDemand> demands, List<RouteCost> costs) {
-        return new NodeReport(1, new PublishedState(0, 0), true, false, DEEP, load, 0, true, true, demands, costs);
+        return new NodeReport(
+                1, new PublishedState(0, 0), true, false, DEEP, load, 0, true, true, demands, costs, List.of());
     }
 
     private double share(String route) {
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
@@ -91,6 +91,7 @@
                     .setService(cost.service().value())
                     .setSlotSeconds(cost.slotSeconds()));
         }
+        report.uses().forEach(use -> frame.addUses(SummaryCodec.encode(use)));
         return frame.build();
     }
 
@@ -123,7 +124,8 @@
                 frame.getSameZone(),
                 frame.getSummed(),
                 demands,
-                costs);
+                costs,
+                SummaryCodec.uses(frame.getUsesList()));
     }
 
     static CopyAnswerFrame encode(CopyAnswer answer) {
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/SummaryCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/SummaryCodec.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import org.carawaysill.model.fleet.Organisation;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.policy.message.OrganisationUse;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 import org.carawaysill.policy.message.PublishedState;
 import org.carawaysill.policy.message.StateSummary;
@@ -15,6 +17,7 @@
 import org.carawaysill.policy.message.StateSummary.RouteSummary;
 import org.carawaysill.policy.message.StateSummary.ServiceCost;
 import org.carawaysill.protocol.generated.NodeStateFrame;
+import org.carawaysill.protocol.generated.OrganisationUseFrame;
 import org.carawaysill.protocol.generated.RankDemandFrame;
 import org.carawaysill.protocol.generated.RouteSummaryFrame;
 import org.carawaysill.protocol.generated.ServiceCostFrame;
@@ -37,10 +40,28 @@
                 .setPublishedDigest(summary.published().digest());
         summary.nodes().forEach(node -> frame.addNodes(encode(node, services)));
         summary.routes().forEach(route -> frame.addRoutes(encode(route, services)));
+        summary.uses().forEach(use -> frame.addUses(encode(use)));
         services.keySet().forEach(service -> frame.addServices(service.value()));
         return frame.build();
     }
 
+    static OrganisationUseFrame encode(OrganisationUse use) {
+        return OrganisationUseFrame.newBuilder()
+                .setOrganisation(use.organisation().value())
+                .setAdmitted(use.admitted())
+                .build();
+    }
+
+    static List<OrganisationUse> uses(List<OrganisationUseFrame> frames) throws ProtocolFault {
+        List<OrganisationUse> uses = new ArrayList<>(frames.size());
+        for (OrganisationUseFrame frame : frames) {
+            OrganisationName organisation = Fields.organisation(frame.getOrganisation())
+                    .orElseThrow(() -> new ProtocolFault(ProtocolFault.Kind.MISSING, "organisation"));
+            uses.add(new OrganisationUse(organisation, Fields.notNegative(frame.getAdmitted(), "admitted")));
+        }
+        return uses;
+    }
+
     private static int indexOf(ServiceName service, Map<ServiceName, Integer> services) {
         return services.computeIfAbsent(service, _ -> services.size());
     }
@@ -92,7 +113,8 @@
                         Fields.notNegative(frame.getPublishedRevision(), "published revision"),
                         frame.getPublishedDigest()),
                 nodes,
-                routes);
+                routes,
+                uses(frame.getUsesList()));
     }
 
     private static ServiceName service(int index, List<ServiceName> services) throws ProtocolFault {
--- a/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
@@ -29,6 +29,7 @@
 import org.carawaysill.model.request.RequestContent;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
+import org.carawaysill.policy.message.OrganisationUse;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.CancelAttempt;
 import org.carawaysill.policy.message.PeerMessage.ConfigurationChange;
@@ -150,7 +151,8 @@
                 random.nextBoolean(),
                 random.nextBoolean(),
                 several(() -> new RouteDemand(text(), organisationRank(), random.nextFloat(), random.nextFloat())),
-                several(() -> new RouteCost(text(), service(), random.nextFloat())));
+                several(() -> new RouteCost(text(), service(), random.nextFloat())),
+                several(this::use));
     }
 
     private Suspicion suspicion() {
@@ -168,7 +170,8 @@
     }
 
     private StateSummary summary() {
-        return new StateSummary(publishedState(), several(this::nodeState), several(this::routeSummary));
+        return new StateSummary(
+                publishedState(), several(this::nodeState), several(this::routeSummary), several(this::use));
     }
 
     private NodeState nodeState() {
@@ -176,6 +179,10 @@
         return new NodeState(node(), service(), random.nextBoolean(), random.nextBoolean(), load, random.nextFloat());
     }
 
+    private OrganisationUse use() {
+        return new OrganisationUse(new OrganisationName(word()), count());
+    }
+
     private int organisationRank() {
         return random.nextInt(Organisation.MAX_RANK + 1);
     }
