Leave organisations of each rank a third of the share that all requests get

Callers would see: where organisations of the first rank ask for all there is, those of the last rank got a tenth of what they ask, less than a quarter of what all get, and count as starved (EntryPlanTest failed with 0.1 of the last against 0.45 of all before the change).

Cause: the least share that the plan leaves to each kind of request is fixed at 0.1, and an organisation's rank goes before everything. Change: where organisations of several ranks ask, the least share is 0.35 of the share of all requests in the last plan, within 0.4 of a service's slots. Sites whose organisations have one rank, or none, keep the plan that they had.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/EntryPlan.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/EntryPlan.java
@@ -21,7 +21,7 @@
  * refused call in ten leaves hardly any whole request. So requests are refused at the entry, before any work, and by what
  * they cost at each service below. All nodes see nearly the same reports and so come to nearly the same plan without
  * talking about it. Invariant: beyond {@link #LEAST_PART} of its slots, a service serves a route only while no route of
- * higher rank that needs it is kept out. Not thread safe: owned by the policy.
+ * higher rank that needs it is kept out; where organisations have several ranks, beyond {@link #LEAST_PART_OF_RANKS}. Not thread safe: owned by the policy.
  */
 public final class EntryPlan {
 
@@ -35,6 +35,15 @@
      */
     private static final double LEAST_PART = 0.25;
 
+    /**
+     * The share of organisations of each rank that is admitted, as a part of the share of all requests. Guards against
+     * organisations of the last rank that are hardly served while others of the first rank ask for all there is.
+     */
+    private static final double LEAST_OF_MEAN = 0.35;
+
+    /** The part of a service's slots that is left to the least shares where organisations have several ranks. */
+    private static final double LEAST_PART_OF_RANKS = 0.4;
+
     private final Set<Mechanism> without;
     private final RouteCosts costs = new RouteCosts();
     private final PlannedSlots slots = new PlannedSlots();
@@ -67,7 +76,7 @@
         SortedMap<Integer, List<PlannedRoute>> byRank = byRank(demand, routes);
         List<PlannedRoute> all = byRank.values().stream().flatMap(List::stream).toList();
         room = room(loads);
-        room.fill(all, LEAST_SHARE, LEAST_PART);
+        fillLeast(all);
         byRank.values().forEach(equals -> room.fill(equals, 1, 1));
         Map<DemandKey, Double> newShares = new HashMap<>();
         Map<DemandKey, Double> newOffered = new HashMap<>();
@@ -79,6 +88,31 @@
         offered = newOffered;
     }
 
+    private void fillLeast(List<PlannedRoute> all) {
+        boolean severalRanks = all.stream()
+                        .map(route -> route.key().organisationRank())
+                        .distinct()
+                        .count()
+                > 1;
+        if (severalRanks) {
+            double least = Math.max(LEAST_SHARE, LEAST_OF_MEAN * meanShare());
+            room.fill(all, least, LEAST_PART_OF_RANKS);
+        } else {
+            room.fill(all, LEAST_SHARE, LEAST_PART);
+        }
+    }
+
+    /** Returns the share of all requests that the last plan admits. */
+    private double meanShare() {
+        double asked = 0;
+        double admitted = 0;
+        for (Map.Entry<DemandKey, Double> each : offered.entrySet()) {
+            asked += each.getValue();
+            admitted += each.getValue() * share(each.getKey());
+        }
+        return asked > 0 ? admitted / asked : 1;
+    }
+
     private SortedMap<Integer, List<PlannedRoute>> byRank(RouteSums demand, Map<String, Route> routes) {
         SortedMap<Integer, List<PlannedRoute>> byRank = new TreeMap<>();
         for (DemandKey key : demand.keys()) {
--- /dev/null
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/ShiftedSite.java
@@ -0,0 +1,134 @@
+package org.carawaysill.policy.fleet;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.carawaysill.model.fleet.Organisation;
+import org.carawaysill.model.fleet.Organisations;
+import org.carawaysill.model.fleet.Route;
+import org.carawaysill.model.identity.KeyDigest;
+import org.carawaysill.model.identity.OrganisationName;
+import org.carawaysill.model.request.Body;
+import org.carawaysill.model.request.Credential;
+import org.carawaysill.model.request.Header;
+import org.carawaysill.model.request.Outcome;
+
+/**
+ * A site of 58 nodes in three availability zones, whose deepest service has five copies: bills make eight calls there and
+ * lookups four, beside short reads that go there directly and are worth most for their time. Organisations of two ranks ask.
+ *
+ * <p>Slots, speeds, times of work, aims and limits are those of the sheet that a customer gave. Not thread safe.
+ */
+final class ShiftedSite extends VirtualSite {
+
+    static final String DEEP = "manifests";
+
+    private static final int ORGANISATIONS = 24;
+    private static final int RANKS = 2;
+
+    private static final List<Kind> KINDS = List.of(
+            new Kind("lookup", "tracker", true, 2, 800, 1500, 5000, 331, 1),
+            new Kind("issue", "issuer", false, 0, 1000, 1500, 5000, 393, 3),
+            new Kind("consignee", "parties", true, 2, 1500, 800, 3000, 124, 1),
+            new Kind("vessel", DEEP, true, 1, 600, 150, 600, 279, 2));
+
+    private static final Map<String, Work> WORKS = Map.of(
+            "/lookup/", new Work(120 * MILLI, 0.8, List.of("/chain/"), answer(1500)),
+            "/issue/", new Work(160 * MILLI, 0.5, List.of("/registry/", "/registry/"), answer(400)),
+            "/consignee/", new Work(300 * MILLI, 0.8, List.of(), answer(6000)),
+            "/vessel/", new Work(48 * MILLI, 0.8, List.of(), answer(400)),
+            "/chain/", new Work(15 * MILLI, 0.5, List.of("/registry/"), answer(400)),
+            "/registry/",
+                    new Work(
+                            15 * MILLI,
+                            0.5,
+                            List.of("/schedule/", "/schedule/", "/schedule/", "/schedule/"),
+                            answer(400)),
+            "/schedule/", new Work(30 * MILLI, 0.5, List.of(), answer(400)));
+
+    private final List<Credential> credentials = new ArrayList<>();
+    private final Map<Credential, Tries> tries = new HashMap<>();
+    private int hosts;
+
+    /** What became of the tries of one organisation. */
+    private static final class Tries {
+
+        private int sent;
+        private int good;
+    }
+
+    ShiftedSite(long seed) {
+        super(seed, Set.of(), KINDS);
+        fleet.organisations = Optional.of(new Organisations(organisations()));
+        configure(
+                called("/chain/", "issuer", 2500, 1000),
+                called("/registry/", "parties", 2000, 800),
+                called("/schedule/", DEEP, 700, 300));
+        double[] speeds = {0.5, 1, 1, 1.5};
+        add("tracker", 69, speeds, 6, 4, 4);
+        add("issuer", 40, new double[] {0.6, 1, 1.4}, 9, 9, 6);
+        add("parties", 64, speeds, 6, 5, 4);
+        add(DEEP, 34, speeds, 2, 2, 1);
+        slowsDownWhenNearlyFull(DEEP);
+        fleet.runUntil(START);
+    }
+
+    private static Route called(String path, String service, long timeout, long aim) {
+        return Routes.withoutKey(Routes.route(path, service, true, 1, timeout, aim));
+    }
+
+    private List<Organisation> organisations() {
+        List<Organisation> organisations = new ArrayList<>();
+        for (int i = 0; i < ORGANISATIONS; i++) {
+            String name = "organisation-" + i;
+            KeyDigest key = KeyDigest.of(name.getBytes(StandardCharsets.UTF_8));
+            credentials.add(new Credential(List.of(new Header("Authorization", name)), Optional.of(key)));
+            organisations.add(new Organisation(new OrganisationName(name), Set.of(key), i % RANKS, Optional.empty()));
+        }
+        return organisations;
+    }
+
+    private static Body answer(int bytes) {
+        return Body.wrap(new byte[bytes]);
+    }
+
+    private void add(String service, int slots, double[] speeds, int... copiesInZone) {
+        int added = 0;
+        for (int zone = 0; zone < copiesInZone.length; zone++) {
+            for (int i = 0; i < copiesInZone[zone]; i++) {
+                double speed = speeds[added++ % speeds.length];
+                add(service, "10." + zone + ".0." + ++hosts, "zone-" + zone, slots, speed, WORKS);
+            }
+        }
+    }
+
+    @Override
+    Credential credentialOf(Kind kind) {
+        return credentials.get(random.nextInt(credentials.size()));
+    }
+
+    @Override
+    void noted(Credential credential, Outcome outcome) {
+        Tries of = tries.computeIfAbsent(credential, _ -> new Tries());
+        of.sent++;
+        of.good += Outcomes.isGood(outcome) ? 1 : 0;
+    }
+
+    /** The part of all tries that was answered by a copy. */
+    double goodOfAll() {
+        double sent = tries.values().stream().mapToInt(each -> each.sent).sum();
+        return tries.values().stream().mapToInt(each -> each.good).sum() / sent;
+    }
+
+    /** The part of the tries of the organisation that is served worst. */
+    double goodOfTheWorst() {
+        return tries.values().stream()
+                .mapToDouble(each -> each.good / (double) each.sent)
+                .min()
+                .orElseThrow();
+    }
+}
--- /dev/null
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/ShiftedSiteTest.java
@@ -0,0 +1,28 @@
+package org.carawaysill.policy.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Heavy days of a site on which organisations of two ranks ask for more than its deepest service can do. */
+class ShiftedSiteTest {
+
+    private static final double SECONDS = 10;
+
+    @Nested
+    class Organisations {
+
+        /** Who is refused: at 2.3 times the usual load the first rank asks for all there is, and the last one starved. */
+        @Test
+        void areEachServedAtLeastAQuarterAsOftenAsAll() {
+            ShiftedSite site = new ShiftedSite(1);
+            site.abuse(0.3, 2);
+            site.offer(2.3, 0, SECONDS);
+            site.play(SECONDS + 4);
+            double all = site.goodOfAll();
+            double worst = site.goodOfTheWorst();
+            assertTrue(worst > all / 4, () -> worst + " of the worst, " + all + " of all");
+        }
+    }
+}
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.carawaysill.model.fleet.Route;
+import org.carawaysill.model.request.Credential;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
@@ -124,7 +125,12 @@
                 .computeIfAbsent(window, _ -> new Tally());
         tally.owed++;
         boolean abuser = random.nextDouble() < abusers;
-        attempt(new Request(kind, tally, pathOf(kind), fleet.now, abuser), abuser ? 1 + abuses : 1);
+        attempt(new Request(kind, tally, pathOf(kind), credentialOf(kind), fleet.now, abuser), abuser ? 1 + abuses : 1);
+    }
+
+    /** What a new request presents to show its organisation. */
+    Credential credentialOf(Kind kind) {
+        return Credential.NONE;
     }
 
     /** The path of a new request; a client that comes back uses it again. */
@@ -133,7 +139,7 @@
     }
 
     /** What a client asks for, over all its tries. */
-    private record Request(Kind kind, Tally tally, String path, long began, boolean abuser) {}
+    private record Request(Kind kind, Tally tally, String path, Credential credential, long began, boolean abuser) {}
 
     private void attempt(Request request, int repeats) {
         Kind kind = request.kind();
@@ -145,8 +151,9 @@
         }
         fleet.at(fleet.now + CLIENT_HOP, () -> {
             String name = kind.name() + '-' + ++requests;
-            fleet.send(entry, name, request.path(), left, (_, outcome) -> {
+            fleet.send(entry, name, request.path(), request.credential(), left, (_, outcome) -> {
                 noted(name, outcome);
+                noted(request.credential(), outcome);
                 ended(request, repeats, outcome);
             });
         });
@@ -174,6 +181,9 @@
         fleet.at(fleet.now + wait, () -> attempt(request, repeats - 1));
     }
 
+    /** Receives each answer that a client of an organisation gets. */
+    void noted(Credential credential, Outcome outcome) {}
+
     /** Hears of each answer that a client gets. */
     void noted(String name, Outcome outcome) {}
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
@@ -110,6 +110,48 @@
         }
     }
 
+    @Nested
+    class RanksOfOrganisations {
+
+        private final Map<String, Route> routes = Map.of("book", route("book", 0), "lookup", route("lookup", 2));
+
+        private void plan(RouteDemand... demands) {
+            NodeReport report = report(
+                    new LoadReport(SLOTS, SLOTS, 0, 0),
+                    List.of(demands),
+                    List.of(new RouteCost("book", DEEP, 0.1f), new RouteCost("lookup", DEEP, 0.1f)));
+            for (int i = 0; i < 20; i++) {
+                plan.update(sums(report), Map.of(DEEP, new ServiceLoad(SLOTS, SLOTS, 0)), routes);
+            }
+        }
+
+        private double share(String route, int organisationRank) {
+            return plan.share(new DemandKey(route, organisationRank));
+        }
+
+        private static RouteDemand asked(String route, int organisationRank, float rate) {
+            return new RouteDemand(route, organisationRank, rate, rate);
+        }
+
+        @Test
+        void goBeforeThoseOfRoutes() {
+            plan(asked("book", 1, 60), asked("lookup", 0, 60));
+            assertTrue(share("lookup", 0) > 0.9, () -> "lookup " + share("lookup", 0));
+            assertTrue(share("book", 1) < 0.6, () -> "book " + share("book", 1));
+        }
+
+        /** Guards against organisations that starve since those before them ask for more than there is. */
+        @Test
+        void leaveEachAQuarterOfWhatAllGetAtTwiceTheLoadThatFits() {
+            plan(asked("book", 0, 90), asked("lookup", 0, 90), asked("book", 1, 10), asked("lookup", 1, 10));
+            double all =
+                    (90 * share("book", 0) + 90 * share("lookup", 0) + 10 * share("book", 1) + 10 * share("lookup", 1))
+                            / 200;
+            double last = (share("book", 1) + share("lookup", 1)) / 2;
+            assertTrue(last > all / 4, () -> last + " of the last, " + all + " of all");
+        }
+    }
+
     @Nested
     class FormerCosts {
 
