Plan for a little more of the tolerated overshoot, and for none of it on either side of a partition

Change: 0.2 in place of 0.1 of the tolerated overshoot is planned for; where less than 0.95 of the nodes are heard of, nothing of it, since the other side may not have noticed the cut yet. The trial's clients now come back as clients do, 0.4 of them three times at once.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/allowance/FleetAllowances.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/allowance/FleetAllowances.java
@@ -33,7 +33,7 @@
     static final Duration ALONE_AFTER = Duration.ofMillis(1600);
 
     /** The part of the tolerated overshoot that is planned for; the rest covers sudden rises that are not known yet. */
-    private static final double PLANNED_OVERSHOOT = 0.1;
+    private static final double PLANNED_OVERSHOOT = 0.2;
 
     /** In a fleet of more nodes each sees too little of a rise, so that less of the overshoot may be planned for. */
     private static final double NODES_THAT_SEE_A_RISE = 100;
@@ -44,6 +44,9 @@
     /** The part of its rate that an organisation is expected to ask for, of which nothing is known. */
     private static final double LEAST_EXPECTED = 0.5;
 
+    /** The part of the nodes that must be heard of for a fleet that is not cut in two; a few may be starting. */
+    private static final double WHOLE_FLEET = 0.95;
+
     private static final Duration SHORTEST_WAIT = Duration.ofMillis(200);
 
     private final RandomGenerator random;
@@ -174,7 +177,7 @@
 
     /** Of a share that is no whole number, the nodes that are lucky for an organisation get one request more. */
     private double excessAlone(long now, Allowance allowance, Use use) {
-        double share = planned(allowance) * lived(now) / nodes;
+        double share = bounds.allowed(allowance) * lived(now) / nodes;
         double whole = Math.floor(share) + (use.luck < share - Math.floor(share) ? 1 : 0);
         return use.own.sum(now) + 1 - whole;
     }
@@ -182,7 +185,8 @@
     private double excessInFleet(long now, Allowance allowance, Use use) {
         int heard = nodes == 1 ? 1 : toldNodes;
         double part = Math.min(1, heard / (double) nodes);
-        double room = planned(allowance) * part;
+        // The overshoot is left to the other side of a partition, which is not known to have noticed it.
+        double room = part < WHOLE_FLEET ? bounds.allowed(allowance) * part : planned(allowance) * part;
         if (nodes == 1) {
             return use.own.sum(now) + beforeStart(now, allowance) + 1 - room;
         }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/allowance/AllowanceTrial.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/allowance/AllowanceTrial.java
@@ -29,6 +29,7 @@
     private static final long MILLI = 1_000_000;
     private static final long SECOND = 1000 * MILLI;
     private static final long INTERVAL = 400 * MILLI;
+    private static final double IMPATIENT = 0.4;
     private static final long SETTLED = 6 * SECOND;
     private static final long LISTED = 1100 * MILLI;
 
@@ -197,13 +198,22 @@
         if (down[node]) {
             return;
         }
+        boolean counted = now >= SETTLED;
         bucket = Math.min(allowance.burst(), bucket + (now - bucketNanos) * allowance.perSecond() / SECOND);
         bucketNanos = now;
-        boolean counted = now >= SETTLED;
         if (bucket >= 1) {
             bucket--;
             owed += counted ? 1 : 0;
         }
+        boolean abuser = random.nextDouble() < IMPATIENT;
+        attempt(node, counted, abuser ? 3 : 1, abuser);
+    }
+
+    /** Clients come back once as they are told; impatient ones three times, at once. */
+    private void attempt(int node, boolean counted, int repeats, boolean abuser) {
+        if (down[node]) {
+            return;
+        }
         if (nodes[node].admit(now)) {
             admitted += counted ? 1 : 0;
             admittedTimes.add(now);
@@ -211,6 +221,9 @@
                 admittedTimes.poll();
             }
             worst = Math.max(worst, admittedTimes.size());
+        } else if (repeats > 0) {
+            long wait = abuser ? 5 * MILLI : 200 * MILLI + random.nextLong(1200 * MILLI);
+            at(now + wait, () -> attempt(node, counted, repeats - 1, abuser));
         }
     }
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/allowance/FleetAllowancesTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/allowance/FleetAllowancesTest.java
@@ -171,7 +171,7 @@
                 allowances.take(20 * SECOND, agents.name());
                 admitted++;
             }
-            assertTrue(admitted >= 60 && admitted <= 77, "admitted " + admitted);
+            assertTrue(admitted >= 60 && admitted <= 61, "admitted " + admitted);
         }
     }
 }
