--- a/model/src/main/java/org/carawaysill/model/fleet/CopyRecord.java
+++ b/model/src/main/java/org/carawaysill/model/fleet/CopyRecord.java
@@ -37,7 +37,7 @@
     }
 
     /**
-     * Tells whether two records speak of the same process.
+     * Returns whether two records speak of the same process.
      *
      * @param other the other record
      * @return whether name and start are the same
--- a/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
@@ -227,7 +227,7 @@
         writeAnswers();
     }
 
-    /** Takes in what a request came to. */
+    /** Writes the outcome of a request. */
     void answer(EntryExchange exchange, Outcome outcome) {
         exchange.answer(server.answers().of(outcome, exchange));
         server.forget(exchange);
--- a/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
@@ -164,7 +164,7 @@
     }
 
     /**
-     * Tells where the server listens.
+     * Returns where the server listens.
      *
      * @return the bound port
      */
--- a/node/src/main/java/org/carawaysill/node/entry/RequestHead.java
+++ b/node/src/main/java/org/carawaysill/node/entry/RequestHead.java
@@ -125,7 +125,7 @@
                 || name.replace('_', '-').equalsIgnoreCase(dialect.organisation());
     }
 
-    /** Tells what is wrong with the request, if anything. */
+    /** Returns what is wrong with the request, if anything. */
     Optional<BadRequest> fault(ClientLimits limits) {
         if (!framing) {
             return Optional.of(BadRequest.FRAMING);
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetLoop.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetLoop.java
@@ -63,7 +63,7 @@
     }
 
     /**
-     * Gives an event to the policy, from any thread.
+     * Hands an event to the policy, from any thread.
      *
      * @param event the event
      */
@@ -75,7 +75,7 @@
         }
     }
 
-    /** Gives an event to the policy, on the event loop. */
+    /** Hands an event to the policy, on the event loop. */
     void handle(FleetEvent event) {
         waiting.add(event);
         if (deciding) {
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -135,7 +135,7 @@
     }
 
     /**
-     * Gives the services, to find one by name.
+     * Returns the services, to find one by name.
      *
      * @return the registry
      */
--- a/node/src/main/java/org/carawaysill/node/upstream/AnswerCheck.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/AnswerCheck.java
@@ -7,7 +7,7 @@
 import org.carawaysill.node.entry.WireDialect;
 
 /**
- * Tells what an answer of the local copy is worth, before its body is read.
+ * Returns what an answer of the local copy is worth, before its body is read.
  *
  * <p>Stateless and thread safe.
  */
--- a/node/src/main/java/org/carawaysill/node/upstream/BrokenExchanges.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/BrokenExchanges.java
@@ -40,12 +40,12 @@
         return true;
     }
 
-    /** Tells whether there were other connections when the first one ended, and all of them have ended since. */
+    /** Returns whether there were other connections when the first one ended, and all of them have ended since. */
     boolean areAllGone(Collection<CopyConnection> open) {
         return !others.isEmpty() && Collections.disjoint(others, open);
     }
 
-    /** Tells whether to ask again: more of the connections have ended since the last question, or that of the question. */
+    /** Returns whether to ask again: more of the connections have ended since the last question, or that of the question. */
     boolean isOpenStill(Collection<CopyConnection> open, boolean answerEnded) {
         int before = left;
         left = (int) others.stream().filter(open::contains).count();
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
@@ -252,7 +252,7 @@
                 Body.wrap(body.toByteArray()));
     }
 
-    /** Returns the connection only now: whatever came right behind the answer has been seen by then. */
+    /** Gives the connection back only now: whatever came right behind the answer has been seen by then. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         if (exchange.isEmpty() && decoder.hasRest() && sound) {
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -328,7 +328,7 @@
                 .forEach(CopyConnection::close);
     }
 
-    /** Tells how long a connection may be idle on this side where the copy closes it after a stated time. */
+    /** Returns how long a connection may be idle on this side where the copy closes it after a stated time. */
     Duration idleLimit(Duration stated) {
         Duration limit = stated.minus(IDLE_MARGIN);
         return limit.isNegative() ? Duration.ZERO : limit;
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
@@ -101,7 +101,7 @@
         }
         DemandKey key = new DemandKey(route.name(), origin.organisationRank());
         demand.offered(key);
-        if (!shareGate.letIn(key, plan.share(key))) {
+        if (!shareGate.admit(key, plan.share(key))) {
             return Optional.of(notRun(RefusalReason.OVERLOAD, comeBack(route)));
         }
         organisation.ifPresent(known -> {
@@ -121,7 +121,7 @@
         return new Outcome.NotRun(reason, retryAfter, Step.ADMISSION, Optional.empty());
     }
 
-    /** Returns what a request was charged to its organisation, where it turned out that no copy ran it. */
+    /** Gives back what a request was charged to its organisation, where no copy ran it. */
     void ended(long now, OutgoingRequest request, Outcome outcome) {
         if (outcome instanceof Outcome.NotRun) {
             request.charged().ifPresent(name -> allowances.giveBack(now, name, request.arrivedNanos()));
--- a/policy/src/main/java/org/carawaysill/policy/fleet/AttemptRules.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/AttemptRules.java
@@ -32,7 +32,7 @@
         }
     }
 
-    /** Tells whether a copy did what it was asked. */
+    /** Returns whether a copy did what it was asked. */
     static boolean isWhole(Outcome outcome) {
         return outcome instanceof Outcome.Answered answered
                 && answered.content().status() < SERVER_ERROR;
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
@@ -130,7 +130,7 @@
     }
 
     /**
-     * Takes in what another node knows. It has waited for entries that may come back, so that what it tells as removed is
+     * Receives what another node knows. It has waited for entries that may come back, so that what it tells as removed is
      * gone.
      */
     void told(long now, PeerMessage.Entries told) {
@@ -143,7 +143,7 @@
     }
 
     /**
-     * Gives what another node lacks. An entry that may be back soon is told as it was last: the other node may read the
+     * Returns what another node lacks. An entry that may be back soon is told as it was last: the other node may read the
      * platform without a gap and know better.
      *
      * @param since up to which revision the other node knows all changes
@@ -162,7 +162,7 @@
         return entries.asOf();
     }
 
-    /** Takes in entries; those told by another node count as changed as of when it told them. */
+    /** Receives entries; those told by another node count as changed as of when it told them. */
     private void take(long now, List<PublishedEntry> newer, long missingUntilNanos, long toldAsOf) {
         for (PublishedEntry entry : newer) {
             long asOf = Math.max(entry.revision(), toldAsOf);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
@@ -74,7 +74,7 @@
         this.reach = reach;
     }
 
-    /** Tells what is known of a request; costs nothing as long as no copy has crashed. */
+    /** Returns what is known of a request; costs nothing as long as no copy has crashed. */
     private Standing standing(
             long now, ServiceName service, Optional<OrganisationName> organisation, RequestContent content) {
         return table.isEmpty()
@@ -86,7 +86,7 @@
         return standing(now, request.service(), request.organisation(), request.content());
     }
 
-    /** Tells whether a copy crashed while it ran a request, and nothing has cleared it. */
+    /** Returns whether a copy crashed while it ran a request, and nothing has cleared it. */
     boolean isSuspected(long now, CopyRequest request) {
         return standing(now, request) instanceof Standing.Suspected;
     }
@@ -139,7 +139,7 @@
     }
 
     /**
-     * Names the node beside the one copy of a service at which a suspect may run.
+     * Returns the node beside the one copy of a service at which a suspect may run.
      *
      * <p>If each copy were free to run it, tries that come at several nodes at once would crash several copies before the first
      * crash is known. Where all copies crash and come back, each node knows of its own one first: one that has crashed several
@@ -198,7 +198,7 @@
     }
 
     /**
-     * Tells whether a request was handed to the copy as a suspect.
+     * Returns whether a request was handed to the copy as a suspect.
      *
      * <p>One that was there before it was suspected proves nothing: what many callers ask for is at each of several copies
      * that lose power at one moment.
@@ -225,7 +225,7 @@
         logQuarantine(now, fingerprint, "crash of " + record.copy());
     }
 
-    /** Takes in that the local copy answered a request; tells whether that cleared it. */
+    /** Notes that the local copy answered a request; tells whether that cleared it. */
     boolean answered(long now, CopyRequest request) {
         ServiceName service = request.service();
         Standing standing = standing(now, request);
@@ -279,7 +279,7 @@
     }
 
     /**
-     * Takes in what another node knows; tells whether anything of it was new.
+     * Receives what another node knows; tells whether anything of it was new.
      *
      * <p>A node beside the service passes a new quarantine on to the others beside it: the one that found the cause may end
      * before all have heard of it.
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
@@ -18,14 +18,14 @@
 public sealed interface Decision {
 
     /**
-     * Gives the inputs and the outcome.
+     * Returns the inputs and the outcome.
      *
      * @return pairs of key and value, parted by spaces
      */
     String fields();
 
     /**
-     * Names the request or the part of the node's beliefs that it concerns.
+     * Returns the request or the part of the node's beliefs that it concerns.
      *
      * @return the name
      */
@@ -78,7 +78,7 @@
      * @param outcome the answer
      * @param attempts attempts made
      * @param tookNanos time since it arrived
-     * @param share the share of its route that is let in
+     * @param share the share of its route that is admitted
      * @param version the configuration version
      */
     record Answered(
@@ -319,7 +319,7 @@
     }
 
     /**
-     * The share of a route's requests that is let in changed by much.
+     * The share of a route's requests that is admitted changed by much.
      *
      * @param subject the route
      * @param organisationRank the rank of the organisations that ask
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetParts.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetParts.java
@@ -18,7 +18,7 @@
  * @param localRuns the requests for the local copy
  * @param allowances how much organisations may send
  * @param demand what is asked of this node
- * @param plan what is let in
+ * @param plan what is admitted
  */
 record FleetParts(
         FleetSettings settings,
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -340,7 +340,7 @@
     }
 
     /**
-     * Tells when the policy must be woken if nothing happens before.
+     * Returns when the policy must be woken if nothing happens before.
      *
      * @return a time on the monotonic clock in nanoseconds
      */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetState.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetState.java
@@ -51,19 +51,19 @@
         this.allowances = allowances;
     }
 
-    /** Takes in what another node says of itself. */
+    /** Receives what another node says of itself. */
     void reported(long now, NodeName from, NodeReport report) {
         if (report.summed()) {
             group.reported(now, from, report);
         }
     }
 
-    /** Takes in what another node that sums up was told. */
+    /** Receives what another node that sums up was told. */
     void groupTold(long now, NodeName from, StateSummary summary) {
         ofGroups.told(now, from, summary);
     }
 
-    /** Takes in what a node that sums up for this one knows of the fleet. */
+    /** Receives what a node that sums up for this one knows of the fleet. */
     void fleetTold(long now, NodeName from, StateSummary summary) {
         ofFleet.told(now, from, summary);
         if (!sumsUp()) {
@@ -204,12 +204,12 @@
         effects.add(new FleetEffect.SendToPeer(receiver, own.toBeKnown(sameZone)));
     }
 
-    /** Tells whether others that are in touch with a node were heard to say so lately; without any, nobody knows. */
+    /** Returns whether others that are in touch with a node were heard to say so lately; without any, nobody knows. */
     boolean isListed(NodeName node) {
         return states.isEmpty() || states.containsKey(node);
     }
 
-    /** Tells whether a node was heard to leave from those that sum up. */
+    /** Returns whether a node was heard to leave from those that sum up. */
     boolean isLeaving(NodeName node) {
         NodeState state = states.get(node);
         return state != null && state.leaving();
--- a/policy/src/main/java/org/carawaysill/policy/fleet/InnerRoutes.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/InnerRoutes.java
@@ -7,7 +7,7 @@
  * The routes on which copies call, as seen here.
  *
  * <p>A call whose parent is not known, since this node was started again while its copy went on, is not taken for a
- * caller's request: it belongs to one that was let in. Not thread safe: owned by the policy.
+ * caller's request: it belongs to one that was admitted. Not thread safe: owned by the policy.
  */
 final class InnerRoutes {
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -52,7 +52,7 @@
     private boolean unpublished;
     private boolean closed;
 
-    /** Hears what a request of this node's own came to. */
+    /** Receives the outcomes of requests that entered at this node. */
     @FunctionalInterface
     interface LocalSender {
 
@@ -85,12 +85,12 @@
         return gate.all().size();
     }
 
-    /** Those that were handed to the copy. */
+    /** Returns the number of requests that were handed to the copy. */
     long runningCount() {
         return gate.all().stream().filter(LocalRun::isRunning).count();
     }
 
-    /** Takes in what is published of the local copy. */
+    /** Receives what is published of the local copy. */
     void published(Moment moment, CopyRecord record) {
         long now = moment.nanos();
         gate.limit(now, record.slots());
@@ -110,7 +110,7 @@
         unpublished = true;
     }
 
-    /** Ends what was at the copy when its process ended. */
+    /** Fails the requests in flight when the copy's process exits. */
     void crashed(long now, List<AttemptIdentifier> attempts) {
         List<LocalRun> runs =
                 attempts.stream().map(gate::find).flatMap(Optional::stream).toList();
@@ -305,7 +305,7 @@
         }
     }
 
-    /** Tells how many requests may be at the copy, where that changed. */
+    /** Logs how many requests may be at the copy, where that changed. */
     void logLimit(long now) {
         LoadReport load = gate.load(now);
         if (load.limit() != loggedLimit) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
@@ -127,7 +127,7 @@
         place = Optional.of(node);
     }
 
-    /** Tells whether it may be sent to the copy beside a node, as far as others said. */
+    /** Returns whether it may be sent to the copy beside a node, as far as others said. */
     boolean mayGoTo(NodeName node) {
         return place.isEmpty() || place.get().equals(node);
     }
@@ -157,7 +157,7 @@
     }
 
     /**
-     * Tells what the client is told.
+     * Returns what the client is told.
      *
      * <p>Guards against a client that is told "not run" of a request that a copy began: an attempt's answer was lost, and the
      * next attempt was refused. What is known of the whole request is what is known of the attempt that may have run.
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -87,12 +87,12 @@
         return byExchange.size();
     }
 
-    /** Those that were sent and are not answered. */
+    /** Returns the number of requests that were sent and are not answered. */
     int sentCount() {
         return byAttempt.size();
     }
 
-    /** The nodes that owe an answer to a request. */
+    /** Returns the nodes with a pending reply. */
     Set<NodeName> waitedFor() {
         Set<NodeName> nodes = new HashSet<>();
         byAttempt.values().forEach(request -> request.copy().ifPresent(copy -> nodes.add(copy.node())));
@@ -100,7 +100,7 @@
         return nodes;
     }
 
-    /** Takes in which routes are published. */
+    /** Applies the published routes. */
     void routes(Collection<String> names) {
         answerSizes.retain(names);
     }
@@ -290,7 +290,7 @@
         answers.give(now, request, answer);
     }
 
-    /** Gives up what a client no longer waits for. */
+    /** Cancels requests whose client has disconnected. */
     void exchangeClosed(long now, ExchangeIdentifier exchange) {
         OutgoingRequest request = byExchange.remove(exchange);
         if (request == null) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
@@ -59,7 +59,7 @@
         this.effects = effects;
     }
 
-    /** Takes in which nodes are published: those beside all copies. */
+    /** Receives which nodes are published: those beside all copies. */
     void published(long now, Set<String> hosts) {
         for (String host : hosts) {
             NodeName name = new NodeName(host);
@@ -202,19 +202,19 @@
         });
     }
 
-    /** Tells whether a connection carries something, by all that was seen here, and its node takes new work. */
+    /** Returns whether a connection carries something, by all that was seen here, and its node takes new work. */
     boolean inTouch(NodeName name) {
         Peer peer = known.get(name);
         return peer != null && peer.isHeard() && !peer.leaving;
     }
 
-    /** Tells whether something came from a node so lately that nobody else needs to say that it lives. */
+    /** Returns whether something came from a node so lately that nobody else needs to say that it lives. */
     boolean isHeardLately(long now, NodeName name) {
         Peer peer = known.get(name);
         return peer != null && peer.isHeardLately(now);
     }
 
-    /** Tells whether a node can be reached that has said it leaves, and may still take work. */
+    /** Returns whether a node can be reached that has said it leaves, and may still take work. */
     boolean isJustLeaving(long now, NodeName name) {
         Peer peer = known.get(name);
         return peer != null && peer.isHeard() && peer.leaving && now - peer.leavingNanos < LAST_RESORT.toNanos();
@@ -230,7 +230,7 @@
         return names;
     }
 
-    /** Tells whether a node can be reached and last said itself that it can read the platform. */
+    /** Returns whether a node can be reached and last said itself that it can read the platform. */
     boolean readsPlatform(NodeName name) {
         return inTouch(name) && known.get(name).readsPlatform;
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
@@ -81,7 +81,7 @@
     }
 
     /**
-     * Tells when the next step of the stop is due.
+     * Returns when the next step of the stop is due.
      *
      * <p>Guards against a process that is killed at the end of its time, which shows as connections that are cut: where a single
      * long request is left, nothing else happens in which the end of the time would be noticed, and the report that follows
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Reach.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Reach.java
@@ -27,7 +27,7 @@
     }
 
     /**
-     * Tells whether a node may get work that nobody else can take: it has just said that it leaves, or nobody has heard of it
+     * Returns whether a node may get work that nobody else can take: it has just said that it leaves, or nobody has heard of it
      * lately, but its connection stands.
      */
     boolean containsAsLastResort(long now, NodeName node) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/ServiceLoads.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/ServiceLoads.java
@@ -11,7 +11,7 @@
 /**
  * Sums up what the copies of each service are doing that may get work now.
  *
- * <p>What a node reports whose copy is gone or leaves does not count. Guards against a plan that lets in what nobody can
+ * <p>What a node reports whose copy is gone or leaves does not count. Guards against a plan that admits what nobody can
  * run: where three of four copies of a deep service are gone by what is published, their nodes still report all their slots,
  * and hardly any chain of calls through the last copy ends in time. In virtual time, 0.41 in place of 0.33 of the requests
  * then end within their aim, and 590 in place of 2,800 fail. Not thread safe: owned by the policy.
@@ -32,7 +32,7 @@
         this.localRuns = localRuns;
     }
 
-    /** Gives the loads by service; a service without a copy that may get work is not there. */
+    /** Returns the loads by service; a service without a copy that may get work is not there. */
     Map<ServiceName, ServiceLoad> sum(long now) {
         lookAtOwnCopy(now);
         return settings.without().contains(Mechanism.USABLE_SLOTS) ? ofAllNodes(now) : ofUsableCopies(now);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/AnswerSizes.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/AnswerSizes.java
@@ -27,7 +27,7 @@
     }
 
     /**
-     * Tells how large an answer is likely to be.
+     * Returns how large an answer is likely to be.
      *
      * @param route its route
      * @return bytes, 0 where none is known
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
@@ -60,7 +60,7 @@
     }
 
     /**
-     * Gives what is published of it.
+     * Returns what is published of it.
      *
      * @return the record
      */
@@ -69,7 +69,7 @@
     }
 
     /**
-     * Names the node beside it.
+     * Returns the node beside it.
      *
      * @return the node, named by its VM's IP number
      */
@@ -78,7 +78,7 @@
     }
 
     /**
-     * Tells whether this node has known it for some time.
+     * Returns whether this node has known it for some time.
      *
      * @param now the monotonic time
      * @param time how long
@@ -88,7 +88,7 @@
         return now - firstSeenNanos >= time.toNanos();
     }
 
-    /** Takes in a newer record; tells whether it says more than the last one. */
+    /** Receives a newer record; tells whether it says more than the last one. */
     boolean update(CopyRecord newer, long now) {
         boolean changed = newer.draining() != record.draining()
                 || newer.slots() != record.slots()
@@ -123,7 +123,7 @@
     }
 
     /**
-     * Tells whether it left or ended.
+     * Returns whether it left or ended.
      *
      * @return whether it may get no work for good
      */
@@ -132,7 +132,7 @@
     }
 
     /**
-     * Tells which of two copies at one address started later.
+     * Returns which of two copies at one address started later.
      *
      * <p>Guards against a dead copy that is taken for the living one, which shows as 421 to most requests for two seconds
      * after all nodes and copies lost power: a node that has just started sees the entries of both at the same moment, and
@@ -162,7 +162,7 @@
     }
 
     /**
-     * Tells which share of the requests of this node it lately did. Without requests, it is forgotten that they failed.
+     * Returns which share of the requests of this node it lately did. Without requests, it is forgotten that they failed.
      *
      * @param now the monotonic time
      * @return 0 to 1
@@ -178,7 +178,7 @@
     }
 
     /**
-     * Takes in the load that its node told.
+     * Receives the load that its node told.
      *
      * @param now the monotonic time
      * @param newest the load
@@ -189,7 +189,7 @@
     }
 
     /**
-     * Takes in the load that others heard from its node, unless the node itself told it lately.
+     * Receives the load that others heard from its node, unless the node itself told it lately.
      *
      * @param now the monotonic time
      * @param heard the load
@@ -206,7 +206,7 @@
     }
 
     /**
-     * Takes in how long it lately took for a request.
+     * Receives how long it lately took for a request.
      *
      * @param seconds the mean, 0 where it is not known
      */
@@ -215,7 +215,7 @@
     }
 
     /**
-     * Tells how long it lately took for a request.
+     * Returns how long it lately took for a request.
      *
      * @return the mean in seconds, 0 where it is not known
      */
@@ -224,7 +224,7 @@
     }
 
     /**
-     * Gives the load that its node told last.
+     * Returns the load that its node told last.
      *
      * @return the load; all slots free before anything was told
      */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
@@ -172,7 +172,7 @@
     }
 
     /**
-     * Takes in a request that is suspected to crash copies: it waits until it may run beside few other suspects.
+     * Receives a request that is suspected to crash copies: it waits until it may run beside few other suspects.
      *
      * @param run the request
      * @return whether there was room for it
@@ -187,7 +187,7 @@
     }
 
     /**
-     * Takes in that a request at the copy is suspected to crash copies, and was not when it was handed over.
+     * Notes that a request at the copy is suspected to crash copies, and was not when it was handed over.
      *
      * @param run the request
      */
@@ -241,7 +241,7 @@
     }
 
     /**
-     * Gives the slot of a finished request, or the place of a waiting one, to others.
+     * Releases the slot of a finished request, or the place of a waiting one.
      *
      * @param now the monotonic time
      * @param run the request
@@ -306,7 +306,7 @@
     }
 
     /**
-     * Tells when the first waiting request is overdue.
+     * Returns when the first waiting request is overdue.
      *
      * @param margin how long an answer takes back to the client
      * @return the monotonic time, {@link Long#MAX_VALUE} where none waits
@@ -324,7 +324,7 @@
     }
 
     /**
-     * Tells when suspects may be let through although others are still at the copy.
+     * Returns when suspects may be let through although others are still at the copy.
      *
      * @return the monotonic time, {@link Long#MAX_VALUE} where none waits for that
      */
@@ -333,7 +333,7 @@
     }
 
     /**
-     * Gives the present load.
+     * Returns the present load.
      *
      * @param now the monotonic time
      * @return requests at the copy and waiting, and the limit
@@ -343,7 +343,7 @@
     }
 
     /**
-     * Tells how long the copy lately took for a request, without its calls.
+     * Returns how long the copy lately took for a request, without its calls.
      *
      * @param now the monotonic time
      * @return seconds, 0 where it is not known
@@ -363,7 +363,7 @@
     }
 
     /**
-     * Tells whether nothing waits or runs.
+     * Returns whether nothing waits or runs.
      *
      * @return whether it is empty
      */
@@ -372,7 +372,7 @@
     }
 
     /**
-     * Gives all that waits or runs.
+     * Returns all that waits or runs.
      *
      * @return the requests
      */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
@@ -27,7 +27,7 @@
     private final Map<ServiceName, List<Copy>> usable = new HashMap<>();
 
     /**
-     * Takes in which services there are. Guards against an entry of another writer that has the address of a living copy:
+     * Receives which services there are. Guards against an entry of another writer that has the address of a living copy:
      * it would take the copy's place, and its slots and state would hold for it.
      *
      * @param services the services that the configuration in force names
@@ -46,7 +46,7 @@
     }
 
     /**
-     * Takes in what is published of a copy. Of a start before the one that is known nothing is taken in: it was written
+     * Receives what is published of a copy. Of a start before the one that is known nothing is taken in: it was written
      * late. All that was known of an earlier start is void.
      *
      * @param now the monotonic time
@@ -76,7 +76,7 @@
     }
 
     /**
-     * Takes in that an entry was removed.
+     * Notes that an entry was removed.
      *
      * @param now the monotonic time
      * @param key the entry's key
@@ -120,7 +120,7 @@
     }
 
     /**
-     * Tells whether an entry's copy is missing, but not yet gone.
+     * Returns whether an entry's copy is missing, but not yet gone.
      *
      * @param key the entry's key
      * @return whether its entry may still come back
@@ -145,7 +145,7 @@
     }
 
     /**
-     * Gives the copies of a service that may get work.
+     * Returns the copies of a service that may get work.
      *
      * @param service the service
      * @return the copies
@@ -155,7 +155,7 @@
     }
 
     /**
-     * Gives the copies of all services that may get work.
+     * Returns the copies of all services that may get work.
      *
      * @return the copies
      */
@@ -176,7 +176,7 @@
     }
 
     /**
-     * Gives all published copies.
+     * Returns all published copies.
      *
      * @return the copies
      */
@@ -185,7 +185,7 @@
     }
 
     /**
-     * Gives the published copies beside a node.
+     * Returns the published copies beside a node.
      *
      * @param node the node
      * @return the copies: more than one while an address is used again
@@ -195,7 +195,7 @@
     }
 
     /**
-     * Gives the IP numbers of the VMs of all copies.
+     * Returns the IP numbers of the VMs of all copies.
      *
      * @return the IP numbers
      */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/LocalRun.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/LocalRun.java
@@ -63,7 +63,7 @@
     }
 
     /**
-     * Gives the request.
+     * Returns the request.
      *
      * @return the request
      */
@@ -72,7 +72,7 @@
     }
 
     /**
-     * Tells who is to be answered.
+     * Returns who is to be answered.
      *
      * @return the node that sent it, empty for this one
      */
@@ -81,7 +81,7 @@
     }
 
     /**
-     * Tells when the caller's request arrived behind which it is made.
+     * Returns when the caller's request arrived behind which it is made.
      *
      * @return the monotonic time on this node, but for the time that messages were on their way
      */
@@ -90,7 +90,7 @@
     }
 
     /**
-     * Tells when it arrived.
+     * Returns when it arrived.
      *
      * @return the monotonic time
      */
@@ -99,7 +99,7 @@
     }
 
     /**
-     * Tells until when its answer is of use.
+     * Returns until when its answer is of use.
      *
      * @return the monotonic time
      */
@@ -125,7 +125,7 @@
     }
 
     /**
-     * Tells whether it was known to be suspected before it was handed to the copy.
+     * Returns whether it was known to be suspected before it was handed to the copy.
      *
      * @return its fingerprint, where it was
      */
@@ -143,7 +143,7 @@
         runningAtStart = withItself;
     }
 
-    /** Tells how many requests were at the copy when this one was handed to it, itself included. */
+    /** Returns how many requests were at the copy when this one was handed to it, itself included. */
     int runningAtStart() {
         return runningAtStart;
     }
@@ -170,14 +170,14 @@
         }
     }
 
-    /** Gives the time at the copy in which no call was under way. */
+    /** Returns the time at the copy in which no call was under way. */
     long ownNanos(long now) {
         long open = openCalls > 0 ? now - callsBeganNanos : 0;
         return Math.max(0, now - startedNanos - callsNanos - open);
     }
 
     /**
-     * Tells whether it was handed to the copy.
+     * Returns whether it was handed to the copy.
      *
      * @return whether it has a slot
      */
@@ -186,7 +186,7 @@
     }
 
     /**
-     * Gives the slots' time that the calls of this request took so far.
+     * Returns the slots' time that the calls of this request took so far.
      *
      * @return the times, to be added to
      */
@@ -195,7 +195,7 @@
     }
 
     /**
-     * Tells when it was handed to the copy.
+     * Returns when it was handed to the copy.
      *
      * @return the monotonic time, 0 while it waits
      */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/NearFullLimit.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/NearFullLimit.java
@@ -55,7 +55,7 @@
         this.enabled = enabled;
     }
 
-    /** Takes in how many slots the copy has, or that it was started anew. */
+    /** Receives how many slots the copy has, or that it was started anew. */
     void reset(long now, int newSlots) {
         slots = newSlots;
         nearFull = new Average();
@@ -68,7 +68,7 @@
         return Math.max(1, (int) Math.ceil(NEARLY_FULL_PART * slots) - 1);
     }
 
-    /** Tells how many requests may be at the copy. */
+    /** Returns how many requests may be at the copy. */
     int limit(long now) {
         return enabled && isReduced(now) ? reduced() : slots;
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/SuspectQueue.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/SuspectQueue.java
@@ -36,7 +36,7 @@
     }
 
     /**
-     * Takes in that a request at the copy is suspected that was not when it began: others wait for its end.
+     * Notes that a request at the copy is suspected that was not when it began: others wait for its end.
      *
      * <p>If the copy crashed under it and another suspect, either could be the cause.
      */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/WorkTime.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/WorkTime.java
@@ -41,7 +41,7 @@
         }
     }
 
-    /** Gives the mean in seconds, 0 where it is not known. */
+    /** Returns the mean in seconds, 0 where it is not known. */
     double seconds(long now) {
         forgetOld(now);
         return count < ENOUGH_REQUESTS ? 0 : meanNanos / Nanos.PER_SECOND;
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/DemandMeter.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/DemandMeter.java
@@ -75,7 +75,7 @@
     }
 
     /**
-     * Gives the demand of each route and rank of organisations.
+     * Returns the demand of each route and rank of organisations.
      *
      * @return requests a second
      */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/EntryPlan.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/EntryPlan.java
@@ -15,17 +15,18 @@
 import org.carawaysill.policy.message.PeerMessage.SlotTime;
 
 /**
- * Which share of each route's requests is let in, so that what is let in fits every service that it reaches.
+ * Which share of each route's requests is admitted, so that what is admitted fits every service that it reaches.
  *
  * <p>Refusing a call at the last hop wastes all work done above it: where a request makes a dozen calls in a row, one
  * refused call in ten leaves hardly any whole request. So requests are refused at the entry, before any work, and by what
  * they cost at each service below. All nodes see nearly the same reports and so come to nearly the same plan without
  * talking about it. Invariant: beyond {@link #LEAST_PART} of its slots, a service serves a route only while no route of
- * higher rank that needs it is kept out; where organisations have several ranks, beyond {@link #LEAST_PART_OF_RANKS}. Not thread safe: owned by the policy.
+ * higher rank that needs it is rejected; where organisations have several ranks, beyond {@link #LEAST_PART_OF_RANKS}.
+ * Not thread safe: owned by the policy.
  */
 public final class EntryPlan {
 
-    /** What of each route is let in however much it costs: no kind of request is to be starved. */
+    /** What of each route is admitted however much it costs: no kind of request is to be starved. */
     private static final double LEAST_SHARE = 0.1;
 
     /**
@@ -52,7 +53,7 @@
     private Map<DemandKey, Double> offered = Map.of();
 
     /**
-     * Starts without a plan: everything is let in.
+     * Starts without a plan: everything is admitted.
      *
      * @param without what is switched off
      */
@@ -155,7 +156,7 @@
     }
 
     /**
-     * Gives what this node has learned, to be told to others.
+     * Returns what this node has learned, to be told to others.
      *
      * @return the cost of each route at each service
      */
@@ -164,7 +165,7 @@
     }
 
     /**
-     * Tells which share of a route's requests is let in.
+     * Returns which share of a route's requests is admitted.
      *
      * @param key the route, and the rank of the organisations that ask
      * @return 0 to 1
@@ -183,7 +184,7 @@
     }
 
     /**
-     * Tells how much is asked of a route in the whole fleet.
+     * Returns how much is asked of a route in the whole fleet.
      *
      * @param key the route, and the rank of the organisations that ask
      * @return requests a second
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/PlannedRoute.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/PlannedRoute.java
@@ -4,7 +4,7 @@
 import org.carawaysill.model.identity.ServiceName;
 
 /**
- * A route, as organisations of one rank ask for it, in the making of a plan, with the share of its requests that is let in so far.
+ * A route, as organisations of one rank ask for it, in the making of a plan, with the share of its requests that is admitted so far.
  *
  * <p>Invariant: the share is 0 to 1 and never falls. Not thread safe: lives as long as one plan is made.
  */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/PlannedSlots.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/PlannedSlots.java
@@ -10,7 +10,7 @@
  *
  * <p>A plan from learned costs errs where the costs are too high: they were learned while requests waited, or most requests
  * now fail before they take their slots. Requests are then kept out while slots stand idle, and nothing in the costs shows
- * it. So the plan for a service that keeps requests out and has idle slots grows, and falls back as soon as its slots are
+ * it. So the plan for a service that rejects requests and has idle slots grows, and falls back as soon as its slots are
  * in use. Under a deep service that sheds half of its calls, this serves 0.43 of its own callers in place of 0.32 (seeds 1
  * to 6 of the quote site in virtual time, twice the usual load). Letting the plan fall below {@link #PLANNED_PART} where
  * requests wait was tried as well and served less, since it follows too late both ways.
@@ -38,10 +38,10 @@
     private final Map<ServiceName, Double> growth = new HashMap<>();
 
     /**
-     * Takes in what the copies are doing.
+     * Receives what the copies are doing.
      *
      * @param loads the loads, by service
-     * @param keepsOut tells whether the plan keeps requests out for a service's sake
+     * @param keepsOut tells whether the plan rejects requests for a service's sake
      */
     void follow(Map<ServiceName, ServiceLoad> loads, Predicate<ServiceName> keepsOut) {
         growth.keySet().retainAll(loads.keySet());
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/RouteCosts.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/RouteCosts.java
@@ -67,7 +67,7 @@
         return sums;
     }
 
-    /** Gives what this node has learned, to be told to others. */
+    /** Returns what this node has learned, to be told to others. */
     List<RouteCost> own() {
         List<RouteCost> costs = new ArrayList<>();
         own.forEach((route, times) ->
@@ -76,10 +76,10 @@
     }
 
     /**
-     * Takes in what all nodes have learned. A route of which nobody knows anything now keeps what was known before; of one that
+     * Receives what all nodes have learned. A route of which nobody knows anything now keeps what was known before; of one that
      * somebody knows, only what is known now counts.
      *
-     * <p>Guards against a route that is kept out for good, since it once needed a service that has no copies any more, as after
+     * <p>Guards against a route that is rejected for good, since it once needed a service that has no copies any more, as after
      * a configuration that sends its calls elsewhere.
      */
     void average(RouteSums sums) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/ServiceLoad.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/ServiceLoad.java
@@ -14,7 +14,7 @@
 public record ServiceLoad(int slots, int running, int queued) {
 
     /**
-     * Gives the load of one copy.
+     * Returns the load of one copy.
      *
      * @param copy what its node told last
      * @return the load
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/ShareGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/ShareGate.java
@@ -6,7 +6,7 @@
 /**
  * Lets a share of each route's requests in, evenly spaced.
  *
- * <p>Spacing them keeps the load that is let in as even as the load that comes; drawing each at random would add its own
+ * <p>Spacing them keeps the load that is admitted as even as the load that comes; drawing each at random would add its own
  * clumps. Invariant: of any number of requests under one share, the number let in is within one of that share. Not thread
  * safe: owned by the policy.
  */
@@ -18,10 +18,10 @@
      * Decides about the next request.
      *
      * @param key its route, and the rank of its organisation
-     * @param share the share that is let in, 0 to 1
-     * @return whether it is let in
+     * @param share the share that is admitted, 0 to 1
+     * @return whether it is admitted
      */
-    public boolean letIn(DemandKey key, double share) {
+    public boolean admit(DemandKey key, double share) {
         if (share >= 1) {
             return true;
         }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/SharedRoom.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/SharedRoom.java
@@ -27,7 +27,7 @@
         left.put(service, slots);
     }
 
-    /** Tells whether all planned slots of a service were given out, so that it keeps requests out. */
+    /** Returns whether all planned slots of a service were given out, so that it rejects requests. */
     boolean isFull(ServiceName service) {
         return whole.containsKey(service) && free(service, 0) <= ROUNDING * whole.getOrDefault(service, 0.0);
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/SlotTimes.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/SlotTimes.java
@@ -36,7 +36,7 @@
     }
 
     /**
-     * Gives the times of all services.
+     * Returns the times of all services.
      *
      * @return the times
      */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/package-info.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/package-info.java
@@ -1,4 +1,4 @@
-/** Which requests of callers are let in, by what they cost at the services below. */
+/** Which requests of callers are admitted, by what they cost at the services below. */
 @NullMarked
 package org.carawaysill.policy.fleet.entry;
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/mechanism/Mechanism.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/mechanism/Mechanism.java
@@ -6,7 +6,7 @@
  * <p>None is needed for a promise: without it, more requests are refused, fail or come late. Immutable and thread safe.
  */
 public enum Mechanism {
-    /** Requests are let in by what they cost at each service; else all are let in. */
+    /** Requests are admitted by what they cost at each service; else all are admitted. */
     ENTRY_PLAN,
     /** Only the slots of copies that may get work now count in the plan; else those of all nodes that report. */
     USABLE_SLOTS,
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/ChangeLog.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/ChangeLog.java
@@ -50,7 +50,7 @@
     }
 
     /**
-     * Gives the revision of the last change.
+     * Returns the revision of the last change.
      *
      * @return the revision, 0 where nothing is known
      */
@@ -59,7 +59,7 @@
     }
 
     /**
-     * Tells whether all changes since a revision are remembered; else others must be told which entries are left.
+     * Returns whether all changes since a revision are remembered; else others must be told which entries are left.
      *
      * @param since the revision
      * @return whether they are
@@ -69,7 +69,7 @@
     }
 
     /**
-     * Gives the entries that changed something.
+     * Returns the entries that changed something.
      *
      * @param since the revision after which they did
      * @return their keys
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/PlatformReads.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/PlatformReads.java
@@ -83,7 +83,7 @@
     }
 
     /**
-     * Tells whether this node reads for others too.
+     * Sets whether this node reads for others too.
      *
      * @param now the monotonic time
      * @param forOthers whether it does
@@ -141,7 +141,7 @@
     }
 
     /**
-     * Tells when the next read is due.
+     * Returns when the next read is due.
      *
      * @return the monotonic time, {@link Long#MAX_VALUE} while a read is under way
      */
@@ -185,7 +185,7 @@
     }
 
     /**
-     * Tells whether others read meanwhile, so that the platform may have been away without a sign here.
+     * Returns whether others read meanwhile, so that the platform may have been away without a sign here.
      *
      * <p>Guards against copies that are taken for gone since they could not write while the platform was away, which shows as
      * no copy in reach for two seconds after its return: the node that takes over from the readers that failed has not
@@ -218,7 +218,7 @@
     }
 
     /**
-     * Tells whether this node could read for others: its last read, if there was one, did not fail.
+     * Returns whether this node could read for others: its last read, if there was one, did not fail.
      *
      * @return whether it could
      */
@@ -227,7 +227,7 @@
     }
 
     /**
-     * Tells for how long the present read has been under way.
+     * Returns for how long the present read has been under way.
      *
      * @param now the monotonic time
      * @return nanoseconds, 0 where there is none
@@ -237,7 +237,7 @@
     }
 
     /**
-     * Tells until when an entry that turned out to be missing may be back.
+     * Returns until when an entry that turned out to be missing may be back.
      *
      * @param now the monotonic time
      * @return the monotonic time, not after {@code now} where a missing entry is gone
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/PublishedEntries.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/PublishedEntries.java
@@ -33,7 +33,7 @@
     private long forgottenUpTo;
 
     /**
-     * Takes in what the platform gave.
+     * Receives what the platform gave.
      *
      * @param givenAsOf all that was published up to this revision has been told
      * @param complete whether entries that are not given don't exist
@@ -53,7 +53,7 @@
     }
 
     /**
-     * Takes in what another node told. It does not say up to which revision everything is known: the other node holds
+     * Receives what another node told. It does not say up to which revision everything is known: the other node holds
      * back removals that it does not trust yet, and the platform is to tell them here.
      *
      * <p>Guards against a copy that comes back from the dead, which shows as requests to an address that another service
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/Readers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/Readers.java
@@ -38,7 +38,7 @@
     private Readers() {}
 
     /**
-     * Tells whether a node is a reader.
+     * Returns whether a node is a reader.
      *
      * @param self the node
      * @param candidates all nodes that can read the platform
--- a/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/Standing.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/Standing.java
@@ -17,7 +17,7 @@
     record Suspected(Fingerprint fingerprint, int crashes) implements Standing {
 
         /**
-         * Tells whether one more crash under it and another suspect would still not tell which of them is the cause.
+         * Returns whether one more crash under it and another suspect would still not tell which of them is the cause.
          *
          * @return whether it must run without any other suspect beside it
          */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/Suspect.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/Suspect.java
@@ -135,12 +135,12 @@
         return openCrashes > 0;
     }
 
-    /** Tells whether it was under so many crashes that the others under them are free of suspicion. */
+    /** Returns whether it was under so many crashes that the others under them are free of suspicion. */
     boolean isCertain() {
         return uncleared().size() >= FINAL_CRASHES;
     }
 
-    /** Tells whether it is taken for the cause of crashes; an answer since then has shown that it is not. */
+    /** Returns whether it is taken for the cause of crashes; an answer since then has shown that it is not. */
     boolean isCause() {
         return quarantinedAt > 0 && uncleared().size() >= quarantinedAt;
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/SuspectTable.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/SuspectTable.java
@@ -13,21 +13,21 @@
 import org.carawaysill.policy.message.Suspicion;
 
 /**
- * What one node knows of requests under which copies crashed.
+ * Tracks requests suspected of crashing upstream copies.
  *
  * <p>Invariants: what others tell is joined by union, so that order, repeats and several paths do no harm; never more than
- * {@link #MOST_SUSPECTS}. Not thread safe: owned by the policy.
+ * {@link #MAX_SUSPECTS}. Not thread safe: owned by the policy.
  */
 public final class SuspectTable {
 
     /** Some twenty crashes of copies with 200 slots, under 1 MB. */
-    static final int MOST_SUSPECTS = 4096;
+    static final int MAX_SUSPECTS = 4096;
 
-    /** For so long a crash says that copies crash for some reason. */
-    static final Duration RECENT = Duration.ofSeconds(30);
+    /** Crashes within this window are evidence of a common cause. */
+    static final Duration CORRELATION_WINDOW = Duration.ofSeconds(30);
 
-    /** An eighth goes where there is no room: more than two crashes of a large copy bring. */
-    private static final int PARTS_FORGOTTEN = 8;
+    /** Share of entries evicted when the table is full: one in eight. */
+    private static final int EVICTION_DIVISOR = 8;
 
     /** Starts of copies that are remembered to have crashed: their entries lapse within seconds. */
     private static final int MOST_STARTS = 512;
@@ -41,13 +41,13 @@
     };
 
     private int open;
-    private boolean isWorkedOut = true;
+    private boolean isStale = true;
 
     /** When this node heard of the crash of a copy. */
     private record Crash(ServiceName service, long heardNanos) {}
 
     /**
-     * Tells whether no request needs to be looked up.
+     * Returns whether no request is suspected or quarantined.
      *
      * @return whether none is suspected or refused
      */
@@ -56,32 +56,32 @@
     }
 
     /**
-     * Tells how many requests are suspected or refused.
+     * Returns how many requests are suspected or refused.
      *
      * @return their number
      */
     public int size() {
-        workOut();
+        recompute();
         return open;
     }
 
     /**
-     * Tells how many requests are refused.
+     * Returns how many requests are refused.
      *
      * @param now the monotonic time
      * @return their number
      */
     public int quarantined(long now) {
-        workOut();
+        recompute();
         return (int) suspects.values().stream()
                 .filter(suspect -> suspect.isQuarantined(now))
                 .count();
     }
 
     /** Works out what each request is still suspected for. */
-    private void workOut() {
-        if (!isWorkedOut) {
-            isWorkedOut = true;
+    private void recompute() {
+        if (!isStale) {
+            isStale = true;
             CrashCauses causes = new CrashCauses(suspects.values());
             suspects.values().forEach(suspect -> suspect.open(causes.openCrashes(suspect)));
             open = (int) suspects.values().stream().filter(Suspect::isOpen).count();
@@ -89,7 +89,7 @@
     }
 
     /**
-     * Tells whether a start of a copy is known to have ended by a crash.
+     * Returns whether a start of a copy is known to have ended by a crash.
      *
      * @param start the start
      * @return whether it has
@@ -99,7 +99,7 @@
     }
 
     /**
-     * Tells whether one more crash under a request, with no other suspect beside it, shows that it is the cause.
+     * Returns whether one more crash under a request, with no other suspect beside it, shows that it is the cause.
      *
      * <p>The second shows it, unless copies of the service lately crashed also without it, for a cause that is not known. Where
      * copies go down and up for reasons of their own, requests that are tried again would be refused for being at two of them;
@@ -119,7 +119,7 @@
         explained.addAll(ofItself);
         return crashesByStart.entrySet().stream()
                 .filter(crash -> crash.getValue().service().equals(service))
-                .filter(crash -> now - crash.getValue().heardNanos() < RECENT.toNanos())
+                .filter(crash -> now - crash.getValue().heardNanos() < CORRELATION_WINDOW.toNanos())
                 .allMatch(crash -> explained.contains(crash.getKey()));
     }
 
@@ -132,19 +132,19 @@
     public int forget(long now) {
         int before = size();
         suspects.values().removeIf(suspect -> suspect.isForgotten(now));
-        isWorkedOut = false;
+        isStale = false;
         return before - size();
     }
 
     /**
-     * Tells what is known of a request.
+     * Returns what is known of a request.
      *
      * @param now the monotonic time
      * @param fingerprint the request
      * @return its standing
      */
     public Standing standing(long now, Fingerprint fingerprint) {
-        workOut();
+        recompute();
         Suspect suspect = suspects.get(fingerprint);
         return suspect == null ? new Standing.Clear() : suspect.standing(now);
     }
@@ -160,7 +160,7 @@
     public void suspect(long now, ServiceName service, long start, Fingerprint fingerprint) {
         suspect(now, service, fingerprint).crashed(now, start);
         heard(now, service, start);
-        isWorkedOut = false;
+        isStale = false;
     }
 
     /**
@@ -177,7 +177,7 @@
     public void witness(long now, ServiceName service, long start, Fingerprint fingerprint) {
         suspect(now, service, fingerprint).witnessed(now, start);
         heard(now, service, start);
-        isWorkedOut = false;
+        isStale = false;
     }
 
     /**
@@ -188,7 +188,7 @@
      */
     public void quarantine(long now, Fingerprint fingerprint) {
         Optional.ofNullable(suspects.get(fingerprint)).ifPresent(suspect -> suspect.quarantine(now));
-        isWorkedOut = false;
+        isStale = false;
     }
 
     /**
@@ -199,7 +199,7 @@
      */
     public void clear(long now, Fingerprint fingerprint) {
         Optional.ofNullable(suspects.get(fingerprint)).ifPresent(suspect -> suspect.answered(now));
-        isWorkedOut = false;
+        isStale = false;
     }
 
     /**
@@ -214,12 +214,12 @@
         boolean news = suspect(now, service, told.fingerprint()).join(now, told);
         told.crashes().forEach(start -> heard(now, service, start));
         told.witnessed().forEach(start -> heard(now, service, start));
-        isWorkedOut = false;
+        isStale = false;
         return news;
     }
 
     /**
-     * Gives what others should know of a request.
+     * Returns what others should know of a request.
      *
      * @param now the monotonic time
      * @param fingerprint the request
@@ -230,7 +230,7 @@
     }
 
     /**
-     * Gives all that is known of requests to one service.
+     * Returns all that is known of requests to one service.
      *
      * @param now the monotonic time
      * @param service the service
@@ -248,7 +248,7 @@
     }
 
     private Suspect suspect(long now, ServiceName service, Fingerprint fingerprint) {
-        if (!suspects.containsKey(fingerprint) && suspects.size() >= MOST_SUSPECTS) {
+        if (!suspects.containsKey(fingerprint) && suspects.size() >= MAX_SUSPECTS) {
             forgetLeastWorth();
         }
         return suspects.computeIfAbsent(fingerprint, _ -> new Suspect(now, fingerprint, service));
@@ -258,7 +258,7 @@
     private void forgetLeastWorth() {
         List<Suspect> least = suspects.values().stream()
                 .sorted(Comparator.comparingInt(Suspect::worth).thenComparingLong(Suspect::changedNanos))
-                .limit(MOST_SUSPECTS / PARTS_FORGOTTEN)
+                .limit(MAX_SUSPECTS / EVICTION_DIVISOR)
                 .toList();
         least.forEach(suspect -> suspects.remove(suspect.fingerprint()));
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/retry/RetryAllowance.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/retry/RetryAllowance.java
@@ -47,7 +47,7 @@
     }
 
     /**
-     * Tells how many nodes share the bound.
+     * Sets how many nodes share the bound.
      *
      * @param count the number of nodes in the fleet, this one included
      */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/summary/Group.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/summary/Group.java
@@ -24,7 +24,7 @@
     private final LatestByNode<NodeReport> members = new LatestByNode<>();
 
     /**
-     * Takes in a report that is to be summed up.
+     * Receives a report that is to be summed up.
      *
      * @param now the monotonic time
      * @param node who reports
@@ -53,7 +53,7 @@
     }
 
     /**
-     * Names the nodes that report to this one.
+     * Returns the nodes that report to this one.
      *
      * @return the names
      */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/summary/LatestByNode.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/summary/LatestByNode.java
@@ -37,7 +37,7 @@
         return List.copyOf(byNode.keySet());
     }
 
-    /** Gives what they told, the latest last. */
+    /** Returns what they told, the latest last. */
     List<V> values() {
         return byNode.values().stream()
                 .sorted(Comparator.comparingLong(Told::nanos))
--- a/policy/src/main/java/org/carawaysill/policy/fleet/summary/RouteSums.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/summary/RouteSums.java
@@ -72,7 +72,7 @@
     }
 
     /**
-     * Gives the sums.
+     * Returns the sums.
      *
      * @return the sums, by route
      */
@@ -104,7 +104,7 @@
     }
 
     /**
-     * Tells how much is asked of a route.
+     * Returns how much is asked of a route.
      *
      * @param key the route, and the rank of the organisations
      * @return requests a second
@@ -114,7 +114,7 @@
     }
 
     /**
-     * Gives what is known of costs.
+     * Passes on what is known of costs.
      *
      * @param receiver gets each route with the seconds of a slot that one request takes, by service
      */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/summary/Summaries.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/summary/Summaries.java
@@ -23,7 +23,7 @@
     private final LatestByNode<StateSummary> bySender = new LatestByNode<>();
 
     /**
-     * Takes in a summary, in place of the sender's last one.
+     * Receives a summary, in place of the sender's last one.
      *
      * @param now the monotonic time
      * @param sender who sums up
@@ -61,7 +61,7 @@
     }
 
     /**
-     * Gives the summaries, the latest last.
+     * Returns the summaries, the latest last.
      *
      * @return the summaries
      */
@@ -70,7 +70,7 @@
     }
 
     /**
-     * Gives the state of each node that one of some summaries lists, by the last that does.
+     * Returns the state of each node that one of some summaries lists, by the last that does.
      *
      * @param summaries the summaries, the latest last
      * @return the states
--- a/policy/src/test/java/org/carawaysill/policy/fleet/CrashingRequestsTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/CrashingRequestsTest.java
@@ -33,7 +33,7 @@
     private static final int ANSWERS_TO_ONE = 2;
 
     /** What is left of the ordinary service where two of four copies are away for some seconds. */
-    private static final double LEAST_SERVED = 0.97;
+    private static final double MIN_SERVED_RATIO = 0.97;
 
     /** Plays a day with the ordinary load of the sheet. */
     private static PostingSite play(long seed, Consumer<PostingSite> day) {
@@ -60,8 +60,8 @@
     }
 
     private static void expectOthersServed(PostingSite site, String figures) {
-        assertTrue(served(site, PostingSite.HISTORY) >= LEAST_SERVED, figures);
-        assertTrue(served(site, PostingSite.POPULAR) >= LEAST_SERVED, figures);
+        assertTrue(served(site, PostingSite.HISTORY) >= MIN_SERVED_RATIO, figures);
+        assertTrue(served(site, PostingSite.POPULAR) >= MIN_SERVED_RATIO, figures);
         assertEquals(0, site.told(RefusalReason.QUARANTINED.name()), figures);
         assertEquals(List.of(), site.falselyToldNotRun());
     }
@@ -316,8 +316,8 @@
                 }
             });
             String figures = figures(site, "none");
-            assertTrue(served(site, PostingSite.HISTORY) >= LEAST_SERVED, figures);
-            assertTrue(served(site, PostingSite.POPULAR) >= LEAST_SERVED, figures);
+            assertTrue(served(site, PostingSite.HISTORY) >= MIN_SERVED_RATIO, figures);
+            assertTrue(served(site, PostingSite.POPULAR) >= MIN_SERVED_RATIO, figures);
             assertTrue(site.told(RefusalReason.QUARANTINED.name()) <= ANSWERS_TO_ONE, figures);
         }
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/quarantine/SuspectTableTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/quarantine/SuspectTableTest.java
@@ -141,7 +141,7 @@
             assertTrue(table.wouldBeCause(SECOND, SERVICE, CAUSE));
             crash(20, OTHER);
             assertFalse(table.wouldBeCause(SECOND, SERVICE, CAUSE));
-            assertTrue(table.wouldBeCause(SuspectTable.RECENT.toNanos(), SERVICE, CAUSE));
+            assertTrue(table.wouldBeCause(SuspectTable.CORRELATION_WINDOW.toNanos(), SERVICE, CAUSE));
             crash(11, CAUSE);
             assertTrue(table.wouldBeCause(SECOND, SERVICE, CAUSE));
         }
@@ -154,11 +154,11 @@
         void keepWhatIsRefusedBeforeWhatIsSuspected() {
             crash(10, CAUSE);
             crashOf(CAUSE, 11);
-            for (int i = 0; i < 2 * SuspectTable.MOST_SUSPECTS; i++) {
+            for (int i = 0; i < 2 * SuspectTable.MAX_SUSPECTS; i++) {
                 table.suspect(i, SERVICE, i, number(i + 10));
             }
-            assertTrue(table.size() <= SuspectTable.MOST_SUSPECTS, table.size() + " entries");
-            assertTrue(table.size() > SuspectTable.MOST_SUSPECTS / 2, table.size() + " entries");
+            assertTrue(table.size() <= SuspectTable.MAX_SUSPECTS, table.size() + " entries");
+            assertTrue(table.size() > SuspectTable.MAX_SUSPECTS / 2, table.size() + " entries");
             assertInstanceOf(Standing.Quarantined.class, table.standing(0, CAUSE));
         }
 
