Let each node admit its even part of an organisation's rate while the fleet's use leaves room

Change: while the known use is within the allowance, a node admits up to its even part of the rate. Where that is below one request, as for all but the largest organisations, nothing changes. Why it holds: the parts of all nodes are the rate times the 1.2 s that are not known, less than the tolerated overshoot beside the allowance.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/allowance/FleetAllowances.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/allowance/FleetAllowances.java
@@ -191,10 +191,23 @@
             return use.own.sum(now) + beforeStart(now, allowance) + 1 - room;
         }
         double known = Math.max(remembered(now, use), beforeStart(now, allowance));
+        if (part >= WHOLE_FLEET && known <= bounds.allowed(allowance) && isWithinEvenRate(now, allowance, use, heard)) {
+            return 0;
+        }
         double fleet = known + since(now, allowance, use, known, heard) - leaving(now, use, known);
         return Math.max(fleet, use.own.sum(now)) + 1 - room;
     }
 
+    /**
+     * Returns whether this node admits no more than its even part of the rate. Guards against a large organisation that goes on
+     * asking for a multiple of its allowance and gets half of it, since each of its repeats looks like a further rise.
+     */
+    private boolean isWithinEvenRate(long now, Allowance allowance, Use use, int heard) {
+        long unknownNanos = now - toldNanos + KNOWN_AFTER.toNanos();
+        double even = allowance.perSecond() * unknownNanos / Nanos.PER_SECOND / heard;
+        return use.own.since(now, now - unknownNanos) + 1 <= even;
+    }
+
     /** A node that has just started takes the allowance for used up, so that an earlier life and this one keep it together. */
     private double beforeStart(long now, Allowance allowance) {
         return bounds.allowed(allowance) * (1 - lived(now));
--- a/policy/src/test/java/org/carawaysill/policy/fleet/allowance/FleetAllowancesTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/allowance/FleetAllowancesTest.java
@@ -71,6 +71,16 @@
         assertTrue(refused < 0.01, () -> "rate " + rate + ": " + refused + " refused");
     }
 
+    /** Guards against an organisation that is refused half of its allowance for as long as it asks for a multiple of it. */
+    @Test
+    void leaveALargeOrganisationItsAllowanceWhileItAsksForMore() {
+        double rate = 190;
+        double refused = trial(1, rate)
+                .play(time -> USUAL_PART * rate * (time > 8 ? 7.5 : 1), 30)
+                .refusedBelow();
+        assertTrue(refused < 0.1, () -> refused + " refused");
+    }
+
     @Nested
     class OneNode {
 
