Count nodes whose entries lapsed also when their copies are gone

Callers would see: two sides of a partition that each use an organisation's whole allowance once the entries behind the cut have lapsed. Cause: the guard asked whether the copy leaves, which is also said of one that is gone, so that no lapsed node ever counted; found by LapsedNodesTest, which failed (2 in place of 3 nodes). Change: it asks whether the entry said that the copy drains.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/LapsedNodes.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LapsedNodes.java
@@ -21,7 +21,7 @@
     private final Map<String, Long> untilByHost = new HashMap<>();
 
     void add(long now, Copy copy) {
-        if (!copy.isLeaving()) {
+        if (!copy.record().draining()) {
             untilByHost.put(copy.record().address().host(), now + COUNTED_NANOS);
         }
     }
