--- a/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
@@ -95,9 +95,9 @@
             return Optional.empty();
         }
         Optional<Organisation> organisation = origin.organisation().flatMap(this::published);
-        Optional<Duration> room = organisation.flatMap(known -> allowances.refusal(now, known));
-        if (room.isPresent()) {
-            return Optional.of(notRun(RefusalReason.OVER_ALLOWANCE, room.get()));
+        Optional<Duration> retryAfter = organisation.flatMap(known -> allowances.refusal(now, known));
+        if (retryAfter.isPresent()) {
+            return Optional.of(notRun(RefusalReason.OVER_ALLOWANCE, retryAfter.get()));
         }
         DemandKey key = new DemandKey(route.name(), origin.organisationRank());
         demand.offered(key);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/allowance/FleetAllowances.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/allowance/FleetAllowances.java
@@ -47,6 +47,9 @@
     /** The part of the nodes that must be heard of for a fleet that is not cut in two; a few may be starting. */
     private static final double WHOLE_FLEET = 0.95;
 
+    /** Bounds the memory where another node tells of organisations without end. */
+    private static final int MAX_ORGANISATIONS = 20_000;
+
     private static final Duration SHORTEST_WAIT = Duration.ofMillis(200);
 
     private final RandomGenerator random;
@@ -62,15 +65,15 @@
 
         private final AdmittedWindow own;
         private final AdmittedWindow asked;
-        private final double luck;
+        private final double roundingDraw;
         private final ToldHistory told = new ToldHistory();
         private double peak;
         private long peakNanos;
 
-        Use(AdmittedWindow own, AdmittedWindow asked, double luck) {
+        Use(AdmittedWindow own, AdmittedWindow asked, double roundingDraw) {
             this.own = own;
             this.asked = asked;
-            this.luck = luck;
+            this.roundingDraw = roundingDraw;
         }
     }
 
@@ -120,6 +123,9 @@
         toldNanos = now;
         toldNodes = Math.max(1, ofNodes);
         for (OrganisationUse sum : sums) {
+            if (uses.size() >= MAX_ORGANISATIONS && !uses.containsKey(sum.organisation())) {
+                continue;
+            }
             Use use = use(now, sum.organisation());
             use.told.add(now, sum.admitted());
             if (sum.admitted() >= remembered(now, use)) {
@@ -175,10 +181,10 @@
         return allowed + planned * (bounds.most(allowance) - allowed);
     }
 
-    /** Of a share that is no whole number, the nodes that are lucky for an organisation get one request more. */
+    /** Of a share that is no whole number, some nodes get one request more, drawn for each organisation. */
     private double excessAlone(long now, Allowance allowance, Use use) {
         double share = bounds.allowed(allowance) * lived(now) / nodes;
-        double whole = Math.floor(share) + (use.luck < share - Math.floor(share) ? 1 : 0);
+        double whole = Math.floor(share) + (use.roundingDraw < share - Math.floor(share) ? 1 : 0);
         return use.own.sum(now) + 1 - whole;
     }
 
@@ -203,7 +209,7 @@
      * asking for a multiple of its allowance and gets half of it, since each of its repeats looks like a further rise.
      */
     private boolean isWithinEvenRate(long now, Allowance allowance, Use use, int heard) {
-        long unknownNanos = now - toldNanos + KNOWN_AFTER.toNanos();
+        long unknownNanos = unknownNanos(now);
         double even = allowance.perSecond() * unknownNanos / Nanos.PER_SECOND / heard;
         return use.own.since(now, now - unknownNanos) + 1 <= even;
     }
@@ -218,12 +224,17 @@
         return Math.min(1, (now - startNanos) / (double) bounds.window().toNanos());
     }
 
+    /** Returns for how long requests may have been admitted that this node was not told of. */
+    private long unknownNanos(long now) {
+        return now - toldNanos + KNOWN_AFTER.toNanos();
+    }
+
     /**
      * Estimates what the nodes that were heard of admitted since what they told: as much as before, or in proportion to what
      * this node is asked for, as far as that differs from its usual share by more than chance.
      */
     private double since(long now, Allowance allowance, Use use, double known, int heard) {
-        long unknownNanos = now - toldNanos + KNOWN_AFTER.toNanos();
+        long unknownNanos = unknownNanos(now);
         double least = LEAST_EXPECTED * allowance.perSecond() * unknownNanos / Nanos.PER_SECOND;
         double usual = Math.max(least, known * unknownNanos / bounds.window().toNanos());
         double own = use.own.since(now, now - unknownNanos);
@@ -239,7 +250,7 @@
      */
     private double leaving(long now, Use use, double known) {
         long windowNanos = bounds.window().toNanos();
-        long unknownNanos = now - toldNanos + KNOWN_AFTER.toNanos();
+        long unknownNanos = unknownNanos(now);
         double before = Math.min(known, use.told.at(now - windowNanos + KNOWN_AFTER.toNanos()));
         return before * Math.min(1, unknownNanos / (double) windowNanos);
     }
