Count within sliding windows in one class, for allowances and for repeats

AdmittedWindow of the allowances did again what the window inside RetryAllowance did: a ring of parts that moves with time. SlidingCount serves both. Behaviour as before; a fleet of one node has its branch first, and bounds use the common unit.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/allowance/AllowanceBounds.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/allowance/AllowanceBounds.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.carawaysill.model.fleet.Allowance;
+import org.carawaysill.policy.time.Nanos;
 
 /**
  * How far the requests admitted in any window may exceed an allowance.
@@ -17,8 +18,6 @@
     /** The bounds where the platform states none. */
     public static final AllowanceBounds STRICT = new AllowanceBounds(Duration.ofSeconds(5), 0, 0);
 
-    private static final double MILLIS_PER_SECOND = 1000;
-
     public AllowanceBounds {
         if (window.isNegative() || window.isZero() || !(overshoot >= 0) || !(slack >= 0)) {
             throw new IllegalArgumentException("bounds of allowances must not be negative, nor the window empty");
@@ -32,7 +31,7 @@
      * @return requests
      */
     public double allowed(Allowance allowance) {
-        return allowance.within(window.toMillis() / MILLIS_PER_SECOND);
+        return allowance.within(window.toNanos() / Nanos.PER_SECOND);
     }
 
     /**
--- a/policy/src/main/java/org/carawaysill/policy/fleet/allowance/FleetAllowances.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/allowance/FleetAllowances.java
@@ -12,6 +12,7 @@
 import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.policy.message.OrganisationUse;
 import org.carawaysill.policy.time.Nanos;
+import org.carawaysill.policy.time.SlidingCount;
 
 /**
  * Decides whether an organisation may send another request, by what all nodes together admitted lately.
@@ -47,6 +48,9 @@
     /** The part of the nodes that must be heard of for a fleet that is not cut in two; a few may be starting. */
     private static final double WHOLE_FLEET = 0.95;
 
+    /** Parts of a window. */
+    private static final int PARTS = 50;
+
     /** Bounds the memory where another node tells of organisations without end. */
     private static final int MAX_ORGANISATIONS = 20_000;
 
@@ -63,14 +67,14 @@
     /** What is known of one organisation's use. */
     private static final class Use {
 
-        private final AdmittedWindow own;
-        private final AdmittedWindow asked;
+        private final SlidingCount own;
+        private final SlidingCount asked;
         private final double roundingDraw;
         private final ToldHistory told = new ToldHistory();
         private double peak;
         private long peakNanos;
 
-        Use(AdmittedWindow own, AdmittedWindow asked, double roundingDraw) {
+        Use(SlidingCount own, SlidingCount asked, double roundingDraw) {
             this.own = own;
             this.asked = asked;
             this.roundingDraw = roundingDraw;
@@ -136,12 +140,12 @@
     }
 
     private Use use(long now, OrganisationName name) {
-        return uses.computeIfAbsent(
-                name,
-                _ -> new Use(
-                        new AdmittedWindow(now, bounds.window().toNanos()),
-                        new AdmittedWindow(now, bounds.window().toNanos()),
-                        random.nextDouble()));
+        return uses.computeIfAbsent(name, _ -> new Use(count(now), count(now), random.nextDouble()));
+    }
+
+    /** One part more than a window has: a part counts until the whole window has passed since its end. */
+    private SlidingCount count(long now) {
+        return new SlidingCount(now, bounds.window().toNanos() / PARTS, PARTS + 1);
     }
 
     /**
@@ -189,13 +193,13 @@
     }
 
     private double excessInFleet(long now, Allowance allowance, Use use) {
-        int heard = nodes == 1 ? 1 : toldNodes;
+        if (nodes == 1) {
+            return use.own.sum(now) + beforeStart(now, allowance) + 1 - planned(allowance);
+        }
+        int heard = toldNodes;
         double part = Math.min(1, heard / (double) nodes);
         // The overshoot is left to the other side of a partition, which is not known to have noticed it.
         double room = part < WHOLE_FLEET ? bounds.allowed(allowance) * part : planned(allowance) * part;
-        if (nodes == 1) {
-            return use.own.sum(now) + beforeStart(now, allowance) + 1 - room;
-        }
         double known = Math.max(remembered(now, use), beforeStart(now, allowance));
         if (part >= WHOLE_FLEET && known <= bounds.allowed(allowance) && isWithinEvenRate(now, allowance, use, heard)) {
             return 0;
--- a/policy/src/main/java/org/carawaysill/policy/fleet/retry/RetryAllowance.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/retry/RetryAllowance.java
@@ -1,9 +1,9 @@
 package org.carawaysill.policy.fleet.retry;
 
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.policy.time.SlidingCount;
 
 /**
  * This node's part of the repeats that a service may get in any window of time.
@@ -62,7 +62,7 @@
      * @param service where it goes
      */
     public void first(long now, ServiceName service) {
-        window(now, service).addFirst();
+        window(now, service).firsts().add(now);
     }
 
     /**
@@ -74,67 +74,25 @@
      */
     public boolean take(long now, ServiceName service) {
         Window window = window(now, service);
-        double allowed = settings.extra() * USED_PART / nodes + settings.ratio() * USED_PART * window.firsts();
+        double allowed = settings.extra() * USED_PART / nodes
+                + settings.ratio() * USED_PART * window.firsts().sum(now);
         // A single repeat is left to each node where all of them together fit the fixed allowance.
         double least = nodes <= settings.extra() ? 1 : 0;
-        if (window.repeats() + 1 > Math.max(least, allowed)) {
+        if (window.repeats().sum(now) + 1 > Math.max(least, allowed)) {
             return false;
         }
-        window.addRepeat();
+        window.repeats().add(now);
         return true;
     }
 
     private Window window(long now, ServiceName service) {
-        Window window = byService.computeIfAbsent(service, _ -> new Window());
-        window.moveTo(now / (settings.window().toNanos() / PARTS));
-        return window;
+        return byService.computeIfAbsent(service, _ -> new Window(count(now), count(now)));
     }
 
-    private static final class Window {
-
-        private final int[] firsts = new int[PARTS];
-        private final int[] repeats = new int[PARTS];
-        private long part = Long.MIN_VALUE;
-
-        void moveTo(long newPart) {
-            if (part == Long.MIN_VALUE || newPart - part >= PARTS) {
-                Arrays.fill(firsts, 0);
-                Arrays.fill(repeats, 0);
-                part = newPart;
-            }
-            while (part < newPart) {
-                part++;
-                firsts[index()] = 0;
-                repeats[index()] = 0;
-            }
-        }
-
-        private int index() {
-            return (int) Math.floorMod(part, (long) PARTS);
-        }
-
-        void addFirst() {
-            firsts[index()]++;
-        }
-
-        void addRepeat() {
-            repeats[index()]++;
-        }
-
-        int firsts() {
-            return sum(firsts);
-        }
-
-        int repeats() {
-            return sum(repeats);
-        }
-
-        private static int sum(int[] counts) {
-            int sum = 0;
-            for (int count : counts) {
-                sum += count;
-            }
-            return sum;
-        }
+    private SlidingCount count(long now) {
+        return new SlidingCount(now, settings.window().toNanos() / PARTS, PARTS);
     }
+
+    /** What was sent to one service. */
+    private record Window(SlidingCount firsts, SlidingCount repeats) {}
 }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/allowance/AllowanceMethod.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/allowance/AllowanceMethod.java
@@ -6,6 +6,7 @@
 import org.carawaysill.model.fleet.Allowance;
 import org.carawaysill.model.fleet.Organisation;
 import org.carawaysill.policy.message.OrganisationUse;
+import org.carawaysill.policy.time.SlidingCount;
 
 /** A way in which one node may keep to an allowance of the whole fleet, to be compared with others. Not thread safe. */
 sealed interface AllowanceMethod {
@@ -95,7 +96,7 @@
         /** The part of the allowance that is shared evenly. */
         private static final double EVEN_PART = 0.2;
 
-        private final AdmittedWindow asked;
+        private final SlidingCount asked;
         private final double perNano;
         private final double burst;
         private final int nodes;
@@ -104,7 +105,7 @@
         private long refilledNanos;
 
         FollowingShare(long now, AllowanceBounds bounds, Allowance allowance, int nodes) {
-            asked = new AdmittedWindow(now, bounds.window().toNanos());
+            asked = new SlidingCount(now, bounds.window().toNanos() / 50, 51);
             perNano = allowance.perSecond()
                     * (1 + bounds.overshoot())
                     / Duration.ofSeconds(1).toNanos();
