Find an organisation once for each request, and derive its rank in place of carrying it

Identification found the organisation of a key, the request kept its name, and admission looked it up by name again; the request keeps what was found. The organisation's rank is a part of the request's rank and is read from that, and the key of its demand is made in one place. Nothing looks organisations up by name any more.

--- a/model/src/main/java/org/carawaysill/model/fleet/Organisations.java
+++ b/model/src/main/java/org/carawaysill/model/fleet/Organisations.java
@@ -2,19 +2,20 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.carawaysill.model.identity.KeyDigest;
 import org.carawaysill.model.identity.OrganisationName;
 
 /**
- * The organisations of one configuration, by name and by key.
+ * The organisations of one configuration, by key.
  *
  * <p>Invariants: names differ; no two organisations hold the same key. Immutable and thread safe.
  */
 public final class Organisations {
 
-    private final Map<OrganisationName, Organisation> byName = new HashMap<>();
     private final Map<KeyDigest, Organisation> byKey = new HashMap<>();
 
     /**
@@ -24,8 +25,9 @@
      * @throws IllegalArgumentException if two have the same name, or the same key
      */
     public Organisations(Collection<Organisation> organisations) {
+        Set<OrganisationName> names = new HashSet<>();
         for (Organisation organisation : organisations) {
-            if (byName.put(organisation.name(), organisation) != null) {
+            if (!names.add(organisation.name())) {
                 throw new IllegalArgumentException("two organisations are named " + organisation.name());
             }
             for (KeyDigest key : organisation.keys()) {
@@ -47,23 +49,4 @@
     public Optional<Organisation> holderOf(KeyDigest key) {
         return Optional.ofNullable(byKey.get(key));
     }
-
-    /**
-     * Finds an organisation.
-     *
-     * @param name its name
-     * @return the organisation, empty where none has the name
-     */
-    public Optional<Organisation> named(OrganisationName name) {
-        return Optional.ofNullable(byName.get(name));
-    }
-
-    /**
-     * Returns all organisations.
-     *
-     * @return the organisations, in no order
-     */
-    public Collection<Organisation> all() {
-        return byName.values();
-    }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
@@ -3,10 +3,8 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import org.carawaysill.model.fleet.FleetConfiguration;
 import org.carawaysill.model.fleet.Organisation;
 import org.carawaysill.model.fleet.Route;
-import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
@@ -28,7 +26,6 @@
  */
 final class Admission {
 
-    private final Beliefs beliefs;
     private final LocalRuns localRuns;
     private final FleetAllowances allowances;
     private final DemandMeter demand;
@@ -38,7 +35,6 @@
     private final InnerRoutes innerRoutes = new InnerRoutes();
 
     Admission(FleetParts parts, RandomGenerator random) {
-        beliefs = parts.beliefs();
         localRuns = parts.localRuns();
         allowances = parts.allowances();
         demand = parts.demand();
@@ -61,8 +57,7 @@
         int organisationRank = organisation.map(Organisation::rank).orElse(0);
         return new Origin(
                 route.name(),
-                organisation.map(Organisation::name),
-                organisationRank,
+                organisation,
                 RefusalOrder.rank(organisationRank, route.rank()),
                 0,
                 now,
@@ -75,7 +70,6 @@
         return new Origin(
                 running.rootRoute(),
                 Optional.empty(),
-                RefusalOrder.organisationRank(running.rank()),
                 running.rank(),
                 running.depth() + 1,
                 parent.rootArrivedNanos(),
@@ -94,12 +88,12 @@
         if (isCall(route, origin)) {
             return Optional.empty();
         }
-        Optional<Organisation> organisation = origin.organisation().flatMap(this::published);
+        Optional<Organisation> organisation = origin.organisation();
         Optional<Duration> retryAfter = organisation.flatMap(known -> allowances.refusal(now, known));
         if (retryAfter.isPresent()) {
             return Optional.of(notRun(RefusalReason.OVER_ALLOWANCE, retryAfter.get()));
         }
-        DemandKey key = new DemandKey(route.name(), origin.organisationRank());
+        DemandKey key = request.demandKey();
         demand.offered(key);
         if (!shareGate.admit(key, plan.share(key))) {
             return Optional.of(notRun(RefusalReason.OVERLOAD, comeBack(route)));
@@ -111,12 +105,6 @@
         return Optional.empty();
     }
 
-    private Optional<Organisation> published(OrganisationName name) {
-        return beliefs.configuration()
-                .flatMap(FleetConfiguration::organisations)
-                .flatMap(organisations -> organisations.named(name));
-    }
-
     private static Outcome.NotRun notRun(RefusalReason reason, Duration retryAfter) {
         return new Outcome.NotRun(reason, retryAfter, Step.ADMISSION, Optional.empty());
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
@@ -121,7 +121,7 @@
     /** Refuses a client's request that copies crashed because of; empty where it is none. */
     Optional<Outcome.NotRun> refusal(long now, OutgoingRequest request) {
         FleetEvent.RequestArrived arrival = request.arrival();
-        Standing standing = standing(now, request.service(), request.origin().organisation(), arrival.content());
+        Standing standing = standing(now, request.service(), request.origin().organisationName(), arrival.content());
         if (standing instanceof Standing.Quarantined found) {
             logRefused(arrival.requestName(), found);
             return Optional.of(refusal(found, Step.ADMISSION));
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FinalAnswers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FinalAnswers.java
@@ -34,7 +34,7 @@
 
     void give(long now, OutgoingRequest request, Outcome outcome) {
         String route = request.route().name();
-        DemandKey key = new DemandKey(route, request.origin().organisationRank());
+        DemandKey key = request.demandKey();
         if (request.origin().depth() == 0) {
             learn(key, request, outcome);
         }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Identification.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Identification.java
@@ -50,7 +50,7 @@
     }
 
     Result identify(long now, Credential credential, Route route) {
-        Optional<Organisations> organisations = beliefs.configuration().flatMap(FleetConfiguration::organisations);
+        Optional<Organisations> organisations = organisations();
         if (organisations.isEmpty()) {
             return new Result.Accepted(Optional.empty());
         }
@@ -63,6 +63,10 @@
         return holder.isPresent() ? new Result.Accepted(holder) : new Result.Refused(unknown(now, credential));
     }
 
+    private Optional<Organisations> organisations() {
+        return beliefs.configuration().flatMap(FleetConfiguration::organisations);
+    }
+
     private RefusalReason unknown(long now, Credential credential) {
         boolean mayBeNewer = credential.key().isPresent() && !beliefs.isConfirmedWithin(now, CONFIRMED_WITHIN);
         return mayBeNewer ? RefusalReason.KEY_UNVERIFIED : RefusalReason.KEY_UNKNOWN;
@@ -70,12 +74,10 @@
 
     /** Returns a request as it goes on: without what it presents, unless no keys are checked here. */
     FleetEvent.RequestArrived toPass(FleetEvent.RequestArrived arrival) {
-        boolean checked = beliefs.configuration()
-                .flatMap(FleetConfiguration::organisations)
-                .isPresent();
         if (!arrival.credential().isPresented()) {
             return arrival;
         }
+        boolean checked = organisations().isPresent();
         return new FleetEvent.RequestArrived(
                 arrival.exchange(),
                 arrival.requestName(),
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.carawaysill.model.fleet.CopyName;
+import org.carawaysill.model.fleet.Organisation;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.NodeName;
@@ -12,6 +13,8 @@
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.LocalRun;
+import org.carawaysill.policy.fleet.entry.DemandKey;
+import org.carawaysill.policy.fleet.entry.RefusalOrder;
 import org.carawaysill.policy.fleet.entry.SlotTimes;
 
 /**
@@ -43,7 +46,6 @@
      *
      * @param rootRoute the route of the caller's request
      * @param organisation the organisation whose key this request carried; empty where it carried none, as calls do
-     * @param organisationRank the rank of the organisation behind the caller's request
      * @param rank the place of that in the order of refusal, by organisation and route
      * @param depth calls between that and this one
      * @param rootArrivedNanos when the caller's request arrived, on this node's clock
@@ -51,12 +53,16 @@
      */
     record Origin(
             String rootRoute,
-            Optional<OrganisationName> organisation,
-            int organisationRank,
+            Optional<Organisation> organisation,
             int rank,
             int depth,
             long rootArrivedNanos,
-            Optional<LocalRun> parent) {}
+            Optional<LocalRun> parent) {
+
+        Optional<OrganisationName> organisationName() {
+            return organisation.map(Organisation::name);
+        }
+    }
 
     OutgoingRequest(
             FleetEvent.RequestArrived arrival,
@@ -89,6 +95,11 @@
         return origin;
     }
 
+    /** Returns with which other requests it is admitted alike. */
+    DemandKey demandKey() {
+        return new DemandKey(route.name(), RefusalOrder.organisationRank(origin.rank()));
+    }
+
     long arrivedNanos() {
         return arrivedNanos;
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -176,7 +176,7 @@
                 request.service(),
                 copy.record().copy(),
                 settings.service(),
-                request.origin().organisation(),
+                request.origin().organisationName(),
                 request.origin().rootRoute(),
                 request.origin().rank(),
                 request.route().idempotent(),
