Give the test sites one way to add copies, the tests one of keys, and the compared shares one bucket

ShiftedSite repeated what BillSite does for its copies and answers, three tests made keys and organisations each for itself, and the two ways of shares had a bucket each.

--- a/policy/src/test/java/org/carawaysill/policy/fleet/AllowancesTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/AllowancesTest.java
@@ -3,20 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.carawaysill.model.fleet.Allowance;
 import org.carawaysill.model.fleet.Organisation;
 import org.carawaysill.model.fleet.Organisations;
-import org.carawaysill.model.identity.KeyDigest;
-import org.carawaysill.model.identity.OrganisationName;
-import org.carawaysill.model.request.Credential;
-import org.carawaysill.model.request.Header;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
@@ -40,17 +34,8 @@
     private final List<Outcome> outcomes = new ArrayList<>();
     private final List<Outcome> othersOutcomes = new ArrayList<>();
 
-    private static KeyDigest digest(String key) {
-        return KeyDigest.of(key.getBytes(StandardCharsets.UTF_8));
-    }
-
-    private static Credential key(String key) {
-        return new Credential(List.of(new Header("Authorization", "Token " + key)), Optional.of(digest(key)));
-    }
-
     private static Organisation organisation(String name, int perSecond) {
-        return new Organisation(
-                new OrganisationName(name), Set.of(digest(name)), 1, Optional.of(new Allowance(perSecond, perSecond)));
+        return TestKeys.organisation(name, 1, Optional.of(new Allowance(perSecond, perSecond)), name);
     }
 
     private void configure(int perSecond) {
@@ -77,7 +62,8 @@
             String name = organisation + i;
             fleet.at(
                     fleet.now + i * SECOND / perSecond,
-                    () -> fleet.send(entry, name, PATH, key(organisation), SECOND, (_, outcome) -> to.add(outcome)));
+                    () -> fleet.send(
+                            entry, name, PATH, TestKeys.key(organisation), SECOND, (_, outcome) -> to.add(outcome)));
         }
     }
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/BillSite.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/BillSite.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.carawaysill.model.request.Body;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
 
 /**
@@ -36,33 +35,17 @@
                             answer(400)),
             "/schedule/", new Work(33 * MILLI, 0.5, List.of(), answer(400)));
 
-    private int hosts;
-
     BillSite(long seed, Set<Mechanism> without) {
         super(seed, without, KINDS);
         configure(
                 Routes.route("/chain/", "issuer", true, 2, 1000, 1000),
                 Routes.route("/registry/", "parties", true, 2, 800, 800),
                 Routes.route("/schedule/", DEEP, true, 2, 300, 300));
-        add("tracker", 21, new double[] {0.7, 0.7, 1.6}, 7, 7, 7, 7, 6);
-        add("issuer", 22, new double[] {0.6, 1.0, 1.4}, 5, 5, 4, 5, 5);
-        add("parties", 21, new double[] {0.7, 0.7, 1.6}, 7, 7, 6, 5, 6);
-        add(DEEP, 15, new double[] {0.7, 0.7, 1.6}, 2, 1, 1, 1, 1);
+        add("tracker", 21, new double[] {0.7, 0.7, 1.6}, WORKS, 7, 7, 7, 7, 6);
+        add("issuer", 22, new double[] {0.6, 1.0, 1.4}, WORKS, 5, 5, 4, 5, 5);
+        add("parties", 21, new double[] {0.7, 0.7, 1.6}, WORKS, 7, 7, 6, 5, 6);
+        add(DEEP, 15, new double[] {0.7, 0.7, 1.6}, WORKS, 2, 1, 1, 1, 1);
         slowsDownWhenNearlyFull(DEEP);
         fleet.runUntil(START);
     }
-
-    private static Body answer(int bytes) {
-        return Body.wrap(new byte[bytes]);
-    }
-
-    private void add(String service, int slots, double[] speeds, int... copiesInZone) {
-        int added = 0;
-        for (int zone = 0; zone < copiesInZone.length; zone++) {
-            for (int i = 0; i < copiesInZone[zone]; i++) {
-                double speed = speeds[added++ % speeds.length];
-                add(service, "10." + zone + ".0." + ++hosts, "zone-" + zone, slots, speed, WORKS);
-            }
-        }
-    }
 }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/IdentificationTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/IdentificationTest.java
@@ -3,18 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.carawaysill.model.fleet.Organisation;
 import org.carawaysill.model.fleet.Organisations;
 import org.carawaysill.model.fleet.Route;
-import org.carawaysill.model.identity.KeyDigest;
 import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.model.request.Credential;
 import org.carawaysill.model.request.Header;
@@ -40,17 +35,12 @@
     private final VirtualNode back = fleet.add("back", "10.0.0.2", "zone-0", 10);
     private final Map<String, Outcome> outcomes = new HashMap<>();
 
-    private static KeyDigest digest(String key) {
-        return KeyDigest.of(key.getBytes(StandardCharsets.UTF_8));
-    }
-
     private static Credential key(String key) {
-        return new Credential(List.of(new Header("Authorization", "Token " + key)), Optional.of(digest(key)));
+        return TestKeys.key(key);
     }
 
     private static Organisation organisation(String name, int rank, String... keys) {
-        Set<KeyDigest> digests = Stream.of(keys).map(key -> digest(key)).collect(Collectors.toSet());
-        return new Organisation(new OrganisationName(name), digests, rank, Optional.empty());
+        return TestKeys.organisation(name, rank, Optional.empty(), keys);
     }
 
     private void configure(Organisation... organisations) {
--- a/policy/src/test/java/org/carawaysill/policy/fleet/ShiftedSite.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/ShiftedSite.java
@@ -1,6 +1,5 @@
 package org.carawaysill.policy.fleet;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -10,11 +9,7 @@
 import org.carawaysill.model.fleet.Organisation;
 import org.carawaysill.model.fleet.Organisations;
 import org.carawaysill.model.fleet.Route;
-import org.carawaysill.model.identity.KeyDigest;
-import org.carawaysill.model.identity.OrganisationName;
-import org.carawaysill.model.request.Body;
 import org.carawaysill.model.request.Credential;
-import org.carawaysill.model.request.Header;
 import org.carawaysill.model.request.Outcome;
 
 /**
@@ -52,8 +47,6 @@
 
     private final List<Credential> credentials = new ArrayList<>();
     private final Map<Credential, Tries> tries = new HashMap<>();
-    private int hosts;
-
     /** What became of the tries of one organisation. */
     private static final class Tries {
 
@@ -69,10 +62,10 @@
                 called("/registry/", "parties", 2000, 800),
                 called("/schedule/", DEEP, 700, 300));
         double[] speeds = {0.5, 1, 1, 1.5};
-        add("tracker", 69, speeds, 6, 4, 4);
-        add("issuer", 40, new double[] {0.6, 1, 1.4}, 9, 9, 6);
-        add("parties", 64, speeds, 6, 5, 4);
-        add(DEEP, 34, speeds, 2, 2, 1);
+        add("tracker", 69, speeds, WORKS, 6, 4, 4);
+        add("issuer", 40, new double[] {0.6, 1, 1.4}, WORKS, 9, 9, 6);
+        add("parties", 64, speeds, WORKS, 6, 5, 4);
+        add(DEEP, 34, speeds, WORKS, 2, 2, 1);
         slowsDownWhenNearlyFull(DEEP);
         fleet.runUntil(START);
     }
@@ -85,27 +78,12 @@
         List<Organisation> organisations = new ArrayList<>();
         for (int i = 0; i < ORGANISATIONS; i++) {
             String name = "organisation-" + i;
-            KeyDigest key = KeyDigest.of(name.getBytes(StandardCharsets.UTF_8));
-            credentials.add(new Credential(List.of(new Header("Authorization", name)), Optional.of(key)));
-            organisations.add(new Organisation(new OrganisationName(name), Set.of(key), i % RANKS, Optional.empty()));
+            credentials.add(TestKeys.key(name));
+            organisations.add(TestKeys.organisation(name, i % RANKS, Optional.empty(), name));
         }
         return organisations;
     }
 
-    private static Body answer(int bytes) {
-        return Body.wrap(new byte[bytes]);
-    }
-
-    private void add(String service, int slots, double[] speeds, int... copiesInZone) {
-        int added = 0;
-        for (int zone = 0; zone < copiesInZone.length; zone++) {
-            for (int i = 0; i < copiesInZone[zone]; i++) {
-                double speed = speeds[added++ % speeds.length];
-                add(service, "10." + zone + ".0." + ++hosts, "zone-" + zone, slots, speed, WORKS);
-            }
-        }
-    }
-
     @Override
     Credential credentialOf(Kind kind) {
         return credentials.get(random.nextInt(credentials.size()));
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.carawaysill.model.fleet.Route;
+import org.carawaysill.model.request.Body;
 import org.carawaysill.model.request.Credential;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
@@ -60,6 +61,7 @@
     private double abusers;
     private int abuses;
     private long requests;
+    private int hosts;
 
     /** Starts without nodes; some mechanisms of the policy may be switched off. */
     VirtualSite(long seed, Set<Mechanism> without, List<Kind> kinds) {
@@ -90,6 +92,22 @@
         nodes.add(node);
     }
 
+    /** Adds the copies of a service with their nodes, so many in each availability zone, their speeds in turn. */
+    final void add(String service, int slots, double[] speeds, Map<String, Work> works, int... copiesInZone) {
+        int added = 0;
+        for (int zone = 0; zone < copiesInZone.length; zone++) {
+            for (int i = 0; i < copiesInZone[zone]; i++) {
+                double speed = speeds[added++ % speeds.length];
+                add(service, "10." + zone + ".0." + ++hosts, "zone-" + zone, slots, speed, works);
+            }
+        }
+    }
+
+    /** Makes an answer of some bytes. */
+    static Body answer(int bytes) {
+        return Body.wrap(new byte[bytes]);
+    }
+
     /** Lets the copies of a service slow down when less than a twentieth of their slots is free. */
     final void slowsDownWhenNearlyFull(String service) {
         services.get(service).forEach(node -> {
--- a/policy/src/test/java/org/carawaysill/policy/fleet/allowance/AllowanceMethod.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/allowance/AllowanceMethod.java
@@ -54,31 +54,54 @@
         }
     }
 
-    /** The same part of the allowance for each node: the baseline. */
-    final class EvenShare implements AllowanceMethod {
+    /** A bucket of a node's part of the allowance. */
+    final class SharedBucket {
 
-        private final double tokensPerNano;
-        private final double most;
+        private final double perNano;
+        private final double burst;
+        private double share;
         private double tokens;
         private long refilledNanos;
 
-        EvenShare(long now, AllowanceBounds bounds, Allowance allowance, int nodes) {
-            tokensPerNano = allowance.perSecond()
+        SharedBucket(long now, AllowanceBounds bounds, Allowance allowance, double share) {
+            perNano = allowance.perSecond()
                     * (1 + bounds.overshoot())
-                    / nodes
                     / Duration.ofSeconds(1).toNanos();
-            most = Math.max(1, (allowance.burst() * (1 + bounds.overshoot()) + bounds.slack()) / nodes);
-            tokens = most;
+            burst = allowance.burst() * (1 + bounds.overshoot()) + bounds.slack();
+            this.share = share;
+            tokens = most();
+            refilledNanos = now;
+        }
+
+        private double most() {
+            return Math.max(1, burst * share);
+        }
+
+        void share(double newShare) {
+            share = newShare;
+        }
+
+        boolean take(long now) {
+            tokens = Math.min(most(), tokens + (now - refilledNanos) * perNano * share);
             refilledNanos = now;
+            boolean taken = tokens >= 1;
+            tokens -= taken ? 1 : 0;
+            return taken;
+        }
+    }
+
+    /** The same part of the allowance for each node: the baseline. */
+    final class EvenShare implements AllowanceMethod {
+
+        private final SharedBucket bucket;
+
+        EvenShare(long now, AllowanceBounds bounds, Allowance allowance, int nodes) {
+            bucket = new SharedBucket(now, bounds, allowance, 1.0 / nodes);
         }
 
         @Override
         public boolean admit(long now) {
-            tokens = Math.min(most, tokens + (now - refilledNanos) * tokensPerNano);
-            refilledNanos = now;
-            boolean admitted = tokens >= 1;
-            tokens -= admitted ? 1 : 0;
-            return admitted;
+            return bucket.take(now);
         }
 
         @Override
@@ -96,38 +119,22 @@
         /** The part of the allowance that is shared evenly. */
         private static final double EVEN_PART = 0.2;
 
+        private static final int PARTS = 50;
+
         private final SlidingCount asked;
-        private final double perNano;
-        private final double burst;
+        private final SharedBucket bucket;
         private final int nodes;
-        private double share;
-        private double tokens;
-        private long refilledNanos;
 
         FollowingShare(long now, AllowanceBounds bounds, Allowance allowance, int nodes) {
-            asked = new SlidingCount(now, bounds.window().toNanos() / 50, 51);
-            perNano = allowance.perSecond()
-                    * (1 + bounds.overshoot())
-                    / Duration.ofSeconds(1).toNanos();
-            burst = allowance.burst() * (1 + bounds.overshoot()) + bounds.slack();
+            asked = new SlidingCount(now, bounds.window().toNanos() / PARTS, PARTS + 1);
+            bucket = new SharedBucket(now, bounds, allowance, 1.0 / nodes);
             this.nodes = nodes;
-            share = 1.0 / nodes;
-            tokens = most();
-            refilledNanos = now;
-        }
-
-        private double most() {
-            return Math.max(1, burst * share);
         }
 
         @Override
         public boolean admit(long now) {
             asked.add(now);
-            tokens = Math.min(most(), tokens + (now - refilledNanos) * perNano * share);
-            refilledNanos = now;
-            boolean admitted = tokens >= 1;
-            tokens -= admitted ? 1 : 0;
-            return admitted;
+            return bucket.take(now);
         }
 
         @Override
@@ -138,7 +145,7 @@
         @Override
         public void told(long now, int sum, int ofNodes) {
             double following = sum > 0 ? Math.min(1.0, asked.sum(now) / (double) sum) : 1.0 / nodes;
-            share = EVEN_PART / nodes + (1 - EVEN_PART) * following;
+            bucket.share(EVEN_PART / nodes + (1 - EVEN_PART) * following);
         }
     }
 }
