Log the era of the platform's answers, and where each belief comes from

Nobody read the header Store-Era.

EraChanged says that an answer's era differs from the last one's, with the revisions and the number of entries known beyond the copy; counters era_changed and era_unreadable. ConfigurationAdopted and CopyChanged say from whom the node learned. Nothing is decided by it yet.

--- a/model/src/main/java/org/carawaysill/model/request/ConfigurationCount.java
+++ b/model/src/main/java/org/carawaysill/model/request/ConfigurationCount.java
@@ -12,6 +12,10 @@
     READ_FAILED,
     /** The platform gave an older version than this node holds. */
     STALE_READ,
+    /** The platform came back from an older copy: it gives its revisions out again. */
+    ERA_CHANGED,
+    /** The platform's answer did not tell whether it came back from an older copy. */
+    ERA_UNREADABLE,
     /** A document failed the checks. */
     REFUSED,
     /** A change from another node didn't apply to the text that this node holds. */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
@@ -11,10 +11,12 @@
 import org.carawaysill.model.fleet.FleetConfiguration;
 import org.carawaysill.model.fleet.PublishedEntry;
 import org.carawaysill.model.fleet.Route;
+import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.request.ConfigurationCount;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.CopyTable;
 import org.carawaysill.policy.fleet.publication.ChangeLog;
+import org.carawaysill.policy.fleet.publication.Eras;
 import org.carawaysill.policy.fleet.publication.PlatformReads;
 import org.carawaysill.policy.fleet.publication.PublicationDecoder;
 import org.carawaysill.policy.fleet.publication.PublicationDecoder.Publication;
@@ -35,11 +37,17 @@
 
     private static final long NOT_KNOWN = 0;
 
+    /** Where a belief comes from that this node read itself. */
+    private static final String PLATFORM = "platform";
+
+    private static final String GONE = "gone";
+
     private final Effects effects;
     private final PublicationDecoder decoder;
     private final PublishedEntries entries = new PublishedEntries();
     private final CopyTable copies = new CopyTable();
     private final PlatformReads reads;
+    private final Eras eras = new Eras();
     private final Map<String, PublishedEntry> decidedBy = new HashMap<>();
     private final ChangeLog changes = new ChangeLog();
     private final List<String> droppedLate = new ArrayList<>();
@@ -101,7 +109,7 @@
 
     /** Reads everything soon, whoever else reads. */
     void readEverything(long now) {
-        effects.log(new Decision.DependencyChanged("platform", "read_anew", "others decide by something else"));
+        effects.log(new Decision.DependencyChanged(PLATFORM, "read_anew", "others decide by something else"));
         reads.everythingAt(now);
     }
 
@@ -113,9 +121,28 @@
     void read(long now, FleetEvent.EntriesRead read) {
         confirmedNanos = now;
         if (reads.succeeded(now)) {
-            effects.log(new Decision.DependencyChanged("platform", "readable", "as_of=" + read.asOf()));
+            effects.log(new Decision.DependencyChanged(PLATFORM, "readable", "as_of=" + read.asOf()));
+        }
+        noticeEra(read);
+        List<PublishedEntry> newer = entries.merge(read.asOf(), read.complete(), read.entries());
+        take(now, newer, reads.returnsUntilNanos(now), 0, PLATFORM);
+    }
+
+    private void noticeEra(FleetEvent.EntriesRead read) {
+        Eras.Change change = eras.receive(read.era());
+        if (read.era().isEmpty()) {
+            effects.count(ConfigurationCount.ERA_UNREADABLE);
+        } else if (change != Eras.Change.NONE) {
+            effects.count(ConfigurationCount.ERA_CHANGED);
+        }
+        if (change != Eras.Change.NONE && change != Eras.Change.STAYS_UNREADABLE) {
+            logEra(change, read);
         }
-        take(now, entries.merge(read.asOf(), read.complete(), read.entries()), reads.returnsUntilNanos(now), 0);
+    }
+
+    private void logEra(Eras.Change change, FleetEvent.EntriesRead read) {
+        effects.log(new Decision.EraChanged(
+                change, eras.current(), read.asOf(), entries.asOf(), entries.writtenAfter(read.asOf()), version()));
     }
 
     void readFailed(long now, FleetEvent.ReadFailure failure) {
@@ -123,9 +150,7 @@
         long waited = Nanos.toMillis(reads.waitingNanos(now));
         if (reads.failed(now, failure)) {
             effects.log(new Decision.DependencyChanged(
-                    "platform",
-                    "unreadable",
-                    "failure=" + failure + " after_ms=" + waited + " as_of=" + entries.asOf()));
+                    PLATFORM, "unreadable", "failure=" + failure + " after_ms=" + waited + " as_of=" + entries.asOf()));
         }
     }
 
@@ -133,9 +158,10 @@
      * Receives what another node knows. It has waited for entries that may come back, so that what it tells as removed is
      * gone.
      */
-    void told(long now, PeerMessage.Entries told) {
+    void told(long now, NodeName from, PeerMessage.Entries told) {
         confirmedNanos = now;
-        take(now, entries.mergeTold(told.upTo(), told.complete(), told.entries()), now, told.upTo());
+        List<PublishedEntry> newer = entries.mergeTold(told.upTo(), told.complete(), told.entries());
+        take(now, newer, now, told.upTo(), from.value());
         changes.caughtUp(told.upTo());
         if (configuration.isPresent()) {
             reads.told(now);
@@ -163,37 +189,39 @@
     }
 
     /** Receives entries; those told by another node count as changed as of when it told them. */
-    private void take(long now, List<PublishedEntry> newer, long missingUntilNanos, long toldAsOf) {
+    private void take(long now, List<PublishedEntry> newer, long missingUntilNanos, long toldAsOf, String learnedFrom) {
         for (PublishedEntry entry : newer) {
             long asOf = Math.max(entry.revision(), toldAsOf);
             if (entry.text().isEmpty()) {
-                remove(now, entry, missingUntilNanos, asOf);
+                remove(now, entry, missingUntilNanos, asOf, learnedFrom);
             } else {
-                adopt(now, entry, entry.text().get(), asOf);
+                adopt(now, entry, entry.text().get(), asOf, learnedFrom);
             }
         }
     }
 
-    private void remove(long now, PublishedEntry entry, long missingUntilNanos, long asOf) {
+    private void remove(long now, PublishedEntry entry, long missingUntilNanos, long asOf, String learnedFrom) {
         copies.remove(now, entry.key(), missingUntilNanos).ifPresent(copy -> {
             lapsed.add(now, copy);
-            gone(entry.key(), copy, asOf);
+            gone(entry.key(), copy, asOf, learnedFrom);
         });
     }
 
-    private void gone(String key, Copy copy, long atRevision) {
+    private void gone(String key, Copy copy, long atRevision, String learnedFrom) {
         changed(key, atRevision);
-        logCopy(copy, "gone", atRevision);
+        logCopy(copy, GONE, atRevision, learnedFrom);
     }
 
-    private void adopt(long now, PublishedEntry entry, String text, long asOf) {
+    private void adopt(long now, PublishedEntry entry, String text, long asOf, String learnedFrom) {
         switch (decoder.decode(entry.key(), text)) {
-            case Publication.Configured(FleetConfiguration published) -> adopt(entry.key(), published, asOf);
+            case Publication.Configured(FleetConfiguration published) ->
+                adopt(entry.key(), published, asOf, learnedFrom);
             case Publication.Listed(CopyRecord record) -> {
                 decidedBy.put(entry.key(), entry);
                 copies.put(now, entry.key(), record, entry.revision()).ifPresent(copy -> {
                     changed(entry.key(), asOf);
-                    logCopy(copy, copy.isLeaving() ? "draining" : Decision.CopyChanged.READY, entry.revision());
+                    String state = copy.isLeaving() ? "draining" : Decision.CopyChanged.READY;
+                    logCopy(copy, state, entry.revision(), learnedFrom);
                 });
             }
             case Publication.Irrelevant _ -> {}
@@ -201,19 +229,19 @@
                 effects.count(ConfigurationCount.REFUSED);
                 effects.log(new Decision.EntryRefused(entry.key(), entry.revision(), fault));
                 // The last value that could be read holds no longer: nobody knows who is at that address now.
-                copies.remove(now, entry.key(), now).ifPresent(copy -> gone(entry.key(), copy, asOf));
+                copies.remove(now, entry.key(), now).ifPresent(copy -> gone(entry.key(), copy, asOf, learnedFrom));
             }
         }
     }
 
-    private void adopt(String key, FleetConfiguration published, long atRevision) {
+    private void adopt(String key, FleetConfiguration published, long atRevision, String learnedFrom) {
         if (published.version() <= version()) {
             effects.count(ConfigurationCount.STALE_READ);
             return;
         }
         effects.count(ConfigurationCount.ADOPTED);
         effects.log(new Decision.ConfigurationAdopted(
-                published.version(), version(), published.routes().size(), atRevision));
+                published.version(), version(), published.routes().size(), atRevision, learnedFrom));
         changed(key, atRevision);
         configuration = Optional.of(published);
         routes = new RouteTable(published.routes());
@@ -230,7 +258,7 @@
             lapsed.add(now, copy);
             digest = NOT_KNOWN;
             droppedLate.add(key);
-            logCopy(copy, "gone", entries.asOf());
+            logCopy(copy, GONE, entries.asOf(), PLATFORM);
         });
         tellDroppedLate();
         entries.forgetRemoved(now).forEach(key -> {
@@ -274,9 +302,9 @@
         changes.caughtUp(theirs.revision());
     }
 
-    private void logCopy(Copy copy, String state, long atRevision) {
+    private void logCopy(Copy copy, String state, long atRevision, String learnedFrom) {
         CopyRecord record = copy.record();
         effects.log(new Decision.CopyChanged(
-                record.copy(), record.service(), record.address().toString(), state, atRevision));
+                record.copy(), record.service(), record.address().toString(), state, atRevision, learnedFrom));
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
@@ -7,6 +7,7 @@
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Fingerprint;
 import org.carawaysill.model.request.Outcome;
+import org.carawaysill.policy.fleet.publication.Eras;
 import org.carawaysill.policy.time.Nanos;
 
 /**
@@ -154,8 +155,10 @@
      * @param replaced the version before
      * @param routes how many routes it has
      * @param revision the platform's revision of it
+     * @param learnedFrom the platform, or the node that told it
      */
-    record ConfigurationAdopted(long version, long replaced, int routes, long revision) implements OfBelief {
+    record ConfigurationAdopted(long version, long replaced, int routes, long revision, String learnedFrom)
+            implements OfBelief {
 
         @Override
         public String subject() {
@@ -164,7 +167,33 @@
 
         @Override
         public String fields() {
-            return "version=" + version + " replaced=" + replaced + " routes=" + routes + " revision=" + revision;
+            return "version=" + version + " replaced=" + replaced + " routes=" + routes + " revision=" + revision
+                    + " from=" + learnedFrom;
+        }
+    }
+
+    /**
+     * The platform came back from an older copy, or its era can't be told any more.
+     *
+     * @param change what its answer says of the era
+     * @param era the era of its answers now
+     * @param asOf up to which of its revisions this node has now been told everything
+     * @param asOfBefore up to which it had been told everything before
+     * @param known how many entries this node knows that were written after the copy was made
+     * @param version the configuration in force, which may be newer than the published one
+     */
+    record EraChanged(Eras.Change change, long era, long asOf, long asOfBefore, int known, long version)
+            implements OfBelief {
+
+        @Override
+        public String subject() {
+            return "platform";
+        }
+
+        @Override
+        public String fields() {
+            return "change=" + change + " era=" + era + " as_of=" + asOf + " as_of_before=" + asOfBefore
+                    + " known_beyond=" + known + " version=" + version;
         }
     }
 
@@ -191,8 +220,10 @@
      * @param address where it listens
      * @param state what is believed of it now
      * @param revision the platform's revision of that
+     * @param learnedFrom the platform, or the node that told it
      */
-    record CopyChanged(CopyName copy, ServiceName service, String address, String state, long revision)
+    record CopyChanged(
+            CopyName copy, ServiceName service, String address, String state, long revision, String learnedFrom)
             implements OfBelief {
 
         /** The state of a copy that may get work. */
@@ -205,7 +236,8 @@
 
         @Override
         public String fields() {
-            return "service=" + service + " address=" + address + " state=" + state + " revision=" + revision;
+            return "service=" + service + " address=" + address + " state=" + state + " revision=" + revision + " from="
+                    + learnedFrom;
         }
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetEvent.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetEvent.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.carawaysill.model.fleet.PublishedEntry;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.ExchangeIdentifier;
@@ -94,11 +95,13 @@
     /**
      * The platform gave published entries.
      *
+     * @param era which of the platform's histories the revisions belong to; empty where it tells none that can be read
      * @param asOf all that was published up to this revision has been given
      * @param complete whether these are all entries that there are, not only the changed ones
      * @param entries the entries
      */
-    record EntriesRead(long asOf, boolean complete, List<PublishedEntry> entries) implements FleetEvent {
+    record EntriesRead(OptionalLong era, long asOf, boolean complete, List<PublishedEntry> entries)
+            implements FleetEvent {
 
         public EntriesRead {
             entries = List.copyOf(entries);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -159,7 +159,7 @@
             }
             case PeerMessage.EntriesWanted wanted -> exchange.wanted(from, wanted);
             case PeerMessage.Entries entries -> {
-                beliefs.told(now, entries);
+                beliefs.told(now, from, entries);
                 publicationChanged(moment);
             }
             case PeerMessage.PeerRequest _,
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/PublishedEntries.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/PublishedEntries.java
@@ -111,6 +111,18 @@
         return asOf;
     }
 
+    /**
+     * Counts the entries that are known in a form written after a revision.
+     *
+     * @param revision the revision
+     * @return how many there are
+     */
+    public int writtenAfter(long revision) {
+        return (int) entries.values().stream()
+                .filter(entry -> entry.revision() > revision)
+                .count();
+    }
+
     /**
      * Finds an entry.
      *
--- a/policy/src/test/java/org/carawaysill/policy/fleet/PublicationExchangeTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/PublicationExchangeTest.java
@@ -78,7 +78,7 @@
                     .mapToLong(PublishedEntry::revision)
                     .max()
                     .orElseThrow();
-            node.deliver(new FleetEvent.EntriesRead(newest, true, others));
+            node.deliver(new FleetEvent.EntriesRead(fleet.era, newest, true, others));
             assertEquals("gone", lastStateOf(missed, node));
             missed.publish(false);
             fleet.runUntil(SETTLED + 6 * SECOND);
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -88,7 +89,12 @@
     Optional<Organisations> organisations = Optional.empty();
 
     private long order;
+    /** Empty for a platform that tells none. */
+    OptionalLong era = OptionalLong.of(1);
+
     private long revision;
+    private long version;
+    private long texts;
     private long exchanges;
 
     /** A summary of the whole fleet, and when it came. */
@@ -107,6 +113,9 @@
      */
     record Fatal(String prefix, long soonest, long latest, long absence) {}
 
+    /** What the platform held at a moment. */
+    record PlatformCopy(long revision, Map<String, PublishedEntry> entries) {}
+
     private record Timed(long at, long order, Runnable action) {}
 
     VirtualFleet(long seed) {
@@ -132,19 +141,44 @@
         now = time;
     }
 
+    PlatformCopy copyOfPlatform() {
+        return new PlatformCopy(revision, Map.copyOf(platform));
+    }
+
+    /** Lets the platform come back from a copy: what was written since is lost, and its revisions are given out again. */
+    void returnFrom(PlatformCopy copy) {
+        revision = copy.revision();
+        era = era.isPresent() ? OptionalLong.of(era.getAsLong() + 1) : era;
+        platform.clear();
+        platform.putAll(copy.entries());
+    }
+
+    /** Returns the version of the configuration that was written last. */
+    long version() {
+        return version;
+    }
+
     void publish(String key, Optional<Publication> meaning) {
         revision++;
-        String text = "text " + revision;
+        String text = "text " + ++texts;
         meaning.ifPresent(publication -> meanings.put(text, publication));
         platform.put(key, new PublishedEntry(key, revision, meaning.map(_ -> text)));
     }
 
     void configure(Route... routes) {
-        revision++;
+        configure(++version, routes);
+    }
+
+    /** Writes a version again, or for the first time. */
+    void configure(long configurationVersion, Route... routes) {
         publish(
                 "configuration",
                 Optional.of(new Publication.Configured(new FleetConfiguration(
-                        revision, ClientLimits.DEFAULTS, services(routes), List.of(routes), organisations))));
+                        configurationVersion,
+                        ClientLimits.DEFAULTS,
+                        services(routes),
+                        List.of(routes),
+                        organisations))));
     }
 
     private static Set<ServiceName> services(Route... routes) {
@@ -234,6 +268,10 @@
         private boolean copyRuns = true;
         int copyNumber = 1;
         long startedAtMillis;
+        /** Whether its copy has an entry on the platform, and what that says. */
+        private boolean published = true;
+
+        private boolean draining;
         private long life;
         private long wakeAt = Long.MAX_VALUE;
 
@@ -272,7 +310,8 @@
             return name + "#" + copyNumber;
         }
 
-        void publish(boolean draining) {
+        void publish(boolean leaves) {
+            draining = leaves;
             VirtualFleet.this.publish(
                     "copy " + copy(),
                     Optional.of(new Publication.Listed(new CopyRecord(
@@ -282,14 +321,30 @@
                             new NetworkAddress(name.value(), 80),
                             new AvailabilityZone(zone),
                             slots,
-                            draining,
+                            leaves,
                             Duration.ZERO))));
         }
 
         void unpublish() {
+            published = false;
             VirtualFleet.this.publish("copy " + copy(), Optional.empty());
         }
 
+        /** Writes what the platform should hold of its copy; nothing changes there where it does. */
+        void heartbeat() {
+            boolean held = Optional.ofNullable(platform.get("copy " + copy()))
+                    .flatMap(PublishedEntry::text)
+                    .map(meanings::get)
+                    .filter(meaning ->
+                            meaning instanceof Publication.Listed(CopyRecord record) && record.draining() == draining)
+                    .isPresent();
+            if (published && !held) {
+                publish(draining);
+            } else if (!published && held) {
+                unpublish();
+            }
+        }
+
         /** Ends the copy's process: its connections close, and nobody listens until another one has started. */
         void crashCopy() {
             if (!copyRuns) {
@@ -431,11 +486,15 @@
             }
             long after = read.after().orElse(0);
             boolean complete = read.after().isEmpty();
+            if (after > revision) {
+                deliver(new FleetEvent.EntriesReadFailed(FleetEvent.ReadFailure.HISTORY_GONE));
+                return;
+            }
             List<PublishedEntry> changed = platform.values().stream()
                     .filter(entry -> entry.revision() > after
                             && !(complete && entry.text().isEmpty()))
                     .toList();
-            deliver(new FleetEvent.EntriesRead(revision, complete, changed));
+            deliver(new FleetEvent.EntriesRead(era, revision, complete, changed));
         }
 
         private void sendToPeer(NodeName peer, PeerMessage message) {
