--- /dev/null
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/PlatformReturnTest.java
@@ -0,0 +1,294 @@
+package org.carawaysill.policy.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.carawaysill.model.fleet.Route;
+import org.carawaysill.policy.fleet.VirtualFleet.PlatformCopy;
+import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The platform comes back from an older copy: it has lost what it acknowledged, and gives its revisions out again. */
+class PlatformReturnTest {
+
+    private static final long MILLI = VirtualFleet.MILLI;
+    private static final long SECOND = 1000 * MILLI;
+
+    /** Within which a change is in force, and a leaving copy gets no more work. */
+    private static final long BOUND = VirtualFleet.DRAIN_LIMIT.toNanos();
+
+    private static final long AWAY = 400 * MILLI;
+    private static final long WRITTEN_AGAIN_AFTER = 300 * MILLI;
+    private static final long HEARTBEAT = 1500 * MILLI;
+    private static final long COPY_AGE = 3 * SECOND;
+
+    /** When the platform goes away for the first time. */
+    private static final long AWAY_FROM = 12 * SECOND;
+
+    private static final int CHANGES_LOST = 5;
+    private static final long CHANGES_APART = 500 * MILLI;
+
+    private static final String PATH = "/entry/";
+    private static final int NODES_OF_A_SERVICE = 7;
+    private static final int ZONES = 3;
+    private static final long REQUESTS_APART = 5 * MILLI;
+
+    private final VirtualFleet fleet = new VirtualFleet(23);
+    private String service = "left";
+    private long changedAt;
+
+    PlatformReturnTest() {
+        add("left");
+        add("right");
+        fleet.configure(routes());
+        fleet.runUntil(8 * SECOND);
+    }
+
+    /** The route that changes, and one to each service, so that both are named at all times. */
+    private Route[] routes() {
+        return new Route[] {
+            Routes.route(PATH, service, true, 1, 900, 500),
+            Routes.route("/left/", "left", true, 1, 900, 500),
+            Routes.route("/right/", "right", true, 1, 900, 500)
+        };
+    }
+
+    private void add(String name) {
+        IntStream.range(0, NODES_OF_A_SERVICE).forEach(i -> addNode(name, i));
+    }
+
+    private VirtualNode addNode(String name, int index) {
+        int zone = index % ZONES;
+        int host = (name.equals("left") ? 0 : 100) + index;
+        VirtualNode node = fleet.add(name, "10." + zone + ".0." + host, "zone-" + zone, 20);
+        node.works.put(PATH, new Work(10 * MILLI, List.of()));
+        heartbeats(node);
+        return node;
+    }
+
+    private void heartbeats(VirtualNode node) {
+        fleet.at(fleet.now + HEARTBEAT, () -> {
+            if (!fleet.platformDown) {
+                node.heartbeat();
+            }
+            heartbeats(node);
+        });
+    }
+
+    private void change() {
+        service = service.equals("left") ? "right" : "left";
+        fleet.configure(routes());
+        changedAt = fleet.now;
+    }
+
+    /** Takes the platform away for a moment; it comes back as it was some seconds before, without a word of that. */
+    private void returnsOlder(long at) {
+        PlatformCopy[] copy = new PlatformCopy[1];
+        fleet.at(at - COPY_AGE, () -> copy[0] = fleet.copyOfPlatform());
+        fleet.at(at, () -> fleet.platformDown = true);
+        fleet.at(at + AWAY, () -> {
+            fleet.platformDown = false;
+            fleet.returnFrom(copy[0]);
+        });
+    }
+
+    private void operatorWritesAgain(long at) {
+        fleet.at(at, () -> fleet.configure(fleet.version(), routes()));
+    }
+
+    /** Sends requests until a moment, at all nodes in turn; returns how many ran under an older configuration. */
+    private long runsByAnOlderConfiguration(long until) {
+        List<VirtualNode> nodes = List.copyOf(fleet.nodes.values());
+        long wrong = 0;
+        int seen = 0;
+        for (int i = 0; fleet.now < until; i++) {
+            VirtualNode entry = nodes.get(i % nodes.size());
+            fleet.send(entry, "request " + fleet.now, PATH, SECOND, (_, _) -> {});
+            fleet.runUntil(fleet.now + REQUESTS_APART);
+            for (; seen < fleet.runs.size(); seen++) {
+                boolean current = serviceOf(fleet.runs.get(seen).copy()).equals(service);
+                wrong += !current && fleet.runs.get(seen).at() - changedAt > BOUND ? 1 : 0;
+            }
+        }
+        return wrong;
+    }
+
+    private String serviceOf(String copy) {
+        return fleet.nodes.get(copy.substring(0, copy.indexOf('#'))).service;
+    }
+
+    private long requestsTo(String copy, long from) {
+        return fleet.runs.stream()
+                .filter(run -> run.copy().equals(copy) && run.at() > from)
+                .count();
+    }
+
+    private void changesJustBeforeTheReturn() {
+        for (int changes = 1; changes <= CHANGES_LOST; changes++) {
+            fleet.at(AWAY_FROM - changes * CHANGES_APART, this::change);
+        }
+    }
+
+    @Nested
+    class Configuration {
+
+        /* Guards against nodes that refuse every change after the return, since its revision is one they have seen. */
+        @Tag("known-red")
+        @Test
+        void thatIsWrittenAfterTheReturnIsInForceInTime() {
+            changesJustBeforeTheReturn();
+            returnsOlder(AWAY_FROM);
+            operatorWritesAgain(AWAY_FROM + AWAY + WRITTEN_AGAIN_AFTER);
+            fleet.at(AWAY_FROM + 2 * SECOND, PlatformReturnTest.this::change);
+            assertEquals(0, runsByAnOlderConfiguration(AWAY_FROM + 8 * SECOND));
+        }
+
+        /* Guards against a watch that goes on from a revision of before and silently misses what was written below it. */
+        @Tag("known-red")
+        @Test
+        void thatIsBelowTheRevisionsThatNodesKnowIsInForceInTime() {
+            changesJustBeforeTheReturn();
+            returnsOlder(AWAY_FROM);
+            fleet.at(AWAY_FROM + AWAY + 1, () -> {
+                change();
+                IntStream.range(0, 400).forEach(i -> fleet.publish("other " + i, Optional.empty()));
+            });
+            assertEquals(0, runsByAnOlderConfiguration(AWAY_FROM + 8 * SECOND));
+        }
+
+        /* Guards against an older version that comes back while the platform shows it. */
+        @Test
+        void staysInForceWhileThePlatformShowsAnOlderOne() {
+            changesJustBeforeTheReturn();
+            returnsOlder(AWAY_FROM);
+            assertEquals(0, runsByAnOlderConfiguration(AWAY_FROM + 6 * SECOND));
+        }
+
+        /* Guards against a node that starts on the older copy and is never told what the others know. */
+        @Test
+        void isToldToNodesThatStartWhileThePlatformShowsAnOlderOne() {
+            changesJustBeforeTheReturn();
+            returnsOlder(AWAY_FROM);
+            restartEverySecondNode(AWAY_FROM + AWAY);
+            assertEquals(0, runsByAnOlderConfiguration(AWAY_FROM + 6 * SECOND));
+        }
+
+        /* Guards against a return that is taken for one where two follow one another. */
+        @Tag("known-red")
+        @ParameterizedTest
+        @ValueSource(longs = {500, 1200, 3500})
+        void isInForceInTimeAfterTwoReturns(long apartMillis) {
+            changesJustBeforeTheReturn();
+            returnsOlder(AWAY_FROM);
+            returnsOlder(AWAY_FROM + AWAY + apartMillis * MILLI);
+            long lastReturn = AWAY_FROM + 2 * AWAY + apartMillis * MILLI;
+            operatorWritesAgain(lastReturn + WRITTEN_AGAIN_AFTER);
+            fleet.at(lastReturn + SECOND, PlatformReturnTest.this::change);
+            fleet.at(lastReturn + 4 * SECOND, PlatformReturnTest.this::change);
+            assertEquals(0, runsByAnOlderConfiguration(lastReturn + 8 * SECOND));
+        }
+
+        /* Guards against nodes that hear of a change only from others, and take it for one that they know. */
+        @Tag("known-red")
+        @Test
+        void reachesNodesThatThePlatformTurnsAway() {
+            List<VirtualNode> nodes = List.copyOf(fleet.nodes.values());
+            IntStream.range(0, nodes.size() / 3).forEach(i -> nodes.get(i * 3).readable = false);
+            changesJustBeforeTheReturn();
+            returnsOlder(AWAY_FROM);
+            operatorWritesAgain(AWAY_FROM + AWAY + WRITTEN_AGAIN_AFTER);
+            fleet.at(AWAY_FROM + 2 * SECOND, PlatformReturnTest.this::change);
+            fleet.at(AWAY_FROM + 5 * SECOND, PlatformReturnTest.this::change);
+            assertEquals(0, runsByAnOlderConfiguration(AWAY_FROM + 9 * SECOND));
+        }
+    }
+
+    private void restartEverySecondNode(long at) {
+        List<VirtualNode> nodes = List.copyOf(fleet.nodes.values());
+        fleet.at(
+                at,
+                () -> IntStream.range(0, nodes.size() / 2)
+                        .mapToObj(i -> nodes.get(2 * i))
+                        .forEach(VirtualNode::kill));
+        fleet.at(
+                at + 300 * MILLI,
+                () -> nodes.stream().filter(node -> !node.alive).forEach(VirtualNode::restart));
+    }
+
+    @Nested
+    class Copies {
+
+        private VirtualNode leaving;
+
+        private void leaves(long at, boolean bySaying) {
+            leaving = fleet.nodes.values().iterator().next();
+            fleet.at(at, () -> {
+                if (bySaying) {
+                    leaving.publish(true);
+                } else {
+                    leaving.unpublish();
+                }
+            });
+        }
+
+        /* Guards against work for a copy that has left, since the platform shows it as ready again. */
+        @ParameterizedTest
+        @ValueSource(booleans = {true, false})
+        void thatLeaveGetNoWorkWhileThePlatformShowsThemReady(boolean bySaying) {
+            long left = AWAY_FROM - SECOND;
+            leaves(left, bySaying);
+            returnsOlder(AWAY_FROM);
+            runsByAnOlderConfiguration(AWAY_FROM + 6 * SECOND);
+            assertEquals(0, requestsTo(leaving.copy(), left + BOUND));
+        }
+
+        /* Guards against nodes that start on the older copy and send work to a copy that has left. */
+        @ParameterizedTest
+        @ValueSource(booleans = {true, false})
+        void thatLeaveGetNoWorkFromNodesThatStartMeanwhile(boolean bySaying) {
+            long left = AWAY_FROM - SECOND;
+            leaves(left, bySaying);
+            returnsOlder(AWAY_FROM);
+            restartEverySecondNode(AWAY_FROM + AWAY);
+            runsByAnOlderConfiguration(AWAY_FROM + 6 * SECOND);
+            assertEquals(0, requestsTo(leaving.copy(), left + BOUND));
+        }
+
+        /* Guards against a leave after the return that is refused, since its revision is one that nodes have seen. */
+        @ParameterizedTest
+        @ValueSource(booleans = {true, false})
+        void thatLeaveAfterTheReturnGetNoWorkInTime(boolean bySaying) {
+            long left = AWAY_FROM + AWAY + SECOND;
+            leaves(left, bySaying);
+            returnsOlder(AWAY_FROM);
+            runsByAnOlderConfiguration(AWAY_FROM + 8 * SECOND);
+            long slack = bySaying ? 0 : SECOND;
+            assertEquals(0, requestsTo(leaving.copy(), left + BOUND + slack));
+        }
+
+        /* Guards against a living copy that is dropped, since the platform has lost its entry for a moment. */
+        @Test
+        void thatThePlatformHasLostStayInUse() {
+            VirtualNode[] added = new VirtualNode[1];
+            fleet.at(AWAY_FROM - 1500 * MILLI, () -> added[0] = addNode("left", NODES_OF_A_SERVICE));
+            returnsOlder(AWAY_FROM);
+            runsByAnOlderConfiguration(AWAY_FROM + 4 * SECOND);
+            for (long from = AWAY_FROM; from < AWAY_FROM + 3 * SECOND; from += 500 * MILLI) {
+                long since = from;
+                assertTrue(
+                        fleet.runs.stream()
+                                .anyMatch(run -> run.copy().equals(added[0].copy())
+                                        && run.at() >= since
+                                        && run.at() < since + 500 * MILLI),
+                        () -> "no work from " + (since - AWAY_FROM) / MILLI + " ms after the platform went away");
+            }
+        }
+    }
+}
