Take a removal that follows a write in the same answer for the later one

A copy that wrote once more just before its entry was removed stayed in use where both came in one answer of the platform: the removal was given the writer's count as known before that answer, and was refused as older than the write.

The count of what the same answer gave before it goes first now. What makes of an answer what it changes is a class of its own (ReadAnswers); a whole read that contradicts what is known to be removed is repeated once, not with each tick, where the platform tells no era.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
@@ -2,23 +2,19 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.carawaysill.model.fleet.CopyRecord;
-import org.carawaysill.model.fleet.EntryVersion;
 import org.carawaysill.model.fleet.FleetConfiguration;
 import org.carawaysill.model.fleet.KnownEntry;
-import org.carawaysill.model.fleet.PublishedEntry;
 import org.carawaysill.model.fleet.Revision;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.request.ConfigurationCount;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.CopyTable;
-import org.carawaysill.policy.fleet.publication.Eras;
 import org.carawaysill.policy.fleet.publication.PlatformReads;
 import org.carawaysill.policy.fleet.publication.PublicationDecoder;
 import org.carawaysill.policy.fleet.publication.PublicationDecoder.Publication;
@@ -40,7 +36,7 @@
     private static final long NOT_KNOWN = 0;
 
     /** Where a belief comes from that this node read itself. */
-    private static final String PLATFORM = "platform";
+    static final String PLATFORM = "platform";
 
     private static final String GONE = "gone";
 
@@ -50,7 +46,7 @@
     private final PublicationUpdates updates = new PublicationUpdates(entries);
     private final CopyTable copies = new CopyTable();
     private final PlatformReads reads;
-    private final Eras eras = new Eras();
+    private final ReadAnswers answers;
     private final LapsedNodes lapsed = new LapsedNodes();
     private Optional<FleetConfiguration> configuration = Optional.empty();
     private RouteTable routes = new RouteTable(List.of());
@@ -65,6 +61,7 @@
         this.decoder = decoder;
         this.effects = effects;
         reads = new PlatformReads(now, drainLimit, random);
+        answers = new ReadAnswers(effects, decoder, entries, reads);
         confirmedNanos = now;
     }
 
@@ -123,72 +120,8 @@
 
     void read(long now, FleetEvent.EntriesRead read) {
         confirmedNanos = now;
-        noticeEra(read);
-        Revision asOf = new Revision(eras.current(), read.asOf());
-        boolean continues = asOf.isSameEra(entries.asOf());
-        if (reads.succeeded(now, isOfAnotherEra(asOf))) {
-            effects.log(new Decision.DependencyChanged(PLATFORM, "readable", asOf(asOf)));
-        }
-        Map<KnownEntry, Publication> meanings = decode(read.entries());
-        List<KnownEntry> newer = merge(now, asOf, read.complete(), List.copyOf(meanings.keySet()));
-        if (!read.complete() && !continues) {
-            reads.everythingAt(now);
-        }
-        reads.everythingEachTime(eras.isLost());
-        take(now, newer, new Source(PLATFORM, Revision.NONE, reads.returnsUntilNanos(now), meanings));
-    }
-
-    /** Returns whether this node's last read was of another era, or without one, what others told. */
-    private boolean isOfAnotherEra(Revision asOf) {
-        Revision known = entries.asOf().equals(Revision.NONE) ? updates.revision() : entries.asOf();
-        return !known.equals(Revision.NONE) && !known.isSameEra(asOf);
-    }
-
-    private List<KnownEntry> merge(long now, Revision asOf, boolean complete, List<KnownEntry> given) {
-        if (!complete) {
-            return entries.mergeChanges(asOf, given);
-        }
-        List<KnownEntry> newer = entries.mergeAll(asOf, reads.trustsWhatIsShown(now) && !eras.isLost(), given);
-        if (entries.contradicts(given)) {
-            reads.everythingOnceTrusted();
-        }
-        return newer;
-    }
-
-    /** What the platform gave, in its order; the removal of an entry that is known removes its last form. */
-    private Map<KnownEntry, Publication> decode(List<PublishedEntry> given) {
-        Map<KnownEntry, Publication> meanings = new LinkedHashMap<>();
-        for (PublishedEntry entry : given) {
-            Publication meaning =
-                    entry.text().map(text -> decoder.decode(entry.key(), text)).orElseGet(Publication.Irrelevant::new);
-            EntryVersion version = entry.text().isPresent()
-                    ? meaning.version()
-                    : entries.version(entry.key()).removed();
-            Revision revision = new Revision(eras.current(), entry.revision());
-            meanings.put(new KnownEntry(entry.key(), revision, version, entry.text()), meaning);
-        }
-        return meanings;
-    }
-
-    private static String asOf(Revision revision) {
-        return "as_of=" + revision.number() + " era=" + revision.era();
-    }
-
-    private void noticeEra(FleetEvent.EntriesRead read) {
-        Eras.Change change = eras.receive(read.era());
-        if (read.era().isEmpty()) {
-            effects.count(ConfigurationCount.ERA_UNREADABLE);
-        } else if (change != Eras.Change.NONE) {
-            effects.count(ConfigurationCount.ERA_CHANGED);
-        }
-        if (change != Eras.Change.NONE && change != Eras.Change.STAYS_UNREADABLE) {
-            logEra(change, read);
-        }
-    }
-
-    private void logEra(Eras.Change change, FleetEvent.EntriesRead read) {
-        Revision asOf = new Revision(eras.current(), read.asOf());
-        effects.log(new Decision.EraChanged(change, asOf, entries.asOf(), entries.writtenAfter(asOf), version()));
+        ReadAnswers.Newer newer = answers.receive(now, read, updates.revision(), version());
+        take(now, newer.entries(), new Source(PLATFORM, Revision.NONE, reads.returnsUntilNanos(now), newer.meanings()));
     }
 
     void readFailed(long now, FleetEvent.ReadFailure failure) {
@@ -196,7 +129,9 @@
         long waited = Nanos.toMillis(reads.waitingNanos(now));
         if (reads.failed(now, failure)) {
             effects.log(new Decision.DependencyChanged(
-                    PLATFORM, "unreadable", "failure=" + failure + " after_ms=" + waited + " " + asOf(entries.asOf())));
+                    PLATFORM,
+                    "unreadable",
+                    "failure=" + failure + " after_ms=" + waited + " " + ReadAnswers.describe(entries.asOf())));
         }
     }
 
--- /dev/null
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/ReadAnswers.java
@@ -0,0 +1,120 @@
+package org.carawaysill.policy.fleet;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.carawaysill.model.fleet.EntryVersion;
+import org.carawaysill.model.fleet.KnownEntry;
+import org.carawaysill.model.fleet.PublishedEntry;
+import org.carawaysill.model.fleet.Revision;
+import org.carawaysill.model.request.ConfigurationCount;
+import org.carawaysill.policy.fleet.publication.Eras;
+import org.carawaysill.policy.fleet.publication.PlatformReads;
+import org.carawaysill.policy.fleet.publication.PublicationDecoder;
+import org.carawaysill.policy.fleet.publication.PublicationDecoder.Publication;
+import org.carawaysill.policy.fleet.publication.PublishedEntries;
+
+/**
+ * Finds out what the platform's answers change of what is known, and whether they continue the ones before.
+ *
+ * <p>Invariant: an answer of another era than the last one is no continuation; everything is read then. Not thread safe: owned by
+ * the policy.
+ */
+final class ReadAnswers {
+
+    private final Effects effects;
+    private final PublicationDecoder decoder;
+    private final PublishedEntries entries;
+    private final PlatformReads reads;
+    private final Eras eras = new Eras();
+
+    /**
+     * What replaces what was known.
+     *
+     * @param entries the entries, in the platform's order
+     * @param meanings what entries of the answer say, those that replace nothing included
+     */
+    record Newer(List<KnownEntry> entries, Map<KnownEntry, Publication> meanings) {}
+
+    ReadAnswers(Effects effects, PublicationDecoder decoder, PublishedEntries entries, PlatformReads reads) {
+        this.effects = effects;
+        this.decoder = decoder;
+        this.entries = entries;
+        this.reads = reads;
+    }
+
+    /**
+     * Receives an answer.
+     *
+     * @param told up to which revision others told all changes
+     * @param version the configuration in force
+     */
+    Newer receive(long now, FleetEvent.EntriesRead read, Revision told, long version) {
+        noticeEra(read, version);
+        Revision asOf = new Revision(eras.current(), read.asOf());
+        if (reads.succeeded(now, isOfAnotherEra(asOf, told))) {
+            effects.log(new Decision.DependencyChanged(Beliefs.PLATFORM, "readable", describe(asOf)));
+        }
+        boolean continues = read.complete() || asOf.isSameEra(entries.asOf());
+        Map<KnownEntry, Publication> meanings = decode(read.entries());
+        List<KnownEntry> newer = merge(now, asOf, read.complete(), List.copyOf(meanings.keySet()));
+        if (!continues) {
+            reads.everythingAt(now);
+        }
+        reads.everythingEachTime(eras.isLost());
+        return new Newer(newer, meanings);
+    }
+
+    static String describe(Revision asOf) {
+        return "as_of=" + asOf.number() + " era=" + asOf.era();
+    }
+
+    private void noticeEra(FleetEvent.EntriesRead read, long version) {
+        Eras.Change change = eras.receive(read.era());
+        if (read.era().isEmpty()) {
+            effects.count(ConfigurationCount.ERA_UNREADABLE);
+        } else if (change != Eras.Change.NONE) {
+            effects.count(ConfigurationCount.ERA_CHANGED);
+        }
+        if (change != Eras.Change.NONE && change != Eras.Change.STAYS_UNREADABLE) {
+            Revision asOf = new Revision(eras.current(), read.asOf());
+            int beyond = entries.writtenAfter(asOf);
+            effects.log(new Decision.EraChanged(change, asOf, entries.asOf(), beyond, version));
+        }
+    }
+
+    /** Returns whether the last answer was of another era, or without one, what others told. */
+    private boolean isOfAnotherEra(Revision asOf, Revision told) {
+        Revision known = entries.asOf().equals(Revision.NONE) ? told : entries.asOf();
+        return !known.equals(Revision.NONE) && !known.isSameEra(asOf);
+    }
+
+    private List<KnownEntry> merge(long now, Revision asOf, boolean complete, List<KnownEntry> given) {
+        if (!complete) {
+            return entries.mergeChanges(asOf, given);
+        }
+        boolean trusted = reads.trustsWhatIsShown(now) && !eras.isLost();
+        List<KnownEntry> newer = entries.mergeAll(asOf, trusted, given);
+        if (entries.contradicts(given)) {
+            reads.everythingOnceTrusted(now);
+        }
+        return newer;
+    }
+
+    /** What the platform gave, in its order; a removal is that of the last form known or given before it. */
+    private Map<KnownEntry, Publication> decode(List<PublishedEntry> given) {
+        Map<KnownEntry, Publication> meanings = new LinkedHashMap<>();
+        Map<String, EntryVersion> latest = new HashMap<>();
+        for (PublishedEntry entry : given) {
+            Publication meaning =
+                    entry.text().map(text -> decoder.decode(entry.key(), text)).orElseGet(Publication.Irrelevant::new);
+            EntryVersion last = latest.computeIfAbsent(entry.key(), entries::version);
+            EntryVersion version = entry.text().isPresent() ? meaning.version() : last.removed();
+            latest.put(entry.key(), version.compareTo(last) > 0 ? version : last);
+            Revision revision = new Revision(eras.current(), entry.revision());
+            meanings.put(new KnownEntry(entry.key(), revision, version, entry.text()), meaning);
+        }
+        return meanings;
+    }
+}
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/PlatformReads.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/PlatformReads.java
@@ -174,9 +174,15 @@
         trustedNanos = now + SHOWN_AGAIN_LIMIT.toNanos();
     }
 
-    /** Reads everything once the platform is trusted to show what holds. */
-    public void everythingOnceTrusted() {
-        everythingNanos = trustedNanos;
+    /**
+     * Reads everything once the platform is trusted to show what holds, if it is not yet.
+     *
+     * @param now the monotonic time
+     */
+    public void everythingOnceTrusted(long now) {
+        if (now < trustedNanos) {
+            everythingNanos = trustedNanos;
+        }
     }
 
     /**
