Count the nodes beside copies that the configuration does not name

Cause: a copy of a service that no route names was as if it weren't published, and with it the node beside it, which takes clients like any other. Such nodes connected to the named ones only and summed up for themselves, did not hear of each other, and each took the rate over the few nodes that it knew of for its own part: 40 / 4 x 14 = 140 a second of 40.

Ruled out: tokens given back twice, sums of two summarising nodes, a busy machine (it shows in virtual time).

Change: all published copies name the nodes that connect, sum up and read for others. Work still goes to copies of named services only, and a published address at which no node answers takes no part of an allowance.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
@@ -2,9 +2,12 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.carawaysill.model.fleet.CopyRecord;
 import org.carawaysill.model.fleet.FleetConfiguration;
@@ -279,9 +282,15 @@
         return new PublishedState(updates.position(), digest);
     }
 
-    /** Returns how many nodes may serve callers now: the published ones, and those that lately lapsed without leaving. */
-    int nodeCount(long now) {
-        return lapsed.countWith(now, copies.hosts());
+    /**
+     * Returns how many nodes may serve callers now: those beside copies of named services, those beside other published copies
+     * that are in touch, and those that lately lapsed without leaving. An entry of another writer names no node.
+     */
+    int nodeCount(long now, Predicate<NodeName> inTouch) {
+        Set<String> hosts = new HashSet<>();
+        copies.all().forEach(copy -> hosts.add(copy.node().value()));
+        copies.withUnnamed().stream().map(Copy::node).filter(inTouch).forEach(node -> hosts.add(node.value()));
+        return lapsed.countWith(now, hosts);
     }
 
     /** Notes that another node decides by the same. */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -262,7 +262,7 @@
         localRuns.endOverdue(now);
         localRuns.logLimit(now);
         demand.close(now);
-        allowances.nodes(beliefs.nodeCount(now));
+        allowances.nodes(beliefs.nodeCount(now, peers::inTouch));
         state.tick(now, report(now));
         chooseReaders(now);
         plan.update(state.routes(), loads.sum(now), beliefs.routesByName());
@@ -278,7 +278,7 @@
         if (beliefs.mayReadPlatform()) {
             able.add(self);
         }
-        for (Copy copy : beliefs.copies().all()) {
+        for (Copy copy : beliefs.copies().withUnnamed()) {
             NodeName node = copy.node();
             if (!node.equals(settings.self()) && peers.inTouch(node) && state.isListed(node)) {
                 Readers.Candidate candidate =
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetState.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetState.java
@@ -99,7 +99,7 @@
 
     private Map<AvailabilityZone, List<NodeName>> reachableByZone() {
         Map<NodeName, AvailabilityZone> zones = new HashMap<>();
-        for (Copy copy : beliefs.copies().all()) {
+        for (Copy copy : beliefs.copies().withUnnamed()) {
             if (peers.inTouch(copy.node())) {
                 zones.put(copy.node(), copy.record().zone());
             }
@@ -199,7 +199,8 @@
 
     /** Tells another node of this one, without asking it to sum that up. */
     void tell(NodeName receiver, NodeReport own) {
-        boolean sameZone = beliefs.copies().beside(receiver).stream()
+        boolean sameZone = beliefs.copies().withUnnamed().stream()
+                .filter(copy -> copy.node().equals(receiver))
                 .anyMatch(copy -> copy.record().zone().equals(settings.zone()));
         effects.add(new FleetEffect.SendToPeer(receiver, own.toBeKnown(sameZone)));
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
@@ -1,6 +1,8 @@
 package org.carawaysill.policy.fleet.copy;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -196,13 +198,23 @@
     }
 
     /**
-     * Returns the IP numbers of the VMs of all copies.
+     * Returns all published copies, those of services that the configuration doesn't name included. They get no work, but
+     * the nodes beside them take requests like any other.
+     *
+     * @return a view of the copies
+     */
+    public Collection<Copy> withUnnamed() {
+        return Collections.unmodifiableCollection(byKey.values());
+    }
+
+    /**
+     * Returns the IP numbers of the VMs of all copies, those of services that the configuration doesn't name included.
      *
      * @return the IP numbers
      */
     public Set<String> hosts() {
         Set<String> hosts = new HashSet<>();
-        namedCopies().forEach(copy -> hosts.add(copy.record().address().host()));
+        byKey.values().forEach(copy -> hosts.add(copy.record().address().host()));
         return hosts;
     }
 }
