Compare revisions within an era that is told, and give answers without one no era

A valid entry of another writer under a copy's key, with a greater count, would have kept out all that the copy writes after it: found in reading, not seen. The count went first so that nothing is lost where the platform stops telling eras. Now answers that tell none, where others did, belong to no known era: revisions decide within an era, and counts across eras and there.

ReadAnswersTest.Changes.ofACopyFollowThoseOfAnotherWriter is new and fails with the count first.

--- a/model/src/main/java/org/carawaysill/model/fleet/KnownEntry.java
+++ b/model/src/main/java/org/carawaysill/model/fleet/KnownEntry.java
@@ -18,12 +18,11 @@
      * Returns whether this form of an entry replaces another one, whoever told them and in whichever order.
      *
      * @param known the other form, of the same key
-     * @return by the order of its writer; of one write, or of a writer that does not count, by revision within an era
+     * @return by revision within an era, by the order of its writer across eras
      */
     public boolean supersedes(KnownEntry known) {
-        boolean ordered = version.isCounted() && known.version.isCounted() && !version.isSameWrite(known.version);
         boolean comparable = revision.isSameEra(known.revision) && revision.number() != known.revision.number();
-        return ordered || !comparable ? version.compareTo(known.version) > 0 : revision.isAfter(known.revision);
+        return comparable ? revision.isAfter(known.revision) : version.compareTo(known.version) > 0;
     }
 
     /**
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
@@ -163,7 +163,10 @@
      * present era tells of it: what the platform has lost must be written there again.
      */
     private void expectAgain(long now, KnownEntry told) {
-        if (!told.isRemoved() && told.revision().era() < entries.asOf().era()) {
+        long era = told.revision().era();
+        if (!told.isRemoved()
+                && era != Revision.UNKNOWN_ERA
+                && era < entries.asOf().era()) {
             copies.remove(now, told.key(), reads.expectedUntilNanos(now));
         }
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/ReadAnswers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/ReadAnswers.java
@@ -87,7 +87,7 @@
     /** Returns whether the last answer was of another era, or without one, what others told. */
     private boolean isOfAnotherEra(Revision asOf, Revision told) {
         Revision known = entries.asOf().equals(Revision.NONE) ? told : entries.asOf();
-        return !known.equals(Revision.NONE) && !known.isSameEra(asOf);
+        return !known.equals(Revision.NONE) && known.era() != asOf.era();
     }
 
     private List<KnownEntry> merge(long now, Revision asOf, boolean complete, List<KnownEntry> given) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/Eras.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/Eras.java
@@ -1,12 +1,13 @@
 package org.carawaysill.policy.fleet.publication;
 
 import java.util.OptionalLong;
+import org.carawaysill.model.fleet.Revision;
 
 /**
  * Follows the eras that the platform tells with its answers.
  *
  * <p>A new era begins when the platform comes back from an older copy: its revisions then go back and are given out again.
- * Invariant: an era that is not told, or can't be read, leaves the last one in place. Not thread safe: owned by the policy.
+ * Invariant: where eras were told and one can't be read, the answer belongs to no known era. Not thread safe: owned by the policy.
  */
 public final class Eras {
 
@@ -55,12 +56,12 @@
     }
 
     /**
-     * Returns the era of the last answer that told one.
+     * Returns the era of the last answer.
      *
-     * @return the era, {@link #NOT_TOLD} before the first
+     * @return the era; {@link Revision#UNKNOWN_ERA} where it told none and others did, {@link #NOT_TOLD} where none did
      */
     public long current() {
-        return current;
+        return isLost() ? Revision.UNKNOWN_ERA : current;
     }
 
     /**
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/PlatformReads.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/PlatformReads.java
@@ -89,6 +89,7 @@
         nextNanos = now + random.nextLong(START_SPREAD.toNanos());
         sentNanos = now;
         lastNanos = now - pace.toNanos();
+        handoverUntilNanos = now;
         returnedNanos = now - RETURN_GRACE.toNanos();
         othersFailedNanos = returnedNanos;
         eraBegan(now);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/PublishedEntries.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/PublishedEntries.java
@@ -16,9 +16,9 @@
 /**
  * The published entries that this node knows, whoever told it.
  *
- * <p>The order of its writer tells which of two forms of an entry is the newer one, and only where the writer does not count
- * the platform's revision. So entries from the platform and from other nodes merge in any order, also while the platform shows an
- * older copy. Invariant: of two forms of an entry, the one that {@linkplain KnownEntry#supersedes supersedes} the other stays. Not thread safe: owned
+ * <p>Within an era the platform counts one revision up over all entries; across eras the writers' own order decides. So
+ * entries from the platform and from other nodes merge in any order, also while the platform shows an older copy. Invariant:
+ * of two forms of an entry, the one that {@linkplain KnownEntry#supersedes supersedes} the other stays. Not thread safe: owned
  * by the policy.
  */
 public final class PublishedEntries {
--- a/policy/src/test/java/org/carawaysill/policy/fleet/ReadAnswersTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/ReadAnswersTest.java
@@ -82,6 +82,15 @@
             assertEquals("2", entries.find("copy").orElseThrow().text().orElseThrow());
         }
 
+        /* Guards against another writer that takes a copy's key with a greater count: the copy's next write must hold. */
+        @Test
+        void ofACopyFollowThoseOfAnotherWriter() {
+            receive(0, 1, 5, true, written(5, 1));
+            receive(SECOND, 1, 6, false, written(6, 1_000_000));
+            receive(2 * SECOND, 1, 7, false, written(7, 2));
+            assertEquals("2", entries.find("copy").orElseThrow().text().orElseThrow());
+        }
+
         /* Guards against copies that do not count, and whose entry comes back at a greater revision only. */
         @Test
         void ofAWriterThatDoesNotCountFollowTheRevision() {
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/EntryCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/EntryCodec.java
@@ -19,7 +19,10 @@
     private EntryCodec() {}
 
     static Revision revision(long era, long number) throws ProtocolFault {
-        return new Revision(Fields.notNegative(era, "era"), Fields.notNegative(number, "revision"));
+        if (era < Revision.UNKNOWN_ERA) {
+            throw new ProtocolFault(ProtocolFault.Kind.OUT_OF_RANGE, "era");
+        }
+        return new Revision(era, Fields.notNegative(number, "revision"));
     }
 
     static EntriesWantedFrame encode(EntriesWanted wanted) {
