--- a/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Beliefs.java
@@ -144,6 +144,7 @@
      */
     void told(long now, NodeName from, PeerMessage.Entries told) {
         confirmedNanos = now;
+        answers.heard(told.upTo().era());
         if (told.upTo().era() > knownUpTo().era()) {
             reads.eraBegan(now);
         }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/ReadAnswers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/ReadAnswers.java
@@ -66,6 +66,11 @@
         return new Newer(newer, meanings);
     }
 
+    /** Receives the era of what another node told. */
+    void heard(long era) {
+        eras.heard(era);
+    }
+
     static String describe(Revision asOf) {
         return "as_of=" + asOf.number() + " era=" + asOf.era();
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/Eras.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/Eras.java
@@ -16,6 +16,7 @@
 
     private long current = NOT_TOLD;
     private boolean known;
+    private boolean knownToOthers;
     private boolean readable = true;
 
     /** What an answer says of the era. */
@@ -55,6 +56,15 @@
         return current > last ? Change.BEGAN : Change.FELL;
     }
 
+    /**
+     * Receives the era of what another node knows.
+     *
+     * @param era the era; {@link #NOT_TOLD} where the platform told that node none
+     */
+    public void heard(long era) {
+        knownToOthers |= era != NOT_TOLD;
+    }
+
     /**
      * Returns the era of the last answer.
      *
@@ -65,11 +75,11 @@
     }
 
     /**
-     * Returns whether the platform has told eras before and does not now, so that a return can't be seen.
+     * Returns whether the platform has told eras before, here or to others, and does not now, so that a return can't be seen.
      *
      * @return whether it has become unreadable
      */
     public boolean isLost() {
-        return known && !readable;
+        return (known || knownToOthers) && !readable;
     }
 }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/publication/ErasTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/publication/ErasTest.java
@@ -57,6 +57,15 @@
             assertFalse(eras.isLost());
         }
 
+        /* Guards against a node that reads for the first time, and takes what no era is told with for all of one era. */
+        @Test
+        void areALossWhereOthersWereToldOne() {
+            eras.heard(4);
+            eras.receive(OptionalLong.empty());
+            assertTrue(eras.isLost());
+            assertEquals(Revision.UNKNOWN_ERA, eras.current());
+        }
+
         @Test
         void areNoLossWhereThePlatformNeverToldOne() {
             assertEquals(Change.BECAME_UNREADABLE, eras.receive(OptionalLong.empty()));
