--- a/policy/src/test/java/org/carawaysill/policy/fleet/AllowancesTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/AllowancesTest.java
@@ -67,24 +67,6 @@
         }
     }
 
-    private int mostRunsInAWindow(String organisation) {
-        List<Long> times = fleet.runs.stream()
-                .filter(run -> run.organisation()
-                        .filter(name -> name.value().equals(organisation))
-                        .isPresent())
-                .map(VirtualFleet.Run::at)
-                .toList();
-        int most = 0;
-        int first = 0;
-        for (int last = 0; last < times.size(); last++) {
-            while (times.get(last) - times.get(first) > 5 * SECOND) {
-                first++;
-            }
-            most = Math.max(most, last - first + 1);
-        }
-        return most;
-    }
-
     private static List<Duration> waits(List<Outcome> outcomes) {
         return outcomes.stream()
                 .filter(outcome ->
@@ -101,7 +83,7 @@
             send("hot", 150, 15, outcomes);
             send("calm", 12, 15, othersOutcomes);
             fleet.runUntil(BEGIN + 17 * SECOND);
-            int most = mostRunsInAWindow("hot");
+            int most = RunsInWindows.most(fleet, "hot", 5 * SECOND);
             assertTrue(most <= MOST_IN_A_WINDOW, () -> most + " in a window");
             assertTrue(most >= 5 * PER_SECOND, () -> most + " in a window");
             assertEquals(
@@ -127,7 +109,7 @@
             fleet.runUntil(BEGIN + 13 * SECOND);
             fleet.runs.clear();
             fleet.runUntil(BEGIN + 21 * SECOND);
-            int most = mostRunsInAWindow("hot");
+            int most = RunsInWindows.most(fleet, "hot", 5 * SECOND);
             assertTrue(most <= 6 * 2 * 1.25 + 20, () -> most + " in a window");
         }
     }
@@ -160,7 +142,7 @@
                 }
             });
             fleet.runUntil(BEGIN + 22 * SECOND);
-            int most = mostRunsInAWindow("hot");
+            int most = RunsInWindows.most(fleet, "hot", 5 * SECOND);
             assertTrue(most <= MOST_IN_A_WINDOW, () -> most + " in a window");
         }
     }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/LastingDemandTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/LastingDemandTest.java
@@ -69,24 +69,6 @@
         }
     }
 
-    private static int mostRunsInAWindow(VirtualFleet fleet) {
-        List<Long> times = fleet.runs.stream()
-                .filter(run -> run.organisation()
-                        .filter(name -> name.value().equals(HOT))
-                        .isPresent())
-                .map(VirtualFleet.Run::at)
-                .toList();
-        int most = 0;
-        int first = 0;
-        for (int last = 0; last < times.size(); last++) {
-            while (times.get(last) - times.get(first) > WINDOW) {
-                first++;
-            }
-            most = Math.max(most, last - first + 1);
-        }
-        return most;
-    }
-
     /* Guards against nodes that each take the allowance for theirs, since few copies are of services that are named. */
     @ParameterizedTest
     @CsvSource({
@@ -109,7 +91,7 @@
             ask(fleet, random, "other-" + i, USUAL_PART * PER_SECOND, BEGIN, END);
         }
         fleet.runUntil(END + SECOND);
-        int most = mostRunsInAWindow(fleet);
+        int most = RunsInWindows.most(fleet, HOT, WINDOW);
         assertTrue(most <= MOST_IN_A_WINDOW, () -> most + " in a window");
     }
 }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/PlatformReturnDaysTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/PlatformReturnDaysTest.java
@@ -12,9 +12,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
-import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.request.Outcome;
-import org.carawaysill.policy.fleet.VirtualFleet.PlatformCopy;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
 import org.junit.jupiter.api.Test;
 
@@ -55,11 +53,9 @@
         /** An entry that is removed sooner after the platform's return may have lapsed meanwhile. */
         private static final long STABLE_AFTER = 3 * SECOND;
 
-        private static final long HEARTBEAT = 1500 * MILLI;
         private static final long START = 8 * SECOND;
         private static final long END = 34 * SECOND;
         private static final long QUIET_FROM = 26 * SECOND;
-        private static final int ZONES = 3;
         private static final int NODES_OF_A_SERVICE = 6;
         private static final int SERVED_PERCENT = 97;
 
@@ -67,9 +63,9 @@
         private static final long REQUESTS_APART = 4 * MILLI;
 
         private static final long FIRST_ERA = 100;
-        private static final String PATH = "/entry/";
 
         private final VirtualFleet fleet;
+        private final ChangingRoute route;
         private final SplittableRandom random;
         private final List<Version> versions = new ArrayList<>();
         private final Map<String, Long> leftAt = new HashMap<>();
@@ -78,7 +74,6 @@
         private final Set<String> lost = new HashSet<>();
         private final List<String> breaches = new ArrayList<>();
         private final List<Absence> absences = new ArrayList<>();
-        private String service = "left";
         private long returns;
         private int sentInQuiet;
         private int servedInQuiet;
@@ -89,13 +84,14 @@
 
         Day(int seed) {
             fleet = new VirtualFleet(seed);
+            route = new ChangingRoute(fleet);
             random = new SplittableRandom(7919L * seed);
         }
 
         List<String> play() {
             for (int i = 0; i < NODES_OF_A_SERVICE; i++) {
-                add("left", i);
-                add("right", 100 + i);
+                add(ChangingRoute.LEFT, i);
+                add(ChangingRoute.RIGHT, 100 + i);
             }
             fleet.era = OptionalLong.of(FIRST_ERA);
             configure();
@@ -110,32 +106,14 @@
             return breaches;
         }
 
-        private void add(String name, int index) {
-            int zone = index % ZONES;
-            VirtualNode node = fleet.add(name, "10." + zone + ".0." + index, "zone-" + zone, 20);
-            node.works.put(PATH, new Work(10 * MILLI, List.of()));
+        private void add(String service, int index) {
+            VirtualNode node = route.add(service, index, index, random.nextLong(ChangingRoute.HEARTBEAT));
             startedAt.put(node.name.value(), fleet.now);
-            fleet.at(fleet.now + random.nextLong(HEARTBEAT), () -> beat(node));
-        }
-
-        private void beat(VirtualNode node) {
-            if (!fleet.platformDown) {
-                node.heartbeat();
-            }
-            fleet.at(fleet.now + HEARTBEAT, () -> beat(node));
-        }
-
-        private Route[] routes() {
-            return new Route[] {
-                Routes.route(PATH, service, true, 1, 900, 500),
-                Routes.route("/left/", "left", true, 1, 900, 500),
-                Routes.route("/right/", "right", true, 1, 900, 500)
-            };
         }
 
         private void configure() {
-            fleet.configure(routes());
-            versions.add(new Version(fleet.now, service));
+            route.configure();
+            versions.add(new Version(fleet.now, route.service()));
         }
 
         private void scheduleReturns() {
@@ -150,12 +128,7 @@
             long age = 500 * MILLI + random.nextLong(3500 * MILLI);
             long away = 100 * MILLI + random.nextLong(900 * MILLI);
             absences.add(new Absence(at, at + away));
-            PlatformCopy[] copy = new PlatformCopy[1];
-            fleet.at(at - age, () -> copy[0] = fleet.copyOfPlatform());
-            fleet.at(at, () -> fleet.platformDown = true);
-            fleet.at(at + away, () -> {
-                fleet.platformDown = false;
-                fleet.returnFrom(copy[0]);
+            route.returnOlder(at, age, away, () -> {
                 fleet.era = nextEra();
                 writeOthers(random.nextInt(2) * random.nextInt(400));
             });
@@ -179,8 +152,8 @@
         /** The operator writes its newest configuration again; what no node can know yet counts from now on. */
         private void writeAgain() {
             if (!fleet.platformDown) {
-                fleet.configure(fleet.version(), routes());
-                versions.add(new Version(fleet.now, service));
+                route.writeAgain();
+                versions.add(new Version(fleet.now, route.service()));
             }
         }
 
@@ -195,8 +168,8 @@
                 fleet.at(fleet.now + 100 * MILLI, this::change);
                 return;
             }
-            service = service.equals("left") ? "right" : "left";
-            configure();
+            route.change();
+            versions.add(new Version(fleet.now, route.service()));
         }
 
         /** Whether the platform is there, and nodes have time to read what is written now. */
@@ -231,11 +204,11 @@
 
         private void scheduleTurnedAway() {
             List<VirtualNode> nodes = List.copyOf(fleet.nodes.values());
-            int turn = random.nextInt(ZONES + 1);
+            int turn = random.nextInt(ChangingRoute.ZONES + 1);
             long from = START + random.nextLong(6 * SECOND);
             long until = Math.min(QUIET_FROM, from + 3 * SECOND + random.nextLong(10 * SECOND));
             List<VirtualNode> turnedAway = IntStream.range(0, nodes.size())
-                    .filter(i -> i % (ZONES + 1) == turn)
+                    .filter(i -> i % (ChangingRoute.ZONES + 1) == turn)
                     .mapToObj(nodes::get)
                     .toList();
             fleet.at(from, () -> turnedAway.forEach(node -> node.readable = false));
@@ -272,7 +245,7 @@
                 }
                 boolean quiet = fleet.now > QUIET_FROM + 4 * SECOND;
                 sentInQuiet += quiet ? 1 : 0;
-                fleet.send(entry, name, PATH, SECOND, (_, outcome) -> {
+                fleet.send(entry, name, ChangingRoute.PATH, SECOND, (_, outcome) -> {
                     if (quiet && outcome instanceof Outcome.Answered) {
                         servedInQuiet++;
                     }
@@ -294,7 +267,7 @@
         }
 
         private void judge(VirtualFleet.Run run) {
-            String of = fleet.nodes.get(run.copy().substring(0, run.copy().indexOf('#'))).service;
+            String of = route.serviceOf(run);
             if (!allowed(run.at()).contains(of) && lost.add("version")) {
                 breaches.add("run by an older configuration at " + run.at() / MILLI + " from "
                         + entryOf.get(run.requestName()));
--- a/policy/src/test/java/org/carawaysill/policy/fleet/PlatformReturnTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/PlatformReturnTest.java
@@ -6,8 +6,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.IntStream;
-import org.carawaysill.model.fleet.Route;
-import org.carawaysill.policy.fleet.VirtualFleet.PlatformCopy;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -25,7 +23,6 @@
 
     private static final long AWAY = 400 * MILLI;
     private static final long WRITTEN_AGAIN_AFTER = 300 * MILLI;
-    private static final long HEARTBEAT = 1500 * MILLI;
     private static final long COPY_AGE = 3 * SECOND;
 
     /** When the platform goes away for the first time. */
@@ -34,72 +31,36 @@
     private static final int CHANGES_LOST = 5;
     private static final long CHANGES_APART = 500 * MILLI;
 
-    private static final String PATH = "/entry/";
     private static final int NODES_OF_A_SERVICE = 7;
-    private static final int ZONES = 3;
     private static final long REQUESTS_APART = 5 * MILLI;
 
     private final VirtualFleet fleet = new VirtualFleet(23);
-    private String service = "left";
+    private final ChangingRoute route = new ChangingRoute(fleet);
     private long changedAt;
 
     PlatformReturnTest() {
-        add("left");
-        add("right");
-        fleet.configure(routes());
+        IntStream.range(0, NODES_OF_A_SERVICE).forEach(this::addLeft);
+        IntStream.range(0, NODES_OF_A_SERVICE)
+                .forEach(i -> route.add(ChangingRoute.RIGHT, i, 100 + i, ChangingRoute.HEARTBEAT));
+        route.configure();
         fleet.runUntil(8 * SECOND);
     }
 
-    /** The route that changes, and one to each service, so that both are named at all times. */
-    private Route[] routes() {
-        return new Route[] {
-            Routes.route(PATH, service, true, 1, 900, 500),
-            Routes.route("/left/", "left", true, 1, 900, 500),
-            Routes.route("/right/", "right", true, 1, 900, 500)
-        };
-    }
-
-    private void add(String name) {
-        IntStream.range(0, NODES_OF_A_SERVICE).forEach(i -> addNode(name, i));
-    }
-
-    private VirtualNode addNode(String name, int index) {
-        int zone = index % ZONES;
-        int host = (name.equals("left") ? 0 : 100) + index;
-        VirtualNode node = fleet.add(name, "10." + zone + ".0." + host, "zone-" + zone, 20);
-        node.works.put(PATH, new Work(10 * MILLI, List.of()));
-        heartbeats(node);
-        return node;
-    }
-
-    private void heartbeats(VirtualNode node) {
-        fleet.at(fleet.now + HEARTBEAT, () -> {
-            if (!fleet.platformDown) {
-                node.heartbeat();
-            }
-            heartbeats(node);
-        });
+    private VirtualNode addLeft(int index) {
+        return route.add(ChangingRoute.LEFT, index, index, ChangingRoute.HEARTBEAT);
     }
 
     private void change() {
-        service = service.equals("left") ? "right" : "left";
-        fleet.configure(routes());
+        route.change();
         changedAt = fleet.now;
     }
 
-    /** Takes the platform away for a moment; it comes back as it was some seconds before, without a word of that. */
     private void returnsOlder(long at) {
-        PlatformCopy[] copy = new PlatformCopy[1];
-        fleet.at(at - COPY_AGE, () -> copy[0] = fleet.copyOfPlatform());
-        fleet.at(at, () -> fleet.platformDown = true);
-        fleet.at(at + AWAY, () -> {
-            fleet.platformDown = false;
-            fleet.returnFrom(copy[0]);
-        });
+        route.returnOlder(at, COPY_AGE, AWAY, () -> {});
     }
 
     private void operatorWritesAgain(long at) {
-        fleet.at(at, () -> fleet.configure(fleet.version(), routes()));
+        fleet.at(at, route::writeAgain);
     }
 
     /** Sends requests until a moment, at all nodes in turn; returns how many ran under an older configuration. */
@@ -109,20 +70,16 @@
         int seen = 0;
         for (int i = 0; fleet.now < until; i++) {
             VirtualNode entry = nodes.get(i % nodes.size());
-            fleet.send(entry, "request " + fleet.now, PATH, SECOND, (_, _) -> {});
+            fleet.send(entry, "request " + fleet.now, ChangingRoute.PATH, SECOND, (_, _) -> {});
             fleet.runUntil(fleet.now + REQUESTS_APART);
             for (; seen < fleet.runs.size(); seen++) {
-                boolean current = serviceOf(fleet.runs.get(seen).copy()).equals(service);
+                boolean current = route.serviceOf(fleet.runs.get(seen)).equals(route.service());
                 wrong += !current && fleet.runs.get(seen).at() - changedAt > BOUND ? 1 : 0;
             }
         }
         return wrong;
     }
 
-    private String serviceOf(String copy) {
-        return fleet.nodes.get(copy.substring(0, copy.indexOf('#'))).service;
-    }
-
     private long requestsTo(String copy, long from) {
         return fleet.runs.stream()
                 .filter(run -> run.copy().equals(copy) && run.at() > from)
@@ -272,7 +229,7 @@
         @Test
         void thatThePlatformHasLostStayInUse() {
             VirtualNode[] added = new VirtualNode[1];
-            fleet.at(AWAY_FROM - 1500 * MILLI, () -> added[0] = addNode("left", NODES_OF_A_SERVICE));
+            fleet.at(AWAY_FROM - 1500 * MILLI, () -> added[0] = addLeft(NODES_OF_A_SERVICE));
             returnsOlder(AWAY_FROM);
             runsByAnOlderConfiguration(AWAY_FROM + 4 * SECOND);
             for (long from = AWAY_FROM; from < AWAY_FROM + 3 * SECOND; from += 500 * MILLI) {
--- /dev/null
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/RunsInWindows.java
@@ -0,0 +1,28 @@
+package org.carawaysill.policy.fleet;
+
+import java.util.List;
+
+/** Counts what a fleet ran for an organisation. Stateless and thread safe. */
+final class RunsInWindows {
+
+    private RunsInWindows() {}
+
+    /** Returns the most runs within any window of that length. */
+    static int most(VirtualFleet fleet, String organisation, long windowNanos) {
+        List<Long> times = fleet.runs.stream()
+                .filter(run -> run.organisation()
+                        .filter(name -> name.value().equals(organisation))
+                        .isPresent())
+                .map(VirtualFleet.Run::at)
+                .toList();
+        int most = 0;
+        int first = 0;
+        for (int last = 0; last < times.size(); last++) {
+            while (times.get(last) - times.get(first) > windowNanos) {
+                first++;
+            }
+            most = Math.max(most, last - first + 1);
+        }
+        return most;
+    }
+}
