Give the question for published entries the shape that all messages have

ArchitectureTest asks that each message between nodes is a record; the two ways of asking were messages of their own. The wire and what nodes do stay as they are.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/PublicationExchange.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PublicationExchange.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.policy.message.ChangesSince;
 import org.carawaysill.policy.message.PeerMessage.Entries;
 import org.carawaysill.policy.message.PeerMessage.EntriesWanted;
 import org.carawaysill.policy.message.PublishedState;
@@ -88,7 +89,7 @@
         farAskedNanos = Long.MAX_VALUE;
         askedDigest = teller.digest();
         askedNanos = now;
-        effects.add(new FleetEffect.SendToPeer(teller.node(), question(now, teller.node())));
+        effects.add(new FleetEffect.SendToPeer(teller.node(), new EntriesWanted(since(now, teller.node()))));
     }
 
     /**
@@ -96,16 +97,16 @@
      * that have a later revision, and everything only if it still decides by something else later: most such differences are a
      * change under way, and everything is 25 to 230 kB.
      */
-    private EntriesWanted question(long now, NodeName peer) {
+    private ChangesSince since(long now, NodeName peer) {
         Long upTo = toldUpTo.get(peer);
         if (upTo != null) {
-            return new EntriesWanted.SincePosition(upTo);
+            return new ChangesSince.AtPosition(upTo);
         }
-        long since = differentSinceNanos.computeIfAbsent(peer, _ -> now);
+        long differentSince = differentSinceNanos.computeIfAbsent(peer, _ -> now);
         boolean knowsNothing = beliefs.published().position() == 0;
-        return knowsNothing || now - since >= ASKED_AGAIN_AFTER.toNanos()
-                ? new EntriesWanted.SincePosition(0)
-                : new EntriesWanted.SinceRevision(beliefs.knownUpTo());
+        return knowsNothing || now - differentSince >= ASKED_AGAIN_AFTER.toNanos()
+                ? new ChangesSince.AtPosition(0)
+                : new ChangesSince.AtRevision(beliefs.knownUpTo());
     }
 
     /** Notes up to which of its changes a node has told everything; 0 where its answer doesn't say. */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/PublicationUpdates.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PublicationUpdates.java
@@ -8,6 +8,7 @@
 import org.carawaysill.model.fleet.Revision;
 import org.carawaysill.policy.fleet.publication.ChangeLog;
 import org.carawaysill.policy.fleet.publication.PublishedEntries;
+import org.carawaysill.policy.message.ChangesSince;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.EntriesWanted;
 
@@ -78,12 +79,12 @@
      * platform without a gap and know better.
      */
     PeerMessage.Entries lackingAt(EntriesWanted wanted) {
-        return switch (wanted) {
-            case EntriesWanted.SinceRevision(Revision since) -> {
+        return switch (wanted.since()) {
+            case ChangesSince.AtRevision(Revision since) -> {
                 boolean complete = !changes.remembers(since);
                 yield told(NO_POSITION, complete, changes.since(complete ? Revision.NONE : since));
             }
-            case EntriesWanted.SincePosition(long since) -> {
+            case ChangesSince.AtPosition(long since) -> {
                 boolean complete = !changes.remembers(since);
                 yield told(changes.position(), complete, changes.since(complete ? 0 : since));
             }
--- a/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
@@ -501,23 +501,12 @@
         }
     }
 
-    /** Asks for the published entries that changed what the receiver decides by. */
-    sealed interface EntriesWanted extends PeerMessage {
-
-        /**
-         * Those that changed after the receiver told the sender last.
-         *
-         * @param position up to which of the receiver's changes the sender knows all; 0 for all that there are
-         */
-        record SincePosition(long position) implements EntriesWanted {}
-
-        /**
-         * Those that changed at a later revision of the platform, or in a later era.
-         *
-         * @param revision up to which the sender knows all
-         */
-        record SinceRevision(Revision revision) implements EntriesWanted {}
-    }
+    /**
+     * Asks for the published entries that changed what the receiver decides by.
+     *
+     * @param since from where on
+     */
+    record EntriesWanted(ChangesSince since) implements PeerMessage {}
 
     /**
      * The answer to {@link EntriesWanted}.
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/EntryCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/EntryCodec.java
@@ -6,6 +6,7 @@
 import org.carawaysill.model.fleet.EntryVersion;
 import org.carawaysill.model.fleet.KnownEntry;
 import org.carawaysill.model.fleet.Revision;
+import org.carawaysill.policy.message.ChangesSince;
 import org.carawaysill.policy.message.PeerMessage.Entries;
 import org.carawaysill.policy.message.PeerMessage.EntriesWanted;
 import org.carawaysill.protocol.generated.EntriesFrame;
@@ -27,18 +28,19 @@
 
     static EntriesWantedFrame encode(EntriesWanted wanted) {
         EntriesWantedFrame.Builder frame = EntriesWantedFrame.newBuilder();
-        return switch (wanted) {
-            case EntriesWanted.SincePosition(long position) ->
+        return switch (wanted.since()) {
+            case ChangesSince.AtPosition(long position) ->
                 frame.setSincePosition(position).build();
-            case EntriesWanted.SinceRevision(Revision revision) ->
+            case ChangesSince.AtRevision(Revision revision) ->
                 frame.setSince(revision.number()).setSinceEra(revision.era()).build();
         };
     }
 
     static EntriesWanted decode(EntriesWantedFrame frame) throws ProtocolFault {
-        return frame.hasSincePosition()
-                ? new EntriesWanted.SincePosition(Fields.notNegative(frame.getSincePosition(), "position"))
-                : new EntriesWanted.SinceRevision(revision(frame.getSinceEra(), frame.getSince()));
+        return new EntriesWanted(
+                frame.hasSincePosition()
+                        ? new ChangesSince.AtPosition(Fields.notNegative(frame.getSincePosition(), "position"))
+                        : new ChangesSince.AtRevision(revision(frame.getSinceEra(), frame.getSince())));
     }
 
     static EntriesFrame encode(Entries entries) {
--- a/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
@@ -31,6 +31,7 @@
 import org.carawaysill.model.request.RequestContent;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
+import org.carawaysill.policy.message.ChangesSince;
 import org.carawaysill.policy.message.OrganisationUse;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.CancelAttempt;
@@ -197,9 +198,10 @@
     }
 
     private EntriesWanted wanted() {
-        return random.nextBoolean()
-                ? new EntriesWanted.SincePosition(version())
-                : new EntriesWanted.SinceRevision(revision());
+        return new EntriesWanted(
+                random.nextBoolean()
+                        ? new ChangesSince.AtPosition(version())
+                        : new ChangesSince.AtRevision(revision()));
     }
 
     private Revision revision() {
