Log which side ended a connection to a copy with a request on it, and why

One bounded line now names the request, the copy, the reason (closed or reset by the copy, not written, answered with bytes that are no answer, cancelled, concluded from the end of the copy, stop of the node) and the age of the run. Cancellations share the bound of clients that leave, so that they don't crowd out the others.

--- a/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
@@ -1,10 +1,13 @@
 package org.carawaysill.node.fleet;
 
+import java.time.Duration;
 import java.util.EnumMap;
 import java.util.Map;
 import org.carawaysill.kernel.service.Service;
+import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.node.observation.BadRequest;
+import org.carawaysill.node.observation.ConnectionEnd;
 import org.carawaysill.policy.fleet.Decision;
 import org.tinylog.Logger;
 
@@ -40,6 +43,8 @@
         RETRIED(5),
         /** It failed at or before the local copy. */
         FAILED_AT_COPY(5),
+        /** Its connection to the local copy ended before its answer. */
+        COPY_CONNECTION(20),
         /** It was held, sent elsewhere or refused, since copies crashed under it. */
         SUSPECT(10),
         /** The client left. */
@@ -91,6 +96,25 @@
         }
     }
 
+    /**
+     * Writes that a connection to the local copy ended while a request was at work on it.
+     *
+     * @param requestName the request
+     * @param copy the copy
+     * @param reason who ended it, and why
+     * @param age time since the request was written
+     */
+    public void copyConnectionEnded(String requestName, CopyName copy, ConnectionEnd reason, Duration age) {
+        if (admit(reason == ConnectionEnd.CANCELLED ? Kind.ABANDONED : Kind.COPY_CONNECTION)) {
+            Logger.info(
+                    "decision=CopyConnectionEnded subject={} copy={} reason={} age_ms={}",
+                    oneLine(requestName),
+                    copy,
+                    reason,
+                    age.toMillis());
+        }
+    }
+
     private static Kind kind(Decision decision) {
         return switch (decision) {
             case Decision.Sent _ -> Kind.SENT;
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
@@ -31,6 +31,7 @@
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.node.exchange.HeaderHygiene;
+import org.carawaysill.node.observation.ConnectionEnd;
 import org.carawaysill.node.observation.ConnectionFault;
 import org.carawaysill.node.upstream.AnswerCheck.Verdict;
 import org.carawaysill.policy.fleet.FleetEffect;
@@ -58,6 +59,7 @@
     private Optional<HttpResponse> answer = Optional.empty();
     private Verdict verdict = Verdict.OWN;
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private Optional<ConnectionEnd> end = Optional.empty();
     private boolean sound = true;
     private boolean requestWritten = true;
     private boolean returnable;
@@ -145,7 +147,7 @@
     private void written(CopyExchange of, boolean success) {
         requestWritten = true;
         if (!success) {
-            spoil();
+            close(ConnectionEnd.WRITE_FAILED);
             exchange.filter(of::equals).ifPresent(_ -> lost());
         } else {
             returnIfDone();
@@ -159,7 +161,7 @@
                 // Bytes behind a complete answer, or an answer that nobody asked for: they belong to no request, and
                 // the next request would be taken for theirs.
                 pool.count(ConnectionFault.COPY_BROKEN);
-                spoil();
+                close(ConnectionEnd.BAD_ANSWER);
             } else {
                 receive(message);
             }
@@ -257,7 +259,7 @@
     public void channelReadComplete(ChannelHandlerContext context) {
         if (exchange.isEmpty() && decoder.hasRest() && sound) {
             pool.count(ConnectionFault.COPY_BROKEN);
-            spoil();
+            close(ConnectionEnd.BAD_ANSWER);
         }
         returnIfDone();
     }
@@ -269,7 +271,7 @@
                 idleSinceNanos = System.nanoTime();
                 pool.release(this);
             } else {
-                close();
+                close(ConnectionEnd.IDLE);
             }
         }
     }
@@ -289,7 +291,7 @@
      */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        spoil();
+        close(ConnectionEnd.COPY_RESET);
         if (exchange.isPresent()) {
             lost();
         }
@@ -298,7 +300,7 @@
     /** Gives up an exchange for what the copy sent: it lives. */
     private void spoilt() {
         pool.count(ConnectionFault.COPY_BROKEN);
-        spoil();
+        close(ConnectionEnd.BAD_ANSWER);
         takeLost().ifPresent(broken -> pool.ended(broken.exchange(), broken.outcome()));
     }
 
@@ -314,23 +316,27 @@
                         answer.isPresent() ? UnknownReason.TRUNCATED : UnknownReason.COPY_LOST,
                         Step.COPY_WAIT,
                         Optional.empty())));
+        logEnd();
         exchange = Optional.empty();
         answer = Optional.empty();
         return lost;
     }
 
     /** Breaks off the request under way: the copy sees its connection end. */
-    void cancel() {
+    void cancel(ConnectionEnd reason) {
+        end = Optional.of(end.orElse(reason));
+        logEnd();
         exchange = Optional.empty();
-        spoil();
+        close(reason);
     }
 
-    private void spoil() {
-        sound = false;
-        close();
+    private void logEnd() {
+        exchange.ifPresent(current -> pool.logEnd(current, end.orElse(ConnectionEnd.COPY_CLOSED)));
     }
 
-    void close() {
+    /** Closes the connection; the first reason is the one that holds. */
+    void close(ConnectionEnd reason) {
+        end = Optional.of(end.orElse(reason));
         sound = false;
         channel.ifPresent(Channel::close);
     }
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -33,6 +33,8 @@
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.node.entry.WireDialect;
+import org.carawaysill.node.fleet.DecisionLog;
+import org.carawaysill.node.observation.ConnectionEnd;
 import org.carawaysill.node.observation.ConnectionFault;
 import org.carawaysill.node.observation.Counters;
 import org.carawaysill.policy.fleet.FleetEffect;
@@ -81,6 +83,7 @@
     private final WireDialect dialect;
     private final AnswerCheck check;
     private final Counters counters;
+    private final DecisionLog log;
     private final Consumer<FleetEvent> events;
     private final Bootstrap bootstrap;
     private final ArrayDeque<CopyConnection> idle = new ArrayDeque<>();
@@ -108,6 +111,7 @@
         this.events = events;
         check = new AnswerCheck(dialect);
         counters = registry.require(Counters.NAME, Counters.class);
+        log = registry.require(DecisionLog.NAME, DecisionLog.class);
         bootstrap = new Bootstrap()
                 .group(eventLoop)
                 .channel(NioSocketChannel.class)
@@ -131,7 +135,7 @@
     public CompletableFuture<Void> stop() {
         CompletableFuture<Void> closed = new CompletableFuture<>();
         eventLoop.execute(() -> {
-            List.copyOf(all).forEach(CopyConnection::close);
+            List.copyOf(all).forEach(connection -> connection.close(ConnectionEnd.NODE_STOPS));
             closed.complete(null);
         });
         return closed;
@@ -164,7 +168,7 @@
             if (candidate.isUsable(now)) {
                 return Optional.of(candidate);
             }
-            candidate.close();
+            candidate.close(ConnectionEnd.IDLE);
         }
         return Optional.empty();
     }
@@ -225,13 +229,13 @@
     public void cancel(AttemptIdentifier attempt) {
         CopyExchange exchange = running.remove(attempt);
         if (exchange != null && exchange.end()) {
-            exchange.connection().ifPresent(CopyConnection::cancel);
+            exchange.connection().ifPresent(connection -> connection.cancel(ConnectionEnd.CANCELLED));
         }
     }
 
     /** Closes the connections that carry no request. */
     public void closeIdle() {
-        List.copyOf(idle).forEach(CopyConnection::close);
+        List.copyOf(idle).forEach(connection -> connection.close(ConnectionEnd.IDLE));
     }
 
     void ended(CopyExchange exchange, Outcome outcome) {
@@ -272,7 +276,7 @@
 
     private void settled(CopyConnection connection) {
         if (broken.areAllGone(all)) {
-            connection.close();
+            connection.close(ConnectionEnd.IDLE);
             // What another process has taken since then at the same address is not lost.
             crashed(carrier -> !all.contains(carrier));
             return;
@@ -304,7 +308,7 @@
             if (exchange.connection().filter(endedWithIt).isPresent() && exchange.end()) {
                 lost.add(exchange.request().attempt());
                 running.remove(exchange.request().attempt());
-                exchange.connection().get().cancel();
+                exchange.connection().get().cancel(ConnectionEnd.COPY_ENDED);
             }
         }
         if (!lost.isEmpty()) {
@@ -325,7 +329,7 @@
         long now = System.nanoTime();
         List.copyOf(idle).stream()
                 .filter(connection -> !connection.isUsable(now))
-                .forEach(CopyConnection::close);
+                .forEach(connection -> connection.close(ConnectionEnd.IDLE));
     }
 
     /** Returns how long a connection may be idle on this side where the copy closes it after a stated time. */
@@ -342,6 +346,10 @@
         return check;
     }
 
+    void logEnd(CopyExchange exchange, ConnectionEnd reason) {
+        log.copyConnectionEnded(exchange.request().requestName(), exchange.request().copy(), reason, exchange.age());
+    }
+
     void count(ConnectionFault fault) {
         counters.count(fault);
     }
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyExchange.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyExchange.java
@@ -1,5 +1,6 @@
 package org.carawaysill.node.upstream;
 
+import java.time.Duration;
 import java.util.Optional;
 import org.carawaysill.policy.fleet.FleetEffect;
 
@@ -12,6 +13,7 @@
 
     private final FleetEffect.HandToCopy request;
     private Optional<CopyConnection> connection = Optional.empty();
+    private long writtenNanos;
     private boolean ended;
 
     CopyExchange(FleetEffect.HandToCopy request) {
@@ -24,6 +26,12 @@
 
     void on(CopyConnection carrier) {
         connection = Optional.of(carrier);
+        writtenNanos = System.nanoTime();
+    }
+
+    /** Returns how long ago it was written to its connection. */
+    Duration age() {
+        return Duration.ofNanos(System.nanoTime() - writtenNanos);
     }
 
     Optional<CopyConnection> connection() {
