Keep work at a copy that listens no more while one of its connections is open

Cause: a copy that leaves closes its listening socket and its idle connections, and works on at the others. A request that crosses the close of its connection looks lost; the one new connection that then asks whether the copy has ended is refused, and a refusal was taken for the end of the process: everything written to the copy was cut by this node, and all of it was suspected of having crashed the copy. No planned stop is needed for that.

Only exchanges whose connections have ended count as lost. One that has crashed ends all its connections at one moment, so crashes are told as before.

--- a/node/src/main/java/org/carawaysill/node/observation/ConnectionEnd.java
+++ b/node/src/main/java/org/carawaysill/node/observation/ConnectionEnd.java
@@ -12,8 +12,6 @@
     BAD_ANSWER,
     /** This node closed it: the request was cancelled. */
     CANCELLED,
-    /** This node closed it: the copy's process has ended. */
-    COPY_ENDED,
     /** This node closed it: no request needs it. */
     IDLE,
     /** This node closed it: the node stops. */
--- a/node/src/main/java/org/carawaysill/node/upstream/BrokenExchanges.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/BrokenExchanges.java
@@ -42,7 +42,12 @@
 
     /** Returns whether there were other connections when the first one ended, and all of them have ended since. */
     boolean areAllGone(Collection<CopyConnection> open) {
-        return !others.isEmpty() && Collections.disjoint(others, open);
+        return !others.isEmpty() && !isAnyOpen(open);
+    }
+
+    /** Returns whether one of the other connections is still open: the copy's process has not ended. */
+    boolean isAnyOpen(Collection<CopyConnection> open) {
+        return !Collections.disjoint(others, open);
     }
 
     /** Returns whether to ask again: more of the connections have ended since the last question, or that of the question. */
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -23,7 +23,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import org.carawaysill.kernel.service.Service;
 import org.carawaysill.kernel.service.ServiceRegistry;
 import org.carawaysill.model.identity.AttemptIdentifier;
@@ -249,8 +248,9 @@
      * Takes an exchange whose connection ended, and finds out whether the copy has ended too.
      *
      * <p>Without this, a request that ends its copy looks like one whose connection was reset, and is handed to the next copy.
-     * The copy has ended where nobody listens at its address, or where all its connections end at one moment: its listening
-     * socket may outlive them for some milliseconds, or for good where another process holds it.
+     * The copy has ended where all its connections end at one moment. Its listening socket may outlive them for some
+     * milliseconds, or for good where another process holds it; and one that leaves closes that socket long before. Only where
+     * no other connection was open, nobody listening means that it has ended.
      */
     void broken(BrokenExchange exchange) {
         if (broken.add(exchange, all)) {
@@ -266,26 +266,42 @@
     private void checked(CopyConnection connection, ChannelFuture connected) {
         if (connected.isSuccess()) {
             all.add(connection);
-            eventLoop.schedule(() -> settled(connection), SETTLING_MILLIS, TimeUnit.MILLISECONDS);
+            afterSettling(() -> settled(connection));
         } else if (isRefused(connected)) {
-            crashed(_ -> true);
+            afterSettling(this::settledRefused);
         } else {
             endBroken();
         }
     }
 
+    private void afterSettling(Runnable conclusion) {
+        eventLoop.schedule(conclusion, SETTLING_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** A copy that leaves closes its listening socket first, and works on at the connections that it has. */
+    private void settledRefused() {
+        if (!broken.isAnyOpen(all)) {
+            crashed();
+        } else {
+            askAgainOrEnd(false);
+        }
+    }
+
     private void settled(CopyConnection connection) {
         if (broken.areAllGone(all)) {
             connection.close(ConnectionEnd.IDLE);
-            // What another process has taken since then at the same address is not lost.
-            crashed(carrier -> !all.contains(carrier));
+            crashed();
             return;
         }
         boolean usable = connection.isUsable(System.nanoTime());
         if (usable) {
             release(connection);
         }
-        if (broken.isOpenStill(all, !usable)) {
+        askAgainOrEnd(!usable);
+    }
+
+    private void askAgainOrEnd(boolean answerEnded) {
+        if (broken.isOpenStill(all, answerEnded)) {
             ask();
         } else {
             endBroken();
@@ -300,15 +316,14 @@
         return connected.cause() instanceof ConnectException && !(connected.cause() instanceof ConnectTimeoutException);
     }
 
-    /** Ends what was written to the copy on connections that ended with it. */
-    private void crashed(Predicate<CopyConnection> endedWithIt) {
+    /** Ends what was written to the copy on connections that ended; what another process has taken since then goes on. */
+    private void crashed() {
         broken.take();
         List<AttemptIdentifier> lost = new ArrayList<>();
         for (CopyExchange exchange : List.copyOf(running.values())) {
-            if (exchange.connection().filter(endedWithIt).isPresent() && exchange.end()) {
+            if (isOnEndedConnection(exchange) && exchange.end()) {
                 lost.add(exchange.request().attempt());
                 running.remove(exchange.request().attempt());
-                exchange.connection().get().cancel(ConnectionEnd.COPY_ENDED);
             }
         }
         if (!lost.isEmpty()) {
@@ -316,6 +331,10 @@
         }
     }
 
+    private boolean isOnEndedConnection(CopyExchange exchange) {
+        return exchange.connection().filter(carrier -> !all.contains(carrier)).isPresent();
+    }
+
     void release(CopyConnection connection) {
         idle.addLast(connection);
     }
--- a/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
+++ b/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
@@ -219,6 +219,28 @@
             expectGood(secondOfTwo, "two");
         }
 
+        /** Guards against work that is cut at a leaving copy, which listens no more, since one other connection ends. */
+        @Test
+        void areNotTakenForTheEndOfListening() {
+            handTwo();
+            copy.close();
+            firstConnection.close();
+            expectUnknown(firstOfTwo);
+            secondConnection.write(answer("b", "two"));
+            expectGood(secondOfTwo, "two");
+        }
+
+        /** Guards against a request that is blamed for a crash when a leaving copy resets one connection of several. */
+        @Test
+        void areNotConcludedWhileAnIdleConnectionIsOpen() {
+            handTwo();
+            secondConnection.write(answer("b", "two"));
+            expectGood(secondOfTwo, "two");
+            copy.close();
+            firstConnection.reset();
+            expectUnknown(firstOfTwo);
+        }
+
         /** A copy that still takes connections has not ended; the connection that showed it carries the next request. */
         @Test
         void areNotTakenForAConnectionThatEnds() {
