Wait less for an entry that was removed after the platform's return was seen

Change: an entry that was there in a read after the return, and is missing in a later one that continues it, is held back for 1.2 s from then and not beyond the 2.5 s of before. Its copy could write all that time and does so with its next heartbeat. Answers that are complete, or the first after a return, tell no difference between lapsed and removed: 2.5 s as before.

Left: a removal that all readers see only in their first read after a return is held back for 2.5 s.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/PlatformReads.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/PlatformReads.java
@@ -47,6 +47,12 @@
      */
     private static final Duration RETURN_GRACE = Duration.ofMillis(2500);
 
+    /**
+     * How long an entry may be back that was there after the platform's return and was removed since: its copy can write
+     * again, and does so with its next heartbeat. With more, a copy that left would get work beyond the drain limit.
+     */
+    private static final Duration LAPSE_GRACE = Duration.ofMillis(1200);
+
     /**
      * How long after the platform's return from an older copy an entry may still be there whose copy has left: it lapses after
      * three heartbeats of silence, or is removed again.
@@ -68,6 +74,7 @@
     private boolean reading;
     private boolean told;
     private boolean everything = true;
+    private boolean lastWasContinued;
     private boolean continuous = true;
     private boolean readable;
     private boolean failing;
@@ -259,9 +266,11 @@
         if (otherEra) {
             eraBegan(now);
         }
-        if (failing || otherEra || hadGap(now) && othersFailedWithin(now)) {
+        boolean returned = failing || otherEra || hadGap(now) && othersFailedWithin(now);
+        if (returned) {
             returnedNanos = now;
         }
+        lastWasContinued = !returned && !everything;
         reading = false;
         readable = true;
         failing = false;
@@ -334,12 +343,19 @@
     }
 
     /**
-     * Returns until when an entry that turned out to be missing may be back.
+     * Returns until when an entry that turned out to be missing in the last answer may be back.
+     *
+     * <p>Guards against a copy that leaves right after all readers took over from others that failed, and gets work from nodes
+     * that wait for its entry as if it had lapsed while the platform was away.
      *
      * @param now the monotonic time
      * @return the monotonic time, not after {@code now} where a missing entry is gone
      */
     public long returnsUntilNanos(long now) {
-        return readable ? returnedNanos + RETURN_GRACE.toNanos() : now + RETURN_GRACE.toNanos();
+        if (!readable) {
+            return now + RETURN_GRACE.toNanos();
+        }
+        long afterReturn = returnedNanos + RETURN_GRACE.toNanos();
+        return lastWasContinued ? Math.min(afterReturn, now + LAPSE_GRACE.toNanos()) : afterReturn;
     }
 }
