Let copies that end together end before a suspect runs again

Cause: a request that was at the first copy is suspected and runs alone at a second one within milliseconds. If that ends a moment later for the same other cause, two crashes under it condemn it for ten minutes. Besides, one that was condemned so explained its two crashes, so that the next suspect looked guilty at its own second.

Change: suspects wait 0.25 s after each crash that their node hears of, and only a cause with three crashes explains crashes to others.

CrashingRequestsTest and SuspectTableTest pass.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
@@ -45,6 +45,9 @@
     /** How soon a suspect may come again that is to run at another copy: its sender goes there at once. */
     private static final Duration ELSEWHERE_RETRY_AFTER = Duration.ofMillis(50);
 
+    /** Copies that end for a cause of their own end within this time of each other, and within it their nodes have told so. */
+    private static final Duration SETTLING = Duration.ofMillis(250);
+
     /** In this time all nodes know of a copy that has started. */
     private static final Duration KNOWN_EVERYWHERE = Duration.ofMillis(1500);
 
@@ -91,6 +94,16 @@
         return standing(now, request) instanceof Standing.Suspected;
     }
 
+    /**
+     * Returns when a suspect may run again, at the soonest.
+     *
+     * <p>Guards against a popular request that is taken for the cause where several copies end together for another one: it
+     * would run alone at the second when that ends too.
+     */
+    long settledNanos() {
+        return table.lastCrashNanos() + SETTLING.toNanos();
+    }
+
     /** Decides whether a request may run at the local copy. */
     Placement placement(long now, CopyRequest request) {
         return switch (standing(now, request)) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -270,6 +270,7 @@
     }
 
     private void startNext(long now) {
+        gate.settleSuspectsUntil(suspects.settledNanos());
         gate.startNext(now).forEach(run -> hand(run));
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
@@ -186,6 +186,15 @@
         return true;
     }
 
+    /**
+     * Lets no suspected request go to the copy before a moment.
+     *
+     * @param nanos the monotonic time
+     */
+    public void settleSuspectsUntil(long nanos) {
+        suspects.settleUntil(nanos);
+    }
+
     /**
      * Notes that a request at the copy is suspected to crash copies, and was not when it was handed over.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/SuspectQueue.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/SuspectQueue.java
@@ -15,8 +15,8 @@
  *
  * <p>They run a few at a time, at best one: if the copy crashes, the request that ran alone is known to be the cause, and if
  * it answers, that request is cleared. With all of them at once the next crash would tell nothing. Invariants: no two with
- * one fingerprint are at the copy; one that must run alone has no other suspect beside it. Not thread safe: owned by the
- * policy.
+ * one fingerprint are at the copy; one that must run alone has no other suspect beside it; none goes to the copy before copies
+ * that may end together have ended. Not thread safe: owned by the policy.
  */
 final class SuspectQueue {
 
@@ -30,6 +30,7 @@
     private final List<LocalRun> group = new ArrayList<>();
     private int groupsLeft = GROUPS;
     private long groupStartedNanos;
+    private long settledNanos = Long.MIN_VALUE;
 
     void add(LocalRun run) {
         waiting.add(run);
@@ -60,15 +61,25 @@
         return Collections.unmodifiableList(waiting);
     }
 
+    /** Lets none go to the copy before a moment. */
+    void settleUntil(long nanos) {
+        settledNanos = nanos;
+    }
+
     /** When others may go on beside those that are at the copy, {@link Long#MAX_VALUE} where none waits for that. */
     long nextNanos() {
-        boolean waits = !waiting.isEmpty() && !group.isEmpty() && mayShare(nextGroup());
-        return waits ? groupStartedNanos + LONGEST_TURN_NANOS : Long.MAX_VALUE;
+        if (waiting.isEmpty()) {
+            return Long.MAX_VALUE;
+        }
+        if (group.isEmpty()) {
+            return settledNanos;
+        }
+        return mayShare(nextGroup()) ? Math.max(settledNanos, groupStartedNanos + LONGEST_TURN_NANOS) : Long.MAX_VALUE;
     }
 
     /** Takes out those that may go to the copy now. */
     List<LocalRun> release(long now) {
-        if (waiting.isEmpty()) {
+        if (waiting.isEmpty() || now < settledNanos) {
             return List.of();
         }
         List<LocalRun> next = nextGroup();
--- a/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/CrashCauses.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/CrashCauses.java
@@ -46,9 +46,13 @@
         return crashes;
     }
 
-    /** All crashes that have a known cause. */
+    /**
+     * All crashes whose cause is beyond doubt.
+     *
+     * <p>Guards against one request that is taken for the cause by coincidence and makes the next one look guilty too.
+     */
     Set<Long> explained() {
-        return crashesOf(causes);
+        return new HashSet<>(certain);
     }
 
     /** For how many crashes a request is still suspected: not for those that another one is the cause of beyond doubt. */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/SuspectTable.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/quarantine/SuspectTable.java
@@ -29,6 +29,9 @@
     /** Share of entries evicted when the table is full: one in eight. */
     private static final int EVICTION_DIVISOR = 8;
 
+    /** Before any crash; far enough from the smallest number for a sum. */
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     /** Starts of copies that are remembered to have crashed: their entries lapse within seconds. */
     private static final int MOST_STARTS = 512;
 
@@ -40,6 +43,7 @@
         }
     };
 
+    private long lastCrashNanos = NEVER;
     private int open;
     private boolean isStale = true;
 
@@ -98,10 +102,19 @@
         return crashesByStart.containsKey(start);
     }
 
+    /**
+     * Returns when this node last heard of the crash of a copy.
+     *
+     * @return the monotonic time, long ago where it has heard of none
+     */
+    public long lastCrashNanos() {
+        return lastCrashNanos;
+    }
+
     /**
      * Returns whether one more crash under a request, with no other suspect beside it, shows that it is the cause.
      *
-     * <p>The second shows it, unless copies of the service lately crashed also without it, for a cause that is not known. Where
+     * <p>The second shows it, unless copies of the service lately crashed also without it, for a cause that is not certain. Where
      * copies go down and up for reasons of their own, requests that are tried again would be refused for being at two of them;
      * there the third crash shows it.
      *
@@ -244,7 +257,9 @@
     }
 
     private void heard(long now, ServiceName service, long start) {
-        crashesByStart.putIfAbsent(start, new Crash(service, now));
+        if (crashesByStart.putIfAbsent(start, new Crash(service, now)) == null) {
+            lastCrashNanos = now;
+        }
     }
 
     private Suspect suspect(long now, ServiceName service, Fingerprint fingerprint) {
--- a/policy/src/test/java/org/carawaysill/policy/fleet/CrashingRequestsTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/CrashingRequestsTest.java
@@ -300,6 +300,28 @@
             expectOthersServed(site, figures);
         }
 
+        /* Guards against a popular request that is refused since it ran alone at the second of several copies that end together. */
+        @ParameterizedTest
+        @ValueSource(ints = {10, 40, 100, 200})
+        void ofCrashesShortlyAfterEachOtherCondemnNobody(int gapMillis) {
+            List<String> condemned = LongStream.rangeClosed(21, 36)
+                    .parallel()
+                    .mapToObj(seed -> play(seed, day -> endInTurn(day, gapMillis / 1000.0)))
+                    .filter(site -> site.told(RefusalReason.QUARANTINED.name()) > 0)
+                    .map(site -> figures(site, "none"))
+                    .toList();
+            assertEquals(List.of(), condemned);
+        }
+
+        /** Lets three of the four copies of a service end one after the other. */
+        private static void endInTurn(PostingSite site, double gapSeconds) {
+            List<VirtualNode> beside = site.services.get(PostingSite.STATEMENTS);
+            for (int i = 0; i < 3; i++) {
+                VirtualNode node = beside.get(i);
+                site.at(8 + gapSeconds * i, () -> node.crashCopy(PostingSite.ABSENCE));
+            }
+        }
+
         /*
          * Copies go down and up by turns. What is tried again may be alone at a second copy when that goes down: it would be
          * refused for ten minutes for having been at both. At the first two of these crashes it can't be told from their
