--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -366,7 +366,8 @@
     }
 
     void logEnd(CopyExchange exchange, ConnectionEnd reason) {
-        log.copyConnectionEnded(exchange.request().requestName(), exchange.request().copy(), reason, exchange.age());
+        log.copyConnectionEnded(
+                exchange.request().requestName(), exchange.request().copy(), reason, exchange.age());
     }
 
     void count(ConnectionFault fault) {
