--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
@@ -59,7 +59,7 @@
     private Optional<HttpResponse> answer = Optional.empty();
     private Verdict verdict = Verdict.OWN;
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private Optional<ConnectionEnd> end = Optional.empty();
+    private Optional<ConnectionEnd> endReason = Optional.empty();
     private boolean sound = true;
     private boolean requestWritten = true;
     private boolean returnable;
@@ -324,19 +324,19 @@
 
     /** Breaks off the request under way: the copy sees its connection end. */
     void cancel(ConnectionEnd reason) {
-        end = Optional.of(end.orElse(reason));
+        endReason = Optional.of(endReason.orElse(reason));
         logEnd();
         exchange = Optional.empty();
         close(reason);
     }
 
     private void logEnd() {
-        exchange.ifPresent(current -> pool.logEnd(current, end.orElse(ConnectionEnd.COPY_CLOSED)));
+        exchange.ifPresent(current -> pool.logEnd(current, endReason.orElse(ConnectionEnd.COPY_CLOSED)));
     }
 
     /** Closes the connection; the first reason is the one that holds. */
     void close(ConnectionEnd reason) {
-        end = Optional.of(end.orElse(reason));
+        endReason = Optional.of(endReason.orElse(reason));
         sound = false;
         channel.ifPresent(Channel::close);
     }
