Fold what the mends of the known failures wrote twice, without a change of behaviour

- CopyConnection: one place counts and closes where bytes are no answer; why a connection ends is noted in one place, and cancel takes no reason, since there is only one.

--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
@@ -160,8 +160,7 @@
             if (exchange.isEmpty()) {
                 // Bytes behind a complete answer, or an answer that nobody asked for: they belong to no request, and
                 // the next request would be taken for theirs.
-                pool.count(ConnectionFault.COPY_BROKEN);
-                close(ConnectionEnd.BAD_ANSWER);
+                closeBroken();
             } else {
                 receive(message);
             }
@@ -258,8 +257,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         if (exchange.isEmpty() && decoder.hasRest() && sound) {
-            pool.count(ConnectionFault.COPY_BROKEN);
-            close(ConnectionEnd.BAD_ANSWER);
+            closeBroken();
         }
         returnIfDone();
     }
@@ -299,8 +297,7 @@
 
     /** Gives up an exchange for what the copy sent: it lives. */
     private void spoilt() {
-        pool.count(ConnectionFault.COPY_BROKEN);
-        close(ConnectionEnd.BAD_ANSWER);
+        closeBroken();
         takeLost().ifPresent(broken -> pool.ended(broken.exchange(), broken.outcome()));
     }
 
@@ -323,24 +320,38 @@
     }
 
     /** Breaks off the request under way: the copy sees its connection end. */
-    void cancel(ConnectionEnd reason) {
-        endReason = Optional.of(endReason.orElse(reason));
+    void cancel() {
+        noteEnd(ConnectionEnd.CANCELLED);
         logEnd();
+        // Closing may fail a write that waits, which must not be taken for the end of a request.
         exchange = Optional.empty();
-        close(reason);
+        close();
     }
 
     private void logEnd() {
         exchange.ifPresent(current -> pool.logEnd(current, endReason.orElse(ConnectionEnd.COPY_CLOSED)));
     }
 
-    /** Closes the connection; the first reason is the one that holds. */
+    private void closeBroken() {
+        pool.count(ConnectionFault.COPY_BROKEN);
+        close(ConnectionEnd.BAD_ANSWER);
+    }
+
     void close(ConnectionEnd reason) {
-        endReason = Optional.of(endReason.orElse(reason));
+        noteEnd(reason);
+        close();
+    }
+
+    private void close() {
         sound = false;
         channel.ifPresent(Channel::close);
     }
 
+    /** Notes why the connection ends; the first reason is the one that holds. */
+    private void noteEnd(ConnectionEnd reason) {
+        endReason = endReason.or(() -> Optional.of(reason));
+    }
+
     private static Outcome.NotRun notRun(RefusalReason reason, Step step) {
         return new Outcome.NotRun(reason, REFUSED_RETRY_AFTER, step, Optional.empty());
     }
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -228,7 +228,7 @@
     public void cancel(AttemptIdentifier attempt) {
         CopyExchange exchange = running.remove(attempt);
         if (exchange != null && exchange.end()) {
-            exchange.connection().ifPresent(connection -> connection.cancel(ConnectionEnd.CANCELLED));
+            exchange.connection().ifPresent(CopyConnection::cancel);
         }
     }
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/CrashingRequestsTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/CrashingRequestsTest.java
@@ -287,13 +287,8 @@
         @ValueSource(longs = {1, 2, 3, 4})
         void ofCrashesCondemnNobody(long seed) {
             PostingSite site = play(seed, day -> {
-                for (double at : new double[] {8, 18}) {
-                    day.at(
-                            at,
-                            () -> day.services.get(PostingSite.STATEMENTS).stream()
-                                    .limit(3)
-                                    .forEach(node -> node.crashCopy(PostingSite.ABSENCE)));
-                }
+                endInTurn(day, 8, 0);
+                endInTurn(day, 18, 0);
             });
             String figures = figures(site, "none");
             assertEquals(6, site.crashes(), figures);
@@ -306,7 +301,7 @@
         void ofCrashesShortlyAfterEachOtherCondemnNobody(int gapMillis) {
             List<String> condemned = LongStream.rangeClosed(21, 36)
                     .parallel()
-                    .mapToObj(seed -> play(seed, day -> endInTurn(day, gapMillis / 1000.0)))
+                    .mapToObj(seed -> play(seed, day -> endInTurn(day, 8, gapMillis / 1000.0)))
                     .filter(site -> site.told(RefusalReason.QUARANTINED.name()) > 0)
                     .map(site -> figures(site, "none"))
                     .toList();
@@ -314,11 +309,11 @@
         }
 
         /** Lets three of the four copies of a service end one after the other. */
-        private static void endInTurn(PostingSite site, double gapSeconds) {
+        private static void endInTurn(PostingSite site, double fromSecond, double gapSeconds) {
             List<VirtualNode> beside = site.services.get(PostingSite.STATEMENTS);
             for (int i = 0; i < 3; i++) {
                 VirtualNode node = beside.get(i);
-                site.at(8 + gapSeconds * i, () -> node.crashCopy(PostingSite.ABSENCE));
+                site.at(fromSecond + gapSeconds * i, () -> node.crashCopy(PostingSite.ABSENCE));
             }
         }
 
