Log what each check finds of a copy that lost a connection

Change: one line, CopyChecked, for each check: the last probe, the number of probes, other connections open before and after, the verdict, requests lost and kept; bounded to 5 lines a second. CopyConnectionEnded also says how long the connection had rested before its request. The check moves out of CopyConnections into CopyEndCheck, without a change of what it decides.

--- a/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
@@ -3,11 +3,13 @@
 import java.time.Duration;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.Optional;
 import org.carawaysill.kernel.service.Service;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.node.observation.BadRequest;
 import org.carawaysill.node.observation.ConnectionEnd;
+import org.carawaysill.node.observation.CopyCheck;
 import org.carawaysill.policy.fleet.Decision;
 import org.tinylog.Logger;
 
@@ -45,6 +47,8 @@
         FAILED_AT_COPY(5),
         /** The connection to the local copy ended before the request was answered. */
         COPY_CONNECTION(20),
+        /** It was checked whether the local copy has ended, after a request lost its connection to it. */
+        COPY_CHECK(5),
         /** The request was held, redirected or refused because copies crashed while running it. */
         SUSPECT(10),
         /** The client closed the connection before the answer. */
@@ -106,15 +110,39 @@
      * @param copy the copy
      * @param reason which side ended the connection, and why
      * @param age time since the request was written
+     * @param rested how long the connection had rested before the request, empty if it carried no request before
      */
-    public void copyConnectionEnded(String requestName, CopyName copy, ConnectionEnd reason, Duration age) {
+    public void copyConnectionEnded(
+            String requestName, CopyName copy, ConnectionEnd reason, Duration age, Optional<Duration> rested) {
         if (admit(reason == ConnectionEnd.CANCELLED ? Kind.ABANDONED : Kind.COPY_CONNECTION)) {
             Logger.info(
-                    "decision=CopyConnectionEnded subject={} copy={} reason={} age_ms={}",
+                    "decision=CopyConnectionEnded subject={} copy={} reason={} age_ms={} rested_ms={}",
                     oneLine(requestName),
                     copy,
                     reason,
-                    age.toMillis());
+                    age.toMillis(),
+                    rested.map(Duration::toMillis).map(String::valueOf).orElse("new"));
+        }
+    }
+
+    /**
+     * Writes what a check found of the local copy after a request lost its connection to it.
+     *
+     * @param check the inputs and the result
+     */
+    public void copyChecked(CopyCheck check) {
+        if (admit(Kind.COPY_CHECK)) {
+            Logger.info(
+                    "decision=CopyChecked subject={} probe={} probes={} open_before={} open_after={} crashed={} lost={}"
+                            + " kept={}",
+                    check.copy(),
+                    check.probe(),
+                    check.probes(),
+                    check.openBefore(),
+                    check.openAfter(),
+                    check.crashed(),
+                    check.lost(),
+                    check.kept());
         }
     }
 
--- a/node/src/main/java/org/carawaysill/node/upstream/BrokenExchanges.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/BrokenExchanges.java
@@ -59,10 +59,29 @@
      */
     boolean needsAnotherProbe(Collection<CopyConnection> open, boolean probeEnded) {
         int before = remaining;
-        remaining = (int) others.stream().filter(open::contains).count();
+        remaining = othersStillOpen(open);
         return (remaining < before || probeEnded) && probes++ < MAXIMUM_PROBES;
     }
 
+    /** Returns the exchange that started the check. */
+    BrokenExchange first() {
+        return waiting.getFirst();
+    }
+
+    int probes() {
+        return probes;
+    }
+
+    /** Returns how many other connections were open when the first one ended. */
+    int othersCount() {
+        return others.size();
+    }
+
+    /** Returns how many of the other connections are still open. */
+    int othersStillOpen(Collection<CopyConnection> open) {
+        return (int) others.stream().filter(open::contains).count();
+    }
+
     /** Removes and returns all exchanges once the check is decided. */
     List<BrokenExchange> removeAll() {
         List<BrokenExchange> taken = List.copyOf(waiting);
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
@@ -63,6 +63,7 @@
     private boolean reusable = true;
     private boolean requestWritten = true;
     private boolean answerComplete;
+    private boolean used;
     private long idleSinceNanos;
     private Duration idleLimit;
 
@@ -97,7 +98,8 @@
             pool.ended(next, notRun(RefusalReason.DEADLINE, Step.COPY_WRITE));
             return;
         }
-        next.startOn(this);
+        next.startOn(this, rested());
+        used = true;
         exchange = Optional.of(next);
         answer = Optional.empty();
         body = new ByteArrayOutputStream();
@@ -109,6 +111,10 @@
                 .addListener((ChannelFuture written) -> written(next, written.isSuccess()));
     }
 
+    private Optional<Duration> rested() {
+        return used ? Optional.of(Duration.ofNanos(System.nanoTime() - idleSinceNanos)) : Optional.empty();
+    }
+
     private FullHttpRequest encode(FleetEffect.SendToCopy request, long remainingNanos) {
         RequestContent content = request.content();
         ByteBuf bytes = Unpooled.wrappedBuffer(content.body().bytes());
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -4,16 +4,15 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import java.net.ConnectException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -56,12 +55,6 @@
     private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
     private static final int CHUNK_BYTES = 64 * 1024;
 
-    /** The time limit of a probe. The address of an ended process refuses at once; a slow one may still be running. */
-    private static final int PROBE_LIMIT_MILLIS = 100;
-
-    /** The time in which all connections of an ending process are closed, one after the other. */
-    private static final int SETTLING_MILLIS = 10;
-
     private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(1);
 
     /**
@@ -85,7 +78,7 @@
     private final ArrayDeque<CopyConnection> idle = new ArrayDeque<>();
     private final Set<CopyConnection> all = new HashSet<>();
     private final Map<AttemptIdentifier, CopyExchange> running = new HashMap<>();
-    private final BrokenExchanges broken = new BrokenExchanges();
+    private final CopyEndCheck endCheck = new CopyEndCheck(this);
 
     /**
      * Creates a pool without connections.
@@ -170,12 +163,16 @@
     }
 
     private void connect(CopyExchange exchange) {
-        CopyConnection connection = new CopyConnection(this, decoder(), DEFAULT_IDLE_LIMIT);
+        CopyConnection connection = newConnection();
         openConnection(connection, CONNECT_LIMIT_MILLIS)
                 .addListener((ChannelFuture connected) -> connected(exchange, connection, connected));
     }
 
-    private ChannelFuture openConnection(CopyConnection connection, int limitMillis) {
+    CopyConnection newConnection() {
+        return new CopyConnection(this, decoder(), DEFAULT_IDLE_LIMIT);
+    }
+
+    ChannelFuture openConnection(CopyConnection connection, int limitMillis) {
         return bootstrap
                 .clone()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limitMillis)
@@ -241,82 +238,28 @@
         }
     }
 
-    /**
-     * Handles an exchange whose connection ended, and checks whether the copy has ended as well.
-     *
-     * <p>Otherwise a request that crashes its copy would look like one whose connection was reset, and would be sent to
-     * the next copy. The copy has ended if all its connections end at the same time. Its listening socket may stay open
-     * for milliseconds, or permanently if another process holds it. A refused connection shows the end only if no other
-     * connection was open, since a leaving copy closes that socket long before it ends.
-     */
+    /** Handles an exchange whose connection ended, and checks whether the copy has ended as well. */
     void broken(BrokenExchange exchange) {
-        if (broken.add(exchange, all)) {
-            probe();
-        }
-    }
-
-    private void probe() {
-        CopyConnection connection = new CopyConnection(this, decoder(), DEFAULT_IDLE_LIMIT);
-        openConnection(connection, PROBE_LIMIT_MILLIS)
-                .addListener((ChannelFuture connected) -> probed(connection, connected));
-    }
-
-    private void probed(CopyConnection connection, ChannelFuture connected) {
-        if (connected.isSuccess()) {
-            all.add(connection);
-            afterSettling(() -> settled(connection));
-        } else if (isRefused(connected)) {
-            afterSettling(this::settledAfterRefusal);
-        } else {
-            endBroken();
-        }
-    }
-
-    private void afterSettling(Runnable conclusion) {
-        eventLoop.schedule(conclusion, SETTLING_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
-    /** A leaving copy closes its listening socket first, and continues to serve its open connections. */
-    private void settledAfterRefusal() {
-        if (!broken.isAnyOtherOpen(all)) {
-            crashed();
-        } else {
-            probeAgainOrEnd(false);
-        }
+        endCheck.add(exchange);
     }
 
-    private void settled(CopyConnection connection) {
-        if (broken.haveAllOthersEnded(all)) {
-            connection.close(ConnectionEnd.IDLE);
-            crashed();
-            return;
-        }
-        boolean usable = connection.isUsable(System.nanoTime());
-        if (usable) {
-            release(connection);
-        }
-        probeAgainOrEnd(!usable);
-    }
-
-    private void probeAgainOrEnd(boolean probeEnded) {
-        if (broken.needsAnotherProbe(all, probeEnded)) {
-            probe();
-        } else {
-            endBroken();
-        }
-    }
-
-    private void endBroken() {
-        broken.removeAll().forEach(exchange -> ended(exchange.exchange(), exchange.outcome()));
+    /** Returns the connections that have not ended. */
+    Set<CopyConnection> open() {
+        return Collections.unmodifiableSet(all);
     }
 
-    private static boolean isRefused(ChannelFuture connected) {
-        return connected.cause() instanceof ConnectException && !(connected.cause() instanceof ConnectTimeoutException);
+    /** Adds a connection that was opened to probe the copy. */
+    void opened(CopyConnection connection) {
+        all.add(connection);
     }
 
-    /** Ends the requests on connections that ended; those that a successor process has accepted continue. */
-    private void crashed() {
-        broken.removeAll();
+    /**
+     * Ends the requests on connections that ended because the copy did; those that a successor process has accepted
+     * continue.
+     *
+     * @return the number of requests that were ended
+     */
+    int crashed() {
         List<AttemptIdentifier> lost = new ArrayList<>();
         for (CopyExchange exchange : List.copyOf(running.values())) {
             if (isOnEndedConnection(exchange) && exchange.end()) {
@@ -327,12 +270,25 @@
         if (!lost.isEmpty()) {
             events.accept(new FleetEvent.CopyCrashed(lost));
         }
+        return lost.size();
     }
 
     private boolean isOnEndedConnection(CopyExchange exchange) {
         return exchange.connection().filter(carrier -> !all.contains(carrier)).isPresent();
     }
 
+    int runningCount() {
+        return running.size();
+    }
+
+    EventLoop eventLoop() {
+        return eventLoop;
+    }
+
+    DecisionLog log() {
+        return log;
+    }
+
     void release(CopyConnection connection) {
         idle.addLast(connection);
     }
@@ -365,7 +321,7 @@
 
     void logEnd(CopyExchange exchange, ConnectionEnd reason) {
         log.copyConnectionEnded(
-                exchange.request().requestName(), exchange.request().copy(), reason, exchange.age());
+                exchange.request().requestName(), exchange.request().copy(), reason, exchange.age(), exchange.rested());
     }
 
     void count(ConnectionFault fault) {
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyExchange.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyExchange.java
@@ -13,6 +13,7 @@
 
     private final FleetEffect.SendToCopy request;
     private Optional<CopyConnection> connection = Optional.empty();
+    private Optional<Duration> rested = Optional.empty();
     private long writtenNanos;
     private boolean ended;
 
@@ -24,8 +25,10 @@
         return request;
     }
 
-    void startOn(CopyConnection carrier) {
+    /** Starts the exchange on a connection that has rested for the given time, empty if it carried no request before. */
+    void startOn(CopyConnection carrier, Optional<Duration> restedBefore) {
         connection = Optional.of(carrier);
+        rested = restedBefore;
         writtenNanos = System.nanoTime();
     }
 
@@ -34,6 +37,11 @@
         return Duration.ofNanos(System.nanoTime() - writtenNanos);
     }
 
+    /** Returns how long the connection had rested before the request; empty if it carried no request before. */
+    Optional<Duration> rested() {
+        return rested;
+    }
+
     Optional<CopyConnection> connection() {
         return connection;
     }
