Refuse what still waits at a stopping node while another copy can run it

What callers saw: where a node beside a slow, full copy was stopped, requests that waited for the copy got no answer until the process ended, and then counted as possibly run, though none had begun. Requests that must not run twice ended with 502 instead of going to another copy. Others were started at the copy just before the end and cut there.

Cause: the end of a planned stop refused what arrived from then on, not what waited, and requests were started until then however long the copy usually takes.

Change: two usual run times before the process ends, and 0.3 s at the least, the node starts no more requests at its copy and refuses those that wait, which their senders send to another copy.

Evidence: PlannedStopTest.RequestsOfOtherNodes, 40 requests for two slow copies in virtual time.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -101,7 +101,7 @@
         unpublished = false;
         leaving = record.draining();
         if (leaving) {
-            gate.takeWaiting().forEach(run -> refuse(now, run, RefusalReason.DRAINING, Step.QUEUE));
+            refuseWaiting(now);
         }
     }
 
@@ -165,9 +165,21 @@
         return end <= 0 ? Optional.empty() : Optional.ofNullable(runningByName.get(callName.substring(0, end)));
     }
 
-    /** Refuses requests that arrive from now on; their senders try another copy. */
-    void close() {
-        closed = true;
+    /** Refuses the requests that wait and those that arrive from now on; their senders try another copy. */
+    void close(long now) {
+        if (!closed) {
+            closed = true;
+            refuseWaiting(now);
+        }
+    }
+
+    private void refuseWaiting(long now) {
+        gate.takeWaiting().forEach(run -> refuse(now, run, RefusalReason.DRAINING, Step.QUEUE));
+    }
+
+    /** Returns the usual time of a request at the copy, its calls included, in nanoseconds. */
+    long usualRunNanos() {
+        return gate.usualRunNanos();
     }
 
     void accept(long now, Optional<NodeName> sender, CopyRequest request) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
@@ -36,6 +36,15 @@
      */
     private static final Duration STOP_MARGIN = Duration.ofMillis(700);
 
+    /**
+     * The least time before the end of the process in which no more requests are started at the copy: enough for those
+     * that wait to be refused here and sent to another copy.
+     */
+    private static final Duration SHORTEST_LAST_RUN = Duration.ofMillis(300);
+
+    /** How many times its usual time a request may take at the copy to end before the process does. */
+    private static final int USUAL_RUNS_LEFT = 2;
+
     /**
      * How long before the end of the time for a stop the node logs what it still waits for: late enough that most stops
      * are complete, and early enough that the line is written before the process is killed.
@@ -95,7 +104,11 @@
         }
         long next = NOT_ORDERED;
         for (Duration step : List.of(
-                ANNOUNCE_AFTER, refuseClientsAfter(limit), limit.minus(LATE_BEFORE_END), limit.minus(STOP_MARGIN))) {
+                ANNOUNCE_AFTER,
+                refuseClientsAfter(limit),
+                closeCopyAfter(limit),
+                limit.minus(LATE_BEFORE_END),
+                limit.minus(STOP_MARGIN))) {
             long due = orderedNanos + step.toNanos();
             if (due > now) {
                 next = Math.min(next, due);
@@ -115,13 +128,16 @@
         if (refusesClients) {
             outgoing.setIntake(Arrivals.Intake.CALLS);
         }
+        if (stopping >= closeCopyAfter(limit).toNanos()) {
+            localRuns.close(now);
+        }
         boolean idle = outgoing.isEmpty() && localRuns.isEmpty();
         boolean over = stopping >= limit.minus(STOP_MARGIN).toNanos();
         if (over || idle && refusesClients) {
             ended = true;
             effects.log(new Decision.NodeChanged("stopped", pendingWork() + tookMillis(stopping)));
             outgoing.setIntake(Arrivals.Intake.NOTHING);
-            localRuns.close();
+            localRuns.close(now);
             effects.add(new FleetEffect.StopProcess());
         }
     }
@@ -131,6 +147,22 @@
         return half.compareTo(REFUSE_CLIENTS_AFTER) < 0 ? half : REFUSE_CLIENTS_AFTER;
     }
 
+    /**
+     * Returns when requests are no longer started at the copy.
+     *
+     * <p>Guards against a request that is cut because it began shortly before the end of the process, and against
+     * requests that wait until then and seem to have run: they are refused while another copy can still run them.
+     */
+    private Duration closeCopyAfter(Duration limit) {
+        Duration lastRun = Duration.ofNanos(USUAL_RUNS_LEFT * localRuns.usualRunNanos());
+        Duration lastStart = limit.minus(STOP_MARGIN).minus(longer(lastRun, SHORTEST_LAST_RUN));
+        return longer(lastStart, ANNOUNCE_AFTER);
+    }
+
+    private static Duration longer(Duration first, Duration second) {
+        return first.compareTo(second) > 0 ? first : second;
+    }
+
     private void logIfLate(long stopping, Duration limit) {
         if (!lateLogged && stopping >= limit.minus(LATE_BEFORE_END).toNanos()) {
             lateLogged = true;
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
@@ -361,6 +361,15 @@
         return workTime.seconds(now);
     }
 
+    /**
+     * Returns the mean time that the copy recently took for a request, its calls included.
+     *
+     * @return nanoseconds, 0 while unknown
+     */
+    public long usualRunNanos() {
+        return (long) serviceNanos;
+    }
+
     /**
      * Estimates how long a new request would wait.
      *
--- a/policy/src/test/java/org/carawaysill/policy/fleet/PlannedStopTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/PlannedStopTest.java
@@ -216,4 +216,64 @@
             assertEquals(0, fleet.runs.size());
         }
     }
+
+    @Nested
+    class RequestsOfOtherNodes {
+
+        private static final long SENT = 3 * SECOND;
+        private static final long ORDERED = 3500 * MILLI;
+        private static final int REQUESTS = 40;
+
+        private final Map<String, Outcome> outcomes = new HashMap<>();
+
+        private VirtualNode slowCopy(String host, long workMillis) {
+            VirtualNode node = node("back", host);
+            node.works.put("/back/", new Work(workMillis * MILLI, List.of()));
+            return node;
+        }
+
+        /** Sends more requests than two slow copies can run, and stops the node beside one of them. */
+        private void stopBesideAFullCopy(long workMillis) {
+            fleet.configure(route("/front/", "front", 900), route("/back/", "back", 30_000));
+            VirtualNode entry = node("front", "10.1.1.1");
+            VirtualNode stopping = slowCopy("10.1.2.1", workMillis);
+            slowCopy("10.1.2.2", workMillis);
+            fleet.runUntil(SENT);
+            for (int i = 0; i < REQUESTS; i++) {
+                String name = "r" + i;
+                fleet.send(entry, name, "/back/", 30 * SECOND, (_, outcome) -> outcomes.put(name, outcome));
+            }
+            fleet.runUntil(ORDERED);
+            stopping.deliver(new FleetEvent.StopRequested());
+            fleet.runUntil(ORDERED + LIMIT.toNanos() - 690 * MILLI);
+            assertTrue(stopping.stopped);
+            stopping.kill();
+            fleet.runUntil(SENT + 31 * SECOND);
+        }
+
+        private long runs(String name) {
+            return fleet.runs.stream()
+                    .filter(run -> run.requestName().equals(name))
+                    .count();
+        }
+
+        /** Guards against requests that wait at a node until its process ends: they seem to have run, and did not. */
+        @ParameterizedTest
+        @ValueSource(longs = {1000, 1500, 2000, 3000})
+        void areNotReportedAsPossiblyRunIfTheyNeverBegan(long workMillis) {
+            stopBesideAFullCopy(workMillis);
+            assertEquals(REQUESTS, outcomes.size());
+            outcomes.forEach((name, outcome) ->
+                    assertEquals(outcome instanceof Outcome.NotRun ? 0 : 1, runs(name), name + " " + outcome));
+        }
+
+        /** Guards against a request that begins at the copy just before the node's process ends, and is cut. */
+        @ParameterizedTest
+        @ValueSource(longs = {1000, 1500, 2000})
+        void thatBeginAtTheCopyAreAnswered(long workMillis) {
+            stopBesideAFullCopy(workMillis);
+            outcomes.forEach((name, outcome) ->
+                    assertTrue(outcome instanceof Outcome.NotRun || Outcomes.isGood(outcome), name + " " + outcome));
+        }
+    }
 }
