Let a connection to the copy rest, and check it for input, before it carries the next request

What callers saw: a request that must not run twice was cut at a copy that was at work on it, and its client got 502, because bytes that belonged to no request followed the previous answer on the same connection. A request that met a connection which the copy had closed a moment before counted as possibly run, though the copy had not read it.

Cause: the connection that was used last is taken first, so that on a busy copy the next request follows an answer within microseconds; what the copy sends then, or its end of the connection, is read only after the request is written.

Change: a connection carries the next request 20 ms after its last answer at the earliest; before a request is written, the socket is read once without waiting, and a connection with input or at its end is closed in favour of another.

--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
@@ -54,7 +54,7 @@
 
     private final CopyConnections pool;
     private final AnswerDecoder decoder;
-    private Optional<Channel> channel = Optional.empty();
+    private Optional<CopyChannel> channel = Optional.empty();
     private Optional<CopyExchange> exchange = Optional.empty();
     private Optional<HttpResponse> answer = Optional.empty();
     private Verdict verdict = Verdict.OWN;
@@ -76,7 +76,7 @@
     /** Called before the connect future completes, while channelActive is called only after that. */
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
-        channel = Optional.of(context.channel());
+        channel = Optional.of((CopyChannel) context.channel());
         idleSinceNanos = System.nanoTime();
     }
 
@@ -88,6 +88,16 @@
         return reusable && channel.filter(Channel::isActive).isPresent() && now - idleSinceNanos < idleLimit.toNanos();
     }
 
+    /** Returns whether the time since the last answer is long enough; a connection that carried no request needs no rest. */
+    boolean hasRested(long now, Duration rest) {
+        return !used || now - idleSinceNanos >= rest.toNanos();
+    }
+
+    /** Returns whether the copy has closed this idle connection or sent more bytes, which was not yet processed. */
+    boolean hasInput() {
+        return channel.orElseThrow().hasInput();
+    }
+
     /** Writes a request, unless its deadline has passed. */
     void send(CopyExchange next) {
         long remaining = next.request().deadlineNanos() - System.nanoTime();
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -5,8 +5,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.time.Duration;
@@ -15,6 +13,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -66,6 +65,12 @@
     /** The idle limit if the copy states none; a common timeout of HTTP servers is 5 s. */
     private static final Duration DEFAULT_IDLE_LIMIT = Duration.ofMillis(3500);
 
+    /**
+     * How long a connection rests after an answer before it carries another request. Guards against bytes that a faulty
+     * copy sends shortly after an answer: they would end the next request while the copy runs it.
+     */
+    static final Duration REST = Duration.ofMillis(20);
+
     private static final Duration UNREACHABLE_RETRY_AFTER = Duration.ofMillis(500);
 
     private final EventLoop eventLoop;
@@ -103,7 +108,7 @@
         log = registry.require(DecisionLog.NAME, DecisionLog.class);
         bootstrap = new Bootstrap()
                 .group(eventLoop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(CopyChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .remoteAddress(copy.host(), copy.port());
     }
@@ -150,14 +155,19 @@
         }
     }
 
+    /** Takes the connection that was used last, so that surplus connections reach their idle limit. */
     private Optional<CopyConnection> takeIdle() {
         long now = System.nanoTime();
-        while (!idle.isEmpty()) {
-            CopyConnection candidate = idle.pollLast();
-            if (candidate.isUsable(now)) {
-                return Optional.of(candidate);
+        Iterator<CopyConnection> lastUsedFirst = idle.descendingIterator();
+        while (lastUsedFirst.hasNext()) {
+            CopyConnection candidate = lastUsedFirst.next();
+            if (candidate.hasRested(now, REST)) {
+                lastUsedFirst.remove();
+                if (candidate.isUsable(now) && !candidate.hasInput()) {
+                    return Optional.of(candidate);
+                }
+                candidate.close(ConnectionEnd.IDLE);
             }
-            candidate.close(ConnectionEnd.IDLE);
         }
         return Optional.empty();
     }
@@ -176,9 +186,9 @@
         return bootstrap
                 .clone()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limitMillis)
-                .handler(new ChannelInitializer<SocketChannel>() {
+                .handler(new ChannelInitializer<CopyChannel>() {
                     @Override
-                    protected void initChannel(SocketChannel channel) {
+                    protected void initChannel(CopyChannel channel) {
                         channel.pipeline()
                                 .addLast(new HttpRequestEncoder())
                                 .addLast(connection.decoder())
--- a/node/src/test/java/org/carawaysill/node/testing/LoopBench.java
+++ b/node/src/test/java/org/carawaysill/node/testing/LoopBench.java
@@ -4,6 +4,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.time.Duration;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -69,6 +70,14 @@
         CompletableFuture.runAsync(action, eventLoop).join();
     }
 
+    public static void pause(Duration duration) {
+        try {
+            Thread.sleep(duration);
+        } catch (InterruptedException interrupted) {
+            throw new AssertionError(interrupted);
+        }
+    }
+
     @Override
     public void close() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
