Test a link between nodes that ends while requests on it are not answered

Cause of the tests: one reset makes all attempts on a link unknown at once, and a waiting request counts as possibly run. VirtualFleet gets a reset and a cut of one link between two living nodes.

--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -72,6 +72,8 @@
     boolean platformDown;
     /** Connections that silently drop all messages. */
     private final Set<Set<NodeName>> silenced = new HashSet<>();
+    /** Pairs of nodes that can't connect to each other. */
+    private final Set<Set<NodeName>> cut = new HashSet<>();
 
     long answerLost;
     /** Reads of the platform. */
@@ -207,6 +209,27 @@
         silenced.add(Set.of(one.name, other.name));
     }
 
+    /**
+     * Ends the connection between two living nodes: messages in flight are lost, both sides notice it, and it is dialled
+     * again.
+     */
+    void resetLink(VirtualNode one, VirtualNode other) {
+        one.reset(other.name);
+    }
+
+    /** Ends the connection between two living nodes, which can't connect again before a time. */
+    void cutLink(VirtualNode one, VirtualNode other, long until) {
+        Set<NodeName> ends = Set.of(one.name, other.name);
+        cut.add(ends);
+        at(until, () -> cut.remove(ends));
+        resetLink(one, other);
+    }
+
+    /** Returns the exchange of the request that arrived last. */
+    ExchangeIdentifier lastExchange() {
+        return new ExchangeIdentifier(0, exchanges);
+    }
+
     /** Sends a client's request; the receiver gets the outcome. */
     void send(VirtualNode entry, String name, String path, long clientTimeout, BiConsumer<Long, Outcome> receiver) {
         send(entry, name, path, Credential.NONE, clientTimeout, receiver);
@@ -262,6 +285,9 @@
         /** Runs right after its copy has crashed. */
         Runnable afterCrash = () -> {};
 
+        /** The number of answers that other nodes' copies gave its present process. */
+        int answersReceived;
+
         /** The number of crashes of its copy. */
         int crashes;
 
@@ -427,6 +453,7 @@
 
         void restart() {
             alive = true;
+            answersReceived = 0;
             ready = false;
             policy = newPolicy();
             start();
@@ -523,6 +550,9 @@
             if (message instanceof PeerMessage.FleetSummary(StateSummary summary)) {
                 summaries.put(from, new ReceivedSummary(now, summary));
             }
+            if (message instanceof PeerMessage.CopyAnswer) {
+                answersReceived++;
+            }
             deliver(new FleetEvent.PeerReceived(from, message));
         }
 
@@ -538,7 +568,7 @@
                 if (!alive || connected.contains(peer)) {
                     return;
                 }
-                if (other == null || !other.alive) {
+                if (other == null || !other.alive || cut.contains(Set.of(name, peer))) {
                     dialLater(peer);
                     return;
                 }
@@ -553,6 +583,11 @@
             at(now + 100 * MILLI, () -> connect(peer));
         }
 
+        /** Returns the number of requests at the copy. */
+        int atCopyCount() {
+            return atCopy.size();
+        }
+
         void arrive(
                 String requestName,
                 String path,
