Let requests that must not run twice wait for a lost link and its answers

Cause: one reset of a link made all attempts on it unknown at once, while the other node's copy worked on and its answer was thrown away (PeerUnsent). A request that waited in the other node's queue was given up without a word and counted as possibly run.

Another incarnation of the peer ends it at once. Then the sender asks for what is left with the same CopyRequest without time left: a node that has the attempt says DUPLICATE, any other refuses it for its deadline, as nodes before this change do too, so the messages stay as they are. DUPLICATE lets the attempt go on until its deadline; any other reply to the question makes it unknown, never not run. Waiting requests of a lost node are refused as PEER_UNREACHABLE. Answers for a process that has ended are dropped.

--- a/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
@@ -43,6 +43,8 @@
         FAILED(10),
         /** Another attempt follows. */
         RETRIED(5),
+        /** The connection to the other node ended before the answer, or a wait for the next one ended. */
+        LINK_WAIT(10),
         /** The request failed at the local copy or before it reached it. */
         FAILED_AT_COPY(5),
         /** The connection to the local copy ended before the request was answered. */
@@ -156,6 +158,7 @@
                     case Outcome.Unknown _ -> Kind.FAILED;
                 };
             case Decision.Retried _ -> Kind.RETRIED;
+            case Decision.LinkWait _ -> Kind.LINK_WAIT;
             case Decision.FailedAtCopy _ -> Kind.FAILED_AT_COPY;
             case Decision.SuspectHandled _ -> Kind.SUSPECT;
             case Decision.Abandoned _ -> Kind.ABANDONED;
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetPeers.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetPeers.java
@@ -98,7 +98,7 @@
     @Override
     public void connected(NodeName peer, long incarnation) {
         faults.clear(peer);
-        loop.submit(new FleetEvent.PeerConnected(peer));
+        loop.submit(new FleetEvent.PeerConnected(peer, incarnation));
     }
 
     @Override
--- a/node/src/main/java/org/carawaysill/node/fleet/RequestLatencies.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/RequestLatencies.java
@@ -50,6 +50,7 @@
             case Decision.Abandoned abandoned -> observe(ExchangeResult.CLOSED, abandoned.tookNanos());
             case Decision.Sent _,
                     Decision.Retried _,
+                    Decision.LinkWait _,
                     Decision.FailedAtCopy _,
                     Decision.SuspectHandled _,
                     Decision.OfState _ -> {}
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
@@ -111,6 +111,22 @@
         }
     }
 
+    /**
+     * An attempt that can't be repeated waits because the connection to the other node ended, or stopped waiting.
+     *
+     * @param subject the request
+     * @param peer the other node
+     * @param state waits; at_work if the other node still has it; answered, not_run, or lost if it may have run
+     * @param waitedNanos the time since the end of the connection
+     */
+    record LinkWait(String subject, NodeName peer, String state, long waitedNanos) implements OfRequest {
+
+        @Override
+        public String fields() {
+            return "peer=" + peer + " state=" + state + " waited_ms=" + Nanos.toMillis(waitedNanos);
+        }
+    }
+
     /**
      * A request for the local copy got no answer from it.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetEvent.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetEvent.java
@@ -66,8 +66,9 @@
      * A connection to another node is established.
      *
      * @param peer the other node
+     * @param incarnation the start time of its process in milliseconds since 1970
      */
-    record PeerConnected(NodeName peer) implements FleetEvent {}
+    record PeerConnected(NodeName peer, long incarnation) implements FleetEvent {}
 
     /**
      * The connection to another node ended; messages written to it may have arrived.
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -49,6 +49,7 @@
     private final CrashSuspects suspects;
     private final LocalRuns localRuns;
     private final OutgoingRequests outgoing;
+    private final UnsentMessages unsentMessages;
     private final ServiceLoads loads;
     private final PlannedStop plannedStop;
     private final Map<DemandKey, Double> loggedShares = new HashMap<>();
@@ -85,6 +86,7 @@
                 new FleetParts(
                         settings, effects, view, peers, reachableNodes, suspects, localRuns, allowances, demand, plan),
                 random);
+        unsentMessages = new UnsentMessages(effects);
         loads = new ServiceLoads(settings, view, reachableNodes, state, localRuns);
         plannedStop = new PlannedStop(effects, outgoing, localRuns);
         nextTickNanos = now;
@@ -107,7 +109,7 @@
             case FleetEvent.CopyAnswered answered -> localRuns.answered(now, answered.attempt(), answered.outcome());
             case FleetEvent.CopyCrashed crashed -> localRuns.crashed(now, crashed.attempts());
             case FleetEvent.PeerReceived received -> received(moment, received.from(), received.message());
-            case FleetEvent.PeerConnected connected -> peerConnected(now, connected.peer());
+            case FleetEvent.PeerConnected connected -> peerConnected(now, connected);
             case FleetEvent.PeerLost lost -> {
                 peers.lost(lost.peer());
                 state.lost(lost.peer());
@@ -115,9 +117,9 @@
                 localRuns.senderLost(now, lost.peer());
                 outgoing.peerLost(now, lost.peer());
             }
-            case FleetEvent.PeerUnsent(NodeName _, PeerMessage.CopyRequest request) ->
-                outgoing.unsent(now, request.attempt());
-            case FleetEvent.PeerUnsent _, FleetEvent.WakeUp _ -> {}
+            case FleetEvent.PeerUnsent(NodeName _, PeerMessage.CopyRequest request) -> outgoing.unsent(now, request);
+            case FleetEvent.PeerUnsent(NodeName peer, PeerMessage message) -> unsentMessages.unsent(now, peer, message);
+            case FleetEvent.WakeUp _ -> {}
             case FleetEvent.EntriesRead read -> {
                 view.read(now, read);
                 publicationChanged(moment);
@@ -190,8 +192,14 @@
         exchange.stateReceived(now, from, report.sameZone(), report.published());
     }
 
-    private void peerConnected(long now, NodeName peer) {
-        peers.connected(now, peer);
+    private void peerConnected(long now, FleetEvent.PeerConnected connected) {
+        NodeName peer = connected.peer();
+        boolean sameProcess = peers.connected(now, peer, connected.incarnation());
+        if (!sameProcess) {
+            localRuns.senderRestarted(peer);
+        }
+        unsentMessages.connected(now, peer, sameProcess);
+        outgoing.peerConnected(now, peer, sameProcess);
         exchange.peerLost(peer);
         suspects.peerConnected(now, peer);
         state.sendReport(peer, report(now));
@@ -261,6 +269,7 @@
         suspects.passTime(now);
         peers.passTime(now, outgoing.nodesWithPendingReply());
         localRuns.endOverdue(now);
+        unsentMessages.passTime(now);
         localRuns.logLimit(now);
         demand.close(now);
         allowances.nodes(view.nodeCount(now, peers::isReachable));
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -189,6 +189,10 @@
             reply(now, run, refusal(now, RefusalReason.DUPLICATE, Step.QUEUE));
             return;
         }
+        if (CopyRequests.isQuestion(request)) {
+            reply(now, run, refusal(now, RefusalReason.DEADLINE, Step.QUEUE));
+            return;
+        }
         if (leaving || closed) {
             reply(now, run, refusal(now, RefusalReason.DRAINING, Step.QUEUE));
             return;
@@ -299,16 +303,34 @@
     }
 
     /**
-     * Ends the requests of a lost node, which can't be answered any more. A running request that is not idempotent
-     * continues: cancelling it would leave it half done, and no node could retry it.
+     * Ends the requests of a node whose connection ended, which retries the idempotent ones elsewhere. A running request
+     * that is not idempotent continues: cancelling it would leave it half done, and no node could retry it. One that
+     * waits is refused, so that its sender may try another copy once it is connected again.
      */
     void senderLost(long now, NodeName sender) {
-        for (LocalRun run : gate.all()) {
-            boolean mayBreakOff = run.request().idempotent() || !run.isRunning();
-            if (run.sender().filter(sender::equals).isPresent() && mayBreakOff) {
-                cancelled(now, run.request().attempt());
+        List<LocalRun> runs = runsOf(sender);
+        // The waiting ones first: each free slot would start the next of them.
+        runs.stream().filter(run -> !run.isRunning()).forEach(run -> {
+            release(now, run, CopyGate.Ending.BROKEN_OFF);
+            if (!run.request().idempotent()) {
+                refuse(now, run, RefusalReason.PEER_UNREACHABLE, Step.QUEUE);
             }
-        }
+        });
+        runs.stream()
+                .filter(run -> run.isRunning() && run.request().idempotent())
+                .forEach(run -> cancelled(now, run.request().attempt()));
+        startNext(now);
+    }
+
+    /** Notes that the process that sent these requests has ended: its successor must not get their answers. */
+    void senderRestarted(NodeName sender) {
+        runsOf(sender).forEach(LocalRun::senderEnded);
+    }
+
+    private List<LocalRun> runsOf(NodeName sender) {
+        return gate.all().stream()
+                .filter(run -> run.sender().filter(sender::equals).isPresent())
+                .toList();
     }
 
     void passTime(long now) {
@@ -358,6 +380,9 @@
 
     private void reply(long now, LocalRun run, Outcome outcome) {
         AttemptIdentifier attempt = run.request().attempt();
+        if (run.hasSenderEnded()) {
+            return;
+        }
         if (run.sender().isPresent()) {
             effects.add(new FleetEffect.SendToPeer(
                     run.sender().get(),
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -57,6 +57,7 @@
     private final Admission admission;
     private final Arrivals arrivals;
     private final FinalAnswers answers;
+    private final LinkWaits linkWaits;
     private final Map<ExchangeIdentifier, OutgoingRequest> byExchange = new HashMap<>();
     private final Map<AttemptIdentifier, OutgoingRequest> byAttempt = new HashMap<>();
     private final PriorityQueue<OutgoingRequest> byDeadline =
@@ -75,6 +76,7 @@
         retryLimiter = new RetryLimiter(parts);
         admission = new Admission(parts, random);
         answers = new FinalAnswers(parts);
+        linkWaits = new LinkWaits(effects, settings.service());
         arrivals = new Arrivals(view, admission, answers);
         localRuns.localSender(this::answered);
     }
@@ -164,7 +166,7 @@
             retryLimiter.countFirstSend(now, service);
         }
         logSent(request, copy, load);
-        CopyRequest message = message(now, request, copy, attempt);
+        CopyRequest message = CopyRequests.of(now, request, copy, attempt, settings.service());
         if (copy.node().equals(settings.self())) {
             localRuns.accept(now, Optional.empty(), message);
         } else {
@@ -173,23 +175,6 @@
         }
     }
 
-    private CopyRequest message(long now, OutgoingRequest request, Copy copy, AttemptIdentifier attempt) {
-        return new CopyRequest(
-                attempt,
-                request.arrival().requestName(),
-                request.service(),
-                copy.record().copy(),
-                settings.service(),
-                request.origin().organisationName(),
-                request.origin().rootRoute(),
-                request.origin().rank(),
-                request.route().idempotent(),
-                request.origin().depth(),
-                now - request.origin().rootArrivedNanos(),
-                request.deadlineNanos() - now,
-                request.arrival().content());
-    }
-
     private void logSent(OutgoingRequest request, Copy copy, double load) {
         effects.log(new Decision.Sent(
                 request.arrival().requestName(),
@@ -210,7 +195,9 @@
         }
         Copy copy = request.copy().get();
         if (copy.node().equals(from)) {
-            answered(now, answer.attempt(), answer.outcome(), answer.times());
+            linkWaits
+                    .outcome(now, answer.attempt(), answer.outcome())
+                    .ifPresent(outcome -> answered(now, answer.attempt(), outcome, answer.times()));
             copy.receiveLoad(now, answer.load());
         }
     }
@@ -220,6 +207,7 @@
         if (request == null) {
             return;
         }
+        linkWaits.ended(now, attempt, outcome);
         request.times().addAll(times);
         Copy copy = request.copy().orElseThrow();
         request.attemptEnded();
@@ -311,6 +299,7 @@
     private void cancelAttempt(long now, OutgoingRequest request) {
         request.attempt().ifPresent(attempt -> {
             byAttempt.remove(attempt);
+            linkWaits.cancelled(attempt);
             Copy copy = request.copy().orElseThrow();
             copy.withdrawn();
             request.attemptEnded();
@@ -322,11 +311,14 @@
         });
     }
 
-    void unsent(long now, AttemptIdentifier attempt) {
-        Outcome outcome = notRun(RefusalReason.PEER_UNREACHABLE, UNREACHABLE_RETRY_AFTER, Step.PEER_SEND);
-        answered(now, attempt, outcome, List.of());
+    void unsent(long now, CopyRequest message) {
+        if (!CopyRequests.isQuestion(message)) {
+            Outcome outcome = notRun(RefusalReason.PEER_UNREACHABLE, UNREACHABLE_RETRY_AFTER, Step.PEER_SEND);
+            answered(now, message.attempt(), outcome, List.of());
+        }
     }
 
+    /** Ends the attempts at a lost node that may be repeated; the others wait for the next connection to it. */
     void peerLost(long now, NodeName peer) {
         List<AttemptIdentifier> lost = byAttempt.entrySet().stream()
                 .filter(entry -> entry.getValue()
@@ -335,11 +327,28 @@
                         .isPresent())
                 .map(Map.Entry::getKey)
                 .toList();
-        Outcome outcome = new Outcome.Unknown(UnknownReason.PEER_LOST, Step.PEER_WAIT, Optional.of(peer));
-        lost.forEach(attempt -> answered(now, attempt, outcome, List.of()));
+        for (AttemptIdentifier attempt : lost) {
+            OutgoingRequest request = byAttempt.get(attempt);
+            if (request.route().idempotent()) {
+                answered(now, attempt, LinkWaits.lost(peer), List.of());
+            } else {
+                linkWaits.hold(now, attempt, request, peer);
+            }
+        }
+    }
+
+    /** Goes on with the attempts that wait for a node, or ends them if another process of it has connected. */
+    void peerConnected(long now, NodeName peer, boolean sameProcess) {
+        linkWaits
+                .connected(peer, sameProcess)
+                .forEach(attempt -> answered(now, attempt, LinkWaits.lost(peer), List.of()));
     }
 
     void passTime(long now) {
+        for (AttemptIdentifier attempt : linkWaits.overdue(now)) {
+            NodeName peer = byAttempt.get(attempt).copy().orElseThrow().node();
+            answered(now, attempt, LinkWaits.lost(peer), List.of());
+        }
         dropFinished();
         while (!byDeadline.isEmpty() && byDeadline.peek().deadlineNanos() <= now) {
             OutgoingRequest request = byDeadline.poll();
@@ -358,7 +367,9 @@
 
     long nextNanos() {
         dropFinished();
-        return byDeadline.isEmpty() ? Long.MAX_VALUE : byDeadline.peek().deadlineNanos();
+        long deadline =
+                byDeadline.isEmpty() ? Long.MAX_VALUE : byDeadline.peek().deadlineNanos();
+        return Math.min(deadline, linkWaits.nextNanos());
     }
 
     private static Outcome.NotRun notRun(RefusalReason reason, Duration retryAfter, Step step) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.policy.message.PeerMessage;
@@ -104,14 +105,23 @@
         return known.computeIfAbsent(name, _ -> new Peer());
     }
 
-    void connected(long now, NodeName name) {
+    /**
+     * Notes a new connection.
+     *
+     * @param incarnation identifies the process at its other end
+     * @return whether the connection before it led to the same process
+     */
+    boolean connected(long now, NodeName name, long incarnation) {
         Peer peer = peer(name);
+        boolean sameProcess = peer.incarnation.equals(OptionalLong.of(incarnation));
+        peer.incarnation = OptionalLong.of(incarnation);
         peer.connected = true;
         peer.received(now);
         peer.suspected = false;
         peer.leaving = false;
         effects.log(new Decision.DependencyChanged(
                 "node " + name, "connected", "peers=" + connected().size()));
+        return sameProcess;
     }
 
     void lost(NodeName name) {
@@ -263,6 +273,7 @@
         private boolean leaving;
         private boolean readsPlatform;
         private boolean probed;
+        private OptionalLong incarnation = OptionalLong.empty();
         private long leavingNanos;
         private long receivedNanos;
         private long replyExpectedNanos = NOT_EXPECTED;
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/LocalRun.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/LocalRun.java
@@ -48,6 +48,7 @@
     private long callsStartedNanos;
     private long callsNanos;
     private boolean running;
+    private boolean senderEnded;
     private Optional<Fingerprint> suspected = Optional.empty();
     private boolean runsAlone;
 
@@ -84,6 +85,20 @@
         return sender;
     }
 
+    /** Notes that the process that sent the request has ended. */
+    public void senderEnded() {
+        senderEnded = true;
+    }
+
+    /**
+     * Returns whether the process that sent the request has ended, so that nobody waits for the answer.
+     *
+     * @return whether it has ended
+     */
+    public boolean hasSenderEnded() {
+        return senderEnded;
+    }
+
     /**
      * Returns when the root request, on whose behalf this request is made, arrived at its entry node.
      *
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -574,8 +574,8 @@
                 }
                 connected.add(peer);
                 other.connected.add(name);
-                deliver(new FleetEvent.PeerConnected(peer));
-                other.deliver(new FleetEvent.PeerConnected(name));
+                deliver(new FleetEvent.PeerConnected(peer, other.incarnation));
+                other.deliver(new FleetEvent.PeerConnected(name, incarnation));
             });
         }
 
