--- a/policy/src/test/java/org/carawaysill/policy/fleet/LostLinkTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/LostLinkTest.java
@@ -4,16 +4,29 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
+import org.carawaysill.model.fleet.CopyName;
+import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.Body;
 import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.RequestContent;
+import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
+import org.carawaysill.policy.message.PeerMessage.CopyAnswer;
+import org.carawaysill.policy.message.PeerMessage.CopyRequest;
+import org.carawaysill.policy.message.PeerMessage.LoadReport;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A connection between two nodes ends while requests on it are not answered. */
@@ -133,6 +146,18 @@
             assertTrue(answeredAt.get("r") <= SETTLED + 1500 * MILLI + REDIALLED, answeredAt.toString());
         }
 
+        // Guards against the same where the link goes silent and is reset by the node that waits for the answer.
+        @Test
+        void theAnswerIsDeliveredAfterALinkWentSilent() {
+            settled(4 * SECOND);
+            send("r");
+            fleet.runUntil(SETTLED + 20 * MILLI);
+            fleet.silence(entry, worker);
+            fleet.runUntil(SETTLED + 9 * SECOND);
+            assertGood("r");
+            assertEquals(1, runsOf("r").size());
+        }
+
         // Guards against a client that waits until its deadline for a node that can't be reached any more.
         @Test
         void aLinkThatStaysCutEndsTheRequestWithinTheBound() {
@@ -181,9 +206,9 @@
             fleet.resetLink(entry, worker);
             fleet.runUntil(SETTLED + 50 * MILLI);
             entry.deliver(new FleetEvent.ExchangeClosed(fleet.lastExchange()));
-            assertEquals(1, worker.atCopyCount());
+            assertEquals(1, worker.attemptsAtCopy().size());
             fleet.runUntil(SETTLED + 20 * MILLI + REDIALLED);
-            assertEquals(0, worker.atCopyCount());
+            assertEquals(List.of(), worker.attemptsAtCopy());
         }
     }
 
@@ -293,6 +318,104 @@
         }
     }
 
+    @Nested
+    class Questions {
+
+        private AttemptIdentifier attempt;
+
+        /** A copy works on a request; the link was lost, is back, and the other node was asked, but did not reply. */
+        private void asked() {
+            settled(3 * SECOND);
+            send("r");
+            fleet.runUntil(SETTLED + 10 * MILLI);
+            attempt = worker.attemptsAtCopy().getFirst();
+            worker("10.1.2.2", 10 * MILLI);
+            fleet.runUntil(SETTLED + 2 * SECOND);
+            fleet.resetLink(entry, worker);
+            fleet.runUntil(SETTLED + 2 * SECOND + 102 * MILLI + MILLI / 2);
+        }
+
+        private CopyRequest question(AttemptIdentifier of) {
+            return new CopyRequest(
+                    of,
+                    "r",
+                    new ServiceName("back"),
+                    new CopyName(worker.copy()),
+                    new ServiceName("front"),
+                    Optional.empty(),
+                    ONCE,
+                    1,
+                    false,
+                    0,
+                    0,
+                    0,
+                    new RequestContent("GET", ONCE, List.of(), Body.EMPTY));
+        }
+
+        private void reply(RefusalReason reason) {
+            Outcome refusal = new Outcome.NotRun(reason, Duration.ofMillis(100), Step.QUEUE, Optional.empty());
+            entry.deliver(new FleetEvent.PeerReceived(
+                    worker.name, new CopyAnswer(attempt, refusal, new LoadReport(0, 1, 0, 0), List.of())));
+        }
+
+        /*
+         * Guards against a second run: a node that does not have the attempt any more refuses the question, which says
+         * nothing about the attempt. Nodes before this question existed refuse it for any of these reasons.
+         */
+        @ParameterizedTest
+        @EnumSource(names = {"DEADLINE", "DRAINING", "QUEUE_FULL", "EVICTED", "SUSPECTED", "QUARANTINED"})
+        void thatAreRefusedMakeTheRequestUnknown(RefusalReason reason) {
+            asked();
+            reply(reason);
+            fleet.runUntil(SETTLED + 9 * SECOND);
+            assertUnknownBy("r", SETTLED + 2 * SECOND + 104 * MILLI);
+            assertEquals(List.of(worker.copy()), runsOf("r"));
+        }
+
+        // Guards against a request that ends as unknown although the refusal is its copy's own.
+        @ParameterizedTest
+        @EnumSource(names = {"COPY_REFUSED", "COPY_UNREACHABLE", "PEER_UNREACHABLE"})
+        void doNotHideARefusalOfTheAttemptItself(RefusalReason reason) {
+            asked();
+            reply(reason);
+            fleet.runUntil(SETTLED + 9 * SECOND);
+            assertGood("r");
+            assertEquals(2, runsOf("r").size(), "the test's copy only pretends to refuse");
+        }
+
+        // Guards against a second run: a question that could not be sent does not show that the request was not sent.
+        @Test
+        void thatAreNotSentDoNotCountAsARequestNotSent() {
+            asked();
+            entry.deliver(new FleetEvent.PeerUnsent(worker.name, question(attempt)));
+            fleet.runUntil(SETTLED + 9 * SECOND);
+            assertGood("r");
+            assertEquals(List.of(worker.copy()), runsOf("r"));
+        }
+
+        // Guards against a copy that runs a question for an attempt that its node does not have.
+        @Test
+        void areNeverRun() {
+            settled(10 * MILLI);
+            worker.deliver(new FleetEvent.PeerReceived(entry.name, question(new AttemptIdentifier(1, 2))));
+            fleet.runUntil(SETTLED + SECOND);
+            assertEquals(List.of(), fleet.runs);
+        }
+
+        // Guards against a wait that the log does not explain: one line when it begins, one when it ends.
+        @Test
+        void areLoggedWithTheirReplies() {
+            asked();
+            fleet.runUntil(SETTLED + 9 * SECOND);
+            assertEquals(
+                    List.of("peer=10.1.2.1 state=waits waited_ms=0", "peer=10.1.2.1 state=at_work waited_ms=104"),
+                    entry.log.stream()
+                            .filter(Decision.LinkWait.class::isInstance)
+                            .map(Decision::fields)
+                            .toList());
+        }
+    }
+
     @Nested
     class Restarts {
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -583,9 +583,9 @@
             at(now + 100 * MILLI, () -> connect(peer));
         }
 
-        /** Returns the number of requests at the copy. */
-        int atCopyCount() {
-            return atCopy.size();
+        /** Returns the attempts at the copy. */
+        List<AttemptIdentifier> attemptsAtCopy() {
+            return List.copyOf(atCopy);
         }
 
         void arrive(
