--- a/policy/src/test/java/org/carawaysill/policy/fleet/LostLinkTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/LostLinkTest.java
@@ -23,6 +23,7 @@
 import org.carawaysill.policy.message.PeerMessage.CopyAnswer;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
+import org.carawaysill.policy.time.Moment;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -402,6 +403,36 @@
             assertEquals(List.of(), fleet.runs);
         }
 
+        private List<FleetEffect> decidedOnQuestion(AttemptIdentifier of) {
+            return worker.policy.decide(
+                    new Moment(fleet.now, fleet.now / MILLI), new FleetEvent.PeerReceived(entry.name, question(of)));
+        }
+
+        private RefusalReason repliedTo(AttemptIdentifier of) {
+            List<FleetEffect> decided = decidedOnQuestion(of);
+            assertTrue(decided.stream().noneMatch(FleetEffect.SendToCopy.class::isInstance), decided.toString());
+            return decided.stream()
+                    .filter(FleetEffect.SendToPeer.class::isInstance)
+                    .map(effect -> ((FleetEffect.SendToPeer) effect).message())
+                    .filter(CopyAnswer.class::isInstance)
+                    .map(message -> ((Outcome.NotRun) ((CopyAnswer) message).outcome()).reason())
+                    .findFirst()
+                    .orElseThrow();
+        }
+
+        // Guards against a reply that takes an attempt at work for a lost one, or the reverse, also at a full copy.
+        @Test
+        void areAnsweredAsDuplicatesOnlyWhereTheAttemptIs() {
+            settled(SECOND);
+            AttemptIdentifier absent = new AttemptIdentifier(1, 2);
+            assertEquals(RefusalReason.DEADLINE, repliedTo(absent));
+            send("r");
+            fleet.runUntil(SETTLED + 10 * MILLI);
+            assertEquals(
+                    RefusalReason.DUPLICATE, repliedTo(worker.attemptsAtCopy().getFirst()));
+            assertEquals(RefusalReason.DEADLINE, repliedTo(absent));
+        }
+
         // Guards against a wait that the log does not explain: one line when it begins, one when it ends.
         @Test
         void areLoggedWithTheirReplies() {
