Tell a node that starts later which entries were removed before

What callers saw: work reached a copy 5.6 s after its entry was removed (bound 2 s), sent by the node beside it, which had started 1.2 s after the removal.

Cause: a node that reads the platform itself at its start never sees the removals before it. Where its state equalled that of others it counted all their changes as received, the removals among them. When the platform came back from an older state and showed the entry again, all other nodes knew that it was removed; this one took it for a new copy.

Ruled out: to tell a restored entry by its revision, since the platform gives out the revisions after the restored state again, and a copy that starts then would get no work.

Change: a process that no node has sent everything yet asks one with the same state for it, within its availability zone if one reports within 1 s, and keeps and passes on removals of entries that it never used. No new message.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/PublicationExchange.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PublicationExchange.java
@@ -34,6 +34,12 @@
      */
     private static final Duration SAME_ZONE_WAIT = Duration.ofMillis(60);
 
+    /**
+     * How long a node that only lacks the removals before its start waits for a node of its own availability zone, each
+     * of which reports within this time.
+     */
+    private static final Duration REMOVALS_WAIT = Duration.ofSeconds(1);
+
     /**
      * How long this node may differ from all others before it reads everything: differences during the distribution of
      * a change last about 0.1 s, and longer with a slow platform.
@@ -54,6 +60,14 @@
     private long lastEqualNanos;
     private long lastFullReadNanos;
 
+    /**
+     * Whether another node has sent everything since this process started.
+     *
+     * <p>Guards against a removal before the start, which the platform no longer shows to this node: if the platform is
+     * then restored from an older state, the removed entry would look like a new one.
+     */
+    private boolean removalsKnown;
+
     private record Source(NodeName node, long digest) {}
 
     PublicationExchange(long now, Effects effects, PublishedView view) {
@@ -70,22 +84,32 @@
      */
     void stateReceived(long now, NodeName peer, boolean sameZone, PublishedState theirs) {
         PublishedState own = view.published();
-        if (theirs.digest() == own.digest()) {
-            lastEqualNanos = now;
-            view.confirmed(now);
-            entriesReceived(peer, theirs.position());
+        if (theirs.digest() != own.digest()) {
+            readIfDiverged(now);
+            Duration wait = sameZone || own.position() > 0 ? Duration.ZERO : SAME_ZONE_WAIT;
+            request(now, new Source(peer, theirs.digest()), theirs.position(), wait);
             return;
         }
-        readIfDiverged(now);
-        if (theirs.position() <= receivedPositions.getOrDefault(peer, 0L) || isRequested(now, theirs.digest())) {
+        lastEqualNanos = now;
+        view.confirmed(now);
+        if (removalsKnown) {
+            entriesReceived(peer, theirs.position());
+        } else {
+            Duration wait = sameZone ? Duration.ZERO : REMOVALS_WAIT;
+            request(now, new Source(peer, theirs.digest()), theirs.position(), wait);
+        }
+    }
+
+    /** Requests entries that a node may have, at once or from another node of the own zone that reports in time. */
+    private void request(long now, Source source, long position, Duration sameZoneWait) {
+        if (position <= receivedPositions.getOrDefault(source.node(), 0L) || isRequested(now, source.digest())) {
             return;
         }
-        Source source = new Source(peer, theirs.digest());
-        if (sameZone || own.position() > 0) {
+        if (sameZoneWait.isZero()) {
             requestFrom(now, source);
         } else if (deferredSource.isEmpty()) {
             deferredSource = Optional.of(source);
-            deferredUntilNanos = now + SAME_ZONE_WAIT.toNanos();
+            deferredUntilNanos = now + sameZoneWait.toNanos();
         }
     }
 
@@ -98,22 +122,25 @@
         deferredUntilNanos = Long.MAX_VALUE;
         requestedDigest = source.digest();
         requestedNanos = now;
-        effects.add(new FleetEffect.SendToPeer(source.node(), new EntriesWanted(since(now, source.node()))));
+        effects.add(new FleetEffect.SendToPeer(
+                source.node(), new EntriesWanted(since(now, source.node(), source.digest()))));
     }
 
     /**
      * Returns the point from which another node should send its changes. If that node has sent no changes yet, this
      * node first asks for changes with a later revision, and for everything only if the state still differs later: most
-     * such differences are a change being distributed, and everything is 25 to 230 kB.
+     * such differences are a change being distributed, and everything is 25 to 230 kB. Of a node with the same state it
+     * asks for everything, because it lacks only removals.
      */
-    private ChangesSince since(long now, NodeName peer) {
+    private ChangesSince since(long now, NodeName peer, long digest) {
         Long upTo = receivedPositions.get(peer);
         if (upTo != null) {
             return new ChangesSince.AtPosition(upTo);
         }
         long differentSince = differentSinceNanos.computeIfAbsent(peer, _ -> now);
-        boolean knowsNothing = view.published().position() == 0;
-        return knowsNothing || now - differentSince >= REPLY_TIMEOUT.toNanos()
+        boolean wantsEverything =
+                digest == view.published().digest() || view.published().position() == 0;
+        return wantsEverything || now - differentSince >= REPLY_TIMEOUT.toNanos()
                 ? new ChangesSince.AtPosition(0)
                 : new ChangesSince.AtRevision(view.knownUpTo());
     }
@@ -121,6 +148,7 @@
     /** Notes up to which of its changes a node has sent everything; 0 if its answer does not say. */
     void entriesReceived(NodeName peer, long position) {
         if (position > 0) {
+            removalsKnown = true;
             receivedPositions.merge(peer, position, Math::max);
             differentSinceNanos.remove(peer);
         }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/PublicationUpdates.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PublicationUpdates.java
@@ -61,6 +61,11 @@
         revision = revision.newest(upTo);
     }
 
+    /** Returns whether other nodes are sent the last change of an entry. */
+    boolean isKnown(String key) {
+        return changes.contains(key);
+    }
+
     void forget(String key) {
         changes.discard(key);
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/PublishedView.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PublishedView.java
@@ -156,6 +156,7 @@
         Source source = new Source(from.value(), message.upTo(), now, Map.of());
         apply(now, newer, source);
         newer.forEach(entry -> expectRepublication(now, entry));
+        newer.forEach(entry -> rememberRemoval(entry, source));
         message.entries().forEach(entry -> removeIfKnownRemoved(now, entry, source));
         updates.caughtUp(message.upTo());
         if (configuration.isPresent()) {
@@ -220,6 +221,13 @@
         });
     }
 
+    /** Passes on removals of entries that were never in use here, to nodes that start later. */
+    private void rememberRemoval(KnownEntry received, Source source) {
+        if (received.isRemoved() && !updates.isKnown(received.key())) {
+            updates.changed(received.key(), received.revision().newest(source.asOf()));
+        }
+    }
+
     private void dropped(String key, Copy copy, Revision at, String learnedFrom) {
         digest = UNKNOWN_DIGEST;
         updates.dropped(key, at);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/ChangeLog.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/ChangeLog.java
@@ -34,6 +34,16 @@
         changes.put(key, new Change(++position, at));
     }
 
+    /**
+     * Returns whether a change of an entry is recorded.
+     *
+     * @param key the entry's key
+     * @return whether it is
+     */
+    public boolean contains(String key) {
+        return changes.containsKey(key);
+    }
+
     /**
      * Discards the record of an entry whose removal is no longer remembered.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/publication/PublishedEntries.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/publication/PublishedEntries.java
@@ -119,7 +119,7 @@
     public List<KnownEntry> mergeReceived(Revision upTo, boolean complete, List<KnownEntry> given) {
         List<KnownEntry> newer = new ArrayList<>();
         for (KnownEntry entry : given) {
-            if (entries.containsKey(entry.key()) || !isDiscarded(entry.revision())) {
+            if (entry.isRemoved() || entries.containsKey(entry.key()) || !isDiscarded(entry.revision())) {
                 acceptIfNewer(entry, newer);
             }
         }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/PlatformReturnDaysTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/PlatformReturnDaysTest.java
@@ -15,6 +15,8 @@
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Random scenarios in which the platform is repeatedly restored from older states, while nodes are refused by it,
@@ -38,6 +40,13 @@
         assertEquals(List.of(), breaches);
     }
 
+    /** Guards against a reader that started after a removal and takes an entry that the platform restored for a new copy. */
+    @ParameterizedTest
+    @ValueSource(ints = 1958)
+    void keepLeavingCopiesWithoutWorkFromNodesThatStartLater(int seed) {
+        assertEquals(List.of(), new Scenario(seed).play());
+    }
+
     /** One scenario. Not thread safe. */
     private static final class Scenario {
 
