--- a/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
+++ b/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -270,6 +271,28 @@
             expectGood(second, "two");
         }
 
+        /** Guards against blaming a request for a crash because this side closed the other connections meanwhile. */
+        @Test
+        void areNotReportedWhenThisSideClosesTheOtherConnections() {
+            sendTwo();
+            secondConnection.write(answer("b", "two"));
+            expectGood(secondOfTwo, "two");
+            firstConnection.reset();
+            LoopBench.pause(Duration.ofMillis(3));
+            bench.onLoop(connections::closeIdle);
+            expectUnknown(firstOfTwo);
+        }
+
+        /** Guards against reporting the end of this node's process as a crash of its copy. */
+        @Test
+        void areNotReportedWhenThisNodeStops() {
+            sendTwo();
+            connections.stop().join();
+            LoopBench.pause(Duration.ofMillis(100));
+            bench.onLoop(() -> {});
+            assertTrue(bench.hasNone());
+        }
+
         @Test
         void leaveOutCancelledRequests() {
             AttemptIdentifier first = send("a");
@@ -441,6 +464,27 @@
         }
     }
 
+    @Nested
+    class RestingConnections {
+
+        /** Guards against more connections than the copy accepts, which resets the requests on those beyond its maximum. */
+        @Test
+        void areUsedBeforeTheirTimeIfManyRest() {
+            int many = CopyConnections.MINIMUM_RESTING + 1;
+            List<RawConnection> accepted = new ArrayList<>();
+            for (int i = 0; i < many; i++) {
+                send("a");
+                accepted.add(copy.accept());
+                accepted.getLast().readMessage();
+            }
+            accepted.forEach(connection -> connection.write(answer("a", "one")));
+            accepted.forEach(_ -> bench.next(FleetEvent.CopyAnswered.class));
+            send("b");
+            LoopBench.pause(ARRIVAL);
+            bench.onLoop(() -> assertEquals(many, connections.open().size()));
+        }
+    }
+
     @Nested
     class Refusals {
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/LostLinkTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/LostLinkTest.java
@@ -13,6 +13,7 @@
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.AnswerContent;
 import org.carawaysill.model.request.Body;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
@@ -20,6 +21,7 @@
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
+import org.carawaysill.policy.message.PeerMessage.CancelAttempt;
 import org.carawaysill.policy.message.PeerMessage.CopyAnswer;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
@@ -27,6 +29,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -319,6 +322,40 @@
         }
     }
 
+    @Nested
+    class WithoutRoom {
+
+        /*
+         * Guards against a second run and against "not run" for a request that ran, where links are lost in quick
+         * succession and some answers find no room on their connection.
+         */
+        @ParameterizedTest
+        @CsvSource({"1,0", "2,0", "3,0", "4,0", "1,4", "2,4", "1,50", "2,50", "3,50", "4,50"})
+        void noRequestRunsTwiceOrIsRefusedAfterItsRun(long seed, long noRoom) {
+            settled(700 * MILLI);
+            SplittableRandom random = new SplittableRandom(seed);
+            List<VirtualNode> workers =
+                    List.of(worker, worker("10.1.2.2", 700 * MILLI), worker("10.1.2.3", 700 * MILLI));
+            fleet.runUntil(SETTLED + 2 * SECOND);
+            fleet.noRoom = noRoom;
+            for (int i = 0; i < 400; i++) {
+                String name = "r" + i;
+                long at = SETTLED + 2 * SECOND + i * 200 * MILLI;
+                fleet.at(at, () -> send(name, ONCE, 4 * SECOND));
+                VirtualNode end = workers.get(random.nextInt(workers.size()));
+                fleet.at(at + random.nextLong(200 * MILLI), () -> fleet.resetLink(entry, end));
+            }
+            fleet.runUntil(SETTLED + 120 * SECOND);
+            assertEquals(400, outcomes.size());
+            List<String> wrong = outcomes.entrySet().stream()
+                    .filter(each -> runsOf(each.getKey()).size() > 1
+                            || runsOf(each.getKey()).size() == 1 && each.getValue() instanceof Outcome.NotRun)
+                    .map(each -> each.getKey() + " ran " + runsOf(each.getKey()).size() + " times: " + each.getValue())
+                    .toList();
+            assertEquals(List.of(), wrong);
+        }
+    }
+
     @Nested
     class Questions {
 
@@ -403,6 +440,38 @@
             assertEquals(List.of(), fleet.runs);
         }
 
+        /*
+         * Guards against a second run: the reply to the question of one connection could not be sent, is kept and
+         * delivered over the next one, and the question of that connection has a reply of its own.
+         */
+        @Test
+        void ofTwoConnectionsInQuickSuccessionThatAreBothRepliedDoNotStartASecondRun() {
+            asked();
+            worker.deliver(new FleetEvent.PeerUnsent(
+                    entry.name,
+                    new CopyAnswer(
+                            attempt,
+                            new Outcome.NotRun(
+                                    RefusalReason.DUPLICATE, Duration.ofMillis(50), Step.QUEUE, Optional.empty()),
+                            new LoadReport(1, 1, 0, 0),
+                            List.of())));
+            fleet.resetLink(entry, worker);
+            fleet.runUntil(SETTLED + 9 * SECOND);
+            assertEquals(List.of(worker.copy()), runsOf("r"));
+            assertGood("r");
+        }
+
+        // Guards against "not run" for a request that ran: a late reply to an earlier question is no refusal of it.
+        @Test
+        void thatAreRepliedTwiceNeverMakeARequestAtWorkNotRun() {
+            asked();
+            reply(RefusalReason.DUPLICATE);
+            reply(RefusalReason.DEADLINE);
+            fleet.runUntil(SETTLED + 9 * SECOND);
+            assertEquals(List.of(worker.copy()), runsOf("r"));
+            assertFalse(outcomes.get("r") instanceof Outcome.NotRun, outcomes.toString());
+        }
+
         private List<FleetEffect> decidedOnQuestion(AttemptIdentifier of) {
             return worker.policy.decide(
                     new Moment(fleet.now, fleet.now / MILLI), new FleetEvent.PeerReceived(entry.name, question(of)));
@@ -495,4 +564,107 @@
             assertEquals(0, entry.answersReceived);
         }
     }
+
+    @Nested
+    class WhileConnected {
+
+        private AttemptIdentifier atWork() {
+            settled(9 * SECOND);
+            send("r");
+            fleet.runUntil(SETTLED + 10 * MILLI);
+            return worker.attemptsAtCopy().getFirst();
+        }
+
+        // Guards against an answer that is kept for a next connection where the present one was only full.
+        @Test
+        void anAnswerThatTheLinkHadNoRoomForIsDelivered() {
+            AttemptIdentifier attempt = atWork();
+            worker.deliver(new FleetEvent.PeerUnsent(
+                    entry.name,
+                    new CopyAnswer(
+                            attempt,
+                            new Outcome.Answered(new AnswerContent(200, List.of(), Body.EMPTY)),
+                            new LoadReport(0, 1, 0, 0),
+                            List.of())));
+            fleet.runUntil(SETTLED + SECOND);
+            assertTrue(outcomes.containsKey("r"), "no answer within a second");
+        }
+
+        // Guards against a cancellation that is kept for a next connection where the present one was only full.
+        @Test
+        void aCancellationThatTheLinkHadNoRoomForIsDelivered() {
+            AttemptIdentifier attempt = atWork();
+            entry.deliver(new FleetEvent.PeerUnsent(worker.name, new CancelAttempt(attempt)));
+            fleet.runUntil(SETTLED + 510 * MILLI);
+            assertEquals(List.of(), worker.attemptsAtCopy());
+        }
+    }
+
+    @Nested
+    class OfIdempotentRequests {
+
+        // Guards against ending the run of a request that no other copy can take because its link was reset.
+        @Test
+        void theRunAtTheOnlyCopyGoesOn() {
+            settled(SECOND);
+            send("r", SAFE, TIMEOUT);
+            fleet.runUntil(SETTLED + 20 * MILLI);
+            fleet.resetLink(entry, worker);
+            fleet.runUntil(SETTLED + 9 * SECOND);
+            assertGood("r");
+        }
+    }
+
+    @Nested
+    class PlannedStops {
+
+        // Guards against a client that waits for a node that has told all others that it ends.
+        @Test
+        void ofTheOtherNodeEndWhatTheyCutAtOnce() {
+            settled(9 * SECOND);
+            send("r");
+            fleet.runUntil(SETTLED + 10 * MILLI);
+            worker.deliver(new FleetEvent.StopRequested());
+            while (!worker.stopped) {
+                fleet.runUntil(fleet.now + MILLI);
+            }
+            long ended = fleet.now;
+            worker.kill();
+            fleet.runUntil(ended + 4 * SECOND);
+            assertTrue(answeredAt.get("r") <= ended + 500 * MILLI, "after ms " + (answeredAt.get("r") - ended) / MILLI);
+        }
+
+        // Guards against a process that ends while it keeps an answer for a link that is dialled again.
+        @Test
+        void waitForTheLinkOfAnAnswerThatIsKept() {
+            settled(2700 * MILLI);
+            send("r");
+            fleet.runUntil(SETTLED + 10 * MILLI);
+            worker.deliver(new FleetEvent.StopRequested());
+            fleet.runUntil(SETTLED + 2690 * MILLI);
+            fleet.resetLink(entry, worker);
+            while (!worker.stopped) {
+                fleet.runUntil(fleet.now + MILLI);
+            }
+            worker.kill();
+            fleet.runUntil(SETTLED + 9 * SECOND);
+            assertGood("r");
+        }
+    }
+
+    @Nested
+    class UnpublishedNodes {
+
+        // Guards against a node that ends the runs of another one that serves its clients without a published copy.
+        @ParameterizedTest
+        @ValueSource(strings = {ONCE, SAFE})
+        void keepTheirRunsAtOtherCopies(String path) {
+            settled(5 * SECOND);
+            entry.unpublish();
+            fleet.runUntil(SETTLED + 18 * SECOND);
+            send("r", path, 9 * SECOND);
+            fleet.runUntil(SETTLED + 30 * SECOND);
+            assertGood("r");
+        }
+    }
 }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -71,6 +71,9 @@
     long now = 1000 * MILLI;
     boolean platformDown;
     /** Connections that silently drop all messages. */
+    /** One in this number of answers and cancellations finds no room on its connection; 0 for none. */
+    long noRoom;
+
     private final Set<Set<NodeName>> silenced = new HashSet<>();
     /** Pairs of nodes that can't connect to each other. */
     private final Set<Set<NodeName>> cut = new HashSet<>();
@@ -500,10 +503,11 @@
                 case FleetEffect.Log logged -> log.add(logged.decision());
                 case FleetEffect.StopProcess _ -> stopped = true;
                 case FleetEffect.ResetPeer reset -> reset(reset.peer());
+                // The other node, which still knows this one, dials again.
+                case FleetEffect.DisconnectPeer disconnect -> reset(disconnect.peer());
                 case FleetEffect.Count _,
                         FleetEffect.CloseIdleCopyConnections _,
                         FleetEffect.ShowSuspects _,
-                        FleetEffect.DisconnectPeer _,
                         FleetEffect.ApplyClientLimits _ -> {}
             }
         }
@@ -535,7 +539,10 @@
             if (message instanceof PeerMessage.CopyRequest && crosses) {
                 sentAcrossZones++;
             }
-            if (!connected.contains(peer)) {
+            boolean mayFindNoRoom =
+                    message instanceof PeerMessage.CopyAnswer || message instanceof PeerMessage.CancelAttempt;
+            boolean full = mayFindNoRoom && noRoom > 0 && random.nextLong(noRoom) == 0;
+            if (full || !connected.contains(peer)) {
                 at(now, () -> deliver(new FleetEvent.PeerUnsent(peer, message)));
                 return;
             }
