Don't take the connections that this node closes for the end of the copy

What callers saw: a request was suspected of a crash, and refused or run one by one, where its connection was reset and this node closed the other, idle ones within 10 ms of it.

Cause: the check whether the copy has ended counted every connection that was open at the first loss and is gone at the end, whoever closed it. A node that stops also reported its own closes.

Change: a connection that this node closes for a reason of its own leaves the check; after the stop of the pool there are no checks.

Measured: CopyConnectionsTest.Crashes.areNotReportedWhenThisSideClosesTheOtherConnections and areNotReportedWhenThisNodeStops fail before, pass after; the other 35 tests pass unchanged.

--- a/node/src/main/java/org/carawaysill/node/observation/ConnectionEnd.java
+++ b/node/src/main/java/org/carawaysill/node/observation/ConnectionEnd.java
@@ -15,5 +15,17 @@
     /** This node closed it because no request needs it. */
     IDLE,
     /** This node closed it because the node stops. */
-    NODE_STOPS
+    NODE_STOPS;
+
+    /**
+     * Returns whether this node closed the connection for a reason of its own.
+     *
+     * @return whether the end says nothing about the copy's process
+     */
+    public boolean isOfThisNode() {
+        return switch (this) {
+            case COPY_CLOSED, COPY_RESET, WRITE_FAILED -> false;
+            case BAD_ANSWER, CANCELLED, IDLE, NODE_STOPS -> true;
+        };
+    }
 }
--- a/node/src/main/java/org/carawaysill/node/upstream/BrokenExchanges.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/BrokenExchanges.java
@@ -43,6 +43,11 @@
         return true;
     }
 
+    /** Ignores a connection that this side closes, since its end says nothing about the copy. */
+    void ignore(CopyConnection closedHere) {
+        others.remove(closedHere);
+    }
+
     /** Returns whether other connections were open when the first one ended, and all of them have ended since. */
     boolean haveAllOthersEnded(Collection<CopyConnection> open) {
         return !others.isEmpty() && !isAnyOtherOpen(open);
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
@@ -341,7 +341,7 @@
         logEnd();
         // Closing may fail a pending write, which must not be treated as the end of a request.
         exchange = Optional.empty();
-        close();
+        close(ConnectionEnd.CANCELLED);
     }
 
     private void logEnd() {
@@ -355,6 +355,9 @@
 
     void close(ConnectionEnd reason) {
         recordEnd(reason);
+        if (reason.isOfThisNode()) {
+            pool.closedHere(this);
+        }
         close();
     }
 
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -129,6 +129,7 @@
     public CompletableFuture<Void> stop() {
         CompletableFuture<Void> closed = new CompletableFuture<>();
         eventLoop.execute(() -> {
+            endCheck.stop();
             List.copyOf(all).forEach(connection -> connection.close(ConnectionEnd.NODE_STOPS));
             closed.complete(null);
         });
@@ -253,6 +254,11 @@
         endCheck.add(exchange);
     }
 
+    /** Notes that this side closes a connection, which says nothing about the copy. */
+    void closedHere(CopyConnection connection) {
+        endCheck.ignore(connection);
+    }
+
     /** Returns the connections that have not ended. */
     Set<CopyConnection> open() {
         return Collections.unmodifiableSet(all);
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyEndCheck.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyEndCheck.java
@@ -31,6 +31,7 @@
     private final CopyConnections pool;
     private final BrokenExchanges broken = new BrokenExchanges();
     private ProbeResult lastProbe = ProbeResult.FAILED;
+    private boolean stopped;
 
     CopyEndCheck(CopyConnections pool) {
         this.pool = pool;
@@ -38,11 +39,21 @@
 
     /** Adds an exchange whose connection ended, and starts a check unless one is in progress. */
     void add(BrokenExchange exchange) {
-        if (broken.add(exchange, pool.open())) {
+        if (!stopped && broken.add(exchange, pool.open())) {
             probe();
         }
     }
 
+    /** Ignores a connection that this side closes. */
+    void ignore(CopyConnection connection) {
+        broken.ignore(connection);
+    }
+
+    /** Starts no more checks: this node closes all connections. */
+    void stop() {
+        stopped = true;
+    }
+
     private void probe() {
         CopyConnection connection = pool.newConnection();
         pool.openConnection(connection, PROBE_LIMIT_MILLIS)
@@ -51,13 +62,13 @@
 
     private void probed(CopyConnection connection, ChannelFuture connected) {
         lastProbe = result(connected);
-        switch (lastProbe) {
-            case ACCEPTED -> {
-                pool.opened(connection);
-                afterSettling(() -> settled(connection));
-            }
-            case REFUSED -> afterSettling(this::settledAfterRefusal);
-            case TIMED_OUT, FAILED -> onlyConnectionsEnded();
+        if (lastProbe == ProbeResult.ACCEPTED) {
+            pool.opened(connection);
+            afterSettling(() -> settled(connection));
+        } else if (lastProbe == ProbeResult.REFUSED) {
+            afterSettling(this::settledAfterRefusal);
+        } else {
+            onlyConnectionsEnded();
         }
     }
 
