Bound the connections that rest, and let them rest longer

Cause: while all idle connections rested, each request opened another one, without a bound; a copy resets connections beyond its maximum, and the requests on them count as possibly run.

Change: where as many connections rest as requests are in flight and eight more, the one that has rested longest is used before its time.

--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -69,7 +69,10 @@
      * How long a connection rests after an answer before it carries another request. Guards against bytes that a faulty
      * copy sends shortly after an answer: they would end the next request while the copy runs it.
      */
-    static final Duration REST = Duration.ofMillis(20);
+    static final Duration REST = Duration.ofMillis(50);
+
+    /** How many connections may rest at the same time, beside one for each request in flight. */
+    static final int MINIMUM_RESTING = 8;
 
     private static final Duration UNREACHABLE_RETRY_AFTER = Duration.ofMillis(500);
 
@@ -156,7 +159,10 @@
         }
     }
 
-    /** Takes the connection that was used last, so that surplus connections reach their idle limit. */
+    /**
+     * Takes the connection that was used last, so that surplus connections reach their idle limit. If too many rest, the
+     * one that has rested longest is taken before its time: a copy resets connections beyond its maximum.
+     */
     private Optional<CopyConnection> takeIdle() {
         long now = System.nanoTime();
         Iterator<CopyConnection> lastUsedFirst = idle.descendingIterator();
@@ -164,15 +170,37 @@
             CopyConnection candidate = lastUsedFirst.next();
             if (candidate.hasRested(now, REST)) {
                 lastUsedFirst.remove();
-                if (candidate.isUsable(now) && !candidate.hasInput()) {
+                if (isIntact(candidate, now)) {
                     return Optional.of(candidate);
                 }
-                candidate.close(ConnectionEnd.IDLE);
+            }
+        }
+        return takeResting(now);
+    }
+
+    private Optional<CopyConnection> takeResting(long now) {
+        while (idle.size() >= running.size() + MINIMUM_RESTING) {
+            CopyConnection longestRested = idle.pollFirst();
+            if (isIntact(longestRested, now)) {
+                return Optional.of(longestRested);
             }
         }
         return Optional.empty();
     }
 
+    /** Returns whether an idle connection may carry a request, and closes it if not. */
+    private static boolean isIntact(CopyConnection candidate, long now) {
+        if (!candidate.isUsable(now)) {
+            candidate.close(ConnectionEnd.IDLE);
+            return false;
+        }
+        if (candidate.hasInput()) {
+            candidate.close(ConnectionEnd.COPY_CLOSED);
+            return false;
+        }
+        return true;
+    }
+
     private void connect(CopyExchange exchange) {
         CopyConnection connection = newConnection();
         openConnection(connection, CONNECT_LIMIT_MILLIS)
