Keep a link wait while its attempt is at work, so that no second reply counts as not run

Cause: the first reply to a question ended the wait, and the next reply, of a later question or a kept one, counted as the refusal of the attempt: the request ran again, or got 503 though it ran.

Change: an attempt at work stays in LinkWaits until it ends or is cancelled; further DUPLICATE replies are ignored, refusals that can't be the attempt's own make it lost. Replies to questions are not kept for the next connection, which has a question of its own.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/LinkWaits.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LinkWaits.java
@@ -20,8 +20,9 @@
  * the answers made meanwhile; then this node asks for each attempt that is left. One that is still at work goes on as
  * usual. Of one that is not there, either the request or its answer was lost on the way, so it may have run.
  *
- * <p>Invariants: no attempt waits longer than {@link #LIMIT}; the reply to a question never counts as "not run". Not
- * thread safe: owned by the policy.
+ * <p>Invariants: no attempt waits longer than {@link #LIMIT}, unless the other node said that it is at work on it; no
+ * reply to a question counts as "not run", however many there are and however late they come. Not thread safe: owned by
+ * the policy.
  */
 final class LinkWaits {
 
@@ -41,16 +42,27 @@
      * @param request its request
      * @param peer the other node
      * @param sinceNanos when its connection ended
-     * @param asked whether the other node was asked for it on the present connection
+     * @param asked whether the other node was ever asked for it
+     * @param atWork whether the other node replied on the present connection that it has the attempt; the wait is kept
+     *     because replies to further questions may come
      */
-    private record Wait(OutgoingRequest request, NodeName peer, long sinceNanos, boolean asked) {
+    private record Wait(OutgoingRequest request, NodeName peer, long sinceNanos, boolean asked, boolean atWork) {
 
-        private Wait asking(boolean whether) {
-            return new Wait(request, peer, sinceNanos, whether);
+        private Wait asking() {
+            return new Wait(request, peer, sinceNanos, true, atWork);
+        }
+
+        private Wait atWorkThere() {
+            return new Wait(request, peer, sinceNanos, asked, true);
+        }
+
+        /** The wait for the next connection after the one on which the other node said that it has the attempt. */
+        private Wait again(long now) {
+            return new Wait(request, peer, now, asked, false);
         }
 
         private long untilNanos() {
-            return sinceNanos + LIMIT.toNanos();
+            return atWork ? Long.MAX_VALUE : sinceNanos + LIMIT.toNanos();
         }
     }
 
@@ -62,9 +74,9 @@
     /** Holds an attempt whose connection ended; one that waited already does not wait longer for that. */
     void hold(long now, AttemptIdentifier attempt, OutgoingRequest request, NodeName peer) {
         Wait known = waits.get(attempt);
-        Wait wait = known == null ? new Wait(request, peer, now, false) : known.asking(false);
-        waits.put(attempt, wait);
-        if (known == null) {
+        if (known == null || known.atWork()) {
+            Wait wait = known == null ? new Wait(request, peer, now, false, false) : known.again(now);
+            waits.put(attempt, wait);
             log(now, wait, "waits");
         }
     }
@@ -89,7 +101,7 @@
     private void ask(AttemptIdentifier attempt) {
         Wait wait = waits.get(attempt);
         wait.request().copy().ifPresent(copy -> {
-            waits.put(attempt, wait.asking(true));
+            waits.put(attempt, wait.asking());
             effects.add(new FleetEffect.SendToPeer(
                     wait.peer(), CopyRequests.question(wait.request(), copy, attempt, callerService)));
         });
@@ -106,8 +118,10 @@
             return Optional.of(outcome);
         }
         if (notRun.reason() == RefusalReason.DUPLICATE) {
-            waits.remove(attempt);
-            log(now, wait, "at_work");
+            if (!wait.atWork()) {
+                waits.put(attempt, wait.atWorkThere());
+                log(now, wait, "at_work");
+            }
             return Optional.empty();
         }
         return Optional.of(isOfTheAttempt(notRun.reason()) ? outcome : lost(wait.peer()));
@@ -128,7 +142,7 @@
     /** Notes the outcome of an attempt, which may have waited. */
     void ended(long now, AttemptIdentifier attempt, Outcome outcome) {
         Wait wait = waits.remove(attempt);
-        if (wait != null) {
+        if (wait != null && !wait.atWork()) {
             String state = switch (outcome) {
                 case Outcome.Answered _ -> "answered";
                 case Outcome.NotRun _ -> "not_run";
--- a/policy/src/main/java/org/carawaysill/policy/fleet/UnsentMessages.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/UnsentMessages.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.Step;
 import org.carawaysill.policy.message.PeerMessage;
 
 /**
@@ -43,7 +45,7 @@
 
     /** Keeps a message if it is an answer or a cancellation and there is room for it. */
     void unsent(long now, NodeName receiver, PeerMessage message) {
-        if (!(message instanceof PeerMessage.CopyAnswer || message instanceof PeerMessage.CancelAttempt)) {
+        if (!isKept(message)) {
             return;
         }
         passTime(now);
@@ -55,6 +57,24 @@
         }
     }
 
+    /**
+     * Returns whether a message is kept. The reply to a question is not: the next connection has a question of its own,
+     * and the reply to the earlier one may be outdated by then.
+     */
+    private static boolean isKept(PeerMessage message) {
+        return switch (message) {
+            case PeerMessage.CopyAnswer answer -> !mayReplyToQuestion(answer.outcome());
+            case PeerMessage.CancelAttempt _ -> true;
+            default -> false;
+        };
+    }
+
+    private static boolean mayReplyToQuestion(Outcome outcome) {
+        return outcome instanceof Outcome.NotRun notRun
+                && (notRun.reason() == RefusalReason.DUPLICATE
+                        || notRun.reason() == RefusalReason.DEADLINE && notRun.step() == Step.QUEUE);
+    }
+
     /** Sends the messages for a node that is connected again; drops them if it is another process. */
     void connected(long now, NodeName receiver, boolean sameProcess) {
         passTime(now);
