Let a planned stop wait for kept answers and tell other nodes which runs it ends

Cause: a process ended while it kept an answer for a link that was dialled again, and its end left the senders of running requests to wait 2 s for a link to a process that was gone.

Change: a stop is complete once nothing, kept answers included, has been left for 20 ms; an unsent answer comes back only after it was sent. 20 ms before the process ends in any case, the running requests of other nodes are answered as possibly run.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -88,7 +88,7 @@
                 random);
         unsentMessages = new UnsentMessages(effects);
         loads = new ServiceLoads(settings, view, reachableNodes, state, localRuns);
-        plannedStop = new PlannedStop(effects, outgoing, localRuns);
+        plannedStop = new PlannedStop(effects, outgoing, localRuns, unsentMessages);
         nextTickNanos = now;
         lastNanos = now;
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -322,6 +322,14 @@
         startNext(now);
     }
 
+    /** Ends the running requests of other nodes, which learn at once that they may have run: this process ends. */
+    void endRunsOfOtherNodes(long now) {
+        gate.all().stream()
+                .filter(run -> run.isRunning() && run.sender().isPresent())
+                .toList()
+                .forEach(run -> endAsUnknown(now, run, UnknownReason.PEER_LOST));
+    }
+
     /** Notes that the process that sent these requests has ended: its successor must not get their answers. */
     void senderRestarted(NodeName sender) {
         runsOf(sender).forEach(LocalRun::senderEnded);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
@@ -42,6 +42,19 @@
      */
     private static final Duration SHORTEST_LAST_RUN = Duration.ofMillis(300);
 
+    /**
+     * How long before the process ends in any case the requests of other nodes that still run at the copy are answered
+     * as possibly run: enough for the answers to arrive. Guards against senders that wait for the link to a process that
+     * has ended.
+     */
+    private static final Duration END_RUNS_BEFORE_END = Duration.ofMillis(20);
+
+    /**
+     * How long nothing must be left to do before the process ends. Guards against an answer that its connection has no
+     * room for, or that meets a lost connection: this becomes known only after it was sent.
+     */
+    private static final Duration IDLE_BEFORE_END = Duration.ofMillis(20);
+
     /** How many times its usual time a request may take at the copy to end before the process does. */
     private static final int USUAL_RUNS_LEFT = 2;
 
@@ -53,18 +66,23 @@
 
     private static final long NOT_ORDERED = Long.MAX_VALUE;
 
+    private static final long NOT_IDLE = Long.MAX_VALUE;
+
     private final Effects effects;
     private final OutgoingRequests outgoing;
     private final LocalRuns localRuns;
+    private final UnsentMessages unsentMessages;
     private long orderedNanos = NOT_ORDERED;
+    private long idleSinceNanos = NOT_IDLE;
     private boolean leavingAnnounced;
     private boolean lateLogged;
     private boolean ended;
 
-    PlannedStop(Effects effects, OutgoingRequests outgoing, LocalRuns localRuns) {
+    PlannedStop(Effects effects, OutgoingRequests outgoing, LocalRuns localRuns, UnsentMessages unsentMessages) {
         this.effects = effects;
         this.outgoing = outgoing;
         this.localRuns = localRuns;
+        this.unsentMessages = unsentMessages;
     }
 
     void order(long now) {
@@ -108,12 +126,16 @@
                 refuseClientsAfter(limit),
                 closeCopyAfter(limit),
                 limit.minus(LATE_BEFORE_END),
+                endRunsAfter(limit),
                 limit.minus(STOP_MARGIN))) {
             long due = orderedNanos + step.toNanos();
             if (due > now) {
                 next = Math.min(next, due);
             }
         }
+        if (idleSinceNanos != NOT_IDLE && idleSinceNanos + IDLE_BEFORE_END.toNanos() > now) {
+            next = Math.min(next, idleSinceNanos + IDLE_BEFORE_END.toNanos());
+        }
         return next;
     }
 
@@ -131,9 +153,12 @@
         if (stopping >= closeCopyAfter(limit).toNanos()) {
             localRuns.close(now);
         }
-        boolean idle = outgoing.isEmpty() && localRuns.isEmpty();
+        if (stopping >= endRunsAfter(limit).toNanos()) {
+            localRuns.close(now);
+            localRuns.endRunsOfOtherNodes(now);
+        }
         boolean over = stopping >= limit.minus(STOP_MARGIN).toNanos();
-        if (over || idle && refusesClients) {
+        if (over || hasBeenIdle(now) && refusesClients) {
             ended = true;
             effects.log(new Decision.NodeChanged("stopped", pendingWork() + tookMillis(stopping)));
             outgoing.setIntake(Arrivals.Intake.NOTHING);
@@ -142,6 +167,17 @@
         }
     }
 
+    /** Returns whether nothing has been left to do for {@link #IDLE_BEFORE_END}. */
+    private boolean hasBeenIdle(long now) {
+        boolean idle = outgoing.isEmpty() && localRuns.isEmpty() && !unsentMessages.holdsAnswers();
+        idleSinceNanos = idle ? Math.min(idleSinceNanos, now) : NOT_IDLE;
+        return idle && now - idleSinceNanos >= IDLE_BEFORE_END.toNanos();
+    }
+
+    private static Duration endRunsAfter(Duration limit) {
+        return limit.minus(STOP_MARGIN).minus(END_RUNS_BEFORE_END);
+    }
+
     private static Duration refuseClientsAfter(Duration limit) {
         Duration half = limit.minus(STOP_MARGIN).dividedBy(2);
         return half.compareTo(REFUSE_CLIENTS_AFTER) < 0 ? half : REFUSE_CLIENTS_AFTER;
--- a/policy/src/main/java/org/carawaysill/policy/fleet/UnsentMessages.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/UnsentMessages.java
@@ -87,6 +87,13 @@
         }
     }
 
+    /** Returns whether an answer waits for its receiver's connection. */
+    boolean holdsAnswers() {
+        return byReceiver.values().stream()
+                .flatMap(List::stream)
+                .anyMatch(kept -> kept.message() instanceof PeerMessage.CopyAnswer);
+    }
+
     /** Drops the messages that nobody waits for any more. */
     void passTime(long now) {
         byReceiver
