Send kept messages and questions again over a connection that had no room

Cause: an answer or cancellation that found no room on a connection was kept for the next connection, which may never come: the client got no answer, and the copy worked on for a client that had left. An unsent question was never asked again, so that an attempt at work ended as lost.

A question for an attempt whose answer is kept gets that answer instead of the reply that the attempt is not there.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -143,7 +143,7 @@
         long now = moment.nanos();
         peers.received(now, from);
         switch (message) {
-            case PeerMessage.CopyRequest request -> localRuns.accept(now, Optional.of(from), request);
+            case PeerMessage.CopyRequest request -> requested(now, from, request);
             case PeerMessage.CopyAnswer answer -> outgoing.peerAnswered(now, from, answer);
             case PeerMessage.CancelAttempt cancel -> localRuns.cancelled(now, cancel.attempt());
             case PeerMessage.NodeReport report -> reported(now, from, report);
@@ -182,6 +182,16 @@
         }
     }
 
+    /**
+     * Accepts an attempt or a question. Guards against the reply that an attempt is not here while its answer waits to
+     * be sent: the answer replies to the question.
+     */
+    private void requested(long now, NodeName from, PeerMessage.CopyRequest request) {
+        if (!CopyRequests.isQuestion(request) || !unsentMessages.holdsAnswerTo(from, request.attempt())) {
+            localRuns.accept(now, Optional.of(from), request);
+        }
+    }
+
     private void reported(long now, NodeName from, NodeReport report) {
         peers.reported(now, from, report);
         state.reported(now, from, report);
@@ -257,6 +267,7 @@
         exchange.passTime(now);
         localRuns.passTime(now);
         outgoing.passTime(now);
+        unsentMessages.sendAgain(now, peers::isConnected);
         showReadiness(now);
         if (plannedStop.isAnnouncementDue(now)) {
             announceLeaving(now);
@@ -359,6 +370,7 @@
     public long nextWakeNanos() {
         long control = Math.min(Math.min(nextTickNanos, view.dueNanos()), exchange.nextNanos());
         long stop = plannedStop.nextNanos(lastNanos, settings.stopLimit());
-        return Math.min(Math.min(control, stop), Math.min(localRuns.nextNanos(), outgoing.nextNanos()));
+        long requests = Math.min(localRuns.nextNanos(), outgoing.nextNanos());
+        return Math.min(Math.min(control, stop), Math.min(requests, unsentMessages.nextNanos(peers::isConnected)));
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LinkWaits.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LinkWaits.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
@@ -35,6 +36,8 @@
     private final Effects effects;
     private final ServiceName callerService;
     private final Map<AttemptIdentifier, Wait> waits = new LinkedHashMap<>();
+    /** When the questions that found no room on their connection are asked again. */
+    private final Map<AttemptIdentifier, Long> askAgainNanos = new LinkedHashMap<>();
 
     /**
      * An attempt that waits.
@@ -107,6 +110,28 @@
         });
     }
 
+    /** Notes that a question was not sent; if the connection had no room, it is asked again over it. */
+    void unsent(long now, AttemptIdentifier attempt) {
+        if (waits.containsKey(attempt)) {
+            askAgainNanos.put(attempt, now + UnsentMessages.SEND_AGAIN_AFTER.toNanos());
+        }
+    }
+
+    /** Asks again the questions that found no room; the next connection asks for itself. */
+    void askAgain(long now, Predicate<NodeName> isConnected) {
+        List<AttemptIdentifier> due = askAgainNanos.entrySet().stream()
+                .filter(entry -> entry.getValue() <= now)
+                .map(Map.Entry::getKey)
+                .toList();
+        for (AttemptIdentifier attempt : due) {
+            askAgainNanos.remove(attempt);
+            Wait wait = waits.get(attempt);
+            if (wait != null && !wait.atWork() && isConnected.test(wait.peer())) {
+                ask(attempt);
+            }
+        }
+    }
+
     /**
      * Returns the outcome of an attempt that the other node's message shows, empty if the attempt is still at work.
      *
@@ -158,9 +183,6 @@
 
     /** Returns the attempts that have waited for the whole limit. */
     List<AttemptIdentifier> overdue(long now) {
-        if (nextNanos() > now) {
-            return List.of();
-        }
         return waits.entrySet().stream()
                 .filter(entry -> entry.getValue().untilNanos() <= now)
                 .map(Map.Entry::getKey)
@@ -172,6 +194,9 @@
         for (Wait wait : waits.values()) {
             next = Math.min(next, wait.untilNanos());
         }
+        for (long again : askAgainNanos.values()) {
+            next = Math.min(next, again);
+        }
         return next;
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -312,7 +312,9 @@
     }
 
     void unsent(long now, CopyRequest message) {
-        if (!CopyRequests.isQuestion(message)) {
+        if (CopyRequests.isQuestion(message)) {
+            linkWaits.unsent(now, message.attempt());
+        } else {
             Outcome outcome = notRun(RefusalReason.PEER_UNREACHABLE, UNREACHABLE_RETRY_AFTER, Step.PEER_SEND);
             answered(now, message.attempt(), outcome, List.of());
         }
@@ -345,6 +347,7 @@
     }
 
     void passTime(long now) {
+        linkWaits.askAgain(now, peers::isConnected);
         for (AttemptIdentifier attempt : linkWaits.overdue(now)) {
             NodeName peer = byAttempt.get(attempt).copy().orElseThrow().node();
             answered(now, attempt, LinkWaits.lost(peer), List.of());
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
@@ -237,6 +237,12 @@
                 && now - peer.leavingNanos < LAST_RESORT_PERIOD.toNanos();
     }
 
+    /** Returns whether there is a connection to a node, be it responsive or not. */
+    boolean isConnected(NodeName name) {
+        Peer peer = known.get(name);
+        return peer != null && peer.connected;
+    }
+
     List<NodeName> connected() {
         List<NodeName> names = new ArrayList<>();
         known.forEach((name, peer) -> {
