Keep the connection to an unpublished node while one of the two has requests at the other

Cause: a node disconnected others 20 s after their copies were unpublished, whatever they still did; one that serves its clients without a copy lost the runs of its idempotent requests.

Change: while replies of the other node are pending or its requests are at the local copy, the connection is kept for up to 60 s.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -278,7 +278,7 @@
     private void tick(long now) {
         view.passTime(now);
         suspects.passTime(now);
-        peers.passTime(now, outgoing.nodesWithPendingReply());
+        peers.passTime(now, outgoing.nodesWithPendingReply(), localRuns.senders());
         localRuns.endOverdue(now);
         unsentMessages.passTime(now);
         localRuns.logLimit(now);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.carawaysill.model.fleet.CopyRecord;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.NodeName;
@@ -90,6 +92,13 @@
         return gate.all().stream().filter(LocalRun::isRunning).count();
     }
 
+    /** Returns the other nodes whose requests wait or run here. */
+    Set<NodeName> senders() {
+        Set<NodeName> senders = new HashSet<>();
+        gate.all().forEach(run -> run.sender().ifPresent(senders::add));
+        return senders;
+    }
+
     /** Applies the published record of the local copy. */
     void published(Moment moment, CopyRecord record) {
         long now = moment.nanos();
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
@@ -48,6 +48,12 @@
     /** How long the connection to an unpublished node is kept, so that the node can finish its requests. */
     private static final Duration FORGET_AFTER = Duration.ofSeconds(20);
 
+    /**
+     * How long the connection to an unpublished node is kept at most, while one of the two nodes has requests at the
+     * other. Guards against connections that are dialled for ever, for requests that never end.
+     */
+    private static final Duration FORGET_BUSY_AFTER = Duration.ofSeconds(60);
+
     /**
      * How long after its notice a leaving node still gets work that no other node can take. It ends a second after its
      * notice at the earliest, and everything sent to it must have arrived by then.
@@ -88,10 +94,16 @@
         }
     }
 
-    private void disconnectMissing(long now) {
+    /**
+     * Disconnects nodes that have been unpublished for long. Guards against the end of a run of a node that serves its
+     * clients without a published copy, which the end of the connection would cancel.
+     */
+    private void disconnectMissing(long now, Set<NodeName> withPendingReply, Set<NodeName> withRunsHere) {
         for (Map.Entry<NodeName, Peer> entry : new ArrayList<>(known.entrySet())) {
             Peer peer = entry.getValue();
-            if (peer.wanted && now - FORGET_AFTER.toNanos() > peer.missingNanos) {
+            boolean busy = withPendingReply.contains(entry.getKey()) || withRunsHere.contains(entry.getKey());
+            Duration kept = busy ? FORGET_BUSY_AFTER : FORGET_AFTER;
+            if (peer.wanted && now - kept.toNanos() > peer.missingNanos) {
                 peer.wanted = false;
                 effects.add(new FleetEffect.DisconnectPeer(entry.getKey()));
                 if (!peer.connected) {
@@ -165,9 +177,10 @@
      * Suspects and resets silent connections, and disconnects nodes that have been unpublished for long.
      *
      * @param nodesWithPendingReply the nodes with a pending reply
+     * @param nodesWithRunsHere the nodes whose requests wait or run at the local copy
      */
-    void passTime(long now, Set<NodeName> nodesWithPendingReply) {
-        disconnectMissing(now);
+    void passTime(long now, Set<NodeName> nodesWithPendingReply, Set<NodeName> nodesWithRunsHere) {
+        disconnectMissing(now, nodesWithPendingReply, nodesWithRunsHere);
         nodesWithPendingReply.forEach(name -> peer(name).resumeWait(now));
         known.forEach((name, peer) -> checkSilence(now, name, peer));
     }
