Send no work to a node that was leaving already when its connection began

What callers saw: a request was cut at a copy that was at work on it, 1.06 s after it had begun, when the process of the node beside it ended; its client got an answer that says it may have run.

Cause: a node that has announced its stop gets work that no other node can take for 0.4 s more. A node that had just started counted these from the first report that it heard, 3.9 s after the announcement.

PlannedStopTest.RequestsOfOtherNodes.fromANodeThatHasJustStartedDoNotReachANodeLateInItsStop: 4 runs before, 1 after.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
@@ -131,6 +131,7 @@
         peer.received(now);
         peer.suspected = false;
         peer.leaving = false;
+        peer.reported = false;
         effects.log(new Decision.DependencyChanged(
                 "node " + name, "connected", "peers=" + connected().size()));
         return sameProcess;
@@ -159,8 +160,10 @@
         peer.readsPlatform = report.readsPlatform();
         if (report.leaving() && !peer.leaving) {
             peer.leaving = true;
-            peer.leavingNanos = now;
+            // A node that leaves when it connects announced that to others at an unknown time before.
+            peer.leavingNanos = peer.reported ? now : now - LAST_RESORT_PERIOD.toNanos();
         }
+        peer.reported = true;
     }
 
     /** Notes that a message was sent that the other node answers. */
@@ -290,6 +293,7 @@
         private boolean connected;
         private boolean suspected;
         private boolean leaving;
+        private boolean reported;
         private boolean readsPlatform;
         private boolean probed;
         private OptionalLong incarnation = OptionalLong.empty();
--- a/policy/src/test/java/org/carawaysill/policy/fleet/PlannedStopTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/PlannedStopTest.java
@@ -275,5 +275,27 @@
             outcomes.forEach((name, outcome) ->
                     assertTrue(outcome instanceof Outcome.NotRun || Outcomes.isGood(outcome), name + " " + outcome));
         }
+
+        /** Guards against work that a node which has just started sends to one late in its stop, where it is cut. */
+        @Test
+        void fromANodeThatHasJustStartedDoNotReachANodeLateInItsStop() {
+            fleet.configure(route("/front/", "front", 900), route("/back/", "back", 30_000));
+            VirtualNode entry = node("front", "10.1.1.1");
+            VirtualNode stopping = node("back", "10.1.2.1");
+            fleet.runUntil(SENT);
+            stopping.silent = true;
+            fleet.send(entry, "long", "/back/", 30 * SECOND, (_, _) -> {});
+            fleet.runUntil(ORDERED);
+            stopping.deliver(new FleetEvent.StopRequested());
+            fleet.runUntil(ORDERED + 2500 * MILLI);
+            entry.kill();
+            entry.restart();
+            for (int i = 0; i < 100; i++) {
+                fleet.runUntil(fleet.now + 10 * MILLI);
+                fleet.send(entry, "late" + i, "/back/", 10 * SECOND, (_, _) -> {});
+            }
+            assertFalse(stopping.stopped);
+            assertEquals(1, fleet.runs.size());
+        }
     }
 }
