Name the spare resting connections for what they are

The constant is no minimum: it is how many more connections may rest than requests are in flight. A name and its comment only; CopyConnectionsTest passes, 38 tests, formatter and linter of the modules up to node are clean.

--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -71,8 +71,8 @@
      */
     static final Duration REST = Duration.ofMillis(50);
 
-    /** How many connections may rest at the same time, beside one for each request in flight. */
-    static final int MINIMUM_RESTING = 8;
+    /** How many more connections may rest at the same time than requests are in flight. */
+    static final int SPARE_RESTING = 8;
 
     private static final Duration UNREACHABLE_RETRY_AFTER = Duration.ofMillis(500);
 
@@ -179,7 +179,7 @@
     }
 
     private Optional<CopyConnection> takeResting(long now) {
-        while (idle.size() >= running.size() + MINIMUM_RESTING) {
+        while (idle.size() >= running.size() + SPARE_RESTING) {
             CopyConnection longestRested = idle.pollFirst();
             if (isIntact(longestRested, now)) {
                 return Optional.of(longestRested);
--- a/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
+++ b/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
@@ -470,7 +470,7 @@
         /** Guards against more connections than the copy accepts, which resets the requests on those beyond its maximum. */
         @Test
         void areUsedBeforeTheirTimeIfManyRest() {
-            int many = CopyConnections.MINIMUM_RESTING + 1;
+            int many = CopyConnections.SPARE_RESTING + 1;
             List<RawConnection> accepted = new ArrayList<>();
             for (int i = 0; i < many; i++) {
                 send("a");
