Log and count what the answers of a copy state about it

A value that is no decimal number, or stands twice with different values, is Unreadable and changes nothing. No decision reads any of it yet.

--- a/node/src/main/java/org/carawaysill/node/entry/WireDialect.java
+++ b/node/src/main/java/org/carawaysill/node/entry/WireDialect.java
@@ -12,6 +12,8 @@
  * @param notRun the copy's statement that it did not run a request
  * @param callerService the service beside which a request entered the fleet
  * @param organisation the organisation whose key a request carried; sent to copies
+ * @param rateLimit the copy's statement of how many requests a second it takes
+ * @param leaving the copy's statement that it leaves: 1
  * @param keyScheme the authentication scheme of an organisation's key in the Authorization field
  * @param fractionalRetryAfter whether Retry-After may be a fraction of a second
  */
@@ -23,6 +25,8 @@
         String notRun,
         String callerService,
         String organisation,
+        String rateLimit,
+        String leaving,
         String keyScheme,
         boolean fractionalRetryAfter) {
 
@@ -35,6 +39,8 @@
             "Carawaysill-Not-Run",
             "Carawaysill-Calling-Service",
             "Carawaysill-Organisation",
+            "Carawaysill-Rate-Limit",
+            "Carawaysill-Leaving",
             "Bearer",
             false);
 }
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -49,6 +49,7 @@
     private final Counters counters;
     private final RequestLatencies latencies;
     private final SuspectGauges suspects;
+    private final CopyGauges copyGauges;
     private final PublishedEntrySource source;
 
     /**
@@ -68,6 +69,7 @@
         counters = registry.register(new Counters(new PrometheusRegistry()));
         latencies = new RequestLatencies(counters.registry());
         suspects = new SuspectGauges(counters.registry());
+        copyGauges = new CopyGauges(counters.registry());
         log = registry.register(new DecisionLog());
         FleetPolicy policy =
                 new FleetPolicy(settings.policy(), decoder, new SplittableRandom(seed(settings, start)), start);
@@ -158,7 +160,10 @@
 
     private void dispatch(FleetEffect effect) {
         switch (effect) {
-            case FleetEffect.SendToCopy request -> copy.send(request);
+            case FleetEffect.SendToCopy request -> {
+                copyGauges.countSent();
+                copy.send(request);
+            }
             case FleetEffect.CancelAtCopy cancel -> copy.cancel(cancel.attempt());
             case FleetEffect.CloseIdleCopyConnections _ -> copy.closeIdle();
             case FleetEffect.AnswerExchange answer -> entry.answer(answer.exchange(), answer.outcome());
@@ -175,6 +180,7 @@
                 log.write(decided.decision());
             }
             case FleetEffect.ShowSuspects show -> suspects.show(show);
+            case FleetEffect.ShowRateLimit limit -> copyGauges.showLimit(limit.requestsPerSecond());
             case FleetEffect.StopProcess _ -> stopCompletion.complete(null);
         }
     }
--- a/node/src/main/java/org/carawaysill/node/observation/Counters.java
+++ b/node/src/main/java/org/carawaysill/node/observation/Counters.java
@@ -27,8 +27,17 @@
     public static final String PREFIX = "carawaysill_";
 
     /** The plural names of counter families; a family that is not listed keeps its name. */
-    private static final Map<String, String> SERIES =
-            Map.of("refusal", "refusals", "retry", "retries", "breach", "breaches", "crash", "crashes");
+    private static final Map<String, String> SERIES = Map.of(
+            "refusal",
+            "refusals",
+            "retry",
+            "retries",
+            "breach",
+            "breaches",
+            "crash",
+            "crashes",
+            "copy_notice",
+            "copy_notices");
 
     private static final Map<String, String> HELP = Map.of(
             "refusal", "Requests refused and not run",
@@ -36,7 +45,8 @@
             "retry", "Requests tried again",
             "breach", "Broken promises that the program noticed about itself",
             "configuration", "What became of configuration that was read or received",
-            "crash", "Crashes of the copy beside the node, and what was concluded from those of all copies");
+            "crash", "Crashes of the copy beside the node, and what was concluded from those of all copies",
+            "copy_notice", "Changes in what the answers of the copy beside the node state about it");
 
     private static final double[] HANDOFF_BUCKETS = {
         5e-6, 10e-6, 25e-6, 50e-6, 100e-6, 250e-6, 500e-6, 1e-3, 5e-3, 25e-3, 100e-3, 1
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.TimeUnit;
 import org.carawaysill.model.request.AnswerContent;
 import org.carawaysill.model.request.Body;
+import org.carawaysill.model.request.CopyNotice;
 import org.carawaysill.model.request.Header;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
@@ -253,10 +254,12 @@
         CopyExchange done = exchange.orElseThrow();
         exchange = Optional.empty();
         answerComplete = true;
+        Optional<CopyNotice> notice =
+                pool.noticeReader().read(response, done.request().requestName());
         Outcome outcome = verdict == Verdict.NOT_RUN
                 ? notRun(RefusalReason.COPY_REFUSED, Step.COPY_WAIT)
                 : new Outcome.Answered(content(response, done));
-        pool.ended(done, outcome);
+        pool.ended(done, outcome, notice);
     }
 
     private AnswerContent content(HttpResponse response, CopyExchange done) {
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -25,6 +25,7 @@
 import org.carawaysill.kernel.service.ServiceRegistry;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.NetworkAddress;
+import org.carawaysill.model.request.CopyNotice;
 import org.carawaysill.model.request.Invariant;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
@@ -79,6 +80,7 @@
     private final EventLoop eventLoop;
     private final WireDialect dialect;
     private final AnswerClassifier classifier;
+    private final NoticeReader noticeReader;
     private final Counters counters;
     private final DecisionLog log;
     private final Consumer<FleetEvent> events;
@@ -107,6 +109,7 @@
         this.dialect = dialect;
         this.events = events;
         classifier = new AnswerClassifier(dialect);
+        noticeReader = new NoticeReader(dialect);
         counters = registry.require(Counters.NAME, Counters.class);
         log = registry.require(DecisionLog.NAME, DecisionLog.class);
         bootstrap = new Bootstrap()
@@ -271,9 +274,14 @@
     }
 
     void ended(CopyExchange exchange, Outcome outcome) {
+        ended(exchange, outcome, Optional.empty());
+    }
+
+    /** Ends an exchange by an answer of the copy, which may state something about the copy. */
+    void ended(CopyExchange exchange, Outcome outcome, Optional<CopyNotice> notice) {
         if (exchange.end()) {
             running.remove(exchange.request().attempt());
-            events.accept(new FleetEvent.CopyAnswered(exchange.request().attempt(), outcome));
+            events.accept(new FleetEvent.CopyAnswered(exchange.request().attempt(), outcome, notice));
         }
     }
 
@@ -363,6 +371,10 @@
         return classifier;
     }
 
+    NoticeReader noticeReader() {
+        return noticeReader;
+    }
+
     void logEnd(CopyExchange exchange, ConnectionEnd reason) {
         log.copyConnectionEnded(
                 exchange.request().requestName(), exchange.request().copy(), reason, exchange.age(), exchange.rested());
--- a/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
+++ b/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
@@ -33,8 +33,18 @@
 @Timeout(120)
 class EntryServerTest {
 
-    private static final WireDialect DIALECT =
-            new WireDialect("Name", "Patience", "Copy", "Seal", "Not-Run", "Caller", "Organisation", "Token", true);
+    private static final WireDialect DIALECT = new WireDialect(
+            "Name",
+            "Patience",
+            "Copy",
+            "Seal",
+            "Not-Run",
+            "Caller",
+            "Organisation",
+            "Rate-Limit",
+            "Leaving",
+            "Token",
+            true);
 
     private final LoopBench bench = new LoopBench();
     private final EntryServer server = new EntryServer(
--- a/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
+++ b/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
@@ -36,8 +36,18 @@
 @Timeout(120)
 class CopyConnectionsTest {
 
-    private static final WireDialect DIALECT =
-            new WireDialect("Name", "Patience", "Copy", "Seal", "Not-Run", "Caller", "Organisation", "Token", true);
+    private static final WireDialect DIALECT = new WireDialect(
+            "Name",
+            "Patience",
+            "Copy",
+            "Seal",
+            "Not-Run",
+            "Caller",
+            "Organisation",
+            "Rate-Limit",
+            "Leaving",
+            "Token",
+            true);
 
     /** The time in which what one side does to a connection reaches the other side on the same machine. */
     private static final Duration ARRIVAL = Duration.ofMillis(50);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
@@ -7,6 +7,7 @@
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Fingerprint;
+import org.carawaysill.model.request.NoticeCount;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.policy.fleet.publication.Eras;
 import org.carawaysill.policy.time.Nanos;
@@ -410,6 +411,33 @@
         }
     }
 
+    /**
+     * The local copy's answers state something else about it than before.
+     *
+     * @param copy the copy
+     * @param change what changed
+     * @param limit the limit of requests per second that it names now, or - if it names none
+     * @param before the limit that was known before, or -
+     * @param ageNanos how long the limit before was known
+     * @param inFlight requests in flight at the copy
+     * @param queued requests waiting for it
+     */
+    record CopyNoticed(
+            CopyName copy, NoticeCount change, String limit, String before, long ageNanos, int inFlight, int queued)
+            implements OfState {
+
+        @Override
+        public String subject() {
+            return copy.value();
+        }
+
+        @Override
+        public String fields() {
+            return "change=" + change + " limit=" + limit + " before=" + before + " age_ms=" + Nanos.toMillis(ageNanos)
+                    + " in_flight=" + inFlight + " queued=" + queued;
+        }
+    }
+
     /**
      * A copy's success share fell below or rose above the threshold under which it gets hardly any requests.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetEffect.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetEffect.java
@@ -133,6 +133,13 @@
      */
     record ShowSuspects(int suspected, int quarantined) implements FleetEffect {}
 
+    /**
+     * Publish the limit that the local copy names as a metric.
+     *
+     * @param requestsPerSecond the limit, infinite if the copy names none
+     */
+    record ShowRateLimit(double requestsPerSecond) implements FleetEffect {}
+
     /** End the process: every request is finished, or the time for a planned stop is over. */
     record StopProcess() implements FleetEffect {}
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetEvent.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetEvent.java
@@ -8,6 +8,7 @@
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.ExchangeIdentifier;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.request.CopyNotice;
 import org.carawaysill.model.request.Credential;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RequestContent;
@@ -47,8 +48,20 @@
      *
      * @param attempt the attempt
      * @param outcome answered; not run, if that is certain; otherwise unknown
+     * @param notice what the answer states about the copy; empty if no whole answer of the copy arrived
      */
-    record CopyAnswered(AttemptIdentifier attempt, Outcome outcome) implements FleetEvent {}
+    record CopyAnswered(AttemptIdentifier attempt, Outcome outcome, Optional<CopyNotice> notice) implements FleetEvent {
+
+        /**
+         * Creates an event for an attempt that ended without an answer of the copy.
+         *
+         * @param attempt the attempt
+         * @param outcome not run, if that is certain; otherwise unknown
+         */
+        public CopyAnswered(AttemptIdentifier attempt, Outcome outcome) {
+            this(attempt, outcome, Optional.empty());
+        }
+    }
 
     /**
      * The local copy's process has ended: its connections broke, and its address refuses new ones.
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -106,7 +106,7 @@
         switch (event) {
             case FleetEvent.RequestArrived arrival -> outgoing.arrived(now, arrival);
             case FleetEvent.ExchangeClosed closed -> outgoing.exchangeClosed(now, closed.exchange());
-            case FleetEvent.CopyAnswered answered -> localRuns.answered(now, answered.attempt(), answered.outcome());
+            case FleetEvent.CopyAnswered answered -> localRuns.answered(now, answered);
             case FleetEvent.CopyCrashed crashed -> localRuns.crashed(now, crashed.attempts());
             case FleetEvent.PeerReceived received -> received(moment, received.from(), received.message());
             case FleetEvent.PeerConnected connected -> peerConnected(now, connected);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -7,10 +7,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.fleet.CopyRecord;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.request.CopyNotice;
 import org.carawaysill.model.request.Fingerprint;
+import org.carawaysill.model.request.NoticeCount;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
@@ -46,6 +49,7 @@
     private final Effects effects;
     private final CrashSuspects suspects;
     private final CopyGate gate;
+    private final CopyNotices notices = new CopyNotices();
     private final Map<String, LocalRun> runningByName = new HashMap<>();
     private LocalSender localSender = (_, _, _, _) -> {};
     private Optional<CopyRecord> publishedRecord = Optional.empty();
@@ -150,6 +154,7 @@
      */
     private void restarted(Moment moment, CopyRecord record) {
         gate.copyRestarted(moment.nanos());
+        notices.reset(moment.nanos());
         effects.add(new FleetEffect.CloseIdleCopyConnections());
         List<LocalRun> runs = gate.all().stream()
                 .filter(run -> isFromEarlierProcess(moment, run, record))
@@ -259,12 +264,32 @@
                 run.deadlineNanos()));
     }
 
-    void answered(long now, AttemptIdentifier attempt, Outcome outcome) {
-        Optional<LocalRun> found = gate.find(attempt);
-        if (found.isEmpty()) {
+    /** Ends a request at the copy, and takes in what the copy's answer states about the copy. */
+    void answered(long now, FleetEvent.CopyAnswered event) {
+        Optional<LocalRun> run = gate.find(event.attempt());
+        if (run.isPresent()) {
+            event.notice().ifPresent(notice -> noticed(now, run.get().request().copy(), notice));
+            answered(now, run.get(), event.outcome());
+        }
+    }
+
+    private void noticed(long now, CopyName copy, CopyNotice notice) {
+        List<NoticeCount> changes = notices.received(now, copy, notice);
+        if (changes.isEmpty()) {
             return;
         }
-        LocalRun run = found.get();
+        for (NoticeCount change : changes) {
+            effects.count(change);
+            effects.log(notices.describe(change, gate.load(now)));
+        }
+        effects.add(new FleetEffect.ShowRateLimit(notices.limit().orElse(Double.POSITIVE_INFINITY)));
+    }
+
+    private void answered(long now, AttemptIdentifier attempt, Outcome outcome) {
+        gate.find(attempt).ifPresent(run -> answered(now, run, outcome));
+    }
+
+    private void answered(long now, LocalRun run, Outcome outcome) {
         if (outcome instanceof Outcome.NotRun notRun && notRun.reason() == RefusalReason.COPY_REFUSED) {
             gate.refused();
         } else if (outcome instanceof Outcome.Answered) {
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -30,6 +30,7 @@
 import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Body;
+import org.carawaysill.model.request.CopyNotice;
 import org.carawaysill.model.request.Credential;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RequestContent;
@@ -282,6 +283,9 @@
         /** Whether it accepts requests and answers none, like a copy that lost power or hangs. */
         boolean silent;
 
+        /** What its answers state about it. */
+        CopyNotice notice = CopyNotice.NONE;
+
         /** The requests that crash the copy when it runs them. */
         Optional<CrashingRequest> crashingRequest = Optional.empty();
 
@@ -508,6 +512,7 @@
                 case FleetEffect.Count _,
                         FleetEffect.CloseIdleCopyConnections _,
                         FleetEffect.ShowSuspects _,
+                        FleetEffect.ShowRateLimit _,
                         FleetEffect.ApplyClientLimits _ -> {}
             }
         }
@@ -622,7 +627,10 @@
                 return;
             }
             if (atCopy.size() >= slots || shed > 0 && random.nextDouble() < shed) {
-                at(now, () -> deliver(new FleetEvent.CopyAnswered(request.attempt(), Outcomes.REFUSED)));
+                at(
+                        now,
+                        () -> deliver(
+                                new FleetEvent.CopyAnswered(request.attempt(), Outcomes.REFUSED, Optional.of(notice))));
                 return;
             }
             runs.add(new Run(now, request.requestName(), request.content().path(), copy(), request.organisation()));
@@ -678,7 +686,10 @@
                 return;
             }
             boolean lost = answerLost > 0 && random.nextLong(answerLost) == 0;
-            deliver(new FleetEvent.CopyAnswered(request.attempt(), lost ? Outcomes.LOST : made));
+            deliver(
+                    lost
+                            ? new FleetEvent.CopyAnswered(request.attempt(), Outcomes.LOST)
+                            : new FleetEvent.CopyAnswered(request.attempt(), made, Optional.of(notice)));
         }
     }
 }
