Send a request that a limited copy sent back to one without a limit

The loads by rate that a sender knows are up to a report old.

Change: for a request that a limited copy sent back, another limited copy costs one full load more.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
@@ -39,6 +39,7 @@
     private Optional<OrganisationName> charged = Optional.empty();
     private int sentAttempts;
     private int possibleRuns;
+    private boolean sentBack;
     private boolean finished;
 
     /**
@@ -134,6 +135,15 @@
         return attempt;
     }
 
+    /** Notes that a copy sent the request back because of its own limit of requests per second. */
+    void sentBack() {
+        sentBack = true;
+    }
+
+    boolean isSentBack() {
+        return sentBack;
+    }
+
     /** Restricts the request to the copy of a node: another node replied that it may run only there. */
     void restrictTo(NodeName node) {
         permittedNode = Optional.of(node);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -142,11 +142,12 @@
         List<Copy> copies = view.copies().usable(service);
         double bytes = answerSizes.usual(request.route().name());
         Predicate<NodeName> mayReceive = node -> request.maySendTo(node) && reachableNodes.contains(now, node);
-        Optional<Copy> chosen = choice.choose(now, copies, request.tried(), bytes, mayReceive)
+        Optional<Copy> chosen = choice.choose(now, copies, request.tried(), request.isSentBack(), bytes, mayReceive)
                 .or(() -> choice.choose(
                         now,
                         copies,
                         request.tried(),
+                        request.isSentBack(),
                         bytes,
                         node -> request.maySendTo(node) && reachableNodes.containsAsLastResort(now, node)));
         if (chosen.isEmpty()) {
@@ -251,6 +252,9 @@
         if (notRun.reason() == RefusalReason.SUSPECTED) {
             notRun.peer().ifPresent(request::restrictTo);
         }
+        if (notRun.reason() == RefusalReason.COPY_RATE_LIMITED) {
+            request.sentBack();
+        }
         if (reachedCopy) {
             request.countPossibleRun();
         }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
@@ -270,6 +270,11 @@
         return cold ? expected * COLD_LOAD_FACTOR : expected;
     }
 
+    /** Returns whether the copy limits its requests per second. */
+    boolean isPaced() {
+        return load.pace().isPresent();
+    }
+
     /** Returns which part of the copy's own limit of requests per second is asked for; 0 if it names none. */
     double paceLoad() {
         return load.pace()
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyChoice.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyChoice.java
@@ -62,6 +62,13 @@
      */
     private static final double FAILURE_WEIGHT = 4;
 
+    /**
+     * Added to the cost of a copy that limits its requests per second, for a request that another such copy sent back.
+     * Guards against a request that uses up its sends at such copies, whose loads are reported late, while another copy
+     * has free slots.
+     */
+    private static final double SENT_BACK_PENALTY = 1;
+
     /** Random spread of the costs, so that nodes that see the same loads do not all choose the same copy at once. */
     private static final double JITTER = 0.02;
 
@@ -91,12 +98,18 @@
      * @param now the monotonic time
      * @param copies the copies that may receive the request
      * @param tried the copies that received earlier attempts
+     * @param sentBack whether a copy sent it back because of its own limit of requests per second
      * @param answerBytes the usual size of its answer
      * @param isReachable tells whether a node is reachable
      * @return the copy, empty if none is reachable
      */
     public Optional<Copy> choose(
-            long now, List<Copy> copies, Set<CopyName> tried, double answerBytes, Predicate<NodeName> isReachable) {
+            long now,
+            List<Copy> copies,
+            Set<CopyName> tried,
+            boolean sentBack,
+            double answerBytes,
+            Predicate<NodeName> isReachable) {
         double idlePart = idlePart(now, copies);
         double meanWorkSeconds = meanWorkSeconds(copies);
         double bestSuccess = bestSuccess(now, copies);
@@ -108,6 +121,7 @@
                         + JITTER * random.nextDouble()
                         + idlePart * slownessPenalty(copy, meanWorkSeconds)
                         + failurePenalty(now, copy, bestSuccess)
+                        + (sentBack && copy.isPaced() ? SENT_BACK_PENALTY : 0)
                         - nearnessGain(copy, idlePart, answerBytes);
                 if (cost < bestCost) {
                     best = copy;
--- a/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyChoiceTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyChoiceTest.java
@@ -56,7 +56,7 @@
     }
 
     private String chosen(long now, double answerBytes) {
-        return choice.choose(now, copies, Set.of(), answerBytes, _ -> true)
+        return choice.choose(now, copies, Set.of(), false, answerBytes, _ -> true)
                 .orElseThrow()
                 .record()
                 .copy()
