Log fields of copies' answers that the node does not read, and ignore what a 421 states

Cause: that two fields which speak of the copy were passed on unread for as long as copies sent them could be seen in no log. The status 421 comes from the process that now has the copy's address, so its fields say nothing of the copy that was asked.

--- a/model/src/main/java/org/carawaysill/model/request/NoticeCount.java
+++ b/model/src/main/java/org/carawaysill/model/request/NoticeCount.java
@@ -15,7 +15,9 @@
     /** An answer names a limit that can't be read. */
     LIMIT_UNREADABLE,
     /** The copy's process says that it leaves. */
-    LEAVING;
+    LEAVING,
+    /** An answer has a field that the node does not read, for the first time. */
+    FIELD_UNREAD;
 
     @Override
     public String family() {
--- a/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
@@ -148,6 +148,17 @@
         }
     }
 
+    /**
+     * Writes that answers of the local copy have a header field that the node passes on without reading it.
+     *
+     * @param field the name of the field
+     */
+    public void fieldUnread(String field) {
+        if (admit(Kind.BELIEF)) {
+            Logger.info("decision=FieldUnread subject=copy field={}", oneLine(field));
+        }
+    }
+
     private static Kind kind(Decision decision) {
         return switch (decision) {
             case Decision.Sent _ -> Kind.SENT;
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
@@ -254,8 +254,7 @@
         CopyExchange done = exchange.orElseThrow();
         exchange = Optional.empty();
         answerComplete = true;
-        Optional<CopyNotice> notice =
-                pool.noticeReader().read(response, done.request().requestName());
+        Optional<CopyNotice> notice = pool.notice(response, done.request().requestName());
         Outcome outcome = verdict == Verdict.NOT_RUN
                 ? notRun(RefusalReason.COPY_REFUSED, Step.COPY_WAIT)
                 : new Outcome.Answered(content(response, done));
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -27,6 +28,7 @@
 import org.carawaysill.model.identity.NetworkAddress;
 import org.carawaysill.model.request.CopyNotice;
 import org.carawaysill.model.request.Invariant;
+import org.carawaysill.model.request.NoticeCount;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
@@ -81,6 +83,7 @@
     private final WireDialect dialect;
     private final AnswerClassifier classifier;
     private final NoticeReader noticeReader;
+    private final UnreadFields unreadFields;
     private final Counters counters;
     private final DecisionLog log;
     private final Consumer<FleetEvent> events;
@@ -112,6 +115,7 @@
         noticeReader = new NoticeReader(dialect);
         counters = registry.require(Counters.NAME, Counters.class);
         log = registry.require(DecisionLog.NAME, DecisionLog.class);
+        unreadFields = new UnreadFields(dialect, this::reportUnread);
         bootstrap = new Bootstrap()
                 .group(eventLoop)
                 .channelFactory(CopyChannel::new)
@@ -371,8 +375,15 @@
         return classifier;
     }
 
-    NoticeReader noticeReader() {
-        return noticeReader;
+    /** Returns what an answer states about the copy, and reports fields that this node doesn't read. */
+    Optional<CopyNotice> notice(HttpResponse response, String requestName) {
+        unreadFields.check(response.headers());
+        return noticeReader.read(response, requestName);
+    }
+
+    private void reportUnread(String field) {
+        counters.count(NoticeCount.FIELD_UNREAD);
+        log.fieldUnread(field);
     }
 
     void logEnd(CopyExchange exchange, ConnectionEnd reason) {
--- a/node/src/main/java/org/carawaysill/node/upstream/NoticeReader.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/NoticeReader.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.List;
 import java.util.Optional;
 import java.util.regex.Pattern;
@@ -27,10 +28,11 @@
         this.dialect = dialect;
     }
 
-    /** Returns what the answer states; empty if it does not show by the request's name that the copy gave it. */
+    /** Returns what the answer states; empty if it is not shown to be the answer to the request, of the copy it was for. */
     Optional<CopyNotice> read(HttpResponse response, String requestName) {
         HttpHeaders headers = response.headers();
-        if (!requestName.equals(headers.get(dialect.requestName()))) {
+        boolean isOfAnotherCopy = response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+        if (isOfAnotherCopy || !requestName.equals(headers.get(dialect.requestName()))) {
             return Optional.empty();
         }
         boolean leaving = headers.contains(dialect.leaving()) && states(headers, IS_LEAVING);
--- a/node/src/test/java/org/carawaysill/node/upstream/NoticeReaderTest.java
+++ b/node/src/test/java/org/carawaysill/node/upstream/NoticeReaderTest.java
@@ -114,6 +114,15 @@
         }
     }
 
+    /* Guards against taking the statement of the process that now has the copy's address. */
+    @Test
+    void anAnswerThatRefusesARequestForAnotherCopyStatesNothing() {
+        HttpResponse other = answer(NAME);
+        other.setStatus(HttpResponseStatus.MISDIRECTED_REQUEST);
+        other.headers().set(DIALECT.rateLimit(), "5");
+        assertEquals(Optional.empty(), reader.read(other, NAME));
+    }
+
     /* Guards against taking the statement of another process, whose late answer arrives on this connection. */
     @Test
     void anAnswerToAnotherRequestStatesNothing() {
