Let the changed limit re-offer only what waits, and share what tests wrote twice

A copy that names another limit with each answer made the gate look at all running requests each time; only those that wait need it. A free slot of a copy without a limit goes to a newcomer as before, also where others wait for the next look at the queue. The sliding window and the dialect of tests stand once.

--- a/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
+++ b/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
@@ -33,22 +33,14 @@
 @Timeout(120)
 class EntryServerTest {
 
-    private static final WireDialect DIALECT = new WireDialect(
-            "Name",
-            "Patience",
-            "Copy",
-            "Seal",
-            "Not-Run",
-            "Caller",
-            "Organisation",
-            "Rate-Limit",
-            "Leaving",
-            "Token",
-            true);
-
     private final LoopBench bench = new LoopBench();
     private final EntryServer server = new EntryServer(
-            bench.eventLoop(), new NetworkAddress("127.0.0.1", 0), DIALECT, 100_000, bench::add, bench.registry());
+            bench.eventLoop(),
+            new NetworkAddress("127.0.0.1", 0),
+            LoopBench.DIALECT,
+            100_000,
+            bench::add,
+            bench.registry());
 
     @BeforeEach
     void start() {
--- a/node/src/test/java/org/carawaysill/node/testing/LoopBench.java
+++ b/node/src/test/java/org/carawaysill/node/testing/LoopBench.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.carawaysill.kernel.service.ServiceRegistry;
+import org.carawaysill.node.entry.WireDialect;
 import org.carawaysill.node.fleet.DecisionLog;
 import org.carawaysill.node.observation.Counters;
 import org.carawaysill.policy.fleet.FleetEvent;
@@ -20,6 +21,20 @@
  */
 public final class LoopBench implements AutoCloseable {
 
+    /** Names of header fields that stand for those of any platform. */
+    public static final WireDialect DIALECT = new WireDialect(
+            "Name",
+            "Patience",
+            "Copy",
+            "Seal",
+            "Not-Run",
+            "Caller",
+            "Organisation",
+            "Rate-Limit",
+            "Leaving",
+            "Token",
+            true);
+
     private static final int TIMEOUT_SECONDS = 30;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
--- a/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
+++ b/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
@@ -20,7 +20,6 @@
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.RequestContent;
-import org.carawaysill.node.entry.WireDialect;
 import org.carawaysill.node.testing.LoopBench;
 import org.carawaysill.node.testing.RawConnection;
 import org.carawaysill.node.testing.RawCopy;
@@ -36,26 +35,13 @@
 @Timeout(120)
 class CopyConnectionsTest {
 
-    private static final WireDialect DIALECT = new WireDialect(
-            "Name",
-            "Patience",
-            "Copy",
-            "Seal",
-            "Not-Run",
-            "Caller",
-            "Organisation",
-            "Rate-Limit",
-            "Leaving",
-            "Token",
-            true);
-
     /** The time in which what one side does to a connection reaches the other side on the same machine. */
     private static final Duration ARRIVAL = Duration.ofMillis(50);
 
     private final LoopBench bench = new LoopBench();
     private final RawCopy copy = new RawCopy();
     private final CopyConnections connections =
-            new CopyConnections(bench.eventLoop(), copy.address(), DIALECT, bench::add, bench.registry());
+            new CopyConnections(bench.eventLoop(), copy.address(), LoopBench.DIALECT, bench::add, bench.registry());
     private long attempts;
 
     @AfterEach
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -246,6 +246,11 @@
         gate.all().stream()
                 .filter(run -> run.isRunning() && suspects.isSuspected(now, run.request()))
                 .forEach(gate::suspectRunning);
+        readmitWaiting(now);
+    }
+
+    /** Offers the waiting requests again: what decides about them has changed. */
+    private void readmitWaiting(long now) {
         gate.takeWaiting().forEach(run -> admit(now, run));
         startNext(now);
     }
@@ -289,8 +294,7 @@
         if (!changes.isEmpty()) {
             changes.forEach(change -> logNotice(now, copy, change, CopyNotices.COPY));
             limitRate(now);
-            // Those that wait are offered again: they may find no room by the new limit, or the copy leaves.
-            recheck(now);
+            readmitWaiting(now);
         }
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
@@ -167,7 +167,9 @@
             return new Offered.TooLate();
         }
         pacer.asked(now);
-        if (running < effectiveLimit(now) && queue.isEmpty() && pacer.tryTake(now)) {
+        // The next start at a limited copy belongs to the first of those that wait for it.
+        boolean isNext = queue.isEmpty() || !pacer.isLimited();
+        if (isNext && running < effectiveLimit(now) && pacer.tryTake(now)) {
             start(now, run);
             return new Offered.Started();
         }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/CopyLimitTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/CopyLimitTest.java
@@ -86,20 +86,6 @@
         fleet.at(at, () -> copies.subList(0, count).forEach(copy -> copy.notice = notice));
     }
 
-    /** Returns the largest number of runs at a copy in a window that begins no earlier and ends no later. */
-    private int mostRuns(VirtualNode copy, long from, long until) {
-        List<Long> times = runs(copy, from, until);
-        int most = 0;
-        int first = 0;
-        for (int last = 0; last < times.size(); last++) {
-            while (times.get(last) - times.get(first) > WINDOW) {
-                first++;
-            }
-            most = Math.max(most, last - first + 1);
-        }
-        return most;
-    }
-
     private List<Long> runs(VirtualNode copy, long from, long until) {
         return fleet.runs.stream()
                 .filter(run -> run.copy().equals(copy.copy()) && run.at() >= from && run.at() <= until)
@@ -108,7 +94,7 @@
     }
 
     private void assertWithinLimit(VirtualNode copy, double requestsPerSecond, long from, long until) {
-        int most = mostRuns(copy, from, until);
+        int most = RunsInWindows.most(runs(copy, from, until), WINDOW);
         double allowed = 1.5 * 4 * requestsPerSecond + 5;
         assertTrue(most <= allowed, () -> copy.name + " got " + most + " in 4 s, allowed " + allowed);
     }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/RunsInWindows.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/RunsInWindows.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** Counts the runs of an organisation's requests in a fleet. Stateless and thread safe. */
+/** Counts the runs of requests in a fleet within windows of time. Stateless and thread safe. */
 final class RunsInWindows {
 
     private RunsInWindows() {}
@@ -15,6 +15,11 @@
                         .isPresent())
                 .map(VirtualFleet.Run::at)
                 .toList();
+        return most(times, windowNanos);
+    }
+
+    /** Returns the largest number of these times, which are in order, within any window of the given length. */
+    static int most(List<Long> times, long windowNanos) {
         int most = 0;
         int first = 0;
         for (int last = 0; last < times.size(); last++) {
