Give the notices of the copy their own class that sets the limit and logs it

No change of behaviour; CopyLimitTest, CopyLimitDaysTest, the gate's, lost links' and planned stops' tests (164) pass.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/CopyNotices.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/CopyNotices.java
@@ -5,13 +5,17 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.carawaysill.model.fleet.CopyName;
+import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.request.CopyNotice;
 import org.carawaysill.model.request.CopyNotice.Rate;
 import org.carawaysill.model.request.NoticeCount;
+import org.carawaysill.policy.fleet.copy.CopyGate;
+import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 
 /**
- * What the local copy's answers state about it, and what other nodes know of that until the first answer.
+ * What the local copy's answers state about it, and what other nodes know of that until the first answer. Sets the
+ * limit at the gate, and logs and counts each change.
  *
  * <p>Invariants: only answers of the copy's present process count; a limit that can't be read changes nothing; a copy
  * that has said that it leaves does so until its process ends. Not thread safe: owned by the policy.
@@ -19,10 +23,12 @@
 final class CopyNotices {
 
     /** The source of what the copy's own answers state. */
-    static final String COPY = "copy";
+    private static final String COPY = "copy";
 
     private static final String NONE = "-";
 
+    private final Effects effects;
+    private final CopyGate gate;
     private Optional<CopyName> answering = Optional.empty();
     private OptionalDouble limit = OptionalDouble.empty();
     private OptionalDouble limitBefore = OptionalDouble.empty();
@@ -31,14 +37,25 @@
     private boolean leaving;
     private boolean unreadable;
 
-    /** Takes in an answer's notice, and returns what it changes. */
-    List<NoticeCount> received(long now, CopyName copy, CopyNotice notice) {
-        boolean first = answering.filter(copy::equals).isEmpty();
-        if (first) {
+    CopyNotices(Effects effects, CopyGate gate) {
+        this.effects = effects;
+        this.gate = gate;
+    }
+
+    /** Takes in an answer's notice; returns whether it changes anything for the requests that wait. */
+    boolean received(long now, CopyName copy, CopyNotice notice) {
+        gate.heard();
+        if (answering.filter(copy::equals).isEmpty()) {
             answering = Optional.of(copy);
             leaving = false;
             unreadable = false;
         }
+        List<NoticeCount> changes = changes(now, notice);
+        changes.forEach(change -> report(now, copy, change, COPY));
+        return !changes.isEmpty();
+    }
+
+    private List<NoticeCount> changes(long now, CopyNotice notice) {
         List<NoticeCount> changes = new ArrayList<>();
         if (notice.leaving() && !leaving) {
             leaving = true;
@@ -67,10 +84,12 @@
      * Takes in the limit that another node knows, unless the copy has answered this process. Guards against a restarted
      * node that sends its copy everything until the first answer. Of several limits the lowest counts.
      */
-    Optional<NoticeCount> relayed(long now, OptionalDouble known) {
+    void relayed(long now, NodeName from, CopyRequest request) {
+        OptionalDouble known = request.knownLimit();
         boolean isNews = answering.isEmpty() && known.isPresent();
-        boolean isLower = isNews && known.getAsDouble() < limit.orElse(Double.POSITIVE_INFINITY);
-        return isLower ? changeLimit(now, known) : Optional.empty();
+        if (isNews && known.getAsDouble() < limit.orElse(Double.POSITIVE_INFINITY)) {
+            changeLimit(now, known).ifPresent(change -> report(now, request.copy(), change, from.value()));
+        }
     }
 
     private Optional<NoticeCount> changeLimit(long now, OptionalDouble named) {
@@ -81,6 +100,7 @@
         limitBeforeAgeNanos = now - limitSinceNanos;
         limit = named;
         limitSinceNanos = now;
+        applyLimit(now);
         if (named.isEmpty()) {
             return Optional.of(NoticeCount.LIMIT_ENDED);
         }
@@ -96,11 +116,12 @@
         limitBeforeAgeNanos = 0;
         leaving = false;
         unreadable = false;
+        applyLimit(now);
     }
 
-    /** Returns the requests per second that the copy takes; empty if it names no limit. */
-    OptionalDouble limit() {
-        return limit;
+    private void applyLimit(long now) {
+        gate.limitRate(now, limit);
+        effects.add(new FleetEffect.ShowRateLimit(limit.orElse(Double.POSITIVE_INFINITY)));
     }
 
     /** Returns whether a copy has said that it leaves. */
@@ -108,8 +129,10 @@
         return leaving && answering.filter(copy::equals).isPresent();
     }
 
-    Decision.CopyNoticed describe(CopyName copy, NoticeCount change, String from, LoadReport load) {
-        return new Decision.CopyNoticed(
+    private void report(long now, CopyName copy, NoticeCount change, String from) {
+        LoadReport load = gate.load(now);
+        effects.count(change);
+        effects.log(new Decision.CopyNoticed(
                 copy,
                 change,
                 from,
@@ -117,7 +140,7 @@
                 describe(limitBefore),
                 limitBeforeAgeNanos,
                 load.inFlight(),
-                load.queued());
+                load.queued()));
     }
 
     private static String describe(OptionalDouble requestsPerSecond) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -13,7 +13,6 @@
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.request.CopyNotice;
 import org.carawaysill.model.request.Fingerprint;
-import org.carawaysill.model.request.NoticeCount;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
@@ -48,7 +47,7 @@
     private final Effects effects;
     private final CrashSuspects suspects;
     private final CopyGate gate;
-    private final CopyNotices notices = new CopyNotices();
+    private final CopyNotices notices;
     private final Map<String, LocalRun> runningByName = new HashMap<>();
     private LocalSender localSender = (_, _) -> {};
     private Optional<CopyRecord> publishedRecord = Optional.empty();
@@ -68,6 +67,7 @@
         this.effects = effects;
         this.suspects = suspects;
         gate = new CopyGate(settings.disabledMechanisms());
+        notices = new CopyNotices(effects, gate);
     }
 
     void localSender(LocalSender sender) {
@@ -154,7 +154,6 @@
     private void restarted(Moment moment, CopyRecord record) {
         gate.copyRestarted(moment.nanos());
         notices.reset(moment.nanos());
-        limitRate(moment.nanos());
         effects.add(new FleetEffect.CloseIdleCopyConnections());
         List<LocalRun> runs = gate.all().stream()
                 .filter(run -> isFromEarlierProcess(moment, run, record))
@@ -211,7 +210,9 @@
             reply(now, run, refusal(now, RefusalReason.DRAINING, Step.QUEUE));
             return;
         }
-        sender.ifPresent(node -> limitRelayed(now, node, request));
+        if (publishedRecord.isEmpty() || publishedRecord.get().copy().equals(request.copy())) {
+            sender.ifPresent(node -> notices.relayed(now, node, request));
+        }
         admit(now, run);
         startNext(now);
     }
@@ -289,38 +290,11 @@
     }
 
     private void noticed(long now, CopyName copy, CopyNotice notice) {
-        gate.heard();
-        List<NoticeCount> changes = notices.received(now, copy, notice);
-        if (!changes.isEmpty()) {
-            changes.forEach(change -> logNotice(now, copy, change, CopyNotices.COPY));
-            limitRate(now);
+        if (notices.received(now, copy, notice)) {
             readmitWaiting(now);
         }
     }
 
-    private void logNotice(long now, CopyName copy, NoticeCount change, String from) {
-        effects.count(change);
-        effects.log(notices.describe(copy, change, from, gate.load(now)));
-    }
-
-    private void limitRate(long now) {
-        gate.limitRate(now, notices.limit());
-        effects.add(new FleetEffect.ShowRateLimit(notices.limit().orElse(Double.POSITIVE_INFINITY)));
-    }
-
-    /** Takes in what the sender of a request knows of the copy's limit. */
-    private void limitRelayed(long now, NodeName sender, CopyRequest request) {
-        boolean isForThisProcess = publishedRecord
-                .filter(record -> !record.copy().equals(request.copy()))
-                .isEmpty();
-        if (isForThisProcess) {
-            notices.relayed(now, request.knownLimit()).ifPresent(change -> {
-                logNotice(now, request.copy(), change, sender.value());
-                limitRate(now);
-            });
-        }
-    }
-
     private void answered(long now, AttemptIdentifier attempt, Outcome outcome) {
         gate.find(attempt).ifPresent(run -> answered(now, run, outcome));
     }
