--- a/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
@@ -416,7 +416,7 @@
      *
      * @param copy the copy
      * @param change what changed
-     * @param from the copy, or the node that told this one
+     * @param from the copy, or the node that relayed it
      * @param limit the limit of requests per second that it names now, or - if it names none
      * @param before the limit that was known before, or -
      * @param ageNanos how long the limit before was known
