Agree on the messages that the parts for two hard loads share

Cause: a copy's node knows neither the route of a request nor the node at which its caller asked; loads say how many requests there are but not how long one holds a slot; summaries say what is asked for but not what is admitted and what succeeds; a body always travels with its request.

Change: one change of peer.proto for all parts, before any of them is built. A request names its route and its caller's node, and may say that its body follows; PlaceGranted and AttemptBody carry on from there. Loads state the usual time of a run. Demands state the admitted and the succeeded rates and group the callers' nodes by their rates. Routes have a kind instead of a flag. MixedServices finds the services with both short and long work by the operators' timeouts, which is what switches the parts on. Nothing uses the new fields yet; the version in Hello is 6.

Result: codec tests with random messages of the new kinds, and the tests of the touched classes pass.

--- a/model/src/main/java/org/carawaysill/model/fleet/Route.java
+++ b/model/src/main/java/org/carawaysill/model/fleet/Route.java
@@ -13,7 +13,7 @@
  * @param host the host of the requests
  * @param prefix the prefix of their paths
  * @param destinations the services among which its requests are split
- * @param idempotent whether its requests may safely run twice
+ * @param kind the kind of its requests
  * @param timeout the maximum time a client waits for an answer
  * @param maximumAttempts the maximum number of copies to which one request may be sent
  * @param targetLatency the target latency, within which an answer is worth most to the caller
@@ -25,7 +25,7 @@
         String host,
         String prefix,
         List<Destination> destinations,
-        boolean idempotent,
+        RequestKind kind,
         Duration timeout,
         int maximumAttempts,
         Duration targetLatency,
@@ -44,4 +44,13 @@
             throw new IllegalArgumentException("the prefix of route " + name + " must begin and end with a slash");
         }
     }
+
+    /**
+     * Returns whether its requests may safely run twice.
+     *
+     * @return whether they are idempotent
+     */
+    public boolean idempotent() {
+        return kind.isIdempotent();
+    }
 }
--- a/node/src/main/java/org/carawaysill/node/peer/PeerAdapter.java
+++ b/node/src/main/java/org/carawaysill/node/peer/PeerAdapter.java
@@ -173,6 +173,8 @@
             case PeerMessage.EntriesWanted ignored -> offerNotice(event);
             case PeerMessage.Entries ignored -> offerNotice(event);
             case PeerMessage.Suspicions ignored -> offerNotice(event);
+            case PeerMessage.PlaceGranted ignored -> inbox.deliver(event);
+            case PeerMessage.AttemptBody ignored -> inbox.deliver(event);
         }
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
+++ b/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
@@ -153,6 +153,8 @@
                     PeerMessage.FleetSummary _,
                     PeerMessage.EntriesWanted _,
                     PeerMessage.Suspicions _,
+                    PeerMessage.PlaceGranted _,
+                    PeerMessage.AttemptBody _,
                     PeerMessage.Entries _ -> List.of();
         };
     }
--- a/policy/src/main/java/org/carawaysill/policy/engine/BaselinePolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/BaselinePolicy.java
@@ -172,6 +172,8 @@
                     PeerMessage.FleetSummary _,
                     PeerMessage.EntriesWanted _,
                     PeerMessage.Suspicions _,
+                    PeerMessage.PlaceGranted _,
+                    PeerMessage.AttemptBody _,
                     PeerMessage.Entries _ -> {}
         }
     }
--- a/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
@@ -148,6 +148,8 @@
                     PeerMessage.FleetSummary _,
                     PeerMessage.EntriesWanted _,
                     PeerMessage.Suspicions _,
+                    PeerMessage.PlaceGranted _,
+                    PeerMessage.AttemptBody _,
                     PeerMessage.Entries _ -> {}
         }
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
@@ -5,6 +5,7 @@
 import java.util.random.RandomGenerator;
 import org.carawaysill.model.fleet.Organisation;
 import org.carawaysill.model.fleet.Route;
+import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
@@ -26,6 +27,7 @@
  */
 final class Admission {
 
+    private final NodeName self;
     private final LocalRuns localRuns;
     private final FleetAllowances allowances;
     private final DemandMeter demand;
@@ -35,6 +37,7 @@
     private final CalledRoutes calledRoutes = new CalledRoutes();
 
     Admission(FleetParts parts, RandomGenerator random) {
+        self = parts.settings().self();
         localRuns = parts.localRuns();
         allowances = parts.allowances();
         demand = parts.demand();
@@ -61,6 +64,7 @@
                 RefusalOrder.rank(organisationRank, route.rank()),
                 0,
                 now,
+                self,
                 Optional.empty());
     }
 
@@ -73,6 +77,7 @@
                 running.rank(),
                 running.depth() + 1,
                 parent.rootArrivedNanos(),
+                running.caller(),
                 Optional.of(parent));
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/CopyRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/CopyRequests.java
@@ -82,6 +82,9 @@
                 terms.remainingNanos(),
                 terms.lastChoice(),
                 copy.limitPerSecond(),
+                request.route().name(),
+                request.origin().caller(),
+                false,
                 content);
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -167,6 +167,7 @@
                 exchange.entriesReceived(from, entries.position());
                 publicationChanged(moment);
             }
+            case PeerMessage.PlaceGranted _, PeerMessage.AttemptBody _ -> {}
             case PeerMessage.PeerRequest _,
                     PeerMessage.PeerAnswer _,
                     PeerMessage.DrainNotice _,
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
@@ -51,6 +51,7 @@
      * @param rank the rank of the caller's request in the order of refusal, by organisation and route
      * @param depth the number of calls between the caller's request and this one
      * @param rootArrivedNanos when the caller's request arrived, on this node's clock
+     * @param caller the node at which the caller's request arrived
      * @param parent the running request that makes this call, if known
      */
     record Origin(
@@ -59,6 +60,7 @@
             int rank,
             int depth,
             long rootArrivedNanos,
+            NodeName caller,
             Optional<LocalRun> parent) {
 
         Optional<OrganisationName> organisationName() {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/PublishedView.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PublishedView.java
@@ -22,6 +22,7 @@
 import org.carawaysill.policy.fleet.publication.PublicationDecoder;
 import org.carawaysill.policy.fleet.publication.PublicationDecoder.Publication;
 import org.carawaysill.policy.fleet.publication.PublishedEntries;
+import org.carawaysill.policy.fleet.route.MixedServices;
 import org.carawaysill.policy.fleet.route.RouteTable;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PublishedState;
@@ -58,6 +59,7 @@
     private Optional<FleetConfiguration> configuration = Optional.empty();
     private RouteTable routes = new RouteTable(List.of());
     private Map<String, Route> routesByName = Map.of();
+    private MixedServices mixedServices = MixedServices.NONE;
     private long digest = UNKNOWN_DIGEST;
     private long confirmedNanos;
 
@@ -93,6 +95,11 @@
         return routesByName;
     }
 
+    /** Returns the services that do both short and long work. */
+    MixedServices mixedServices() {
+        return mixedServices;
+    }
+
     CopyTable copies() {
         return copies;
     }
@@ -279,6 +286,7 @@
         changed(entry.key(), at);
         configuration = Optional.of(published);
         routes = new RouteTable(published.routes());
+        mixedServices = MixedServices.of(published.routes());
         Map<String, Route> byName = new HashMap<>();
         published.routes().forEach(route -> byName.put(route.name(), route));
         routesByName = byName;
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
@@ -396,7 +396,8 @@
      * @return the running and the waiting requests, and the limit
      */
     public LoadReport load(long now) {
-        return new LoadReport(running, effectiveLimit(now), queue.size(), 0, pace(now), unheard);
+        return new LoadReport(running, effectiveLimit(now), queue.size(), 0, pace(now), unheard, (float)
+                (serviceNanos / Nanos.PER_SECOND));
     }
 
     private Optional<CopyPace> pace(long now) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/DemandMeter.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/DemandMeter.java
@@ -85,7 +85,9 @@
                 key.route(),
                 key.organisationRank(),
                 (float) meter.rate(),
-                completed.containsKey(key) ? (float) completed.get(key).rate() : 0)));
+                completed.containsKey(key) ? (float) completed.get(key).rate() : 0,
+                0,
+                0)));
         return demands;
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/mechanism/Mechanism.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/mechanism/Mechanism.java
@@ -26,5 +26,15 @@
     /** Prefers copies that fail less than others. */
     SUCCESS_WEIGHT,
     /** Counts cold copies as more loaded. */
-    COLD_FACTOR
+    COLD_FACTOR,
+    /** Sends a large body only once the copy's node has granted a place for it. */
+    BODY_PLACES,
+    /** Divides the slots of a copy between short and long work where its service does both. */
+    WORK_CLASSES,
+    /** Chooses the copy by the expected time to completion where its service does both short and long work. */
+    EXPECTED_COMPLETION,
+    /** Admits callers of equal rank by equal rates where a service does both short and long work. */
+    CALLER_SHARES,
+    /** Admits no more requests than can succeed where copies reject part of what they get. */
+    SUCCESS_SHARES
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/summary/RouteSums.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/summary/RouteSums.java
@@ -80,7 +80,7 @@
         Map<String, List<RankDemand>> demands = new HashMap<>();
         costs.keySet().forEach(route -> demands.put(route, new ArrayList<>()));
         offered.forEach((key, rate) -> demands.computeIfAbsent(key.route(), _ -> new ArrayList<>())
-                .add(new RankDemand(key.organisationRank(), rate.floatValue())));
+                .add(new RankDemand(key.organisationRank(), rate.floatValue(), 0, 0, List.of())));
         List<RouteSummary> summaries = new ArrayList<>(demands.size());
         demands.forEach((route, routeDemands) -> summaries.add(summary(route, routeDemands)));
         return summaries;
--- a/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
@@ -14,6 +14,7 @@
 import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.model.identity.RequestIdentifier;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.Body;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.Priority;
 import org.carawaysill.model.request.RequestContent;
@@ -308,8 +309,10 @@
      * @param pace how the copy's own limit of requests per second is used; empty if none is known
      * @param unheard whether the copy has not answered the node's present process, so that it may have a limit that is
      *     not known there
+     * @param runSeconds the usual time for which a request occupies a slot, its calls included; 0 if unknown
      */
-    record LoadReport(int inFlight, int limit, int queued, int cut, Optional<CopyPace> pace, boolean unheard) {
+    record LoadReport(
+            int inFlight, int limit, int queued, int cut, Optional<CopyPace> pace, boolean unheard, float runSeconds) {
 
         /**
          * Creates the load of a node whose copy names no limit of requests per second.
@@ -320,7 +323,7 @@
          * @param cut the lowest priority level that the node admits
          */
         public LoadReport(int inFlight, int limit, int queued, int cut) {
-            this(inFlight, limit, queued, cut, Optional.empty(), false);
+            this(inFlight, limit, queued, cut, Optional.empty(), false, 0);
         }
     }
 
@@ -358,7 +361,10 @@
      * @param remainingNanos time left until the deadline
      * @param lastChoice whether the sender knows no other copy that could take the request instead
      * @param knownLimit the limit of requests per second that the copy named, as far as the sender knows
-     * @param content the request
+     * @param route the route of this request
+     * @param caller the node at which the root request entered
+     * @param bodyFollows whether the body is sent in an {@link AttemptBody} once a {@link PlaceGranted} has replied
+     * @param content the request, without its body if that follows
      */
     record CopyRequest(
             AttemptIdentifier attempt,
@@ -375,9 +381,28 @@
             long remainingNanos,
             boolean lastChoice,
             OptionalDouble knownLimit,
+            String route,
+            NodeName caller,
+            boolean bodyFollows,
             RequestContent content)
             implements PeerMessage {}
 
+    /**
+     * Replies to a {@link CopyRequest} whose body follows: the attempt holds a slot of the sender's copy until its body
+     * arrives or its time is over.
+     *
+     * @param attempt the attempt
+     */
+    record PlaceGranted(AttemptIdentifier attempt) implements PeerMessage {}
+
+    /**
+     * The body of an attempt whose place was granted.
+     *
+     * @param attempt the attempt
+     * @param body the whole body
+     */
+    record AttemptBody(AttemptIdentifier attempt, Body body) implements PeerMessage {}
+
     /**
      * A node's report of its own state. A node sends it at short intervals to the aggregators of its availability zone,
      * and to other nodes after connecting, on request, and when it leaves.
@@ -484,8 +509,16 @@
      * @param organisationRank the rank of the organisations
      * @param offeredPerSecond the requests received per second
      * @param completedPerSecond the requests per second that a copy answered
+     * @param admittedPerSecond the requests per second that were admitted
+     * @param succeededPerSecond the requests per second whose final answer was a success
      */
-    record RouteDemand(String route, int organisationRank, float offeredPerSecond, float completedPerSecond) {}
+    record RouteDemand(
+            String route,
+            int organisationRank,
+            float offeredPerSecond,
+            float completedPerSecond,
+            float admittedPerSecond,
+            float succeededPerSecond) {}
 
     /**
      * The cost of one request of a route at one service.
--- a/policy/src/main/java/org/carawaysill/policy/message/StateSummary.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/StateSummary.java
@@ -62,8 +62,30 @@
      *
      * @param organisationRank their rank
      * @param offeredPerSecond the callers' requests per second
+     * @param admittedPerSecond those of them that were admitted
+     * @param succeededPerSecond those of them whose final answer was a success
+     * @param callers the nodes at which they enter, grouped by their number of requests
      */
-    public record RankDemand(int organisationRank, float offeredPerSecond) {}
+    public record RankDemand(
+            int organisationRank,
+            float offeredPerSecond,
+            float admittedPerSecond,
+            float succeededPerSecond,
+            List<CallerGroup> callers) {
+
+        public RankDemand {
+            callers = List.copyOf(callers);
+        }
+    }
+
+    /**
+     * The nodes at which similar numbers of requests enter.
+     *
+     * @param exponent the power of two below the requests a second that enter at each of them
+     * @param nodes the number of nodes
+     * @param offeredPerSecond the requests a second that enter at all of them
+     */
+    public record CallerGroup(int exponent, int nodes, float offeredPerSecond) {}
 
     /**
      * The cost of one request of a route at one service, averaged over nodes.
--- a/policy/src/test/java/org/carawaysill/policy/fleet/LostLinkTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/LostLinkTest.java
@@ -13,6 +13,7 @@
 import java.util.SplittableRandom;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.AnswerContent;
 import org.carawaysill.model.request.Body;
@@ -391,6 +392,9 @@
                     0,
                     false,
                     OptionalDouble.empty(),
+                    "route",
+                    new NodeName("10.0.0.1"),
+                    false,
                     new RequestContent("GET", ONCE, List.of(), Body.EMPTY));
         }
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/PlannedStopTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/PlannedStopTest.java
@@ -15,6 +15,7 @@
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Body;
 import org.carawaysill.model.request.Outcome;
@@ -213,6 +214,9 @@
                     SECOND,
                     false,
                     OptionalDouble.empty(),
+                    "route",
+                    new NodeName("10.0.0.1"),
+                    false,
                     new RequestContent("GET", "/back/", List.of(), Body.EMPTY));
             stopping.deliver(new FleetEvent.PeerReceived(other.name, late));
             fleet.runUntil(8 * SECOND);
--- a/policy/src/test/java/org/carawaysill/policy/fleet/Routes.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/Routes.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.carawaysill.model.fleet.Destination;
+import org.carawaysill.model.fleet.RequestKind;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.ServiceName;
 
@@ -28,7 +29,7 @@
                 "fleet.example",
                 path,
                 List.of(new Destination(new ServiceName(service), 1)),
-                idempotent,
+                idempotent ? RequestKind.READ : RequestKind.WRITE,
                 Duration.ofMillis(timeoutMillis),
                 maximumAttempts,
                 Duration.ofMillis(aimMillis),
@@ -43,7 +44,7 @@
                 route.host(),
                 route.prefix(),
                 route.destinations(),
-                route.idempotent(),
+                route.kind(),
                 route.timeout(),
                 route.maximumAttempts(),
                 route.targetLatency(),
--- a/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyGateTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyGateTest.java
@@ -13,6 +13,7 @@
 import net.jqwik.api.Property;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Body;
 import org.carawaysill.model.request.RequestContent;
@@ -49,6 +50,9 @@
                 remainingNanos,
                 true,
                 OptionalDouble.empty(),
+                "route",
+                new NodeName("10.0.0.1"),
+                false,
                 new RequestContent("GET", "/", List.of(), Body.EMPTY));
         return new LocalRun(request, Optional.empty(), 0);
     }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.carawaysill.model.fleet.Destination;
+import org.carawaysill.model.fleet.RequestKind;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.policy.fleet.summary.RouteSums;
@@ -46,7 +47,7 @@
     private void report(float offered, float completed) {
         NodeReport report = report(
                 new LoadReport(SLOTS, SLOTS, 0, 0),
-                List.of(new RouteDemand(LOOKUP, 0, offered, completed)),
+                List.of(new RouteDemand(LOOKUP, 0, offered, completed, offered, completed)),
                 plan.ownCosts());
         plan.update(sums(report), Map.of(DEEP, new ServiceLoad(SLOTS, SLOTS, 0)), Map.of(LOOKUP, route(LOOKUP, 2)));
     }
@@ -57,7 +58,7 @@
                 "fleet.example",
                 "/",
                 List.of(new Destination(DEEP, 1)),
-                true,
+                RequestKind.READ,
                 Duration.ofSeconds(1),
                 2,
                 Duration.ofSeconds(1),
@@ -131,7 +132,7 @@
         }
 
         private static RouteDemand asked(String route, int organisationRank, float rate) {
-            return new RouteDemand(route, organisationRank, rate, rate);
+            return new RouteDemand(route, organisationRank, rate, rate, rate, rate);
         }
 
         @Test
@@ -201,7 +202,7 @@
         }
 
         private static RouteDemand offered(String route, float rate) {
-            return new RouteDemand(route, 0, rate, rate);
+            return new RouteDemand(route, 0, rate, rate, rate, rate);
         }
 
         /*
--- a/policy/src/test/java/org/carawaysill/policy/fleet/route/RouteTableTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/route/RouteTableTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.carawaysill.model.fleet.Destination;
+import org.carawaysill.model.fleet.RequestKind;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.ServiceName;
 import org.junit.jupiter.api.Nested;
@@ -21,7 +22,7 @@
                 host,
                 prefix,
                 List.of(destinations),
-                true,
+                RequestKind.READ,
                 Duration.ofSeconds(1),
                 2,
                 Duration.ofMillis(100),
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
@@ -5,17 +5,23 @@
 import java.util.OptionalDouble;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.fleet.Organisation;
+import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.OrganisationName;
+import org.carawaysill.model.request.Body;
+import org.carawaysill.policy.message.PeerMessage.AttemptBody;
 import org.carawaysill.policy.message.PeerMessage.CopyAnswer;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.NodeReport;
+import org.carawaysill.policy.message.PeerMessage.PlaceGranted;
 import org.carawaysill.policy.message.PeerMessage.RouteCost;
 import org.carawaysill.policy.message.PeerMessage.RouteDemand;
 import org.carawaysill.policy.message.PeerMessage.SlotTime;
 import org.carawaysill.policy.message.PublishedState;
+import org.carawaysill.protocol.generated.AttemptBodyFrame;
 import org.carawaysill.protocol.generated.CopyAnswerFrame;
 import org.carawaysill.protocol.generated.CopyRequestFrame;
 import org.carawaysill.protocol.generated.NodeReportFrame;
+import org.carawaysill.protocol.generated.PlaceGrantedFrame;
 import org.carawaysill.protocol.generated.RouteCostFrame;
 import org.carawaysill.protocol.generated.RouteDemandFrame;
 import org.carawaysill.protocol.generated.SlotTimeFrame;
@@ -41,6 +47,9 @@
                 .setRootAgeNanos(Fields.clampedNanos(request.rootAgeNanos()))
                 .setRemainingNanos(Fields.clampedNanos(request.remainingNanos()))
                 .setLastChoice(request.lastChoice())
+                .setRoute(request.route())
+                .setCaller(request.caller().value())
+                .setBodyFollows(request.bodyFollows())
                 .setContent(ContentCodec.encode(request.content()));
         request.knownLimit().ifPresent(limit -> frame.setKnownLimit((float) limit));
         return frame.build();
@@ -63,9 +72,35 @@
                 Fields.durationNanos(frame.getRemainingNanos(), "remaining time"),
                 frame.getLastChoice(),
                 knownLimit(frame),
+                frame.getRoute(),
+                new NodeName(Fields.notBlank(frame.getCaller(), "caller")),
+                frame.getBodyFollows(),
                 ContentCodec.decode(frame.getContent()));
     }
 
+    static PlaceGrantedFrame encode(PlaceGranted granted) {
+        return PlaceGrantedFrame.newBuilder()
+                .setAttempt(Fields.identifier(granted.attempt()))
+                .build();
+    }
+
+    static PlaceGranted decode(PlaceGrantedFrame frame) throws ProtocolFault {
+        return new PlaceGranted(Fields.attempt(frame.hasAttempt(), frame.getAttempt()));
+    }
+
+    static AttemptBodyFrame encode(AttemptBody body) {
+        return AttemptBodyFrame.newBuilder()
+                .setAttempt(Fields.identifier(body.attempt()))
+                .setBody(BodyCodec.encode(body.body()))
+                .build();
+    }
+
+    static AttemptBody decode(AttemptBodyFrame frame) throws ProtocolFault {
+        return new AttemptBody(
+                Fields.attempt(frame.hasAttempt(), frame.getAttempt()),
+                Body.wrap(BodyCodec.decode(frame.hasBody(), frame.getBody())));
+    }
+
     private static OptionalDouble knownLimit(CopyRequestFrame frame) throws ProtocolFault {
         return frame.hasKnownLimit()
                 ? OptionalDouble.of(Fields.notNegative(frame.getKnownLimit(), "known limit"))
@@ -89,7 +124,9 @@
                     .setRoute(demand.route())
                     .setOrganisationRank(demand.organisationRank())
                     .setOfferedPerSecond(demand.offeredPerSecond())
-                    .setCompletedPerSecond(demand.completedPerSecond()));
+                    .setCompletedPerSecond(demand.completedPerSecond())
+                    .setAdmittedPerSecond(demand.admittedPerSecond())
+                    .setSucceededPerSecond(demand.succeededPerSecond()));
         }
         for (RouteCost cost : report.costs()) {
             frame.addCosts(RouteCostFrame.newBuilder()
@@ -108,7 +145,9 @@
                     demand.getRoute(),
                     Fields.inRange(demand.getOrganisationRank(), 0, Organisation.MAX_RANK, "organisation rank"),
                     Fields.notNegative(demand.getOfferedPerSecond(), "offered per second"),
-                    Fields.notNegative(demand.getCompletedPerSecond(), "completed per second")));
+                    Fields.notNegative(demand.getCompletedPerSecond(), "completed per second"),
+                    Fields.notNegative(demand.getAdmittedPerSecond(), "admitted per second"),
+                    Fields.notNegative(demand.getSucceededPerSecond(), "succeeded per second")));
         }
         List<RouteCost> costs = new ArrayList<>(frame.getCostsCount());
         for (RouteCostFrame cost : frame.getCostsList()) {
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/LoadCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/LoadCodec.java
@@ -21,7 +21,8 @@
                 .setLimit(load.limit())
                 .setQueued(load.queued())
                 .setCut(load.cut())
-                .setUnheard(load.unheard());
+                .setUnheard(load.unheard())
+                .setRunSeconds(load.runSeconds());
         load.pace().ifPresent(pace -> frame.setPace(encode(pace)));
         return frame.build();
     }
@@ -52,7 +53,8 @@
                 Fields.notNegative(frame.getQueued(), "queued"),
                 Fields.inRange(frame.getCut(), 0, Fields.MAXIMUM_CUT, "cut"),
                 decode(frame.hasPace(), frame.getPace()),
-                frame.getUnheard());
+                frame.getUnheard(),
+                Fields.notNegative(frame.getRunSeconds(), "run seconds"));
     }
 
     static List<ServiceCutFrame> encode(List<ServiceCut> cuts) {
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/PeerMessageCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/PeerMessageCodec.java
@@ -1,6 +1,7 @@
 package org.carawaysill.protocol.codec;
 
 import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.PeerMessage.AttemptBody;
 import org.carawaysill.policy.message.PeerMessage.CancelAttempt;
 import org.carawaysill.policy.message.PeerMessage.ConfigurationChange;
 import org.carawaysill.policy.message.PeerMessage.ConfigurationDocument;
@@ -19,6 +20,7 @@
 import org.carawaysill.policy.message.PeerMessage.NodeReport;
 import org.carawaysill.policy.message.PeerMessage.PeerAnswer;
 import org.carawaysill.policy.message.PeerMessage.PeerRequest;
+import org.carawaysill.policy.message.PeerMessage.PlaceGranted;
 import org.carawaysill.policy.message.PeerMessage.ReportWanted;
 import org.carawaysill.policy.message.PeerMessage.Suspicions;
 import org.carawaysill.policy.message.StateSummary;
@@ -66,6 +68,8 @@
             case EntriesWanted wanted -> frame.setEntriesWanted(EntryCodec.encode(wanted));
             case Entries entries -> frame.setEntries(EntryCodec.encode(entries));
             case Suspicions suspicions -> frame.setSuspicions(SuspicionCodec.encode(suspicions));
+            case PlaceGranted granted -> frame.setPlaceGranted(FleetCodec.encode(granted));
+            case AttemptBody body -> frame.setAttemptBody(FleetCodec.encode(body));
         }
         return frame.build();
     }
@@ -99,6 +103,8 @@
             case ENTRIES_WANTED -> EntryCodec.decode(frame.getEntriesWanted());
             case ENTRIES -> EntryCodec.decode(frame.getEntries());
             case SUSPICIONS -> SuspicionCodec.decode(frame.getSuspicions());
+            case PLACE_GRANTED -> FleetCodec.decode(frame.getPlaceGranted());
+            case ATTEMPT_BODY -> FleetCodec.decode(frame.getAttemptBody());
             case HELLO, ACCEPTED, REFUSED, PROBE, PROBE_REPLY, KIND_NOT_SET ->
                 throw new ProtocolFault(
                         ProtocolFault.Kind.UNEXPECTED_FRAME, frame.getKindCase().name());
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/SummaryCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/SummaryCodec.java
@@ -12,10 +12,12 @@
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 import org.carawaysill.policy.message.PublishedState;
 import org.carawaysill.policy.message.StateSummary;
+import org.carawaysill.policy.message.StateSummary.CallerGroup;
 import org.carawaysill.policy.message.StateSummary.NodeState;
 import org.carawaysill.policy.message.StateSummary.RankDemand;
 import org.carawaysill.policy.message.StateSummary.RouteSummary;
 import org.carawaysill.policy.message.StateSummary.ServiceCost;
+import org.carawaysill.protocol.generated.CallerGroupFrame;
 import org.carawaysill.protocol.generated.NodeStateFrame;
 import org.carawaysill.protocol.generated.OrganisationUseFrame;
 import org.carawaysill.protocol.generated.RankDemandFrame;
@@ -76,7 +78,8 @@
                 .setLimit(node.load().limit())
                 .setQueued(node.load().queued())
                 .setWorkSeconds(node.workSeconds())
-                .setUnheard(node.load().unheard());
+                .setUnheard(node.load().unheard())
+                .setRunSeconds(node.load().runSeconds());
         node.load().pace().ifPresent(pace -> frame.setPace(LoadCodec.encode(pace)));
         return frame.build();
     }
@@ -84,9 +87,7 @@
     private static RouteSummaryFrame encode(RouteSummary route, Map<ServiceName, Integer> services) {
         RouteSummaryFrame.Builder frame = RouteSummaryFrame.newBuilder().setRoute(route.route());
         for (RankDemand demand : route.demands()) {
-            frame.addDemands(RankDemandFrame.newBuilder()
-                    .setOrganisationRank(demand.organisationRank())
-                    .setOfferedPerSecond(demand.offeredPerSecond()));
+            frame.addDemands(encode(demand));
         }
         for (ServiceCost cost : route.costs()) {
             frame.addCosts(ServiceCostFrame.newBuilder()
@@ -97,6 +98,21 @@
         return frame.build();
     }
 
+    private static RankDemandFrame encode(RankDemand demand) {
+        RankDemandFrame.Builder frame = RankDemandFrame.newBuilder()
+                .setOrganisationRank(demand.organisationRank())
+                .setOfferedPerSecond(demand.offeredPerSecond())
+                .setAdmittedPerSecond(demand.admittedPerSecond())
+                .setSucceededPerSecond(demand.succeededPerSecond());
+        for (CallerGroup group : demand.callers()) {
+            frame.addCallers(CallerGroupFrame.newBuilder()
+                    .setExponent(group.exponent())
+                    .setNodes(group.nodes())
+                    .setOfferedPerSecond(group.offeredPerSecond()));
+        }
+        return frame.build();
+    }
+
     static StateSummary decode(StateSummaryFrame frame) throws ProtocolFault {
         List<ServiceName> services = new ArrayList<>(frame.getServicesCount());
         for (String service : frame.getServicesList()) {
@@ -135,7 +151,8 @@
                         Fields.notNegative(node.getQueued(), "queued"),
                         0,
                         LoadCodec.decode(node.hasPace(), node.getPace()),
-                        node.getUnheard()),
+                        node.getUnheard(),
+                        Fields.notNegative(node.getRunSeconds(), "run seconds")),
                 Fields.notNegative(node.getWorkSeconds(), "work seconds"));
     }
 
@@ -149,10 +166,24 @@
         }
         List<RankDemand> demands = new ArrayList<>(route.getDemandsCount());
         for (RankDemandFrame demand : route.getDemandsList()) {
-            demands.add(new RankDemand(
-                    Fields.inRange(demand.getOrganisationRank(), 0, Organisation.MAX_RANK, "organisation rank"),
-                    Fields.notNegative(demand.getOfferedPerSecond(), "offered per second")));
+            demands.add(decode(demand));
         }
         return new RouteSummary(route.getRoute(), demands, costs);
     }
+
+    private static RankDemand decode(RankDemandFrame demand) throws ProtocolFault {
+        List<CallerGroup> callers = new ArrayList<>(demand.getCallersCount());
+        for (CallerGroupFrame group : demand.getCallersList()) {
+            callers.add(new CallerGroup(
+                    group.getExponent(),
+                    Fields.notNegative(group.getNodes(), "nodes"),
+                    Fields.notNegative(group.getOfferedPerSecond(), "offered per second")));
+        }
+        return new RankDemand(
+                Fields.inRange(demand.getOrganisationRank(), 0, Organisation.MAX_RANK, "organisation rank"),
+                Fields.notNegative(demand.getOfferedPerSecond(), "offered per second"),
+                Fields.notNegative(demand.getAdmittedPerSecond(), "admitted per second"),
+                Fields.notNegative(demand.getSucceededPerSecond(), "succeeded per second"),
+                callers);
+    }
 }
--- a/protocol/src/main/java/org/carawaysill/protocol/link/HelloValidator.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/HelloValidator.java
@@ -13,7 +13,7 @@
     static final int MAXIMUM_BYTES = 4096;
 
     static final long MAGIC = 0x6361_7261_7761_7953L;
-    static final int VERSION = 5;
+    static final int VERSION = 6;
 
     private HelloValidator() {}
 
--- a/protocol/src/main/java/org/carawaysill/protocol/link/TrafficKind.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/TrafficKind.java
@@ -30,8 +30,8 @@
     static TrafficKind of(Frame frame) {
         return switch (frame.getKindCase()) {
             case HELLO, ACCEPTED, REFUSED, PROBE, PROBE_REPLY, KIND_NOT_SET -> LINK;
-            case PEER_REQUEST, COPY_REQUEST -> REQUEST;
-            case PEER_ANSWER, COPY_ANSWER -> ANSWER;
+            case PEER_REQUEST, COPY_REQUEST, ATTEMPT_BODY -> REQUEST;
+            case PEER_ANSWER, COPY_ANSWER, PLACE_GRANTED -> ANSWER;
             case CANCEL_ATTEMPT -> CANCELLATION;
             case DRAIN_NOTICE -> DRAIN;
             case HEARTBEAT -> HEARTBEAT;
--- a/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
@@ -35,6 +35,7 @@
 import org.carawaysill.policy.message.ChangesSince;
 import org.carawaysill.policy.message.OrganisationUse;
 import org.carawaysill.policy.message.PeerMessage;
+import org.carawaysill.policy.message.PeerMessage.AttemptBody;
 import org.carawaysill.policy.message.PeerMessage.CancelAttempt;
 import org.carawaysill.policy.message.PeerMessage.ConfigurationChange;
 import org.carawaysill.policy.message.PeerMessage.ConfigurationDocument;
@@ -58,6 +59,7 @@
 import org.carawaysill.policy.message.PeerMessage.NodeReport;
 import org.carawaysill.policy.message.PeerMessage.PeerAnswer;
 import org.carawaysill.policy.message.PeerMessage.PeerRequest;
+import org.carawaysill.policy.message.PeerMessage.PlaceGranted;
 import org.carawaysill.policy.message.PeerMessage.Purpose;
 import org.carawaysill.policy.message.PeerMessage.ReportWanted;
 import org.carawaysill.policy.message.PeerMessage.RosterMember;
@@ -69,6 +71,7 @@
 import org.carawaysill.policy.message.PeerMessage.Suspicions;
 import org.carawaysill.policy.message.PublishedState;
 import org.carawaysill.policy.message.StateSummary;
+import org.carawaysill.policy.message.StateSummary.CallerGroup;
 import org.carawaysill.policy.message.StateSummary.NodeState;
 import org.carawaysill.policy.message.StateSummary.RankDemand;
 import org.carawaysill.policy.message.StateSummary.RouteSummary;
@@ -82,7 +85,7 @@
     private static final String CHARACTERS = "\u0000\t\r\n aZ0\u00e8\u0416\u20ac\uffff";
 
     PeerMessage next() {
-        return switch (random.nextInt(20)) {
+        return switch (random.nextInt(22)) {
             case 0 -> request();
             case 1 -> answer();
             case 2 -> new CancelAttempt(attempt());
@@ -107,6 +110,8 @@
                         random.nextBoolean());
             case 13 -> new Entries(version(), revision(), random.nextBoolean(), list(this::published));
             case 15 -> new ReportWanted();
+            case 20 -> new PlaceGranted(attempt());
+            case 21 -> new AttemptBody(attempt(), body());
             case 16 -> new GroupSummary(summary());
             case 17 -> new FleetSummary(summary());
             case 18 -> new Suspicions(service(), list(this::suspicion));
@@ -147,6 +152,9 @@
                 nanos(),
                 random.nextBoolean(),
                 limit(),
+                text(),
+                node(),
+                random.nextBoolean(),
                 new RequestContent(word(), "/" + word(), list(this::header), body()));
     }
 
@@ -161,7 +169,7 @@
                 random.nextFloat(),
                 random.nextBoolean(),
                 random.nextBoolean(),
-                list(() -> new RouteDemand(text(), organisationRank(), random.nextFloat(), random.nextFloat())),
+                list(this::demand),
                 list(() -> new RouteCost(text(), service(), random.nextFloat())),
                 list(this::use));
     }
@@ -185,7 +193,8 @@
     }
 
     private NodeState nodeState() {
-        LoadReport load = new LoadReport(count(), count(), count(), 0, optional(this::pace), random.nextBoolean());
+        LoadReport load = new LoadReport(
+                count(), count(), count(), 0, optional(this::pace), random.nextBoolean(), random.nextFloat());
         return new NodeState(node(), service(), random.nextBoolean(), random.nextBoolean(), load, random.nextFloat());
     }
 
@@ -200,10 +209,29 @@
     private RouteSummary routeSummary() {
         return new RouteSummary(
                 text(),
-                list(() -> new RankDemand(organisationRank(), random.nextFloat())),
+                list(this::rankDemand),
                 list(() -> new ServiceCost(service(), random.nextFloat(), random.nextFloat())));
     }
 
+    private RouteDemand demand() {
+        return new RouteDemand(
+                text(),
+                organisationRank(),
+                random.nextFloat(),
+                random.nextFloat(),
+                random.nextFloat(),
+                random.nextFloat());
+    }
+
+    private RankDemand rankDemand() {
+        return new RankDemand(
+                organisationRank(),
+                random.nextFloat(),
+                random.nextFloat(),
+                random.nextFloat(),
+                list(() -> new CallerGroup(random.nextInt(), count(), random.nextFloat())));
+    }
+
     private EntriesWanted wanted() {
         return new EntriesWanted(
                 random.nextBoolean()
@@ -292,7 +320,8 @@
     }
 
     private LoadReport load() {
-        return new LoadReport(count(), count(), count(), level(), optional(this::pace), random.nextBoolean());
+        return new LoadReport(
+                count(), count(), count(), level(), optional(this::pace), random.nextBoolean(), random.nextFloat());
     }
 
     private CopyPace pace() {
@@ -360,7 +389,7 @@
     }
 
     private String word() {
-        return random.ints(1 + random.nextInt(20), '!', '~' + 1)
+        return random.ints(1 + random.nextInt(22), '!', '~' + 1)
                 .collect(StringBuilder::new, StringBuilder::appendCodePoint, StringBuilder::append)
                 .toString();
     }
