Send a large body only once a slot is kept for it, and count it in the choice of a copy

Cause: an upload travelled whole with each attempt, also to copies that refused it, and its body waited at gates; where it went was chosen by the size of its small answer.

Change: on routes of kind UPLOAD a body of 4 kB or more for a copy on another VM follows its request: the copy's node asks for it when its gate has started the request, holds the slot for at most 0.5 s, and looks at the whole request for suspicions of crashes before it goes to the copy. An attempt whose body was not sent is certain not to have run, whatever fails. LocalRuns and OutgoingRequests are split by job: RunAnswers, LocalCopy, BodyPlaces; RequestDeadlines, EntryOutcomes. AnswerSizes is part of RequestBytes now. The virtual fleet's full connections now refuse grants and bodies as well as answers and cancellations.

--- a/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
@@ -170,7 +170,7 @@
                 };
             case Decision.Retried _ -> Kind.RETRIED;
             case Decision.LinkWait _ -> Kind.LINK_WAIT;
-            case Decision.FailedAtCopy _ -> Kind.FAILED_AT_COPY;
+            case Decision.FailedAtCopy _, Decision.PlaceEnded _ -> Kind.FAILED_AT_COPY;
             case Decision.SuspectHandled _ -> Kind.SUSPECT;
             case Decision.Abandoned _ -> Kind.ABANDONED;
             case Decision.CopyChanged changed
--- a/node/src/main/java/org/carawaysill/node/fleet/RequestLatencies.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/RequestLatencies.java
@@ -51,6 +51,7 @@
             case Decision.Sent _,
                     Decision.Retried _,
                     Decision.LinkWait _,
+                    Decision.PlaceEnded _,
                     Decision.FailedAtCopy _,
                     Decision.SuspectHandled _,
                     Decision.OfState _ -> {}
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Arrivals.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Arrivals.java
@@ -88,7 +88,7 @@
 
     private Optional<OutgoingRequest> refused(FleetEvent.RequestArrived arrival, RefusalReason reason, Step step) {
         answers.refuseUnaccepted(
-                arrival, new Outcome.NotRun(reason, OutgoingRequests.UNREACHABLE_RETRY_AFTER, step, Optional.empty()));
+                arrival, new Outcome.NotRun(reason, EntryOutcomes.UNREACHABLE_RETRY_AFTER, step, Optional.empty()));
         return Optional.empty();
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/CopyRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/CopyRequests.java
@@ -12,9 +12,9 @@
 final class CopyRequests {
 
     /** The parts of a message that differ between an attempt and a question about it. Immutable and thread safe. */
-    private record Terms(long rootAgeNanos, long remainingNanos, boolean lastChoice) {
+    private record Terms(long rootAgeNanos, long remainingNanos, boolean lastChoice, boolean bodyFollows) {
 
-        private static final Terms OF_A_QUESTION = new Terms(0, 0, false);
+        private static final Terms OF_A_QUESTION = new Terms(0, 0, false, false);
     }
 
     private CopyRequests() {}
@@ -31,8 +31,19 @@
                 copy,
                 attempt,
                 callerService,
-                new Terms(now - request.origin().rootArrivedNanos(), request.deadlineNanos() - now, lastChoice),
-                request.arrival().content());
+                new Terms(
+                        now - request.origin().rootArrivedNanos(),
+                        request.deadlineNanos() - now,
+                        lastChoice,
+                        request.awaitsPlace()),
+                contentToSend(request));
+    }
+
+    private static RequestContent contentToSend(OutgoingRequest request) {
+        RequestContent content = request.arrival().content();
+        return request.awaitsPlace()
+                ? new RequestContent(content.method(), content.path(), content.headers(), Body.EMPTY)
+                : content;
     }
 
     /**
@@ -84,7 +95,7 @@
                 copy.limitPerSecond(),
                 request.route().name(),
                 request.origin().caller(),
-                false,
+                terms.bodyFollows(),
                 content);
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/CrashSuspects.java
@@ -95,6 +95,11 @@
         return suspicionState(now, request) instanceof SuspicionState.Suspected;
     }
 
+    /** Returns whether nothing is known against a request. */
+    boolean isClear(long now, CopyRequest request) {
+        return suspicionState(now, request) instanceof SuspicionState.Clear;
+    }
+
     /**
      * Returns the earliest time at which a suspected request may run again.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
@@ -9,6 +9,7 @@
 import org.carawaysill.model.request.Fingerprint;
 import org.carawaysill.model.request.NoticeCount;
 import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.policy.fleet.publication.Eras;
 import org.carawaysill.policy.time.Nanos;
 
@@ -484,6 +485,22 @@
         }
     }
 
+    /**
+     * A slot of the local copy was given up because the body of its request did not arrive.
+     *
+     * @param subject the request
+     * @param sender the node that was to send the body
+     * @param reason why it was given up
+     * @param heldNanos the time since the body was asked for
+     */
+    record PlaceEnded(String subject, NodeName sender, RefusalReason reason, long heldNanos) implements OfRequest {
+
+        @Override
+        public String fields() {
+            return "sender=" + sender + " reason=" + reason.labelValue() + " held_ms=" + Nanos.toMillis(heldNanos);
+        }
+    }
+
     private static String describe(Outcome outcome) {
         return switch (outcome) {
             case Outcome.Answered answered ->
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.policy.fleet.allowance.FleetAllowances;
 import org.carawaysill.policy.fleet.copy.Copy;
@@ -118,6 +119,10 @@
                 outgoing.peerLost(now, lost.peer());
             }
             case FleetEvent.PeerUnsent(NodeName _, PeerMessage.CopyRequest request) -> outgoing.unsent(now, request);
+            case FleetEvent.PeerUnsent(NodeName _, PeerMessage.PlaceGranted(AttemptIdentifier attempt)) ->
+                localRuns.grantUnsent(now, attempt);
+            case FleetEvent.PeerUnsent(NodeName peer, PeerMessage.AttemptBody body) ->
+                outgoing.bodyUnsent(now, peer, body.attempt());
             case FleetEvent.PeerUnsent(NodeName peer, PeerMessage message) -> unsentMessages.unsent(now, peer, message);
             case FleetEvent.WakeUp _ -> {}
             case FleetEvent.EntriesRead read -> {
@@ -167,7 +172,8 @@
                 exchange.entriesReceived(from, entries.position());
                 publicationChanged(moment);
             }
-            case PeerMessage.PlaceGranted _, PeerMessage.AttemptBody _ -> {}
+            case PeerMessage.PlaceGranted(AttemptIdentifier attempt) -> outgoing.placeGranted(now, from, attempt);
+            case PeerMessage.AttemptBody body -> localRuns.bodyReceived(now, from, body);
             case PeerMessage.PeerRequest _,
                     PeerMessage.PeerAnswer _,
                     PeerMessage.DrainNotice _,
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -11,19 +11,20 @@
 import org.carawaysill.model.fleet.CopyRecord;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.request.BodyCount;
 import org.carawaysill.model.request.CopyNotice;
 import org.carawaysill.model.request.Fingerprint;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
+import org.carawaysill.policy.fleet.body.HeldPlaces;
 import org.carawaysill.policy.fleet.copy.CopyGate;
 import org.carawaysill.policy.fleet.copy.LocalRun;
-import org.carawaysill.policy.message.PeerMessage.CopyAnswer;
+import org.carawaysill.policy.message.PeerMessage.AttemptBody;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 import org.carawaysill.policy.time.Moment;
-import org.carawaysill.policy.time.Nanos;
 
 /**
  * The requests for the local copy, whichever node sent them.
@@ -42,36 +43,29 @@
     /** How long after the deadline the copy may still answer. */
     private static final long OVERDUE_NANOS = Duration.ofMillis(200).toNanos();
 
-    private static final Duration SHORTEST_RETRY_AFTER = Duration.ofMillis(50);
-
     private final Effects effects;
     private final CrashSuspects suspects;
     private final CopyGate gate;
     private final CopyNotices notices;
+    private final RunAnswers answers;
+    private final BodyPlaces places;
+    private final LocalCopy localCopy;
     private final Map<String, LocalRun> runningByName = new HashMap<>();
-    private LocalSender localSender = (_, _) -> {};
-    private Optional<CopyRecord> publishedRecord = Optional.empty();
     private int loggedLimit;
-    private boolean leaving;
-    private boolean unpublished;
     private boolean closed;
 
-    /** Receives the outcomes of requests that entered at this node. */
-    @FunctionalInterface
-    interface LocalSender {
-
-        void answered(long now, CopyAnswer answer);
-    }
-
     LocalRuns(FleetSettings settings, Effects effects, CrashSuspects suspects) {
         this.effects = effects;
         this.suspects = suspects;
         gate = new CopyGate(settings.disabledMechanisms());
         notices = new CopyNotices(effects, gate);
+        answers = new RunAnswers(effects, gate, notices);
+        places = new BodyPlaces(effects);
+        localCopy = new LocalCopy(suspects, notices);
     }
 
-    void localSender(LocalSender sender) {
-        localSender = sender;
+    void localSender(RunAnswers.LocalSender sender) {
+        answers.localSender(sender);
     }
 
     LoadReport load(long now) {
@@ -92,7 +86,7 @@
 
     /** Returns the number of requests that were sent to the copy. */
     long runningCount() {
-        return gate.all().stream().filter(LocalRun::isRunning).count();
+        return gate.all().stream().filter(LocalRun::isSentToCopy).count();
     }
 
     /** Returns the other nodes whose requests wait or run here. */
@@ -106,40 +100,30 @@
     void published(Moment moment, CopyRecord record) {
         long now = moment.nanos();
         gate.limit(now, record.slots());
-        if (publishedRecord.isPresent() && !publishedRecord.get().isSameStart(record)) {
+        if (localCopy.hasRestarted(record)) {
             restarted(moment, record);
         }
-        publishedRecord = Optional.of(record);
-        unpublished = false;
-        leaving = record.draining();
-        if (leaving) {
+        localCopy.published(record);
+        if (record.draining()) {
             refuseWaiting(now);
         }
     }
 
     /** Notes that the local copy is no longer published; it may have left without notice. */
     void unpublished() {
-        unpublished = true;
+        localCopy.unpublished();
     }
 
     /** Fails the requests that were running when the copy's process ended. */
     void crashed(long now, List<AttemptIdentifier> attempts) {
         List<LocalRun> runs =
                 attempts.stream().map(gate::find).flatMap(Optional::stream).toList();
-        reportLost(now, runs).forEach(lost -> answered(now, lost.run().request().attempt(), unknown(lost.reason())));
+        localCopy
+                .reportLost(now, runs)
+                .forEach(lost -> answered(now, lost.run().request().attempt(), unknown(lost.reason())));
         recheck(now);
     }
 
-    /** Reports the end of the published copy's process as a crash, unless that end was expected. */
-    private List<CrashSuspects.LostRun> reportLost(long now, List<LocalRun> runs) {
-        if (publishedRecord.isEmpty() || isLeaving(publishedRecord.get().copy()) || unpublished || runs.isEmpty()) {
-            return runs.stream()
-                    .map(run -> new CrashSuspects.LostRun(run, UnknownReason.COPY_LOST))
-                    .toList();
-        }
-        return suspects.crashed(now, publishedRecord.get(), runs);
-    }
-
     private static Outcome unknown(UnknownReason reason) {
         return new Outcome.Unknown(reason, Step.COPY_WAIT, Optional.empty());
     }
@@ -156,14 +140,11 @@
         notices.reset(moment.nanos());
         effects.add(new FleetEffect.CloseIdleCopyConnections());
         List<LocalRun> runs = gate.all().stream()
-                .filter(run -> isFromEarlierProcess(moment, run, record))
+                .filter(run -> LocalCopy.isFromEarlierProcess(moment, run, record))
                 .toList();
-        reportLost(moment.nanos(), runs).forEach(lost -> endAsUnknown(moment.nanos(), lost.run(), lost.reason()));
-    }
-
-    private static boolean isFromEarlierProcess(Moment moment, LocalRun run, CopyRecord record) {
-        long startedMillis = moment.epochMillis() - Nanos.toMillis(moment.nanos() - run.startedNanos());
-        return run.isRunning() && startedMillis < record.startedAtMillis();
+        localCopy
+                .reportLost(moment.nanos(), runs)
+                .forEach(lost -> endAsUnknown(moment.nanos(), lost.run(), lost.reason()));
     }
 
     private void endAsUnknown(long now, LocalRun run, UnknownReason reason) {
@@ -187,7 +168,8 @@
     }
 
     private void refuseWaiting(long now) {
-        gate.takeWaiting().forEach(run -> refuse(now, run, RefusalReason.DRAINING, Step.QUEUE));
+        gate.takeWaiting().forEach(run -> answers.refuse(now, run, RefusalReason.DRAINING, Step.QUEUE));
+        places.all().forEach(run -> endPlace(now, run, BodyCount.PLACE_RELEASED, RefusalReason.DRAINING));
     }
 
     /** Returns the usual time of a request at the copy, its calls included, in nanoseconds. */
@@ -199,32 +181,33 @@
         LocalRun run = new LocalRun(request, sender, now);
         // Guards against two runs with the same attempt identifier: one could get the answer of the other.
         if (gate.find(request.attempt()).isPresent()) {
-            reply(now, run, refusal(now, RefusalReason.DUPLICATE, Step.QUEUE));
+            answers.reply(now, run, answers.refusal(now, RefusalReason.DUPLICATE, Step.QUEUE));
             return;
         }
         if (CopyRequests.isQuestion(request)) {
-            reply(now, run, refusal(now, RefusalReason.DEADLINE, Step.QUEUE));
+            answers.reply(now, run, answers.refusal(now, RefusalReason.DEADLINE, Step.QUEUE));
             return;
         }
-        if (isLeaving(request.copy()) || closed) {
-            reply(now, run, refusal(now, RefusalReason.DRAINING, Step.QUEUE));
+        if (localCopy.isLeaving(request.copy()) || closed) {
+            answers.reply(now, run, answers.refusal(now, RefusalReason.DRAINING, Step.QUEUE));
             return;
         }
-        if (publishedRecord.isEmpty() || publishedRecord.get().copy().equals(request.copy())) {
+        if (localCopy.mayBe(request.copy())) {
             sender.ifPresent(node -> notices.relayed(now, node, request));
         }
         admit(now, run);
         startNext(now);
     }
 
-    private boolean isLeaving(CopyName copy) {
-        return leaving || notices.isLeaving(copy);
-    }
-
     /** Starts, queues or refuses a request, depending on whether it is suspected. */
     private void admit(long now, LocalRun run) {
         if (notices.isLeaving(run.request().copy())) {
-            refuse(now, run, RefusalReason.DRAINING, Step.QUEUE);
+            answers.refuse(now, run, RefusalReason.DRAINING, Step.QUEUE);
+            return;
+        }
+        if (run.request().bodyFollows()) {
+            // It is compared with suspected requests once it is whole.
+            offer(now, run);
             return;
         }
         switch (suspects.placement(now, run.request())) {
@@ -235,17 +218,17 @@
             case Placement.OnlyHere(Fingerprint fingerprint, boolean alone) -> {
                 run.suspect(fingerprint, alone);
                 if (!gate.enqueueSuspect(run)) {
-                    refuse(now, run, RefusalReason.QUEUE_FULL, Step.QUEUE);
+                    answers.refuse(now, run, RefusalReason.QUEUE_FULL, Step.QUEUE);
                 }
             }
-            case Placement.Refused(Outcome.NotRun refusal) -> reply(now, run, refusal);
+            case Placement.Refused(Outcome.NotRun refusal) -> answers.reply(now, run, refusal);
         }
     }
 
     /** Checks all waiting and running requests again, after suspicions have changed. */
     void recheck(long now) {
         gate.all().stream()
-                .filter(run -> run.isRunning() && suspects.isSuspected(now, run.request()))
+                .filter(run -> run.isSentToCopy() && suspects.isSuspected(now, run.request()))
                 .forEach(gate::suspectRunning);
         readmitWaiting(now);
     }
@@ -258,15 +241,63 @@
 
     private void offer(long now, LocalRun run) {
         switch (gate.offer(now, run)) {
-            case CopyGate.Offered.Started _ -> sendToCopy(run);
+            case CopyGate.Offered.Started _ -> started(now, run);
             case CopyGate.Offered.Waits(Optional<LocalRun> evicted) ->
-                evicted.ifPresent(other -> refuse(now, other, RefusalReason.EVICTED, Step.QUEUE));
-            case CopyGate.Offered.Full _ -> refuse(now, run, RefusalReason.QUEUE_FULL, Step.QUEUE);
-            case CopyGate.Offered.OverRate _ -> refuse(now, run, RefusalReason.COPY_RATE_LIMITED, Step.QUEUE);
-            case CopyGate.Offered.TooLate _ -> refuse(now, run, RefusalReason.DEADLINE, Step.QUEUE);
+                evicted.ifPresent(other -> answers.refuse(now, other, RefusalReason.EVICTED, Step.QUEUE));
+            case CopyGate.Offered.Full _ -> answers.refuse(now, run, RefusalReason.QUEUE_FULL, Step.QUEUE);
+            case CopyGate.Offered.OverRate _ -> answers.refuse(now, run, RefusalReason.COPY_RATE_LIMITED, Step.QUEUE);
+            case CopyGate.Offered.TooLate _ -> answers.refuse(now, run, RefusalReason.DEADLINE, Step.QUEUE);
+        }
+    }
+
+    /** Sends a request that has got a slot to the copy, or asks for its body. */
+    private void started(long now, LocalRun run) {
+        if (run.holdsPlace()) {
+            places.grant(now, run, run.deadlineNanos() - ANSWER_MARGIN_NANOS);
+        } else {
+            sendToCopy(run);
+        }
+    }
+
+    /** Sends a request to the copy whose body has followed, unless copies crashed while they ran it. */
+    void bodyReceived(long now, NodeName from, AttemptBody message) {
+        endLapsedPlaces(now);
+        places.bodyArrived(gate.find(message.attempt()), from).ifPresent(run -> {
+            CopyRequest whole = HeldPlaces.whole(now, run, message.body());
+            if (suspects.isClear(now, whole) && !localCopy.isLeaving(whole.copy())) {
+                run.bodyArrived(now, whole);
+                sendToCopy(run);
+            } else {
+                release(now, run, CopyGate.Ending.BROKEN_OFF);
+                admit(now, new LocalRun(whole, run.sender(), now));
+                startNext(now);
+            }
+        });
+    }
+
+    /** Ends the place of a request whose body could not be asked for. */
+    void grantUnsent(long now, AttemptIdentifier attempt) {
+        gate.find(attempt).filter(LocalRun::holdsPlace).ifPresent(run -> {
+            endPlace(now, run, BodyCount.GRANT_UNSENT, RefusalReason.PEER_UNREACHABLE);
+            startNext(now);
+        });
+    }
+
+    private void endLapsedPlaces(long now) {
+        List<LocalRun> lapsed = places.lapsed(now);
+        lapsed.forEach(run -> endPlace(now, run, BodyCount.PLACE_LAPSED, RefusalReason.PEER_UNREACHABLE));
+        if (!lapsed.isEmpty()) {
+            startNext(now);
         }
     }
 
+    /** Gives up the slot of a request without its body: the copy did not run it. */
+    private void endPlace(long now, LocalRun run, BodyCount counted, RefusalReason reason) {
+        places.ended(now, run, counted, reason);
+        release(now, run, CopyGate.Ending.BROKEN_OFF);
+        answers.refuse(now, run, reason, Step.QUEUE);
+    }
+
     private void sendToCopy(LocalRun run) {
         CopyRequest request = run.request();
         runningByName.put(request.requestName(), run);
@@ -307,9 +338,9 @@
         }
         release(now, run, ending(outcome));
         if (!(outcome instanceof Outcome.Answered)) {
-            logFailure(now, run, outcome);
+            answers.logFailure(now, run, outcome);
         }
-        reply(now, run, outcome);
+        answers.reply(now, run, outcome);
         if (outcome instanceof Outcome.Answered && suspects.answered(now, run.request())) {
             recheck(now);
         }
@@ -332,15 +363,16 @@
 
     private void startNext(long now) {
         gate.delaySuspectsUntil(suspects.earliestSuspectRunNanos());
-        gate.startNext(now).forEach(run -> sendToCopy(run));
+        gate.startNext(now).forEach(run -> started(now, run));
     }
 
     /** Ends a request that its sender has cancelled: removes it from the queue, or cancels it at the copy. */
     void cancelled(long now, AttemptIdentifier attempt) {
         gate.find(attempt).ifPresent(run -> {
-            if (run.isRunning()) {
+            if (run.isSentToCopy()) {
                 effects.add(new FleetEffect.CancelAtCopy(attempt));
             }
+            places.ended(now, run, BodyCount.PLACE_RELEASED, RefusalReason.CANCELLED);
             release(now, run, CopyGate.Ending.BROKEN_OFF);
             startNext(now);
         });
@@ -354,14 +386,15 @@
     void senderLost(long now, NodeName sender) {
         List<LocalRun> runs = runsOf(sender);
         // The waiting ones first: each free slot would start the next of them.
-        runs.stream().filter(run -> !run.isRunning()).forEach(run -> {
+        runs.stream().filter(run -> !run.isSentToCopy()).forEach(run -> {
+            places.ended(now, run, BodyCount.PLACE_RELEASED, RefusalReason.PEER_UNREACHABLE);
             release(now, run, CopyGate.Ending.BROKEN_OFF);
             if (!run.request().idempotent()) {
-                refuse(now, run, RefusalReason.PEER_UNREACHABLE, Step.QUEUE);
+                answers.refuse(now, run, RefusalReason.PEER_UNREACHABLE, Step.QUEUE);
             }
         });
         runs.stream()
-                .filter(run -> run.isRunning() && run.request().idempotent())
+                .filter(run -> run.isSentToCopy() && run.request().idempotent())
                 .forEach(run -> cancelled(now, run.request().attempt()));
         startNext(now);
     }
@@ -369,7 +402,7 @@
     /** Ends the running requests of other nodes, which learn at once that they may have run: this process ends. */
     void endRunsOfOtherNodes(long now) {
         gate.all().stream()
-                .filter(run -> run.isRunning() && run.sender().isPresent())
+                .filter(run -> run.isSentToCopy() && run.sender().isPresent())
                 .toList()
                 .forEach(run -> endAsUnknown(now, run, UnknownReason.PEER_LOST));
     }
@@ -386,8 +419,9 @@
     }
 
     void passTime(long now) {
+        endLapsedPlaces(now);
         List<LocalRun> overdue = gate.takeOverdue(now, ANSWER_MARGIN_NANOS);
-        overdue.forEach(run -> refuse(now, run, RefusalReason.DEADLINE, Step.QUEUE));
+        overdue.forEach(run -> answers.refuse(now, run, RefusalReason.DEADLINE, Step.QUEUE));
         if (now >= gate.nextReleaseNanos()) {
             startNext(now);
         }
@@ -408,50 +442,14 @@
      */
     void endOverdue(long now) {
         for (LocalRun run : gate.all()) {
-            if (run.isRunning() && now - run.deadlineNanos() > OVERDUE_NANOS) {
+            if (run.isSentToCopy() && now - run.deadlineNanos() > OVERDUE_NANOS) {
                 endAsUnknown(now, run, UnknownReason.DEADLINE);
             }
         }
     }
 
     long nextNanos() {
-        return Math.min(gate.nextOverdueNanos(ANSWER_MARGIN_NANOS), gate.nextReleaseNanos());
-    }
-
-    private void refuse(long now, LocalRun run, RefusalReason reason, Step step) {
-        Outcome.NotRun refusal = refusal(now, reason, step);
-        logFailure(now, run, refusal);
-        reply(now, run, refusal);
-    }
-
-    private Outcome.NotRun refusal(long now, RefusalReason reason, Step step) {
-        Duration wait = Duration.ofNanos(gate.expectedWaitNanos(now));
-        Duration retryAfter = wait.compareTo(SHORTEST_RETRY_AFTER) > 0 ? wait : SHORTEST_RETRY_AFTER;
-        return new Outcome.NotRun(reason, retryAfter, step, Optional.empty());
-    }
-
-    private void reply(long now, LocalRun run, Outcome outcome) {
-        if (run.hasSenderEnded()) {
-            return;
-        }
-        CopyRequest request = run.request();
-        CopyAnswer answer = new CopyAnswer(
-                request.attempt(), outcome, gate.load(now), run.times().list(), notices.isLeaving(request.copy()));
-        run.sender()
-                .ifPresentOrElse(
-                        sender -> effects.add(new FleetEffect.SendToPeer(sender, answer)),
-                        () -> localSender.answered(now, answer));
-    }
-
-    private void logFailure(long now, LocalRun run, Outcome outcome) {
-        LoadReport load = gate.load(now);
-        effects.log(new Decision.FailedAtCopy(
-                run.request().requestName(),
-                run.request().copy(),
-                outcome,
-                now - run.arrivedNanos(),
-                load.inFlight(),
-                load.queued(),
-                load.limit()));
+        long waiting = Math.min(gate.nextOverdueNanos(ANSWER_MARGIN_NANOS), gate.nextReleaseNanos());
+        return Math.min(waiting, places.nextNanos());
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
@@ -10,6 +10,7 @@
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.Body;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.LocalRun;
@@ -40,6 +41,7 @@
     private int sentAttempts;
     private int possibleRuns;
     private boolean sentBack;
+    private boolean awaitsPlace;
     private boolean finished;
 
     /**
@@ -87,6 +89,10 @@
         return arrival;
     }
 
+    Body body() {
+        return arrival.content().body();
+    }
+
     Route route() {
         return route;
     }
@@ -133,10 +139,30 @@
         return copy;
     }
 
+    /** Returns whether the present attempt was sent to a node. */
+    boolean isAt(NodeName node) {
+        return copy.filter(to -> to.node().equals(node)).isPresent();
+    }
+
     Optional<AttemptIdentifier> attempt() {
         return attempt;
     }
 
+    /** Notes that the present attempt is sent without its body. */
+    void awaitPlace() {
+        awaitsPlace = true;
+    }
+
+    /** Notes that the body of the present attempt was sent. */
+    void bodySent() {
+        awaitsPlace = false;
+    }
+
+    /** Returns whether the body of the present attempt was not sent, so that no copy can have run it. */
+    boolean awaitsPlace() {
+        return awaitsPlace;
+    }
+
     /** Notes that a copy sent the request back because of its own limit of requests per second. */
     void sentBack() {
         sentBack = true;
@@ -159,6 +185,7 @@
     void attemptEnded() {
         copy = Optional.empty();
         attempt = Optional.empty();
+        awaitsPlace = false;
     }
 
     Set<CopyName> tried() {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -1,14 +1,11 @@
 package org.carawaysill.policy.fleet;
 
-import java.time.Duration;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
@@ -16,12 +13,13 @@
 import org.carawaysill.model.identity.ExchangeIdentifier;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.BodyCount;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.RetryReason;
 import org.carawaysill.model.request.Step;
-import org.carawaysill.model.request.UnknownReason;
-import org.carawaysill.policy.fleet.copy.AnswerSizes;
+import org.carawaysill.policy.fleet.body.LargeBodies;
+import org.carawaysill.policy.fleet.body.RequestBytes;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.CopyChoice;
 import org.carawaysill.policy.fleet.retry.RetrySettings;
@@ -38,9 +36,6 @@
  */
 final class OutgoingRequests {
 
-    /** The retry delay when no copy is reachable: by then connections have been dialled again. */
-    static final Duration UNREACHABLE_RETRY_AFTER = Duration.ofMillis(300);
-
     /** Below this success share, a copy that fails while others do not gets hardly any requests, which is logged. */
     private static final double TRUSTED_SUCCESS = 0.5;
 
@@ -52,7 +47,8 @@
     private final LocalRuns localRuns;
     private final RandomGenerator random;
     private final CopyChoice choice;
-    private final AnswerSizes answerSizes = new AnswerSizes();
+    private final LargeBodies largeBodies;
+    private final RequestBytes requestBytes;
     private final CrashSuspects suspects;
     private final RetryLimiter retryLimiter;
     private final Admission admission;
@@ -61,8 +57,7 @@
     private final LinkWaits linkWaits;
     private final Map<ExchangeIdentifier, OutgoingRequest> byExchange = new HashMap<>();
     private final Map<AttemptIdentifier, OutgoingRequest> byAttempt = new HashMap<>();
-    private final PriorityQueue<OutgoingRequest> byDeadline =
-            new PriorityQueue<>(Comparator.comparingLong(OutgoingRequest::deadlineNanos));
+    private final RequestDeadlines deadlines = new RequestDeadlines();
 
     OutgoingRequests(FleetParts parts, RandomGenerator random) {
         this.settings = parts.settings();
@@ -74,6 +69,8 @@
         this.suspects = parts.suspects();
         this.random = random;
         choice = new CopyChoice(settings.self(), settings.zone(), settings.disabledMechanisms(), random);
+        largeBodies = new LargeBodies(settings.disabledMechanisms());
+        requestBytes = new RequestBytes(largeBodies);
         retryLimiter = new RetryLimiter(parts);
         admission = new Admission(parts, random);
         answers = new FinalAnswers(parts);
@@ -105,7 +102,7 @@
 
     /** Removes the statistics of routes that are no longer published. */
     void routes(Collection<String> names) {
-        answerSizes.retain(names);
+        requestBytes.retain(names);
     }
 
     void retries(RetrySettings bound) {
@@ -128,7 +125,7 @@
     private void begin(long now, OutgoingRequest request) {
         request.origin().parent().ifPresent(parent -> parent.callBegan(now));
         byExchange.put(request.arrival().exchange(), request);
-        byDeadline.add(request);
+        deadlines.add(request);
         Optional<Outcome.NotRun> refusal = suspects.refusal(now, request).or(() -> admission.refusal(now, request));
         if (refusal.isPresent()) {
             finish(now, request, refusal.get());
@@ -140,7 +137,7 @@
     private void send(long now, OutgoingRequest request) {
         ServiceName service = request.service();
         List<Copy> copies = view.copies().usable(service);
-        double bytes = answerSizes.usual(request.route().name());
+        double bytes = requestBytes.of(request.route(), request.body());
         Predicate<NodeName> mayReceive = node -> request.maySendTo(node) && reachableNodes.contains(now, node);
         Optional<Copy> chosen = choice.choose(now, copies, request.tried(), request.isSentBack(), bytes, mayReceive)
                 .or(() -> choice.choose(
@@ -151,13 +148,16 @@
                         bytes,
                         node -> request.maySendTo(node) && reachableNodes.containsAsLastResort(now, node)));
         if (chosen.isEmpty()) {
-            finish(now, request, notRun(RefusalReason.NO_COPY, UNREACHABLE_RETRY_AFTER, Step.ROUTING));
+            finish(now, request, EntryOutcomes.noCopy());
             return;
         }
         Copy copy = chosen.get();
         double load = copy.expectedLoad(now, settings.disabledMechanisms());
         AttemptIdentifier attempt = new AttemptIdentifier(random.nextLong(), random.nextLong());
         request.sent(copy, attempt);
+        if (!copy.node().equals(settings.self()) && largeBodies.follows(request.route(), request.body())) {
+            request.awaitPlace();
+        }
         copy.sent();
         byAttempt.put(attempt, request);
         if (request.sentAttempts() == 1) {
@@ -188,6 +188,28 @@
                 view.version()));
     }
 
+    /** Sends the body of an attempt to the node that has a place for it. */
+    void placeGranted(long now, NodeName from, AttemptIdentifier attempt) {
+        OutgoingRequest request = byAttempt.get(attempt);
+        if (request == null || !request.awaitsPlace() || !request.isAt(from)) {
+            effects.count(BodyCount.GRANT_IGNORED);
+            return;
+        }
+        request.bodySent();
+        effects.count(BodyCount.BODY_SENT);
+        effects.add(new FleetEffect.SendToPeer(from, new PeerMessage.AttemptBody(attempt, request.body())));
+        peers.expectReply(now, from);
+    }
+
+    /** Ends an attempt whose body was not sent, here and at the node that has a place for it. */
+    void bodyUnsent(long now, NodeName peer, AttemptIdentifier attempt) {
+        effects.count(BodyCount.BODY_UNSENT);
+        if (byAttempt.containsKey(attempt)) {
+            effects.add(new FleetEffect.SendToPeer(peer, new PeerMessage.CancelAttempt(attempt)));
+            answered(now, attempt, EntryOutcomes.unreachable(Step.PEER_SEND), List.of());
+        }
+    }
+
     void peerAnswered(long now, NodeName from, PeerMessage.CopyAnswer answer) {
         OutgoingRequest request = byAttempt.get(answer.attempt());
         if (request == null || request.copy().isEmpty()) {
@@ -230,7 +252,7 @@
         recordOutcome(now, copy, outcome);
         switch (outcome) {
             case Outcome.Answered whole -> {
-                answerSizes.answered(
+                requestBytes.answered(
                         request.route().name(), whole.content().body().length());
                 finish(now, request, outcome);
             }
@@ -334,23 +356,21 @@
         if (CopyRequests.isQuestion(message)) {
             linkWaits.unsent(now, message.attempt());
         } else {
-            Outcome outcome = notRun(RefusalReason.PEER_UNREACHABLE, UNREACHABLE_RETRY_AFTER, Step.PEER_SEND);
-            answered(now, message.attempt(), outcome, List.of());
+            answered(now, message.attempt(), EntryOutcomes.unreachable(Step.PEER_SEND), List.of());
         }
     }
 
     /** Ends the attempts at a lost node that may be repeated; the others wait for the next connection to it. */
     void peerLost(long now, NodeName peer) {
         List<AttemptIdentifier> lost = byAttempt.entrySet().stream()
-                .filter(entry -> entry.getValue()
-                        .copy()
-                        .filter(copy -> copy.node().equals(peer))
-                        .isPresent())
+                .filter(entry -> entry.getValue().isAt(peer))
                 .map(Map.Entry::getKey)
                 .toList();
         for (AttemptIdentifier attempt : lost) {
             OutgoingRequest request = byAttempt.get(attempt);
-            if (request.route().idempotent()) {
+            if (request.awaitsPlace()) {
+                answered(now, attempt, EntryOutcomes.unreachable(Step.PEER_WAIT), List.of());
+            } else if (request.route().idempotent()) {
                 answered(now, attempt, LinkWaits.lost(peer), List.of());
             } else {
                 linkWaits.hold(now, attempt, request, peer);
@@ -371,30 +391,15 @@
             NodeName peer = byAttempt.get(attempt).copy().orElseThrow().node();
             answered(now, attempt, LinkWaits.lost(peer), List.of());
         }
-        dropFinished();
-        while (!byDeadline.isEmpty() && byDeadline.peek().deadlineNanos() <= now) {
-            OutgoingRequest request = byDeadline.poll();
-            Step step = request.attempt().isPresent() ? Step.PEER_WAIT : Step.ROUTING;
+        for (Optional<OutgoingRequest> due = deadlines.takeDue(now); due.isPresent(); due = deadlines.takeDue(now)) {
+            OutgoingRequest request = due.get();
+            Outcome outcome = EntryOutcomes.atDeadline(request);
             cancelAttempt(now, request);
-            finish(now, request, new Outcome.Unknown(UnknownReason.DEADLINE, step, Optional.empty()));
-            dropFinished();
-        }
-    }
-
-    private void dropFinished() {
-        while (!byDeadline.isEmpty() && byDeadline.peek().isFinished()) {
-            byDeadline.poll();
+            finish(now, request, outcome);
         }
     }
 
     long nextNanos() {
-        dropFinished();
-        long deadline =
-                byDeadline.isEmpty() ? Long.MAX_VALUE : byDeadline.peek().deadlineNanos();
-        return Math.min(deadline, linkWaits.nextNanos());
-    }
-
-    private static Outcome.NotRun notRun(RefusalReason reason, Duration retryAfter, Step step) {
-        return new Outcome.NotRun(reason, retryAfter, step, Optional.empty());
+        return Math.min(deadlines.nextNanos(), linkWaits.nextNanos());
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/LocalRun.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/LocalRun.java
@@ -36,7 +36,7 @@
             .thenComparingInt(run -> -run.request.depth())
             .thenComparingLong(run -> run.deadlineNanos);
 
-    private final CopyRequest request;
+    private CopyRequest request;
     private final Optional<NodeName> sender;
     private final long arrivedNanos;
     private final long deadlineNanos;
@@ -76,6 +76,17 @@
         return request;
     }
 
+    /**
+     * Notes that the body followed, with which the request is sent to the copy.
+     *
+     * @param now the monotonic time
+     * @param whole the request with its body
+     */
+    public void bodyArrived(long now, CopyRequest whole) {
+        request = whole;
+        startedNanos = now;
+    }
+
     /**
      * Returns the node that receives the answer.
      *
@@ -196,14 +207,32 @@
     }
 
     /**
-     * Returns whether the request was sent to the copy and has a slot.
+     * Returns whether the request has a slot.
      *
-     * @return whether it runs
+     * @return whether it was sent to the copy, or will be once its body arrives
      */
     public boolean isRunning() {
         return running;
     }
 
+    /**
+     * Returns whether the request has a slot that waits for its body.
+     *
+     * @return whether it has
+     */
+    public boolean holdsPlace() {
+        return running && request.bodyFollows();
+    }
+
+    /**
+     * Returns whether the request was sent to the copy.
+     *
+     * @return whether it has a slot and its body
+     */
+    public boolean isSentToCopy() {
+        return running && !request.bodyFollows();
+    }
+
     /**
      * Returns the slot time that the calls of this request have taken so far.
      *
--- a/policy/src/test/java/org/carawaysill/policy/fleet/MessageSizes.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/MessageSizes.java
@@ -26,6 +26,7 @@
         return switch (message) {
             case PeerMessage.CopyRequest request ->
                 REQUEST + request.content().body().length();
+            case PeerMessage.AttemptBody follows -> SHORT + follows.body().length();
             case PeerMessage.CopyAnswer answer
             when answer.outcome() instanceof Outcome.Answered answered ->
                 ANSWER + answered.content().body().length();
--- a/policy/src/test/java/org/carawaysill/policy/fleet/Routes.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/Routes.java
@@ -37,6 +37,21 @@
                 true);
     }
 
+    /** Returns a copy of a route whose requests upload bodies. */
+    static Route upload(Route route) {
+        return new Route(
+                route.name(),
+                route.host(),
+                route.prefix(),
+                route.destinations(),
+                RequestKind.UPLOAD,
+                route.timeout(),
+                route.maximumAttempts(),
+                route.targetLatency(),
+                route.rank(),
+                route.keyRequired());
+    }
+
     /** Returns a copy of a route that requires no key. */
     static Route withoutKey(Route route) {
         return new Route(
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import org.carawaysill.model.fleet.ClientLimits;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.fleet.CopyRecord;
@@ -31,6 +32,7 @@
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Body;
 import org.carawaysill.model.request.CopyNotice;
+import org.carawaysill.model.request.Counted;
 import org.carawaysill.model.request.Credential;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RequestContent;
@@ -91,6 +93,21 @@
     /** Requests, answers and cancellations between nodes. */
     final Traffic payload = new Traffic();
 
+    /** The bodies of requests, by the part of their path that selects their route; others have none. */
+    final Map<String, Body> bodies = new HashMap<>();
+    /** The bytes of bodies of requests that were sent to another node. */
+    long bodyBytes;
+    /** Those of them that were sent to another availability zone. */
+    long bodyBytesAcrossZones;
+    /** The body with which each request last ran. */
+    final Map<String, Body> bodiesRun = new HashMap<>();
+    /** How often nodes counted each kind of event. */
+    final Map<Counted, Integer> counts = new HashMap<>();
+    /** The attempt for which a place was granted last. */
+    AttemptIdentifier lastGranted;
+    /** The messages between nodes that are lost on connections that stay alive. */
+    Predicate<PeerMessage> vanishing = _ -> false;
+
     /** The organisations of the next configuration; empty if no keys are checked. */
     Optional<Organisations> organisations = Optional.empty();
 
@@ -509,8 +526,8 @@
                 case FleetEffect.ResetPeer reset -> reset(reset.peer());
                 // The other node, which still knows this one, dials again.
                 case FleetEffect.DisconnectPeer disconnect -> reset(disconnect.peer());
-                case FleetEffect.Count _,
-                        FleetEffect.CloseIdleCopyConnections _,
+                case FleetEffect.Count(Counted counted) -> counts.merge(counted, 1, Integer::sum);
+                case FleetEffect.CloseIdleCopyConnections _,
                         FleetEffect.ShowSuspects _,
                         FleetEffect.ShowRateLimit _,
                         FleetEffect.ApplyClientLimits _ -> {}
@@ -544,20 +561,36 @@
             if (message instanceof PeerMessage.CopyRequest && crosses) {
                 sentAcrossZones++;
             }
-            boolean mayFindNoRoom =
-                    message instanceof PeerMessage.CopyAnswer || message instanceof PeerMessage.CancelAttempt;
+            countBody(message, crosses);
+            boolean mayFindNoRoom = carriesWork && !(message instanceof PeerMessage.CopyRequest);
             boolean full = mayFindNoRoom && noRoom > 0 && random.nextLong(noRoom) == 0;
             if (full || !connected.contains(peer)) {
                 at(now, () -> deliver(new FleetEvent.PeerUnsent(peer, message)));
                 return;
             }
             at(now + HOP, () -> {
-                if (connected.contains(peer) && !silenced.contains(Set.of(name, peer))) {
+                if (connected.contains(peer) && !silenced.contains(Set.of(name, peer)) && !vanishing.test(message)) {
                     other.receive(name, message);
                 }
             });
         }
 
+        private static int bodyBytesOf(PeerMessage message) {
+            return switch (message) {
+                case PeerMessage.CopyRequest request -> request.content().body().length();
+                case PeerMessage.AttemptBody follows -> follows.body().length();
+                default -> 0;
+            };
+        }
+
+        private void countBody(PeerMessage message, boolean crosses) {
+            if (message instanceof PeerMessage.PlaceGranted(AttemptIdentifier attempt)) {
+                lastGranted = attempt;
+            }
+            bodyBytes += bodyBytesOf(message);
+            bodyBytesAcrossZones += crosses ? bodyBytesOf(message) : 0;
+        }
+
         private void receive(NodeName from, PeerMessage message) {
             if (message instanceof PeerMessage.FleetSummary(StateSummary summary)) {
                 summaries.put(from, new ReceivedSummary(now, summary));
@@ -571,7 +604,9 @@
         private static boolean isPayload(PeerMessage message) {
             return message instanceof PeerMessage.CopyRequest
                     || message instanceof PeerMessage.CopyAnswer
-                    || message instanceof PeerMessage.CancelAttempt;
+                    || message instanceof PeerMessage.CancelAttempt
+                    || message instanceof PeerMessage.PlaceGranted
+                    || message instanceof PeerMessage.AttemptBody;
         }
 
         private void connect(NodeName peer) {
@@ -618,7 +653,7 @@
                     "fleet.example",
                     clientTimeout,
                     credential,
-                    new RequestContent("GET", path, List.of(), Body.EMPTY)));
+                    new RequestContent("GET", path, List.of(), bodies.getOrDefault(kindOf(path), Body.EMPTY))));
         }
 
         private void runAtCopy(FleetEffect.SendToCopy request) {
@@ -634,6 +669,7 @@
                 return;
             }
             runs.add(new Run(now, request.requestName(), request.content().path(), copy(), request.organisation()));
+            bodiesRun.put(request.requestName(), request.content().body());
             atCopy.add(request.attempt());
             if (failing > 0 && random.nextDouble() < failing) {
                 at(now + 2 * MILLI, () -> answer(request, Outcomes.FAILED));
