Refuse a body for which the entry has no memory before it is read, with a time to come back

Cause: the bound on the memory for bodies was checked as bytes came, so that a large upload was read in part before its 503, which named no time to come back; and a body's first byte took memory of its whole stated length without reserving it, so that clients which begin long bodies could together take more than the bound.

Change: a stated length that does not fit is refused when the head has come, before "100 Continue"; the first byte reserves the stated length (BodyBuffer, out of EntryConnection). The 503 has Retry-After. The gauge entry_body_bytes tells what is held and how much may be. Bodies of other nodes' requests at the gate are in no gauge: at most one a slot, and those of suspected requests.

--- a/node/src/main/java/org/carawaysill/node/entry/EntryAnswers.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryAnswers.java
@@ -40,6 +40,9 @@
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
 
+    /** The retry delay when bodies fill the memory: by then some of their requests are answered. */
+    private static final Duration MEMORY_RETRY_AFTER = Duration.ofMillis(500);
+
     private static final double MILLIS_PER_SECOND = TimeUnit.SECONDS.toMillis(1);
 
     private final WireDialect dialect;
@@ -124,7 +127,7 @@
     }
 
     FullHttpResponse ofBad(BadRequest kind, EntryExchange exchange) {
-        return problem(
+        FullHttpResponse response = problem(
                 new ProblemDocument(
                         kind.status(),
                         "not-run",
@@ -136,6 +139,10 @@
                                 ? Counters.labelValue(kind)
                                 : kind.reason().labelValue()),
                 exchange);
+        if (kind.status() == UNAVAILABLE) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds(MEMORY_RETRY_AFTER));
+        }
+        return response;
     }
 
     private FullHttpResponse problem(ProblemDocument document, EntryExchange exchange) {
--- a/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
@@ -20,7 +20,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import java.util.ArrayDeque;
-import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.carawaysill.model.fleet.ClientLimits;
@@ -58,8 +57,7 @@
     private final ArrayDeque<EntryExchange> open = new ArrayDeque<>();
     private Optional<ChannelHandlerContext> channel = Optional.empty();
     private Optional<RequestHead> head = Optional.empty();
-    private byte[] body = new byte[0];
-    private int bodyLength;
+    private final BodyBuffer body;
     private boolean rejecting;
     private boolean closing;
     private long lastProgressNanos;
@@ -71,6 +69,7 @@
 
     EntryConnection(EntryServer server) {
         this.server = server;
+        body = new BodyBuffer(server.bodies());
     }
 
     @Override
@@ -131,6 +130,10 @@
             refuse(bad.get(), read.requestName());
             return;
         }
+        if (!server.bodies().hasRoom(read.statedLength())) {
+            refuse(BadRequest.BODIES_FILL_MEMORY, read.requestName());
+            return;
+        }
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -163,30 +166,19 @@
     }
 
     private void append(ByteBuf bytes) {
-        int added = bytes.readableBytes();
-        if (bodyLength + (long) added > server.limits().bodyBytes()) {
+        if (body.length() + (long) bytes.readableBytes() > server.limits().bodyBytes()) {
             refuse(BadRequest.BODY_TOO_LARGE, requestName());
-            return;
-        }
-        if (!server.bodies().reserve(added)) {
+        } else if (!body.append(bytes, head.map(RequestHead::statedLength).orElse(0))) {
             refuse(BadRequest.BODIES_FILL_MEMORY, requestName());
-            return;
-        }
-        if (body.length < bodyLength + added) {
-            int capacity = Math.max(
-                    bodyLength + added, head.map(RequestHead::statedLength).orElse(0));
-            body = Arrays.copyOf(body, Math.max(capacity, Math.min(2 * body.length, bodyLength + 2 * added)));
         }
-        bytes.readBytes(body, bodyLength, added);
-        bodyLength += added;
     }
 
     private void endRequest(RequestHead read) {
-        byte[] whole = body.length == bodyLength ? body : Arrays.copyOf(body, bodyLength);
+        Body whole = body.take();
         ExchangeIdentifier identifier = server.nextIdentifier();
         EntryExchange exchange =
-                new EntryExchange(identifier, read.requestName(), read.isHead(), !read.keepsAlive(), bodyLength);
-        resetRequest();
+                new EntryExchange(identifier, read.requestName(), read.isHead(), !read.keepsAlive(), whole.length());
+        head = Optional.empty();
         receiving = false;
         lastProgressNanos = server.nanoTime();
         open.add(exchange);
@@ -200,22 +192,16 @@
                 read.host(),
                 read.clientTimeout(),
                 read.credential(),
-                read.content(Body.wrap(whole))));
+                read.content(whole)));
     }
 
     private String requestName() {
         return head.map(RequestHead::requestName).orElse("");
     }
 
-    private void resetRequest() {
-        head = Optional.empty();
-        body = new byte[0];
-        bodyLength = 0;
-    }
-
     private void discardBody() {
-        server.bodies().release(bodyLength);
-        resetRequest();
+        body.discard();
+        head = Optional.empty();
     }
 
     /** Answers a request that can't be accepted, after the pending answers, and then closes the connection. */
--- a/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
@@ -95,6 +96,15 @@
         answers = new EntryAnswers(dialect);
         bodies = new BodyBudget(bodyMemory);
         counters = registry.require(Counters.NAME, Counters.class);
+        GaugeWithCallback.builder()
+                .name(Counters.PREFIX + "entry_body_bytes")
+                .help("Bytes of the bodies of open requests that entered here, and how many there may be")
+                .labelNames("state")
+                .callback(callback -> {
+                    callback.call(bodies.reserved(), "held");
+                    callback.call(bodyMemory, "limit");
+                })
+                .register(counters.registry());
         log = registry.require(DecisionLog.NAME, DecisionLog.class);
     }
 
--- a/node/src/main/java/org/carawaysill/node/exchange/BodyBudget.java
+++ b/node/src/main/java/org/carawaysill/node/exchange/BodyBudget.java
@@ -22,6 +22,25 @@
         this.limit = limitBytes;
     }
 
+    /**
+     * Returns whether a reservation would succeed now.
+     *
+     * @param bytes the size of a body
+     * @return whether there is room for it
+     */
+    public boolean hasRoom(long bytes) {
+        return reserved + bytes <= limit;
+    }
+
+    /**
+     * Returns how much is reserved.
+     *
+     * @return the bytes of all bodies together
+     */
+    public long reserved() {
+        return reserved;
+    }
+
     /**
      * Reserves memory for a body or a part of one.
      *
@@ -29,7 +48,7 @@
      * @return whether the reservation succeeded
      */
     public boolean reserve(long bytes) {
-        if (reserved + bytes > limit) {
+        if (!hasRoom(bytes)) {
             return false;
         }
         reserved += bytes;
--- a/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
+++ b/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
@@ -4,9 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.prometheus.metrics.model.snapshots.GaugeSnapshot.GaugeDataPointSnapshot;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import org.carawaysill.model.fleet.ClientLimits;
 import org.carawaysill.model.identity.ExchangeIdentifier;
@@ -19,6 +21,7 @@
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
+import org.carawaysill.node.observation.Counters;
 import org.carawaysill.node.testing.LoopBench;
 import org.carawaysill.node.testing.RawConnection;
 import org.carawaysill.policy.fleet.FleetEvent;
@@ -310,6 +313,58 @@
         }
     }
 
+    @Nested
+    class LargeBodies {
+
+        private static String post(String name, int length) {
+            return "POST / HTTP/1.1\r\nHost: f\r\nName: " + name + "\r\nContent-Length: " + length
+                    + "\r\nExpect: 100-continue\r\n\r\n";
+        }
+
+        @BeforeEach
+        void allow() {
+            limit(new ClientLimits(4096, 1_000_000, Duration.ofSeconds(20), Duration.ofSeconds(20)));
+        }
+
+        private String heldBytes() {
+            StringBuilder held = new StringBuilder();
+            bench.onLoop(() -> bench.registry()
+                    .require(Counters.NAME, Counters.class)
+                    .registry()
+                    .scrape(name -> name.equals(Counters.PREFIX + "entry_body_bytes"))
+                    .forEach(snapshot -> snapshot.getDataPoints().stream()
+                            .filter(point -> "held".equals(point.getLabels().get("state")))
+                            .forEach(point -> held.append(((GaugeDataPointSnapshot) point).getValue()))));
+            return held.toString();
+        }
+
+        // Guards against bodies that are read although there is no memory for them.
+        @Test
+        void areRefusedBeforeTheyAreReadAndToldWhenToComeBack() {
+            send(post("a", 60_000)).write("x".repeat(60_000));
+            ExchangeIdentifier held = arrived().exchange();
+            assertEquals("60000.0", heldBytes());
+            String refusal = send(post("b", 60_000)).readMessage();
+            assertTrue(refusal.startsWith("HTTP/1.1 503"), refusal);
+            assertTrue(refusal.toLowerCase(Locale.ROOT).contains("retry-after: 0.5"), refusal);
+            assertTrue(bench.hasNone());
+            answer(held, good("one"));
+            assertEquals("0.0", heldBytes());
+            send(post("c", 60_000)).write("x".repeat(60_000));
+            assertEquals("c", arrived().requestName());
+        }
+
+        // Guards against clients whose first bytes take the memory of long bodies without a bound.
+        @Test
+        void reserveTheirStatedLengthWithTheirFirstByte() {
+            RawConnection begun = send(post("a", 60_000) + "x");
+            begun.readHead();
+            assertTrue(send(post("b", 60_000)).readMessage().startsWith("HTTP/1.1 503"));
+            begun.close();
+            assertTrue(bench.hasNone());
+        }
+    }
+
     @Nested
     class Stopping {
 
