Test grants and bodies without room, and a question that meets a held place

Cause: these failures halfway were only met at random by LargeBodiesTest's long run.

Change: a test for each. What the log says of a send is put together by the request, so that OutgoingRequests does not grow.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
@@ -135,6 +135,20 @@
         sentAttempts++;
     }
 
+    /** Describes the last send for the log. */
+    Decision.Sent describeSend(Copy to, double expectedLoad, long version) {
+        return new Decision.Sent(
+                arrival.requestName(),
+                route.name(),
+                origin.rootRoute(),
+                origin.depth(),
+                to.record().copy(),
+                to.node(),
+                sentAttempts,
+                expectedLoad,
+                version);
+    }
+
     Optional<Copy> copy() {
         return copy;
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -163,7 +163,7 @@
         if (request.sentAttempts() == 1) {
             retryLimiter.countFirstSend(now, service);
         }
-        logSent(request, copy, load);
+        effects.log(request.describeSend(copy, load, view.version()));
         boolean lastChoice = !AttemptRules.hasTimeAndSendsLeft(now, request)
                 || !choice.hasOtherWithinPace(copies, request.tried(), mayReceive);
         CopyRequest message = CopyRequests.of(now, request, copy, attempt, settings.service(), lastChoice);
@@ -175,19 +175,6 @@
         }
     }
 
-    private void logSent(OutgoingRequest request, Copy copy, double load) {
-        effects.log(new Decision.Sent(
-                request.arrival().requestName(),
-                request.route().name(),
-                request.origin().rootRoute(),
-                request.origin().depth(),
-                copy.record().copy(),
-                copy.node(),
-                request.sentAttempts(),
-                load,
-                view.version()));
-    }
-
     /** Sends the body of an attempt to the node that has a place for it. */
     void placeGranted(long now, NodeName from, AttemptIdentifier attempt) {
         OutgoingRequest request = byAttempt.get(attempt);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/mechanism/Mechanism.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/mechanism/Mechanism.java
@@ -27,7 +27,7 @@
     SUCCESS_WEIGHT,
     /** Counts cold copies as more loaded. */
     COLD_FACTOR,
-    /** Sends a large body only once the copy's node has granted a place for it. */
+    /** Sends a large body only once the copy's node has granted a place for it, and prefers near copies for it. */
     BODY_PLACES,
     /** Divides the slots of a copy between short and long work where its service does both. */
     WORK_CLASSES,
--- a/policy/src/test/java/org/carawaysill/policy/fleet/LargeBodiesTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/LargeBodiesTest.java
@@ -270,6 +270,32 @@
             assertSlotIsFree();
         }
 
+        // Guards against a slot that stays held, and a sender that waits, when the grant finds no room on its link.
+        @Test
+        void aGrantWithoutRoomGivesUpTheSlot() {
+            settled(50 * MILLI);
+            send("r");
+            fleet.at(SETTLED + HALF, () -> fleet.noRoom = 1);
+            fleet.at(GRANTED + HALF, () -> fleet.noRoom = 0);
+            fleet.runUntil(GRANTED + UnsentMessages.SEND_AGAIN_AFTER.toNanos() + 5 * MILLI);
+            assertNotRun("r", RefusalReason.NO_COPY);
+            assertEquals(1, count(BodyCount.GRANT_UNSENT));
+            assertSlotIsFree();
+        }
+
+        // Guards against the same for the body, and against "may have run" for what was not sent.
+        @Test
+        void aBodyWithoutRoomEndsTheAttemptAsNotRun() {
+            settled(50 * MILLI);
+            send("r");
+            fleet.at(GRANTED + HALF, () -> fleet.noRoom = 1);
+            fleet.at(BODY_SENT + HALF, () -> fleet.noRoom = 0);
+            fleet.runUntil(BODY_SENT + UnsentMessages.SEND_AGAIN_AFTER.toNanos() + 5 * MILLI);
+            assertNotRun("r", RefusalReason.NO_COPY);
+            assertEquals(1, count(BodyCount.BODY_UNSENT));
+            assertSlotIsFree();
+        }
+
         // Guards against a client that learns "may have run" at its deadline although the body was never sent.
         @Test
         void theDeadlineEndsTheRequestAsNotRun() {
@@ -402,6 +428,25 @@
             assertSlotIsFree();
         }
 
+        /*
+         * Guards against "may have run" for an upload whose body was lost with a connection of which only its sender
+         * saw the end: the place is still held when the sender asks for the attempt.
+         */
+        @Test
+        void aQuestionThatMeetsAPlaceWaitsUntilItLapses() {
+            settled(50 * MILLI);
+            fleet.vanishing = AttemptBody.class::isInstance;
+            send("r");
+            fleet.runUntil(BODY_RECEIVED);
+            entry.deliver(new FleetEvent.PeerLost(worker.name));
+            entry.deliver(new FleetEvent.PeerConnected(worker.name, 0));
+            fleet.runUntil(SETTLED + 100 * MILLI);
+            assertEquals(Map.of(), outcomes);
+            fleet.runUntil(GRANTED + HeldPlaces.LIMIT.toNanos() + 5 * MILLI);
+            assertNotRun("r", RefusalReason.NO_COPY);
+            assertEquals(1, count(BodyCount.PLACE_LAPSED));
+        }
+
         // Guards against a second run by a body that comes twice, from another node or after the end of the run.
         @Test
         void furtherBodiesAndGrantsAreIgnored() {
