Divide the slots of a copy between short and long work

Long runs held all slots of a copy that short calls need, which have no time to wait. Where the routes of the copy's service differ by a factor of four in their timeouts, the gate has two queues, each with a part of the slots that follows the work asked of it; least slack first within a class; callers ahead of others go after them; what can't be done in time is refused at once. The part of the gate that sets the limit and the one queue are classes of their own.

ClassedLineTest, WaitingLineTest, CopyGateTest pass (14 s).

--- a/node/src/main/java/org/carawaysill/node/observation/Counters.java
+++ b/node/src/main/java/org/carawaysill/node/observation/Counters.java
@@ -37,7 +37,9 @@
             "crash",
             "crashes",
             "copy_notice",
-            "copy_notices");
+            "copy_notices",
+            "work_class",
+            "work_classes");
 
     private static final Map<String, String> HELP = Map.of(
             "refusal", "Requests refused and not run",
@@ -46,7 +48,8 @@
             "breach", "Broken promises that the program noticed about itself",
             "configuration", "What became of configuration that was read or received",
             "crash", "Crashes of the copy beside the node, and what was concluded from those of all copies",
-            "copy_notice", "Changes in what the answers of the copy beside the node state about it");
+            "copy_notice", "Changes in what the answers of the copy beside the node state about it",
+            "work_class", "What the division of the copy's slots between short and long work led to");
 
     private static final double[] HANDOFF_BUCKETS = {
         5e-6, 10e-6, 25e-6, 50e-6, 100e-6, 250e-6, 500e-6, 1e-3, 5e-3, 25e-3, 100e-3, 1
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
@@ -9,6 +9,7 @@
 import org.carawaysill.model.request.Fingerprint;
 import org.carawaysill.model.request.NoticeCount;
 import org.carawaysill.model.request.Outcome;
+import org.carawaysill.policy.fleet.copy.SlotDivision;
 import org.carawaysill.policy.fleet.publication.Eras;
 import org.carawaysill.policy.time.Nanos;
 
@@ -411,6 +412,27 @@
         }
     }
 
+    /**
+     * The division of the local copy's slots between short and long work changed.
+     *
+     * @param division the new division
+     */
+    record SlotsDivided(SlotDivision division) implements OfState {
+
+        @Override
+        public String subject() {
+            return "gate";
+        }
+
+        @Override
+        public String fields() {
+            return "slots=" + division.slots() + " long_guaranteed=" + division.guaranteedLong() + " long_most="
+                    + division.mostLong() + " short_in_flight=" + division.shortRunning() + " long_in_flight="
+                    + division.longRunning() + " short_queued=" + division.shortQueued() + " long_queued="
+                    + division.longQueued();
+        }
+    }
+
     /**
      * The local copy's answers state something else about it than before.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -240,6 +240,7 @@
         peers.published(now, view.copies().hosts());
         outgoing.nodeCount(peers.count());
         outgoing.routes(view.routesByName().keySet());
+        localRuns.configured(now, view.workOf(settings.service()));
         view.copies()
                 .at(settings.copyAddress())
                 .ifPresentOrElse(copy -> localRuns.published(moment, copy.record()), localRuns::unpublished);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -17,8 +17,11 @@
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
+import org.carawaysill.model.request.WorkCount;
 import org.carawaysill.policy.fleet.copy.CopyGate;
 import org.carawaysill.policy.fleet.copy.LocalRun;
+import org.carawaysill.policy.fleet.copy.SlotDivision;
+import org.carawaysill.policy.fleet.schedule.ServiceWork;
 import org.carawaysill.policy.message.PeerMessage.CopyAnswer;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
@@ -52,6 +55,7 @@
     private LocalSender localSender = (_, _) -> {};
     private Optional<CopyRecord> publishedRecord = Optional.empty();
     private int loggedLimit;
+    private Optional<SlotDivision> loggedDivision = Optional.empty();
     private boolean leaving;
     private boolean unpublished;
     private boolean closed;
@@ -102,6 +106,13 @@
         return senders;
     }
 
+    /** Applies the routes of a configuration: how requests for the local copy wait may change. */
+    void configured(long now, Optional<ServiceWork> work) {
+        if (gate.serves(now, work)) {
+            readmitWaiting(now);
+        }
+    }
+
     /** Applies the published record of the local copy. */
     void published(Moment moment, CopyRecord record) {
         long now = moment.nanos();
@@ -259,11 +270,20 @@
     private void offer(long now, LocalRun run) {
         switch (gate.offer(now, run)) {
             case CopyGate.Offered.Started _ -> sendToCopy(run);
-            case CopyGate.Offered.Waits(Optional<LocalRun> evicted) ->
+            case CopyGate.Offered.Waits(Optional<LocalRun> evicted) -> {
+                if (gate.holdsBack(now, run)) {
+                    effects.count(WorkCount.LONG_HELD_BACK);
+                }
                 evicted.ifPresent(other -> refuse(now, other, RefusalReason.EVICTED, Step.QUEUE));
+            }
             case CopyGate.Offered.Full _ -> refuse(now, run, RefusalReason.QUEUE_FULL, Step.QUEUE);
             case CopyGate.Offered.OverRate _ -> refuse(now, run, RefusalReason.COPY_RATE_LIMITED, Step.QUEUE);
-            case CopyGate.Offered.TooLate _ -> refuse(now, run, RefusalReason.DEADLINE, Step.QUEUE);
+            case CopyGate.Offered.TooLate _ -> {
+                if (run.deadlineNanos() > now) {
+                    effects.count(WorkCount.HOPELESS_ON_ARRIVAL);
+                }
+                refuse(now, run, RefusalReason.DEADLINE, Step.QUEUE);
+            }
         }
     }
 
@@ -387,7 +407,12 @@
 
     void passTime(long now) {
         List<LocalRun> overdue = gate.takeOverdue(now, ANSWER_MARGIN_NANOS);
-        overdue.forEach(run -> refuse(now, run, RefusalReason.DEADLINE, Step.QUEUE));
+        overdue.forEach(run -> {
+            if (run.deadlineNanos() - ANSWER_MARGIN_NANOS > now) {
+                effects.count(WorkCount.HOPELESS_IN_QUEUE);
+            }
+            refuse(now, run, RefusalReason.DEADLINE, Step.QUEUE);
+        });
         if (now >= gate.nextReleaseNanos()) {
             startNext(now);
         }
@@ -400,6 +425,12 @@
             loggedLimit = load.limit();
             effects.log(new Decision.LimitChanged(load.limit(), load.inFlight(), load.queued()));
         }
+        gate.division(now)
+                .filter(division -> division.differsFrom(loggedDivision))
+                .ifPresent(division -> {
+                    loggedDivision = Optional.of(division);
+                    effects.log(new Decision.SlotsDivided(division));
+                });
     }
 
     /**
--- a/policy/src/main/java/org/carawaysill/policy/fleet/PublishedView.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PublishedView.java
@@ -15,6 +15,7 @@
 import org.carawaysill.model.fleet.Revision;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.ConfigurationCount;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.CopyTable;
@@ -24,6 +25,7 @@
 import org.carawaysill.policy.fleet.publication.PublishedEntries;
 import org.carawaysill.policy.fleet.route.MixedServices;
 import org.carawaysill.policy.fleet.route.RouteTable;
+import org.carawaysill.policy.fleet.schedule.ServiceWork;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PublishedState;
 import org.carawaysill.policy.time.Nanos;
@@ -100,6 +102,11 @@
         return mixedServices;
     }
 
+    /** Returns what the callers of a service need, if it does both short and long work. */
+    Optional<ServiceWork> workOf(ServiceName service) {
+        return mixedServices.contains(service) ? ServiceWork.of(service, routesByName.values()) : Optional.empty();
+    }
+
     CopyTable copies() {
         return copies;
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
@@ -8,11 +8,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
+import org.carawaysill.policy.fleet.schedule.ServiceWork;
 import org.carawaysill.policy.message.PeerMessage.CopyPace;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 import org.carawaysill.policy.time.Nanos;
@@ -22,8 +22,8 @@
  * started per second than the copy says that it takes; the others wait here in order of priority.
  *
  * <p>Guards against requests that pile up inside the copy, where they can be neither reordered nor withdrawn: important
- * ones then time out behind unimportant ones, and the copy sheds. Invariants: never more requests run than the limit; a
- * request is refused only while no less important one waits. Not thread safe: owned by the policy.
+ * ones then time out behind unimportant ones, and the copy sheds. Invariants: never more requests run than the limit;
+ * each request that waits or runs is in the map of runs, once. Not thread safe: owned by the policy.
  */
 public final class CopyGate {
 
@@ -33,33 +33,19 @@
     /** The least length of the queue, which absorbs a burst at a copy with few slots. */
     private static final int MINIMUM_QUEUE_LENGTH = 16;
 
-    /** The limit before a record of the copy is published: low, since its capacity is unknown. */
-    private static final int UNKNOWN_LIMIT = 4;
-
     private static final double SERVICE_TIME_WEIGHT = 0.05;
 
     /** How long the last of the queue waits at a copy that limits its requests per second. */
     private static final double MAXIMUM_PACED_WAIT_SECONDS = 0.25;
 
-    /**
-     * The limit is not lowered below this part of the slots when the copy refuses although slots should be free: it may
-     * still work on requests of an earlier node process, or shed for reasons of its own. Below half, a copy that sheds
-     * at random would hardly be used, although each of its slots still works.
-     */
-    private static final double MINIMUM_USED_PART = 0.5;
-
-    /** By how much of a slot each answer raises a lowered limit. */
-    private static final double LIMIT_RECOVERY = 0.2;
-
     private final Map<AttemptIdentifier, LocalRun> runs = new HashMap<>();
     private final Comparator<LocalRun> order;
-    private final PriorityQueue<LocalRun> queue;
     private final SuspectQueue suspects = new SuspectQueue();
     private final StartPacer pacer = new StartPacer();
-    private final NearFullLimit nearFull;
     private final WorkTime workTime = new WorkTime();
-    private int slots = UNKNOWN_LIMIT;
-    private double limit = UNKNOWN_LIMIT;
+    private final RunLimit limit;
+    private final boolean dividesSlots;
+    private WaitingLine line;
     private boolean unheard = true;
     private int running;
     private double serviceNanos;
@@ -72,9 +58,37 @@
      */
     public CopyGate(Set<Mechanism> disabledMechanisms) {
         order = disabledMechanisms.contains(Mechanism.OLDEST_FIRST) ? LocalRun.DEEPEST_FIRST : LocalRun.OLDEST_FIRST;
-        queue = new PriorityQueue<>(order);
-        nearFull = new NearFullLimit(!disabledMechanisms.contains(Mechanism.NEAR_FULL_LIMIT));
-        nearFull.reset(0, slots);
+        limit = new RunLimit(!disabledMechanisms.contains(Mechanism.NEAR_FULL_LIMIT));
+        dividesSlots = !disabledMechanisms.contains(Mechanism.WORK_CLASSES);
+        line = new SingleLine(order);
+    }
+
+    /**
+     * Sets what the callers of the copy's service need. If that changes how requests wait, those that wait should then
+     * be offered again.
+     *
+     * @param now the monotonic time
+     * @param work the work of the service, empty if it does not do both short and long work
+     * @return whether it changes how requests wait
+     */
+    public boolean serves(long now, Optional<ServiceWork> work) {
+        return serves(now, work, ClassQueue.Order.LEAST_SLACK);
+    }
+
+    /** Sets what callers need, and the order within a class of work. */
+    boolean serves(long now, Optional<ServiceWork> work, ClassQueue.Order orderInClass) {
+        Optional<ServiceWork> wanted = dividesSlots ? work : Optional.empty();
+        Optional<ServiceWork> present =
+                line instanceof ClassedLine classed ? Optional.of(classed.work()) : Optional.empty();
+        if (wanted.equals(present)) {
+            return false;
+        }
+        Collection<LocalRun> waiting = List.copyOf(line.waiting());
+        line = wanted.<WaitingLine>map(needs -> new ClassedLine(now, needs, orderInClass))
+                .orElseGet(() -> new SingleLine(order));
+        runs.values().stream().filter(LocalRun::isRunning).forEach(run -> line.started(now, run));
+        waiting.forEach(line::addReleased);
+        return true;
     }
 
     /** How a running or waiting request ended. */
@@ -117,9 +131,8 @@
      * @param published the copy's slots
      */
     public void limit(long now, int published) {
-        if (published != slots) {
-            slots = published;
-            copyRestarted(now);
+        if (published != limit.slots()) {
+            restarted(now, published);
         }
     }
 
@@ -129,8 +142,12 @@
      * @param now the monotonic time
      */
     public void copyRestarted(long now) {
-        limit = Math.max(1, slots);
-        nearFull.reset(now, slots);
+        restarted(now, limit.slots());
+    }
+
+    private void restarted(long now, int slots) {
+        limit.reset(now, slots);
+        line.copyRestarted(now);
         workTime.reset();
         unheard = true;
     }
@@ -142,17 +159,12 @@
      * refusals: the limit returns to all slots.
      */
     public void refused() {
-        double least = Math.max(1, slots * MINIMUM_USED_PART);
-        limit = limit <= least ? slots : Math.max(least, Math.min(limit, running) - 1);
+        limit.refused(running);
     }
 
     /** Notes that the copy answered, and raises a lowered limit. */
     public void answered() {
-        limit = Math.min(slots, limit + LIMIT_RECOVERY);
-    }
-
-    private int effectiveLimit(long now) {
-        return Math.max(1, Math.min((int) limit, nearFull.limit(now)));
+        limit.answered();
     }
 
     /**
@@ -167,30 +179,32 @@
             return new Offered.TooLate();
         }
         pacer.asked(now);
+        if (run.isAskedFirst()) {
+            line.asked(now, run);
+        }
+        if (line.isHopeless(now, run)) {
+            return new Offered.TooLate();
+        }
         // The next start at a limited copy belongs to the first of those that wait for it.
-        boolean isNext = queue.isEmpty() || !pacer.isLimited();
-        if (isNext && running < effectiveLimit(now) && pacer.tryTake(now)) {
+        boolean isNext = line.isEmpty() || !pacer.isLimited();
+        int slots = limit.now(now);
+        if (isNext && running < slots && line.mayStart(now, run, slots) && pacer.tryTake(now)) {
             start(now, run);
             return new Offered.Started();
         }
         if (pacer.isLimited() && !run.request().lastChoice()) {
             return new Offered.OverRate();
         }
-        if (queue.size() < queueCapacity()) {
-            enqueue(run);
-            return new Offered.Waits(Optional.empty());
-        }
-        LocalRun worst = worst();
-        if (order.compare(run, worst) >= 0) {
-            return new Offered.Full();
+        Offered offered = line.add(now, run, slots, queueCapacity());
+        if (offered instanceof Offered.Waits(Optional<LocalRun> evicted)) {
+            runs.put(run.request().attempt(), run);
+            evicted.ifPresent(this::forget);
         }
-        forget(worst);
-        enqueue(run);
-        return new Offered.Waits(Optional.of(worst));
+        return offered;
     }
 
     private int queueCapacity() {
-        int bySlots = Math.max(MINIMUM_QUEUE_LENGTH, slots * QUEUED_PER_SLOT);
+        int bySlots = Math.max(MINIMUM_QUEUE_LENGTH, limit.slots() * QUEUED_PER_SLOT);
         return pacer.isLimited() ? Math.min(bySlots, queueCapacityByRate()) : bySlots;
     }
 
@@ -252,32 +266,24 @@
      * @return the requests, to be offered again or refused
      */
     public List<LocalRun> takeWaiting() {
-        List<LocalRun> waiting = new ArrayList<>(queue);
+        List<LocalRun> waiting = new ArrayList<>(line.waiting());
         waiting.addAll(suspects.waiting());
         waiting.forEach(this::forget);
         return waiting;
     }
 
-    private LocalRun worst() {
-        return queue.stream().max(order).orElseThrow();
-    }
-
     private void start(long now, LocalRun run) {
         runs.put(run.request().attempt(), run);
         running++;
         run.start(now, running);
-    }
-
-    private void enqueue(LocalRun run) {
-        runs.put(run.request().attempt(), run);
-        queue.add(run);
+        line.started(now, run);
     }
 
     private void forget(LocalRun run) {
         runs.remove(run.request().attempt());
         suspects.remove(run);
         if (!run.isRunning()) {
-            queue.remove(run);
+            line.remove(run);
         }
     }
 
@@ -302,6 +308,7 @@
         forget(run);
         if (run.isRunning()) {
             running--;
+            line.finished(now, run, ending);
             if (ending != Ending.BROKEN_OFF) {
                 double took = now - run.startedNanos();
                 run.times().add(run.request().service(), took / Nanos.PER_SECOND);
@@ -316,9 +323,7 @@
     private void recordWorkTime(long now, LocalRun run) {
         long nanos = run.ownNanos(now);
         workTime.add(now, nanos);
-        NearFullLimit.WorkKind kind = new NearFullLimit.WorkKind(
-                run.request().rootRoute(), run.request().depth());
-        nearFull.answered(kind, nanos, run.runningAtStart());
+        limit.worked(run, nanos);
     }
 
     /**
@@ -328,17 +333,21 @@
      * @return the requests, to be sent to the copy
      */
     public List<LocalRun> startNext(long now) {
-        queue.addAll(suspects.release(now));
+        suspects.release(now).forEach(line::addReleased);
         List<LocalRun> started = new ArrayList<>();
         pacedUntilNanos = Long.MAX_VALUE;
-        while (running < effectiveLimit(now) && !queue.isEmpty()) {
+        while (running < limit.now(now) && !line.isEmpty()) {
             if (!pacer.tryTake(now)) {
                 pacedUntilNanos = pacer.nextStartNanos();
                 break;
             }
-            LocalRun next = queue.poll();
-            start(now, next);
-            started.add(next);
+            Optional<LocalRun> next = line.takeNext(now, limit.now(now));
+            if (next.isEmpty()) {
+                pacer.giveBack();
+                break;
+            }
+            start(now, next.get());
+            started.add(next.get());
         }
         return started;
     }
@@ -354,8 +363,8 @@
         if (nextOverdueNanos(margin) > now) {
             return List.of();
         }
-        List<LocalRun> overdue = Stream.concat(queue.stream(), suspects.waiting().stream())
-                .filter(run -> run.deadlineNanos() - margin <= now)
+        List<LocalRun> overdue = Stream.concat(line.waiting().stream(), suspects.waiting().stream())
+                .filter(run -> line.overdueNanos(run, margin) <= now)
                 .toList();
         overdue.forEach(this::forget);
         return overdue;
@@ -368,13 +377,13 @@
      * @return the monotonic time, {@link Long#MAX_VALUE} if none waits
      */
     public long nextOverdueNanos(long margin) {
-        return Math.min(firstOverdueNanos(queue, margin), firstOverdueNanos(suspects.waiting(), margin));
+        return Math.min(firstOverdueNanos(line.waiting(), margin), firstOverdueNanos(suspects.waiting(), margin));
     }
 
-    private static long firstOverdueNanos(Collection<LocalRun> waiting, long margin) {
+    private long firstOverdueNanos(Collection<LocalRun> waiting, long margin) {
         long first = Long.MAX_VALUE;
         for (LocalRun run : waiting) {
-            first = Math.min(first, run.deadlineNanos() - margin);
+            first = Math.min(first, line.overdueNanos(run, margin));
         }
         return first;
     }
@@ -396,8 +405,8 @@
      * @return the running and the waiting requests, and the limit
      */
     public LoadReport load(long now) {
-        return new LoadReport(running, effectiveLimit(now), queue.size(), 0, pace(now), unheard, (float)
-                (serviceNanos / Nanos.PER_SECOND));
+        return new LoadReport(
+                running, limit.now(now), line.size(), 0, pace(now), unheard, (float) (serviceNanos / Nanos.PER_SECOND));
     }
 
     private Optional<CopyPace> pace(long now) {
@@ -405,8 +414,8 @@
             return Optional.empty();
         }
         double slotsAtLimit = serviceNanos == 0
-                ? effectiveLimit(now)
-                : Math.min(effectiveLimit(now), pacer.startsPerSecond() * serviceNanos / Nanos.PER_SECOND);
+                ? limit.now(now)
+                : Math.min(limit.now(now), pacer.startsPerSecond() * serviceNanos / Nanos.PER_SECOND);
         return Optional.of(new CopyPace(
                 (float) pacer.limit().getAsDouble(), (float) pacer.askedPerSecond(now), (float) slotsAtLimit));
     }
@@ -430,6 +439,29 @@
         return (long) serviceNanos;
     }
 
+    /**
+     * Returns how the slots are divided between short and long work.
+     *
+     * @param now the monotonic time
+     * @return the division, empty while the slots are not divided
+     */
+    public Optional<SlotDivision> division(long now) {
+        return line instanceof ClassedLine classed
+                ? Optional.of(classed.division(now, limit.now(now)))
+                : Optional.empty();
+    }
+
+    /**
+     * Returns whether a request waits although a slot is free, which other work will need.
+     *
+     * @param now the monotonic time
+     * @param run the request
+     * @return whether it is held back
+     */
+    public boolean holdsBack(long now, LocalRun run) {
+        return running < limit.now(now) && !pacer.isLimited() && !line.mayStart(now, run, limit.now(now));
+    }
+
     /**
      * Estimates how long a new request would wait.
      *
@@ -437,8 +469,8 @@
      * @return nanoseconds
      */
     public long expectedWaitNanos(long now) {
-        double bySlots = serviceNanos * queue.size() / effectiveLimit(now);
-        double byRate = (queue.size() + 1) * Nanos.PER_SECOND / pacer.startsPerSecond();
+        double bySlots = serviceNanos * line.size() / limit.now(now);
+        double byRate = (line.size() + 1) * Nanos.PER_SECOND / pacer.startsPerSecond();
         return (long) Math.max(bySlots, byRate);
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/LocalRun.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/LocalRun.java
@@ -51,6 +51,7 @@
     private boolean senderEnded;
     private Optional<Fingerprint> suspected = Optional.empty();
     private boolean runsAlone;
+    private boolean isAsked;
 
     /**
      * Creates a run for a request that has just arrived.
@@ -152,6 +153,13 @@
         return suspected;
     }
 
+    /** Returns whether the request is offered for the first time, and notes that it is. */
+    boolean isAskedFirst() {
+        boolean isFirst = !isAsked;
+        isAsked = true;
+        return isFirst;
+    }
+
     boolean mustRunAlone() {
         return runsAlone;
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/StartPacer.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/StartPacer.java
@@ -85,6 +85,11 @@
         return true;
     }
 
+    /** Gives back a right that was taken but not used. */
+    void giveBack() {
+        tokens++;
+    }
+
     private void fill(long now) {
         if (isLimited()) {
             double seconds = (now - filledNanos) / Nanos.PER_SECOND;
--- a/policy/src/main/java/org/carawaysill/policy/fleet/route/MixedServices.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/route/MixedServices.java
@@ -22,7 +22,7 @@
     public static final MixedServices NONE = new MixedServices(Set.of());
 
     /** The least ratio of the longest to the shortest timeout: below it, one queue suits all requests. */
-    private static final int LEAST_TIMEOUT_RATIO = 4;
+    public static final int LEAST_TIMEOUT_RATIO = 4;
 
     private final Set<ServiceName> services;
 
