--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/ClassQueue.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/ClassQueue.java
@@ -18,6 +18,12 @@
  */
 final class ClassQueue {
 
+    /**
+     * A request counts as able to meet its aim while so many times the usual time of a run is left. Guards against
+     * overload in which each request starts when it is about to be late: about half of them then are.
+     */
+    private static final double AIM_MARGIN = 1.5;
+
     private final ServiceWork work;
     private final RouteTimes times;
     private final Order order;
@@ -30,8 +36,8 @@
         /** The oldest root request first. */
         OLDEST_ROOT,
         /**
-         * The least slack first: the time until the root request's aim, or its deadline where the aim can't be met, less
-         * the usual time of a run.
+         * The least slack first: the time until the root request's aim, or its deadline where the aim will hardly be met,
+         * less the usual time of a run.
          */
         LEAST_SLACK
     }
@@ -114,8 +120,9 @@
         }
         String route = run.request().route();
         long aim = aimNanos(run);
-        boolean canMeetAim = now + times.leastNanos(now, route) <= aim;
-        return (canMeetAim ? aim : run.deadlineNanos()) - times.meanNanos(now, route);
+        long expected = times.meanNanos(now, route);
+        boolean canMeetAim = now + expected * AIM_MARGIN <= aim;
+        return (canMeetAim ? aim : run.deadlineNanos()) - expected;
     }
 
     /** Returns when the root request's target latency is over, or its deadline if it has none. */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/ClassedLine.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/ClassedLine.java
@@ -16,7 +16,8 @@
  *
  * <p>Guards against long runs in all slots, behind which short calls wait that have no time to wait. Invariants: long
  * work has no more slots than its part, and at least one where it waits and a slot becomes free; a request whose route
- * has no learned time is never hopeless. Not thread safe: owned by the gate.
+ * has no learned time is never hopeless; while its class has its places, a request is refused only if no less important
+ * one of the class waits. Not thread safe: owned by the gate.
  */
 final class ClassedLine implements WaitingLine {
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/schedule/ClassParts.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/schedule/ClassParts.java
@@ -31,6 +31,9 @@
     /** Spare slots beyond so many standard deviations of the slots in use would stand idle. */
     private static final double MOST_DEVIATIONS = 2;
 
+    /** So many requests of a class may wait in any case, which absorbs a burst. */
+    private static final int LEAST_WAITING = 4;
+
     /** What is asked is averaged over so many times the wait that callers can bear, within bounds. */
     private static final double AVERAGED_WAITS = 2;
 
@@ -143,6 +146,6 @@
             return Integer.MAX_VALUE;
         }
         int own = workClass == WorkClass.LONG ? mostLong(now, slots) : Math.max(1, slots - guaranteedLong(now, slots));
-        return (int) Math.ceil(own * Math.max(1, work.waitNanos().get(workClass) / run - 1));
+        return (int) Math.max(LEAST_WAITING, Math.ceil(own * (work.waitNanos().get(workClass) / run - 1)));
     }
 }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/copy/ClassedLineTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/copy/ClassedLineTest.java
@@ -101,6 +101,15 @@
             assertTrue(divided > 0.97, "in aim " + divided);
         }
 
+        /* Guards against long runs that start when they are about to be late. */
+        @Test
+        void leaveMoreLongWorkInAimByLeastSlack() {
+            ToDoubleFunction<GateLoad> longWork = load -> load.inAim("long", 0, SECONDS);
+            double oldest = mean(Set.of(), ClassQueue.Order.OLDEST_ROOT, SLOTS, ClassedLineTest::surge, longWork);
+            double least = mean(Set.of(), ClassQueue.Order.LEAST_SLACK, SLOTS, ClassedLineTest::surge, longWork);
+            assertTrue(least > oldest + 0.05, "least slack " + least + ", oldest root " + oldest);
+        }
+
         /* Guards against calls that stand alone waiting behind chains, which are older but have more time left. */
         @Test
         void goByLeastSlack() {
@@ -206,10 +215,11 @@
             assertOthersAreServed(GateLoad.LONG);
         }
 
+        /* Guards against a caller whose requests all wait until they are late, and are run then. */
         @Test
-        void getsWhatOthersLeave() {
-            double served = mean(Set.of(), greed(GateLoad.CALL), load -> load.served("greedy", 0, SECONDS));
-            assertTrue(served > 0.2, "served " + served);
+        void getsWhatOthersLeaveInAim() {
+            double inAim = mean(Set.of(), greed(GateLoad.CALL), load -> load.inAim("greedy", 0, SECONDS));
+            assertTrue(inAim > 0.2, "in aim " + inAim);
         }
     }
 
