--- a/model/src/main/java/org/carawaysill/model/request/Counted.java
+++ b/model/src/main/java/org/carawaysill/model/request/Counted.java
@@ -11,7 +11,8 @@
                 ConfigurationCount,
                 CrashCount,
                 NoticeCount,
-                BodyCount {
+                BodyCount,
+                WorkCount {
 
     /**
      * Returns the name of the family of counters.
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
@@ -8,12 +8,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.carawaysill.model.identity.AttemptIdentifier;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
-import org.carawaysill.policy.message.PeerMessage.CopyPace;
+import org.carawaysill.policy.fleet.schedule.ServiceWork;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 import org.carawaysill.policy.time.Nanos;
 
@@ -22,8 +21,8 @@
  * started per second than the copy says that it takes; the others wait here in order of priority.
  *
  * <p>Guards against requests that pile up inside the copy, where they can be neither reordered nor withdrawn: important
- * ones then time out behind unimportant ones, and the copy sheds. Invariants: never more requests run than the limit; a
- * request is refused only while no less important one waits. Not thread safe: owned by the policy.
+ * ones then time out behind unimportant ones, and the copy sheds. Invariants: never more requests run than the limit;
+ * each request that waits or runs is in the map of runs, once. Not thread safe: owned by the policy.
  */
 public final class CopyGate {
 
@@ -33,36 +32,16 @@
     /** The least length of the queue, which absorbs a burst at a copy with few slots. */
     private static final int MINIMUM_QUEUE_LENGTH = 16;
 
-    /** The limit before a record of the copy is published: low, since its capacity is unknown. */
-    private static final int UNKNOWN_LIMIT = 4;
-
-    private static final double SERVICE_TIME_WEIGHT = 0.05;
-
-    /** How long the last of the queue waits at a copy that limits its requests per second. */
-    private static final double MAXIMUM_PACED_WAIT_SECONDS = 0.25;
-
-    /**
-     * The limit is not lowered below this part of the slots when the copy refuses although slots should be free: it may
-     * still work on requests of an earlier node process, or shed for reasons of its own. Below half, a copy that sheds
-     * at random would hardly be used, although each of its slots still works.
-     */
-    private static final double MINIMUM_USED_PART = 0.5;
-
-    /** By how much of a slot each answer raises a lowered limit. */
-    private static final double LIMIT_RECOVERY = 0.2;
-
     private final Map<AttemptIdentifier, LocalRun> runs = new HashMap<>();
     private final Comparator<LocalRun> order;
-    private final PriorityQueue<LocalRun> queue;
     private final SuspectQueue suspects = new SuspectQueue();
     private final StartPacer pacer = new StartPacer();
-    private final NearFullLimit nearFull;
-    private final WorkTime workTime = new WorkTime();
-    private int slots = UNKNOWN_LIMIT;
-    private double limit = UNKNOWN_LIMIT;
+    private final RunTimes times = new RunTimes();
+    private final RunLimit limit;
+    private final boolean dividesSlots;
+    private WaitingLine line;
     private boolean unheard = true;
     private int running;
-    private double serviceNanos;
     private long pacedUntilNanos = Long.MAX_VALUE;
 
     /**
@@ -72,9 +51,37 @@
      */
     public CopyGate(Set<Mechanism> disabledMechanisms) {
         order = disabledMechanisms.contains(Mechanism.OLDEST_FIRST) ? LocalRun.DEEPEST_FIRST : LocalRun.OLDEST_FIRST;
-        queue = new PriorityQueue<>(order);
-        nearFull = new NearFullLimit(!disabledMechanisms.contains(Mechanism.NEAR_FULL_LIMIT));
-        nearFull.reset(0, slots);
+        limit = new RunLimit(!disabledMechanisms.contains(Mechanism.NEAR_FULL_LIMIT));
+        dividesSlots = !disabledMechanisms.contains(Mechanism.WORK_CLASSES);
+        line = new SingleLine(order);
+    }
+
+    /**
+     * Sets what the callers of the copy's service need. If that changes how requests wait, those that wait should then
+     * be offered again.
+     *
+     * @param now the monotonic time
+     * @param work the work of the service, empty if it does not do both short and long work
+     * @return whether it changes how requests wait
+     */
+    public boolean serves(long now, Optional<ServiceWork> work) {
+        return serves(now, work, ClassQueue.Order.LEAST_SLACK);
+    }
+
+    /** Sets what callers need, and the order within a class of work. */
+    boolean serves(long now, Optional<ServiceWork> work, ClassQueue.Order orderInClass) {
+        Optional<ServiceWork> wanted = dividesSlots ? work : Optional.empty();
+        Optional<ServiceWork> present =
+                line instanceof ClassedLine classed ? Optional.of(classed.work()) : Optional.empty();
+        if (wanted.equals(present)) {
+            return false;
+        }
+        Collection<LocalRun> waiting = List.copyOf(line.waiting());
+        line = wanted.<WaitingLine>map(needs -> new ClassedLine(now, needs, orderInClass))
+                .orElseGet(() -> new SingleLine(order));
+        runs.values().stream().filter(LocalRun::isRunning).forEach(run -> line.started(now, run));
+        waiting.forEach(line::addReleased);
+        return true;
     }
 
     /** How a running or waiting request ended. */
@@ -117,9 +124,8 @@
      * @param published the copy's slots
      */
     public void limit(long now, int published) {
-        if (published != slots) {
-            slots = published;
-            copyRestarted(now);
+        if (published != limit.slots()) {
+            restarted(now, published);
         }
     }
 
@@ -129,9 +135,13 @@
      * @param now the monotonic time
      */
     public void copyRestarted(long now) {
-        limit = Math.max(1, slots);
-        nearFull.reset(now, slots);
-        workTime.reset();
+        restarted(now, limit.slots());
+    }
+
+    private void restarted(long now, int slots) {
+        limit.reset(now, slots);
+        line.copyRestarted(now);
+        times.copyRestarted();
         unheard = true;
     }
 
@@ -142,17 +152,12 @@
      * refusals: the limit returns to all slots.
      */
     public void refused() {
-        double least = Math.max(1, slots * MINIMUM_USED_PART);
-        limit = limit <= least ? slots : Math.max(least, Math.min(limit, running) - 1);
+        limit.refused(running);
     }
 
     /** Notes that the copy answered, and raises a lowered limit. */
     public void answered() {
-        limit = Math.min(slots, limit + LIMIT_RECOVERY);
-    }
-
-    private int effectiveLimit(long now) {
-        return Math.max(1, Math.min((int) limit, nearFull.limit(now)));
+        limit.answered();
     }
 
     /**
@@ -167,35 +172,33 @@
             return new Offered.TooLate();
         }
         pacer.asked(now);
+        if (run.isAskedFirst()) {
+            line.asked(now, run);
+        }
+        if (line.isHopeless(now, run)) {
+            return new Offered.TooLate();
+        }
         // The next start at a limited copy belongs to the first of those that wait for it.
-        boolean isNext = queue.isEmpty() || !pacer.isLimited();
-        if (isNext && running < effectiveLimit(now) && pacer.tryTake(now)) {
+        boolean isNext = line.isEmpty() || !pacer.isLimited();
+        int slots = limit.now(now);
+        if (isNext && running < slots && line.mayStart(now, run, slots) && pacer.tryTake(now)) {
             start(now, run);
             return new Offered.Started();
         }
         if (pacer.isLimited() && !run.request().lastChoice()) {
             return new Offered.OverRate();
         }
-        if (queue.size() < queueCapacity()) {
-            enqueue(run);
-            return new Offered.Waits(Optional.empty());
+        Offered offered = line.add(now, run, slots, queueCapacity());
+        if (offered instanceof Offered.Waits(Optional<LocalRun> evicted)) {
+            runs.put(run.request().attempt(), run);
+            evicted.ifPresent(this::forget);
         }
-        LocalRun worst = worst();
-        if (order.compare(run, worst) >= 0) {
-            return new Offered.Full();
-        }
-        forget(worst);
-        enqueue(run);
-        return new Offered.Waits(Optional.of(worst));
+        return offered;
     }
 
     private int queueCapacity() {
-        int bySlots = Math.max(MINIMUM_QUEUE_LENGTH, slots * QUEUED_PER_SLOT);
-        return pacer.isLimited() ? Math.min(bySlots, queueCapacityByRate()) : bySlots;
-    }
-
-    private int queueCapacityByRate() {
-        return (int) Math.ceil(pacer.startsPerSecond() * MAXIMUM_PACED_WAIT_SECONDS);
+        int bySlots = Math.max(MINIMUM_QUEUE_LENGTH, limit.slots() * QUEUED_PER_SLOT);
+        return Math.min(bySlots, pacer.mostWaiting());
     }
 
     /** Notes that the copy has answered this process, so that its limit of requests per second is known. */
@@ -252,32 +255,24 @@
      * @return the requests, to be offered again or refused
      */
     public List<LocalRun> takeWaiting() {
-        List<LocalRun> waiting = new ArrayList<>(queue);
+        List<LocalRun> waiting = new ArrayList<>(line.waiting());
         waiting.addAll(suspects.waiting());
         waiting.forEach(this::forget);
         return waiting;
     }
 
-    private LocalRun worst() {
-        return queue.stream().max(order).orElseThrow();
-    }
-
     private void start(long now, LocalRun run) {
         runs.put(run.request().attempt(), run);
         running++;
         run.start(now, running);
-    }
-
-    private void enqueue(LocalRun run) {
-        runs.put(run.request().attempt(), run);
-        queue.add(run);
+        line.started(now, run);
     }
 
     private void forget(LocalRun run) {
         runs.remove(run.request().attempt());
         suspects.remove(run);
         if (!run.isRunning()) {
-            queue.remove(run);
+            line.remove(run);
         }
     }
 
@@ -302,25 +297,18 @@
         forget(run);
         if (run.isRunning()) {
             running--;
+            line.finished(now, run, ending);
             if (ending != Ending.BROKEN_OFF) {
-                double took = now - run.startedNanos();
-                run.times().add(run.request().service(), took / Nanos.PER_SECOND);
+                times.answered(now, run);
                 if (ending == Ending.DONE) {
-                    recordWorkTime(now, run);
+                    long worked = run.ownNanos(now);
+                    times.worked(now, worked);
+                    limit.worked(run, worked);
                 }
-                serviceNanos += serviceNanos == 0 ? took : SERVICE_TIME_WEIGHT * (took - serviceNanos);
             }
         }
     }
 
-    private void recordWorkTime(long now, LocalRun run) {
-        long nanos = run.ownNanos(now);
-        workTime.add(now, nanos);
-        NearFullLimit.WorkKind kind = new NearFullLimit.WorkKind(
-                run.request().rootRoute(), run.request().depth());
-        nearFull.answered(kind, nanos, run.runningAtStart());
-    }
-
     /**
      * Starts waiting requests while slots are free and the copy's own limit allows it.
      *
@@ -328,17 +316,21 @@
      * @return the requests, to be sent to the copy
      */
     public List<LocalRun> startNext(long now) {
-        queue.addAll(suspects.release(now));
+        suspects.release(now).forEach(line::addReleased);
         List<LocalRun> started = new ArrayList<>();
         pacedUntilNanos = Long.MAX_VALUE;
-        while (running < effectiveLimit(now) && !queue.isEmpty()) {
+        while (running < limit.now(now) && !line.isEmpty()) {
             if (!pacer.tryTake(now)) {
                 pacedUntilNanos = pacer.nextStartNanos();
                 break;
             }
-            LocalRun next = queue.poll();
-            start(now, next);
-            started.add(next);
+            Optional<LocalRun> next = line.takeNext(now, limit.now(now));
+            if (next.isEmpty()) {
+                pacer.giveBack();
+                break;
+            }
+            start(now, next.get());
+            started.add(next.get());
         }
         return started;
     }
@@ -354,8 +346,8 @@
         if (nextOverdueNanos(margin) > now) {
             return List.of();
         }
-        List<LocalRun> overdue = Stream.concat(queue.stream(), suspects.waiting().stream())
-                .filter(run -> run.deadlineNanos() - margin <= now)
+        List<LocalRun> overdue = Stream.concat(line.waiting().stream(), suspects.waiting().stream())
+                .filter(run -> line.overdueNanos(run, margin) <= now)
                 .toList();
         overdue.forEach(this::forget);
         return overdue;
@@ -368,15 +360,8 @@
      * @return the monotonic time, {@link Long#MAX_VALUE} if none waits
      */
     public long nextOverdueNanos(long margin) {
-        return Math.min(firstOverdueNanos(queue, margin), firstOverdueNanos(suspects.waiting(), margin));
-    }
-
-    private static long firstOverdueNanos(Collection<LocalRun> waiting, long margin) {
-        long first = Long.MAX_VALUE;
-        for (LocalRun run : waiting) {
-            first = Math.min(first, run.deadlineNanos() - margin);
-        }
-        return first;
+        return Math.min(
+                line.firstOverdueNanos(line.waiting(), margin), line.firstOverdueNanos(suspects.waiting(), margin));
     }
 
     /**
@@ -396,19 +381,14 @@
      * @return the running and the waiting requests, and the limit
      */
     public LoadReport load(long now) {
-        return new LoadReport(running, effectiveLimit(now), queue.size(), 0, pace(now), unheard, (float)
-                (serviceNanos / Nanos.PER_SECOND));
-    }
-
-    private Optional<CopyPace> pace(long now) {
-        if (!pacer.isLimited()) {
-            return Optional.empty();
-        }
-        double slotsAtLimit = serviceNanos == 0
-                ? effectiveLimit(now)
-                : Math.min(effectiveLimit(now), pacer.startsPerSecond() * serviceNanos / Nanos.PER_SECOND);
-        return Optional.of(new CopyPace(
-                (float) pacer.limit().getAsDouble(), (float) pacer.askedPerSecond(now), (float) slotsAtLimit));
+        return new LoadReport(
+                running,
+                limit.now(now),
+                line.size(),
+                0,
+                pacer.pace(now, limit.now(now), times.serviceNanos()),
+                unheard,
+                (float) (times.serviceNanos() / Nanos.PER_SECOND));
     }
 
     /**
@@ -418,7 +398,7 @@
      * @return seconds, 0 while unknown
      */
     public double workSeconds(long now) {
-        return workTime.seconds(now);
+        return times.workSeconds(now);
     }
 
     /**
@@ -427,7 +407,30 @@
      * @return nanoseconds, 0 while unknown
      */
     public long usualRunNanos() {
-        return (long) serviceNanos;
+        return (long) times.serviceNanos();
+    }
+
+    /**
+     * Returns how the slots are divided between short and long work.
+     *
+     * @param now the monotonic time
+     * @return the division, empty while the slots are not divided
+     */
+    public Optional<SlotDivision> division(long now) {
+        return line instanceof ClassedLine classed
+                ? Optional.of(classed.division(now, limit.now(now)))
+                : Optional.empty();
+    }
+
+    /**
+     * Returns whether a request waits although a slot is free, which other work will need.
+     *
+     * @param now the monotonic time
+     * @param run the request
+     * @return whether it is held back
+     */
+    public boolean holdsBack(long now, LocalRun run) {
+        return running < limit.now(now) && !pacer.isLimited() && !line.mayStart(now, run, limit.now(now));
     }
 
     /**
@@ -437,8 +440,8 @@
      * @return nanoseconds
      */
     public long expectedWaitNanos(long now) {
-        double bySlots = serviceNanos * queue.size() / effectiveLimit(now);
-        double byRate = (queue.size() + 1) * Nanos.PER_SECOND / pacer.startsPerSecond();
+        double bySlots = times.serviceNanos() * line.size() / limit.now(now);
+        double byRate = (line.size() + 1) * Nanos.PER_SECOND / pacer.startsPerSecond();
         return (long) Math.max(bySlots, byRate);
     }
 
