--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -24,6 +24,7 @@
 import org.carawaysill.policy.fleet.copy.AnswerSizes;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.CopyChoice;
+import org.carawaysill.policy.fleet.placing.Placing;
 import org.carawaysill.policy.fleet.retry.RetrySettings;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
@@ -52,6 +53,7 @@
     private final LocalRuns localRuns;
     private final RandomGenerator random;
     private final CopyChoice choice;
+    private final RequestPlacing placings;
     private final AnswerSizes answerSizes = new AnswerSizes();
     private final CrashSuspects suspects;
     private final RetryLimiter retryLimiter;
@@ -74,6 +76,7 @@
         this.suspects = parts.suspects();
         this.random = random;
         choice = new CopyChoice(settings.self(), settings.zone(), settings.disabledMechanisms(), random);
+        placings = new RequestPlacing(settings, view);
         retryLimiter = new RetryLimiter(parts);
         admission = new Admission(parts, random);
         answers = new FinalAnswers(parts);
@@ -106,6 +109,7 @@
     /** Removes the statistics of routes that are no longer published. */
     void routes(Collection<String> names) {
         answerSizes.retain(names);
+        placings.retain(names);
     }
 
     void retries(RetrySettings bound) {
@@ -142,9 +146,12 @@
         List<Copy> copies = view.copies().usable(service);
         double bytes = answerSizes.usual(request.route().name());
         Predicate<NodeName> mayReceive = node -> request.maySendTo(node) && reachableNodes.contains(now, node);
-        Optional<Copy> chosen = choice.choose(now, copies, request.tried(), request.isSentBack(), bytes, mayReceive)
+        Placing placing = placings.of(now, request, copies, bytes);
+        Optional<Copy> chosen = choice.choose(
+                        now, placing, copies, request.tried(), request.isSentBack(), bytes, mayReceive)
                 .or(() -> choice.choose(
                         now,
+                        placing,
                         copies,
                         request.tried(),
                         request.isSentBack(),
@@ -228,6 +235,7 @@
         Copy copy = request.copy().orElseThrow();
         request.attemptEnded();
         recordOutcome(now, copy, outcome);
+        placings.ended(now, request, copy, outcome, times);
         switch (outcome) {
             case Outcome.Answered whole -> {
                 answerSizes.answered(
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
@@ -7,6 +7,7 @@
 import org.carawaysill.model.fleet.Revision;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
+import org.carawaysill.policy.fleet.placing.CopyEstimate;
 import org.carawaysill.policy.message.PeerMessage.CopyPace;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 
@@ -47,6 +48,8 @@
     private final NodeName node;
     private CopyRecord record;
     private long warmNanos;
+    private final long coldNanos;
+    private final CopyEstimate estimate = new CopyEstimate();
     private long goneNanos = NOT_MISSING;
     private boolean gone;
     private int outstanding;
@@ -67,6 +70,8 @@
         node = new NodeName(record.address().host());
         load = new LoadReport(0, record.slots(), 0, 0);
         warmNanos = now + record.warmUpLeft().toNanos();
+        coldNanos = Math.max(1, record.warmUpLeft().toNanos());
+        estimate.publish(record.slots());
     }
 
     /**
@@ -203,6 +208,7 @@
     public void receiveLoad(long now, LoadReport newest) {
         directLoadNanos = now;
         updateLoad(newest);
+        estimate.receive(now, newest, false);
     }
 
     /**
@@ -215,6 +221,7 @@
     public void receiveRelayedLoad(long now, LoadReport relayed) {
         if (now - directLoadNanos >= DIRECT_LOAD_VALIDITY_NANOS) {
             updateLoad(relayed);
+            estimate.receive(now, relayed, true);
         }
     }
 
@@ -235,6 +242,7 @@
      */
     public void receiveWorkSeconds(double seconds) {
         workSeconds = seconds;
+        estimate.receiveWork(seconds);
     }
 
     /**
@@ -270,6 +278,38 @@
         return cold ? expected * COLD_LOAD_FACTOR : expected;
     }
 
+    /**
+     * Returns by how much slower the copy works for being cold. The factor falls evenly until the end of the warm-up.
+     *
+     * @param now the monotonic time
+     * @param disabledMechanisms the mechanisms that are switched off
+     * @return the factor, 1 for a warm copy
+     */
+    public double slowdown(long now, Set<Mechanism> disabledMechanisms) {
+        if (now >= warmNanos || disabledMechanisms.contains(Mechanism.COLD_FACTOR)) {
+            return 1;
+        }
+        return 1 + (COLD_LOAD_FACTOR - 1) * Math.min(1, (warmNanos - now) / (double) coldNanos);
+    }
+
+    /**
+     * Returns the requests that are known to be at the copy: those of its latest load, and those of this node.
+     *
+     * @return the number
+     */
+    public double requestsThere() {
+        return (double) othersLoad + outstanding;
+    }
+
+    /**
+     * Returns the estimate of the times at the copy.
+     *
+     * @return the estimate
+     */
+    public CopyEstimate estimate() {
+        return estimate;
+    }
+
     /** Returns whether the copy limits its requests per second. */
     boolean isPaced() {
         return load.pace().isPresent();
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyChoice.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyChoice.java
@@ -9,6 +9,7 @@
 import org.carawaysill.model.identity.AvailabilityZone;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
+import org.carawaysill.policy.fleet.placing.Placing;
 
 /**
  * Chooses the copy that receives a request: the least loaded of the reachable ones, with a preference for near and fast
@@ -76,6 +77,7 @@
     private final AvailabilityZone zone;
     private final Set<Mechanism> disabledMechanisms;
     private final RandomGenerator random;
+    private final boolean successCounts;
 
     /**
      * Creates a chooser for one node.
@@ -90,12 +92,14 @@
         this.zone = zone;
         this.disabledMechanisms = disabledMechanisms;
         this.random = random;
+        successCounts = !disabledMechanisms.contains(Mechanism.SUCCESS_WEIGHT);
     }
 
     /**
      * Chooses a copy.
      *
      * @param now the monotonic time
+     * @param placing how the request is placed
      * @param copies the copies that may receive the request
      * @param tried the copies that received earlier attempts
      * @param sentBack whether a copy sent it back because of its own limit of requests per second
@@ -104,6 +108,49 @@
      * @return the copy, empty if none is reachable
      */
     public Optional<Copy> choose(
+            long now,
+            Placing placing,
+            List<Copy> copies,
+            Set<CopyName> tried,
+            boolean sentBack,
+            double answerBytes,
+            Predicate<NodeName> isReachable) {
+        return switch (placing) {
+            case Placing.LeastLoad _ -> leastLoaded(now, copies, tried, sentBack, answerBytes, isReachable);
+            case Placing.EarliestCompletion request -> earliest(now, request, copies, tried, sentBack, isReachable);
+        };
+    }
+
+    private Optional<Copy> earliest(
+            long now,
+            Placing.EarliestCompletion request,
+            List<Copy> copies,
+            Set<CopyName> tried,
+            boolean sentBack,
+            Predicate<NodeName> isReachable) {
+        double bestSuccess = successCounts ? bestSuccess(now, copies) : 0;
+        Copy best = null;
+        double bestCost = 0;
+        for (Copy copy : copies) {
+            if (!tried.contains(copy.record().copy()) && isReachable.test(copy.node())) {
+                double cost = request.cost(
+                                copy.estimate(),
+                                copy.requestsThere(),
+                                copy.paceLoad(),
+                                copy.slowdown(now, disabledMechanisms),
+                                successCounts ? Math.max(0, bestSuccess - copy.success(now)) : 0,
+                                random.nextDouble())
+                        + (sentBack && copy.isPaced() ? SENT_BACK_PENALTY * request.usualSeconds() : 0);
+                if (best == null || cost < bestCost) {
+                    best = copy;
+                    bestCost = cost;
+                }
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private Optional<Copy> leastLoaded(
             long now,
             List<Copy> copies,
             Set<CopyName> tried,
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
@@ -155,6 +155,11 @@
         attempt(new Request(kind, tally, pathOf(kind), credentialOf(kind), fleet.now, abuser), abuser ? 1 + abuses : 1);
     }
 
+    /** Returns the node that receives a request. */
+    VirtualNode entry() {
+        return nodes.get(random.nextInt(nodes.size()));
+    }
+
     /** Returns the credential of a new request. */
     Credential credentialOf(Kind kind) {
         return Credential.NONE;
@@ -170,7 +175,7 @@
 
     private void attempt(Request request, int repeats) {
         Kind kind = request.kind();
-        VirtualNode entry = nodes.get(random.nextInt(nodes.size()));
+        VirtualNode entry = entry();
         long left = request.began() + kind.deadline() * MILLI - fleet.now;
         if (left <= 0) {
             request.tally().failed++;
--- a/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyChoiceTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyChoiceTest.java
@@ -14,6 +14,7 @@
 import org.carawaysill.model.identity.NetworkAddress;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.policy.fleet.placing.Placing;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -56,7 +57,7 @@
     }
 
     private String chosen(long now, double answerBytes) {
-        return choice.choose(now, copies, Set.of(), false, answerBytes, _ -> true)
+        return choice.choose(now, Placing.LeastLoad.INSTANCE, copies, Set.of(), false, answerBytes, _ -> true)
                 .orElseThrow()
                 .record()
                 .copy()
