--- a/policy/src/main/java/org/carawaysill/policy/fleet/RequestPlacing.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/RequestPlacing.java
@@ -29,7 +29,7 @@
     private static final double HOP_BYTES = 800;
 
     /** A request of this size may wait a quarter of its aim rather than be sent to another zone, a huge one half. */
-    private static final double HALF_WAY_BYTES = 10_000;
+    private static final double HALF_WAY_BYTES = 4000;
 
     /** The part of its aim that a request may wait rather than be sent to another zone. */
     private static final double CROSSING_PART = 0.5;
@@ -55,7 +55,8 @@
         if (!isByCompletion(service)) {
             return Placing.LeastLoad.INSTANCE;
         }
-        double usual = usualSeconds(request, currentMeans(now, service, copies));
+        ServiceMeans ofService = currentMeans(now, service, copies);
+        double usual = usualSeconds(request, ofService);
         Duration aim = request.route().targetLatency();
         double aimSeconds = aim.toNanos() / Nanos.PER_SECOND;
         boolean hasAim = aim.isPositive();
@@ -63,6 +64,7 @@
         double size = HOP_BYTES + Math.max(0, bytes);
         return new Placing.EarliestCompletion(
                 usual,
+                ofService.urgency(hasAim ? aimSeconds : 0),
                 disabled.contains(Mechanism.NEARNESS) ? 0 : CROSSING_PART * yardstick * size / (size + HALF_WAY_BYTES),
                 yardstick,
                 hasAim ? aimSeconds - (now - request.arrivedNanos()) / Nanos.PER_SECOND : Double.POSITIVE_INFINITY,
--- a/policy/src/main/java/org/carawaysill/policy/fleet/placing/CopyEstimate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/placing/CopyEstimate.java
@@ -135,21 +135,29 @@
     }
 
     /**
-     * Returns the expected wait for a slot. Near the limit it rises by degrees, since the load is some time old.
+     * Returns how many requests are expected to wait there. Near the limit the number rises by degrees, since the load
+     * is some time old.
      *
      * @param requests the requests that are known to be there
-     * @param paceLoad the part of the copy's own limit of requests per second that is asked for
-     * @return seconds
+     * @return the number
      */
-    double waitSeconds(double requests, double paceLoad) {
+    double waiting(double requests) {
         double beyond = Math.min(MAXIMUM_REQUESTS, requests + assumedRequests) + 1 - limit;
         double reach = 2 * spread;
-        double waiting = 0;
         if (beyond >= reach) {
-            waiting = beyond;
-        } else if (beyond > -reach) {
-            waiting = (beyond + reach) * (beyond + reach) / (4 * reach);
+            return beyond;
         }
+        return beyond > -reach ? (beyond + reach) * (beyond + reach) / (4 * reach) : 0;
+    }
+
+    /**
+     * Returns the expected wait for a slot.
+     *
+     * @param waiting the requests that are expected to wait there
+     * @param paceLoad the part of the copy's own limit of requests per second that is asked for
+     * @return seconds
+     */
+    double waitSeconds(double waiting, double paceLoad) {
         double wait = waiting * secondsForEach;
         return paceLoad > 1 ? Math.max(wait, Math.min(MAXIMUM_SECONDS, (paceLoad - 1) * PACED_WAIT_SECONDS)) : wait;
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/placing/CopySpeed.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/placing/CopySpeed.java
@@ -13,14 +13,22 @@
     static final double LEAST = 0.2;
     static final double MOST = 5;
 
+    /**
+     * A reported time counts within these bounds: a mean over short and long work tells of the mix that a copy received as
+     * much as of its speed.
+     */
+    private static final double LEAST_REPORTED = 0.5;
+
+    private static final double MOST_REPORTED = 2;
+
     /** The weight of what the copy's node reports, in measurements of this node. */
-    private static final double REPORT_WEIGHT = 4;
+    private static final double REPORT_WEIGHT = 2;
 
     /** The most recent measurements that count. */
     private static final double MAXIMUM_COUNT = 20;
 
     /** After this time without a measurement, those before count about a third. */
-    private static final double AGING_NANOS = Duration.ofSeconds(4).toNanos();
+    private static final double AGING_NANOS = Duration.ofSeconds(8).toNanos();
 
     /** The time in which a changed report takes effect by about two thirds. */
     private static final double REPORT_NANOS = Duration.ofMillis(800).toNanos();
@@ -35,7 +43,7 @@
 
     /** Takes in the time that the copy's node reports as a multiple of the usual; 0 if it reports none. */
     void report(long now, double multiple) {
-        double target = multiple == 0 ? 1 : within(multiple);
+        double target = multiple == 0 ? 1 : Math.clamp(multiple, LEAST_REPORTED, MOST_REPORTED);
         if (isReported || multiple == 0) {
             reported += (1 - Math.exp(-Math.max(0, now - reportedNanos) / REPORT_NANOS)) * (target - reported);
         } else {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/placing/Placing.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/placing/Placing.java
@@ -17,20 +17,32 @@
      * at which it misses its deadline last.
      *
      * @param usualSeconds the usual slot time of the route at a copy of usual speed
+     * @param urgency what a second is worth to those who wait, as a multiple of what it is worth to this request
      * @param crossingSeconds the time that the request may rather wait than be sent to another availability zone
      * @param failureSeconds what a failed try costs
      * @param aimLeft the time left until the aim of the request; infinite if it has none
      * @param deadlineLeft the time left until its deadline
      */
     record EarliestCompletion(
-            double usualSeconds, double crossingSeconds, double failureSeconds, double aimLeft, double deadlineLeft)
+            double usualSeconds,
+            double urgency,
+            double crossingSeconds,
+            double failureSeconds,
+            double aimLeft,
+            double deadlineLeft)
             implements Placing {
 
         /** More than any time that is estimated: puts copies that are late behind all others. */
         private static final double LATE = 1e9;
 
-        /** The part of the uncertainty of a wait by which costs are spread. */
-        private static final double MARGIN = 0.5;
+        /** The costs are spread by this multiple of the uncertainty of the wait. */
+        private static final double MARGIN = 2;
+
+        /**
+         * The weight of a second of waiting. Guards against queues beside idle slots of slower copies: requests of a higher
+         * rank go first, so that those of the last rank wait for longer than the mean, and miss their deadlines.
+         */
+        private static final double WAIT_WEIGHT = 2;
 
         /** Spreads the costs of equal copies, as a part of the usual time. */
         private static final double JITTER = 0.02;
@@ -48,10 +60,14 @@
          */
         public double cost(
                 CopyEstimate copy, double requests, double paceLoad, double slowdown, double failures, double draw) {
-            double time = copy.waitSeconds(requests, paceLoad) * slowdown
-                    + usualSeconds * copy.slowness() * slowdown
-                    + copy.waySeconds();
+            double waiting = copy.waiting(requests);
+            double work = usualSeconds * copy.slowness() * slowdown;
+            double wait = copy.waitSeconds(waiting, paceLoad) * slowdown;
+            double delayOfOthers = work * waiting / copy.limit();
+            double time = wait + work + copy.waySeconds();
             double cost = time
+                    + (WAIT_WEIGHT - 1) * wait
+                    + WAIT_WEIGHT * urgency * delayOfOthers
                     + (copy.isInOtherZone() ? crossingSeconds : 0)
                     + failures * failureSeconds
                     + draw * (JITTER * usualSeconds + MARGIN * copy.uncertainSeconds());
--- a/policy/src/main/java/org/carawaysill/policy/fleet/placing/ServiceMeans.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/placing/ServiceMeans.java
@@ -14,6 +14,13 @@
     /** Assumed for a run while no copy has reported any. */
     private static final double UNKNOWN_RUN_SECONDS = 0.05;
 
+    /** The weight of one more request in the usual hurry: about the last hundred count. */
+    private static final double HURRY_WEIGHT = 0.01;
+
+    /** Bounds by how much more than its own time a request counts the time of others. */
+    private static final double MAXIMUM_URGENCY = 20;
+
+    private double usualHurry;
     private boolean isTaken;
     private long takenNanos;
     private double runs;
@@ -86,6 +93,21 @@
         return withRun == 0 ? UNKNOWN_RUN_SECONDS : runs / withRun;
     }
 
+    /**
+     * Returns what a second is worth to the usual request, as a multiple of what it is worth to this one. A request with
+     * a short aim counts more.
+     *
+     * @param aimSeconds the aim of this request, 0 if it has none; it counts for those after it
+     * @return the multiple
+     */
+    public double urgency(double aimSeconds) {
+        if (aimSeconds > 0) {
+            double hurry = 1 / aimSeconds;
+            usualHurry += usualHurry == 0 ? hurry : HURRY_WEIGHT * (hurry - usualHurry);
+        }
+        return aimSeconds > 0 ? Math.min(MAXIMUM_URGENCY, usualHurry * aimSeconds) : 1;
+    }
+
     double workSeconds() {
         return withWork == 0 ? 0 : works / withWork;
     }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/UnevenSite.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/UnevenSite.java
@@ -18,7 +18,7 @@
     static final String SHORT = "level";
     static final String LONG = "count";
 
-    private static final int SLOTS = 8;
+    static final int SLOTS = 8;
     private static final double[] SPEEDS = {0.5, 1.6, 0.7, 0.7, 1.6};
     private static final double SLOT_SECONDS_PER_SECOND = SLOTS * (0.5 + 1.6 + 0.7 + 0.7 + 1.6);
     private static final double SHORT_SECONDS = 0.1;
