Draw two copies by what they can do, and take the one that is done sooner

Sixty senders that see the same old loads choose the same copy at once. Only two estimates are made for a choice, unless both are late. The choice by load computes each load once; same draws, same choices (LeastLoadTest). CopyPaced lines tell of slow copies. UnevenSiteTest, QuoteSiteTest and the tests of the choice pass.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
@@ -465,6 +465,25 @@
         }
     }
 
+    /**
+     * A copy turned out to be much slower or faster than the usual one of its service, or no longer.
+     *
+     * @param copy the copy
+     * @param slowness its time as a multiple of the usual one, as this node estimates it
+     */
+    record CopyPaced(CopyName copy, double slowness) implements OfState {
+
+        @Override
+        public String subject() {
+            return copy.value();
+        }
+
+        @Override
+        public String fields() {
+            return "slowness=" + Math.round(slowness * 100) / 100.0;
+        }
+    }
+
     /**
      * The node starts or stops accepting clients, or is stopping.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -76,7 +76,7 @@
         this.suspects = parts.suspects();
         this.random = random;
         choice = new CopyChoice(settings.self(), settings.zone(), settings.disabledMechanisms(), random);
-        placings = new RequestPlacing(settings, view);
+        placings = new RequestPlacing(parts);
         retryLimiter = new RetryLimiter(parts);
         admission = new Admission(parts, random);
         answers = new FinalAnswers(parts);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/RequestPlacing.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/RequestPlacing.java
@@ -39,13 +39,15 @@
 
     private final FleetSettings settings;
     private final PublishedView view;
+    private final Effects effects;
     private final Set<Mechanism> disabled;
     private final RouteTimes routeTimes = new RouteTimes();
     private final Map<ServiceName, ServiceMeans> means = new HashMap<>();
 
-    RequestPlacing(FleetSettings settings, PublishedView view) {
-        this.settings = settings;
-        this.view = view;
+    RequestPlacing(FleetParts parts) {
+        settings = parts.settings();
+        view = parts.view();
+        effects = parts.effects();
         disabled = settings.disabledMechanisms();
     }
 
@@ -89,6 +91,10 @@
             boolean speedCounts = !disabled.contains(Mechanism.COPY_SPEED);
             for (Copy copy : copies) {
                 ofService.passOn(now, copy.estimate(), way(copy), speedCounts);
+                if (copy.estimate().hasChangedPace()) {
+                    effects.log(new Decision.CopyPaced(
+                            copy.record().copy(), copy.estimate().slowness()));
+                }
             }
         }
         return ofService;
@@ -113,7 +119,7 @@
         for (SlotTime time : times) {
             if (time.service().equals(service)) {
                 String route = request.route().name();
-                double seconds = time.seconds() / copy.slowdown(now, disabled);
+                double seconds = time.seconds() / copy.slowdown(now, !disabled.contains(Mechanism.COLD_FACTOR));
                 double usual = routeTimes.usual(route);
                 if (usual > 0 && !disabled.contains(Mechanism.COPY_SPEED)) {
                     copy.estimate().measure(now, seconds / usual);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
@@ -8,7 +8,6 @@
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
 import org.carawaysill.policy.fleet.placing.CopyEstimate;
-import org.carawaysill.policy.message.PeerMessage.CopyPace;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 
 /**
@@ -18,15 +17,6 @@
  */
 public final class Copy {
 
-    /** The weight of one more answer in the success rate: about the last ten count. */
-    private static final double ANSWER_WEIGHT = 0.1;
-
-    /**
-     * The time without a request of this node after which the copy's failures no longer count: it may have recovered,
-     * which only requests can show. At eight seconds, a hundredth fewer of the requests after a recovery are served.
-     */
-    private static final double FAILURE_EXPIRY_NANOS = Duration.ofSeconds(4).toNanos();
-
     /**
      * For this long, a load that the copy's own node sent with an answer is newer than what other nodes received from
      * it, which takes three intervals of 0.4 s to arrive here. Without this, each summary reset a busy copy's load to
@@ -35,32 +25,20 @@
     private static final long DIRECT_LOAD_VALIDITY_NANOS =
             Duration.ofMillis(800).toNanos();
 
-    /** The load of a copy during its warm-up is multiplied by this, since it works at about half its speed. */
-    private static final double COLD_LOAD_FACTOR = 2;
-
-    /** Avoids a division by a limit of 0 requests per second. */
-    private static final double LEAST_LIMIT = 0.01;
-
     private static final long NOT_MISSING = Long.MAX_VALUE;
 
     private final long firstSeenNanos;
     private final Revision firstRevision;
     private final NodeName node;
     private CopyRecord record;
-    private long warmNanos;
-    private final long coldNanos;
+    private final WarmUp warmUp;
     private final CopyEstimate estimate = new CopyEstimate();
     private long goneNanos = NOT_MISSING;
     private boolean gone;
-    private int outstanding;
-    private int othersLoad;
-    private int sentSinceLoad;
-    private LoadReport load;
-    private OptionalDouble limitPerSecond = OptionalDouble.empty();
+    private final KnownLoad load;
     private long directLoadNanos;
     private double workSeconds;
-    private double success = 1;
-    private long answeredNanos;
+    private final SuccessShare success = new SuccessShare();
 
     Copy(CopyRecord record, long now, Revision revision) {
         this.record = record;
@@ -68,9 +46,8 @@
         directLoadNanos = now - DIRECT_LOAD_VALIDITY_NANOS;
         firstRevision = revision;
         node = new NodeName(record.address().host());
-        load = new LoadReport(0, record.slots(), 0, 0);
-        warmNanos = now + record.warmUpLeft().toNanos();
-        coldNanos = Math.max(1, record.warmUpLeft().toNanos());
+        load = new KnownLoad(record.slots());
+        warmUp = new WarmUp(now, record.warmUpLeft());
         estimate.publish(record.slots());
     }
 
@@ -110,7 +87,7 @@
                 || !newer.address().equals(record.address())
                 || !newer.service().equals(record.service());
         record = newer;
-        warmNanos = now + newer.warmUpLeft().toNanos();
+        warmUp.update(now, newer.warmUpLeft());
         return changed;
     }
 
@@ -166,8 +143,7 @@
 
     /** Notes that this node sent a request to the copy. */
     public void sent() {
-        outstanding++;
-        sentSinceLoad++;
+        load.sent();
     }
 
     /**
@@ -177,9 +153,8 @@
      * @param good whether the copy fulfilled the request
      */
     public void ended(long now, boolean good) {
-        outstanding--;
-        success = success(now) + ANSWER_WEIGHT * ((good ? 1 : 0) - success(now));
-        answeredNanos = now;
+        load.ended();
+        success.add(now, good);
     }
 
     /**
@@ -190,13 +165,12 @@
      * @return 0 to 1
      */
     public double success(long now) {
-        double age = Math.min(1, (now - answeredNanos) / FAILURE_EXPIRY_NANOS);
-        return success + age * (1 - success);
+        return success.at(now);
     }
 
     /** Notes that a request of this node ended in a way that does not show whether the copy works. */
     public void withdrawn() {
-        outstanding--;
+        load.ended();
     }
 
     /**
@@ -207,7 +181,7 @@
      */
     public void receiveLoad(long now, LoadReport newest) {
         directLoadNanos = now;
-        updateLoad(newest);
+        load.update(newest);
         estimate.receive(now, newest, false);
     }
 
@@ -220,21 +194,11 @@
      */
     public void receiveRelayedLoad(long now, LoadReport relayed) {
         if (now - directLoadNanos >= DIRECT_LOAD_VALIDITY_NANOS) {
-            updateLoad(relayed);
+            load.update(relayed);
             estimate.receive(now, relayed, true);
         }
     }
 
-    private void updateLoad(LoadReport newest) {
-        othersLoad = Math.max(0, newest.inFlight() + newest.queued() - outstanding);
-        sentSinceLoad = 0;
-        load = newest;
-        if (newest.pace().isPresent() || !newest.unheard()) {
-            limitPerSecond =
-                    newest.pace().stream().mapToDouble(CopyPace::limitPerSecond).findFirst();
-        }
-    }
-
     /**
      * Takes in the mean time that the copy recently took for a request.
      *
@@ -260,7 +224,7 @@
      * @return the load; all slots free before any was received
      */
     public LoadReport load() {
-        return load;
+        return load.latest();
     }
 
     /**
@@ -272,24 +236,23 @@
      *     the warm-up
      */
     public double expectedLoad(long now, Set<Mechanism> disabledMechanisms) {
-        double slotLoad = (othersLoad + outstanding + 1) / (double) Math.max(1, load.limit());
-        double expected = Math.max(slotLoad, paceLoad());
-        boolean cold = now < warmNanos && !disabledMechanisms.contains(Mechanism.COLD_FACTOR);
-        return cold ? expected * COLD_LOAD_FACTOR : expected;
+        return expectedLoad(now, !disabledMechanisms.contains(Mechanism.COLD_FACTOR));
+    }
+
+    double expectedLoad(long now, boolean coldCounts) {
+        double expected = load.withOneMore();
+        return coldCounts && !warmUp.isOver(now) ? expected * WarmUp.COLD_FACTOR : expected;
     }
 
     /**
      * Returns by how much slower the copy works for being cold. The factor falls evenly until the end of the warm-up.
      *
      * @param now the monotonic time
-     * @param disabledMechanisms the mechanisms that are switched off
+     * @param coldCounts whether that counts at all
      * @return the factor, 1 for a warm copy
      */
-    public double slowdown(long now, Set<Mechanism> disabledMechanisms) {
-        if (now >= warmNanos || disabledMechanisms.contains(Mechanism.COLD_FACTOR)) {
-            return 1;
-        }
-        return 1 + (COLD_LOAD_FACTOR - 1) * Math.min(1, (warmNanos - now) / (double) coldNanos);
+    public double slowdown(long now, boolean coldCounts) {
+        return coldCounts ? warmUp.slowdown(now) : 1;
     }
 
     /**
@@ -298,7 +261,7 @@
      * @return the number
      */
     public double requestsThere() {
-        return (double) othersLoad + outstanding;
+        return load.requests();
     }
 
     /**
@@ -312,14 +275,12 @@
 
     /** Returns whether the copy limits its requests per second. */
     boolean isPaced() {
-        return load.pace().isPresent();
+        return load.latest().pace().isPresent();
     }
 
     /** Returns which part of the copy's own limit of requests per second is asked for; 0 if it names none. */
     double paceLoad() {
-        return load.pace()
-                .map(pace -> (pace.askedPerSecond() + sentSinceLoad) / Math.max(LEAST_LIMIT, pace.limitPerSecond()))
-                .orElse(0.0);
+        return load.paceLoad();
     }
 
     /**
@@ -329,6 +290,6 @@
      * @return the limit, empty if the copy names none
      */
     public OptionalDouble limitPerSecond() {
-        return limitPerSecond;
+        return load.limitPerSecond();
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyChoice.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyChoice.java
@@ -10,6 +10,7 @@
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
 import org.carawaysill.policy.fleet.placing.Placing;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Chooses the copy that receives a request: the least loaded of the reachable ones, with a preference for near and fast
@@ -73,11 +74,19 @@
     /** Random spread of the costs, so that nodes that see the same loads do not all choose the same copy at once. */
     private static final double JITTER = 0.02;
 
+    /** So many draws are made for a copy that may receive a request, before all are looked at. */
+    private static final int MAXIMUM_DRAWS = 3;
+
     private final NodeName self;
     private final AvailabilityZone zone;
-    private final Set<Mechanism> disabledMechanisms;
     private final RandomGenerator random;
     private final boolean successCounts;
+    private final boolean speedCounts;
+    private final boolean nearnessCounts;
+    private final boolean coldCounts;
+
+    /** The loads of the copies in the present choice, by their places in the list. */
+    private double[] loads = {};
 
     /**
      * Creates a chooser for one node.
@@ -90,9 +99,11 @@
     public CopyChoice(NodeName self, AvailabilityZone zone, Set<Mechanism> disabledMechanisms, RandomGenerator random) {
         this.self = self;
         this.zone = zone;
-        this.disabledMechanisms = disabledMechanisms;
         this.random = random;
         successCounts = !disabledMechanisms.contains(Mechanism.SUCCESS_WEIGHT);
+        speedCounts = !disabledMechanisms.contains(Mechanism.COPY_SPEED);
+        nearnessCounts = !disabledMechanisms.contains(Mechanism.NEARNESS);
+        coldCounts = !disabledMechanisms.contains(Mechanism.COLD_FACTOR);
     }
 
     /**
@@ -121,6 +132,7 @@
         };
     }
 
+    /** Chooses the better one of two drawn copies; where it is late, the best of all if that is less so. */
     private Optional<Copy> earliest(
             long now,
             Placing.EarliestCompletion request,
@@ -129,25 +141,65 @@
             boolean sentBack,
             Predicate<NodeName> isReachable) {
         double bestSuccess = successCounts ? bestSuccess(now, copies) : 0;
+        Copy one = draw(copies, null, tried, isReachable);
+        Copy other = one == null ? null : draw(copies, one, tried, isReachable);
+        Copy drawn = null;
+        int lateness = 0;
+        if (other != null) {
+            double costOfOne = cost(now, request, one, sentBack, bestSuccess);
+            double costOfOther = cost(now, request, other, sentBack, bestSuccess);
+            drawn = costOfOther < costOfOne ? other : one;
+            lateness = request.lateness(Math.min(costOfOne, costOfOther));
+            if (lateness == 0) {
+                return Optional.of(drawn);
+            }
+        }
         Copy best = null;
         double bestCost = 0;
         for (Copy copy : copies) {
             if (!tried.contains(copy.record().copy()) && isReachable.test(copy.node())) {
-                double cost = request.cost(
-                                copy.estimate(),
-                                copy.requestsThere(),
-                                copy.paceLoad(),
-                                copy.slowdown(now, disabledMechanisms),
-                                successCounts ? Math.max(0, bestSuccess - copy.success(now)) : 0,
-                                random.nextDouble())
-                        + (sentBack && copy.isPaced() ? SENT_BACK_PENALTY * request.usualSeconds() : 0);
+                double cost = cost(now, request, copy, sentBack, bestSuccess);
                 if (best == null || cost < bestCost) {
                     best = copy;
                     bestCost = cost;
                 }
             }
         }
-        return Optional.ofNullable(best);
+        return Optional.ofNullable(drawn != null && request.lateness(bestCost) == lateness ? drawn : best);
+    }
+
+    private double cost(long now, Placing.EarliestCompletion request, Copy copy, boolean sentBack, double bestSuccess) {
+        return request.cost(
+                        copy.estimate(),
+                        copy.requestsThere(),
+                        copy.paceLoad(),
+                        copy.slowdown(now, coldCounts),
+                        successCounts ? Math.max(0, bestSuccess - copy.success(now)) : 0,
+                        random.nextDouble())
+                + (sentBack && copy.isPaced() ? SENT_BACK_PENALTY * request.usualSeconds() : 0);
+    }
+
+    /** Draws another copy that may receive the request, by the weights of the copies; null if a few draws find none. */
+    private @Nullable Copy draw(
+            List<Copy> copies, @Nullable Copy other, Set<CopyName> tried, Predicate<NodeName> isReachable) {
+        double sum = 0;
+        for (Copy copy : copies) {
+            sum += copy == other ? 0 : copy.estimate().weight();
+        }
+        for (int i = 0; i < MAXIMUM_DRAWS; i++) {
+            double at = random.nextDouble() * sum;
+            Copy drawn = null;
+            for (Copy copy : copies) {
+                if (copy != other && at >= 0) {
+                    at -= copy.estimate().weight();
+                    drawn = copy;
+                }
+            }
+            if (drawn != null && !tried.contains(drawn.record().copy()) && isReachable.test(drawn.node())) {
+                return drawn;
+            }
+        }
+        return null;
     }
 
     private Optional<Copy> leastLoaded(
@@ -158,13 +210,14 @@
             double answerBytes,
             Predicate<NodeName> isReachable) {
         double idlePart = idlePart(now, copies);
-        double meanWorkSeconds = meanWorkSeconds(copies);
-        double bestSuccess = bestSuccess(now, copies);
+        double meanWorkSeconds = speedCounts ? meanWorkSeconds(copies) : 0;
+        double bestSuccess = successCounts ? bestSuccess(now, copies) : 0;
         Copy best = null;
         double bestCost = Double.MAX_VALUE;
-        for (Copy copy : copies) {
+        for (int i = 0; i < copies.size(); i++) {
+            Copy copy = copies.get(i);
             if (!tried.contains(copy.record().copy()) && isReachable.test(copy.node())) {
-                double cost = copy.expectedLoad(now, disabledMechanisms)
+                double cost = loads[i]
                         + JITTER * random.nextDouble()
                         + idlePart * slownessPenalty(copy, meanWorkSeconds)
                         + failurePenalty(now, copy, bestSuccess)
@@ -196,12 +249,17 @@
         return false;
     }
 
+    /** Returns the idle part of all slots, and keeps the load of each copy for this choice. */
     private double idlePart(long now, List<Copy> copies) {
-        double loads = 0;
-        for (Copy copy : copies) {
-            loads += Math.min(1, copy.expectedLoad(now, disabledMechanisms));
+        if (loads.length < copies.size()) {
+            loads = new double[copies.size()];
         }
-        return copies.isEmpty() ? 0 : 1 - loads / copies.size();
+        double sum = 0;
+        for (int i = 0; i < copies.size(); i++) {
+            loads[i] = copies.get(i).expectedLoad(now, coldCounts);
+            sum += Math.min(1, loads[i]);
+        }
+        return copies.isEmpty() ? 0 : 1 - sum / copies.size();
     }
 
     private static double meanWorkSeconds(List<Copy> copies) {
@@ -220,26 +278,26 @@
         double best = 0;
         for (Copy copy : copies) {
             best = Math.max(best, copy.success(now));
+            if (best >= 1) {
+                return best;
+            }
         }
         return best;
     }
 
     private double failurePenalty(long now, Copy copy, double bestSuccess) {
-        return disabledMechanisms.contains(Mechanism.SUCCESS_WEIGHT)
-                ? 0
-                : FAILURE_WEIGHT * Math.max(0, bestSuccess - copy.success(now));
+        return successCounts ? FAILURE_WEIGHT * Math.max(0, bestSuccess - copy.success(now)) : 0;
     }
 
     private double slownessPenalty(Copy copy, double meanWorkSeconds) {
-        if (disabledMechanisms.contains(Mechanism.COPY_SPEED) || copy.workSeconds() == 0 || meanWorkSeconds == 0) {
+        if (!speedCounts || copy.workSeconds() == 0 || meanWorkSeconds == 0) {
             return SPEED_WEIGHT;
         }
         return SPEED_WEIGHT * Math.min(MAXIMUM_SLOWNESS, copy.workSeconds() / meanWorkSeconds);
     }
 
     private double nearnessGain(Copy copy, double idlePart, double answerBytes) {
-        if (disabledMechanisms.contains(Mechanism.NEARNESS)
-                || !copy.record().zone().equals(zone)) {
+        if (!nearnessCounts || !copy.record().zone().equals(zone)) {
             return 0;
         }
         double gain = copy.node().equals(self) ? LOCAL_GAIN : ZONE_GAIN;
--- a/policy/src/main/java/org/carawaysill/policy/fleet/placing/CopyEstimate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/placing/CopyEstimate.java
@@ -23,7 +23,17 @@
     /** The wait at a copy that is asked for twice the requests per second that it takes. */
     private static final double PACED_WAIT_SECONDS = 0.5;
 
+    /** A copy that takes this multiple of the usual time is called slow, one that takes the inverse fast. */
+    private static final double SLOW = 1.5;
+
+    /** Below this multiple, and above its inverse, a copy counts as usual again. */
+    private static final double USUAL = 1.25;
+
+    /** How much more likely a copy in this zone is to be considered than one in another. */
+    private static final double NEAR_WEIGHT = 2;
+
     private final CopySpeed speed = new CopySpeed();
+    private int pace;
     private double limit = 1;
     private double reportedRun;
     private double reportedWork;
@@ -109,6 +119,25 @@
         spread = 1 + Math.sqrt(changed);
     }
 
+    /**
+     * Returns whether the copy has become much slower or faster than the usual one since the last time, or no longer is.
+     *
+     * @return whether that has changed
+     */
+    public boolean hasChangedPace() {
+        int newest = pace;
+        if (slowness() > SLOW) {
+            newest = 1;
+        } else if (slowness() < 1 / SLOW) {
+            newest = -1;
+        } else if (slowness() < USUAL && slowness() > 1 / USUAL) {
+            newest = 0;
+        }
+        boolean changed = newest != pace;
+        pace = newest;
+        return changed;
+    }
+
     double limit() {
         return limit;
     }
@@ -162,9 +191,14 @@
         return paceLoad > 1 ? Math.max(wait, Math.min(MAXIMUM_SECONDS, (paceLoad - 1) * PACED_WAIT_SECONDS)) : wait;
     }
 
-    /** Returns by how much the wait may differ for what has happened since the load was reported. */
-    double uncertainSeconds() {
-        return spread * secondsForEach;
+    /**
+     * Returns how likely the copy is to be considered: by what it can do, and more so if it is near.
+     *
+     * @return a weight of more than 0
+     */
+    public double weight() {
+        double rate = limit / slowness();
+        return isInOtherZone() ? rate : NEAR_WEIGHT * rate;
     }
 
     double waySeconds() {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/placing/Placing.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/placing/Placing.java
@@ -35,9 +35,6 @@
         /** More than any time that is estimated: puts copies that are late behind all others. */
         private static final double LATE = 1e9;
 
-        /** The costs are spread by this multiple of the uncertainty of the wait. */
-        private static final double MARGIN = 2;
-
         /**
          * The weight of a second of waiting. Guards against queues beside idle slots of slower copies: requests of a higher
          * rank go first, so that those of the last rank wait for longer than the mean, and miss their deadlines.
@@ -70,11 +67,21 @@
                     + WAIT_WEIGHT * urgency * delayOfOthers
                     + (copy.isInOtherZone() ? crossingSeconds : 0)
                     + failures * failureSeconds
-                    + draw * (JITTER * usualSeconds + MARGIN * copy.uncertainSeconds());
+                    + draw * JITTER * usualSeconds;
             if (time > deadlineLeft) {
                 return cost + 2 * LATE;
             }
             return time > aimLeft ? cost + LATE : cost;
         }
+
+        /**
+         * Returns which of its times the request misses at a copy.
+         *
+         * @param cost its cost there
+         * @return 0 for none, 1 for its aim, 2 for its deadline
+         */
+        public int lateness(double cost) {
+            return (int) Math.min(2, cost / LATE);
+        }
     }
 }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/copy/ExpectedCompletionTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/copy/ExpectedCompletionTest.java
@@ -210,9 +210,9 @@
         void areRamps() {
             Duration warmUp = Duration.ofSeconds(4);
             Copy cold = add("cold", Way.OWN_ZONE, warmUp);
-            assertEquals(2, cold.slowdown(NOW, Set.of()), 1e-9);
-            assertEquals(1.5, cold.slowdown(NOW + warmUp.toNanos() / 2, Set.of()), 1e-9);
-            assertEquals(1, cold.slowdown(NOW + warmUp.toNanos(), Set.of()), 1e-9);
+            assertEquals(2, cold.slowdown(NOW, true), 1e-9);
+            assertEquals(1.5, cold.slowdown(NOW + warmUp.toNanos() / 2, true), 1e-9);
+            assertEquals(1, cold.slowdown(NOW + warmUp.toNanos(), true), 1e-9);
         }
 
         /*
