--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -22,6 +22,7 @@
 import org.carawaysill.policy.fleet.body.RequestBytes;
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.CopyChoice;
+import org.carawaysill.policy.fleet.placing.Placing;
 import org.carawaysill.policy.fleet.retry.RetrySettings;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
@@ -49,6 +50,7 @@
     private final CopyChoice choice;
     private final LargeBodies largeBodies;
     private final RequestBytes requestBytes;
+    private final RequestPlacing placings;
     private final CrashSuspects suspects;
     private final RetryLimiter retryLimiter;
     private final Admission admission;
@@ -71,6 +73,7 @@
         choice = new CopyChoice(settings.self(), settings.zone(), settings.disabledMechanisms(), random);
         largeBodies = new LargeBodies(settings.disabledMechanisms());
         requestBytes = new RequestBytes(largeBodies);
+        placings = new RequestPlacing(parts);
         retryLimiter = new RetryLimiter(parts);
         admission = new Admission(parts, random);
         answers = new FinalAnswers(parts);
@@ -103,6 +106,7 @@
     /** Removes the statistics of routes that are no longer published. */
     void routes(Collection<String> names) {
         requestBytes.retain(names);
+        placings.retain(names);
     }
 
     void retries(RetrySettings bound) {
@@ -139,9 +143,12 @@
         List<Copy> copies = view.copies().usable(service);
         double bytes = requestBytes.of(request.route(), request.body());
         Predicate<NodeName> mayReceive = node -> request.maySendTo(node) && reachableNodes.contains(now, node);
-        Optional<Copy> chosen = choice.choose(now, copies, request.tried(), request.isSentBack(), bytes, mayReceive)
+        Placing placing = placings.of(now, request, copies, bytes);
+        Optional<Copy> chosen = choice.choose(
+                        now, placing, copies, request.tried(), request.isSentBack(), bytes, mayReceive)
                 .or(() -> choice.choose(
                         now,
+                        placing,
                         copies,
                         request.tried(),
                         request.isSentBack(),
@@ -237,6 +244,7 @@
         Copy copy = request.copy().orElseThrow();
         request.attemptEnded();
         recordOutcome(now, copy, outcome);
+        placings.ended(now, request, copy, outcome, times);
         switch (outcome) {
             case Outcome.Answered whole -> {
                 requestBytes.answered(
