Admit callers by equal rates, and no chains that can't come out, at mixed services

Cause: the plan knew slots only. Callers of one VM that asked for 2.5 times what all others asked took the room of all; and where deep copies reject part of their calls, nearly every chain that was let in ran at three services and ended in 500.

Change, for routes that use a service with both short and long work only: - CALLER_SHARES: summaries group nodes by the power of two of their rates, for routes that the last plan did not admit whole; each node computes the common rate by water-filling and its own share from its own rate. - SUCCESS_SHARES: reports tell tries and passes of routes of calls in the fields for admitted and succeeded requests, and the slot time of a call as a cost, so each node knows what part passes and how many calls a chain makes. PassPlan allots retries by rank and limits routes of which less than one chain in four would come out; PassLimit moves the limit so that it settles. Limits cap shares before slots are allotted. A later Retry-After while copies reject. - ShareChanged names the bound, share_refusals_total counts by it.

--- a/model/src/main/java/org/carawaysill/model/request/Counted.java
+++ b/model/src/main/java/org/carawaysill/model/request/Counted.java
@@ -4,7 +4,14 @@
 
 /** A kind of event that a node counts; each kind has its own family of counters. Immutable and thread safe. */
 public sealed interface Counted
-        permits RefusalReason, UnknownReason, RetryReason, Invariant, ConfigurationCount, CrashCount, NoticeCount {
+        permits RefusalReason,
+                UnknownReason,
+                RetryReason,
+                Invariant,
+                ConfigurationCount,
+                CrashCount,
+                NoticeCount,
+                ShareBound {
 
     /**
      * Returns the name of the family of counters.
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Admission.java
@@ -8,6 +8,7 @@
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
+import org.carawaysill.model.request.ShareBound;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.policy.fleet.OutgoingRequest.Origin;
 import org.carawaysill.policy.fleet.allowance.FleetAllowances;
@@ -28,6 +29,7 @@
 final class Admission {
 
     private final NodeName self;
+    private final Effects effects;
     private final LocalRuns localRuns;
     private final FleetAllowances allowances;
     private final DemandMeter demand;
@@ -38,6 +40,7 @@
 
     Admission(FleetParts parts, RandomGenerator random) {
         self = parts.settings().self();
+        effects = parts.effects();
         localRuns = parts.localRuns();
         allowances = parts.allowances();
         demand = parts.demand();
@@ -104,7 +107,8 @@
         DemandKey key = request.demandKey();
         demand.offered(key);
         if (!shareGate.admit(key, plan.share(key))) {
-            return Optional.of(notRun(RefusalReason.OVERLOAD, randomRetryAfter(route)));
+            effects.count(plan.bound(key));
+            return Optional.of(notRun(RefusalReason.OVERLOAD, randomRetryAfter(route, key)));
         }
         organisation.ifPresent(known -> {
             allowances.take(now, known.name());
@@ -127,10 +131,12 @@
     /**
      * Returns when a refused client should retry. The times are random, so that retries do not arrive in a burst, and
      * short enough that an answer is still worth most to the caller, who counts from the first attempt. A later time
-     * does not lower the load: each client retries once.
+     * does not lower the load: each client retries once. While copies reject so many calls that the request would fail,
+     * the time is later, since they have to stop first.
      */
-    private Duration randomRetryAfter(Route route) {
+    private Duration randomRetryAfter(Route route, DemandKey key) {
         long targetNanos = route.targetLatency().toNanos();
-        return Duration.ofNanos(targetNanos / 8 + random.nextLong(Math.max(1, targetNanos / 4)));
+        long leastNanos = plan.bound(key) == ShareBound.REJECTIONS ? targetNanos / 2 : targetNanos / 8;
+        return Duration.ofNanos(leastNanos + random.nextLong(Math.max(1, targetNanos / 4)));
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
@@ -9,6 +9,7 @@
 import org.carawaysill.model.request.Fingerprint;
 import org.carawaysill.model.request.NoticeCount;
 import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.ShareBound;
 import org.carawaysill.policy.fleet.publication.Eras;
 import org.carawaysill.policy.time.Nanos;
 
@@ -378,16 +379,18 @@
      * @param subject the route
      * @param organisationRank the rank of the requesting organisations
      * @param share the new share
+     * @param bound what bounds it
      * @param offered requests a second in the whole fleet
      * @param reports the number of nodes whose reports it is based on
      */
-    record ShareChanged(String subject, int organisationRank, double share, double offered, int reports)
+    record ShareChanged(
+            String subject, int organisationRank, double share, ShareBound bound, double offered, int reports)
             implements OfState {
 
         @Override
         public String fields() {
-            return "organisation_rank=" + organisationRank + " share=" + Math.round(share * 100) / 100.0
-                    + " offered_per_second=" + Math.round(offered) + " reports=" + reports;
+            return "organisation_rank=" + organisationRank + " share=" + Math.round(share * 100) / 100.0 + " bound="
+                    + bound.labelValue() + " offered_per_second=" + Math.round(offered) + " reports=" + reports;
         }
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -13,6 +13,8 @@
 import org.carawaysill.policy.fleet.entry.DemandKey;
 import org.carawaysill.policy.fleet.entry.DemandMeter;
 import org.carawaysill.policy.fleet.entry.EntryPlan;
+import org.carawaysill.policy.fleet.entry.MixedWork;
+import org.carawaysill.policy.fleet.mechanism.Mechanism;
 import org.carawaysill.policy.fleet.publication.PublicationDecoder;
 import org.carawaysill.policy.fleet.publication.Readers;
 import org.carawaysill.policy.message.PeerMessage;
@@ -285,9 +287,13 @@
         localRuns.logLimit(now);
         demand.close(now);
         allowances.nodes(view.nodeCount(now, peers::isReachable));
-        state.tick(now, report(now));
+        state.tick(now, report(now), plan::needsCallers);
         chooseReaders(now);
-        plan.update(state.routes(), loads.sum(now), view.routesByName());
+        plan.update(
+                state.routes(),
+                loads.sum(now),
+                view.routesByName(),
+                new MixedWork(view.mixedServices(), settings.retries(), demand::offeredPerSecond));
         logShares(state.states().size());
     }
 
@@ -331,11 +337,15 @@
                 (float) localRuns.workSeconds(now),
                 false,
                 false,
-                demand.demands(),
+                demand.demands(reportsSuccess()),
                 plan.ownCosts(),
                 allowances.own(now));
     }
 
+    private boolean reportsSuccess() {
+        return !view.mixedServices().isEmpty() && !settings.disabledMechanisms().contains(Mechanism.SUCCESS_SHARES);
+    }
+
     private void logShares(int nodes) {
         for (DemandKey key : plan.keys()) {
             double share = plan.share(key);
@@ -343,7 +353,7 @@
             if (Math.abs(share - logged) >= LOGGED_SHARE_CHANGE) {
                 loggedShares.put(key, share);
                 effects.log(new Decision.ShareChanged(
-                        key.route(), key.organisationRank(), share, plan.offered(key), nodes));
+                        key.route(), key.organisationRank(), share, plan.bound(key), plan.offered(key), nodes));
             }
         }
         loggedShares.keySet().retainAll(plan.keys());
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetState.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetState.java
@@ -8,10 +8,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.carawaysill.model.identity.AvailabilityZone;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.policy.fleet.allowance.FleetAllowances;
 import org.carawaysill.policy.fleet.copy.Copy;
+import org.carawaysill.policy.fleet.entry.DemandKey;
 import org.carawaysill.policy.fleet.summary.Aggregators;
 import org.carawaysill.policy.fleet.summary.ReportAggregator;
 import org.carawaysill.policy.fleet.summary.RouteSums;
@@ -86,15 +88,17 @@
 
     /**
      * Sends this node's report, and as an aggregator also the summaries; then updates this node's view of the fleet.
+     *
+     * @param withCallers for which requests an aggregator tells how they are spread over nodes
      */
-    void tick(long now, NodeReport own) {
+    void tick(long now, NodeReport own, Predicate<DemandKey> withCallers) {
         reportAggregator.passTime(now);
         groupSummaries.passTime(now);
         fleetSummaries.passTime(now);
         aggregators = new Aggregators(reachableByZone());
         boolean primary = reportToAggregators(now, own);
         if (isAggregator()) {
-            sendSummaries(now, primary ? own : own.withoutDemands(true));
+            sendSummaries(now, primary ? own : own.withoutDemands(true), withCallers);
         } else {
             update(now, fleetSummaries.all());
             addOwnDemand(own);
@@ -133,8 +137,8 @@
         peers.expectReply(now, receiver);
     }
 
-    private void sendSummaries(long now, NodeReport own) {
-        StateSummary groupSummary = reportAggregator.summary(settings.self(), own);
+    private void sendSummaries(long now, NodeReport own, Predicate<DemandKey> withCallers) {
+        StateSummary groupSummary = reportAggregator.summary(settings.self(), own, withCallers);
         Set<NodeName> others = otherAggregators();
         others.forEach(other -> send(now, other, new PeerMessage.GroupSummary(groupSummary)));
         List<StateSummary> all = new ArrayList<>(groupSummaries.all());
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -228,6 +228,7 @@
         Copy copy = request.copy().orElseThrow();
         request.attemptEnded();
         recordOutcome(now, copy, outcome);
+        answers.attemptEnded(request, outcome);
         switch (outcome) {
             case Outcome.Answered whole -> {
                 answerSizes.answered(
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/DemandMeter.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/DemandMeter.java
@@ -24,6 +24,10 @@
 
     private final Map<DemandKey, RateMeter> offered = new HashMap<>();
     private final Map<DemandKey, RateMeter> completed = new HashMap<>();
+    private final Map<DemandKey, RateMeter> admitted = new HashMap<>();
+    private final Map<DemandKey, RateMeter> succeeded = new HashMap<>();
+    private final Map<DemandKey, RateMeter> tries = new HashMap<>();
+    private final Map<DemandKey, RateMeter> passes = new HashMap<>();
     private long closedNanos;
 
     /**
@@ -53,6 +57,34 @@
         completed.computeIfAbsent(key, _ -> new RateMeter()).add(1);
     }
 
+    /**
+     * Counts a caller's request that was admitted and has its final answer.
+     *
+     * @param key the request's route, and the rank of its organisation
+     * @param success whether it succeeded
+     */
+    public void ended(DemandKey key, boolean success) {
+        count(admitted, succeeded, key, success);
+    }
+
+    /**
+     * Counts a call of a copy that reached another copy.
+     *
+     * @param route the call's route
+     * @param taken whether that copy took it
+     */
+    public void tried(String route, boolean taken) {
+        count(tries, passes, new DemandKey(route, 0), taken);
+    }
+
+    private static void count(
+            Map<DemandKey, RateMeter> all, Map<DemandKey, RateMeter> good, DemandKey key, boolean isGood) {
+        all.computeIfAbsent(key, _ -> new RateMeter()).add(1);
+        if (isGood) {
+            good.computeIfAbsent(key, _ -> new RateMeter()).add(1);
+        }
+    }
+
     /**
      * Ends an interval of measurement and updates the rates.
      *
@@ -67,6 +99,11 @@
         double weight = 1 - Math.exp(-seconds / AVERAGING_SECONDS);
         close(offered, seconds, weight);
         close(completed, seconds, weight);
+        close(admitted, seconds, weight);
+        close(succeeded, seconds, weight);
+        // Whether copies take tries changes at once, and many nodes report it: no average over time is needed.
+        close(tries, seconds, 1);
+        close(passes, seconds, 1);
     }
 
     private static void close(Map<DemandKey, RateMeter> meters, double seconds, double weight) {
@@ -75,19 +112,44 @@
     }
 
     /**
-     * Returns the demand for each route and rank of organisations.
+     * Returns the rate of callers' requests at this node.
      *
+     * @param key their route, and the rank of their organisations
+     * @return requests a second
+     */
+    public double offeredPerSecond(DemandKey key) {
+        return rate(offered, key);
+    }
+
+    /**
+     * Returns the demand for each route and rank of organisations. Routes on which only copies call are listed with an
+     * offered rate of 0, the tries that reached copies as admitted, and those that a copy took as succeeded.
+     *
+     * @param withSuccess whether to tell what was admitted and what succeeded, otherwise 0
      * @return the demands, in requests a second
      */
-    public List<RouteDemand> demands() {
+    public List<RouteDemand> demands(boolean withSuccess) {
         List<RouteDemand> demands = new ArrayList<>(offered.size());
         offered.forEach((key, meter) -> demands.add(new RouteDemand(
                 key.route(),
                 key.organisationRank(),
                 (float) meter.rate(),
-                completed.containsKey(key) ? (float) completed.get(key).rate() : 0,
-                0,
-                0)));
+                rate(completed, key),
+                withSuccess ? rate(admitted, key) : 0,
+                withSuccess ? rate(succeeded, key) : 0)));
+        if (withSuccess) {
+            tries.forEach((key, meter) -> {
+                if (!offered.containsKey(key)) {
+                    demands.add(new RouteDemand(
+                            key.route(), key.organisationRank(), 0, 0, (float) meter.rate(), rate(passes, key)));
+                }
+            });
+        }
         return demands;
     }
+
+    private static float rate(Map<DemandKey, RateMeter> meters, DemandKey key) {
+        RateMeter meter = meters.get(key);
+        return meter == null ? 0 : (float) meter.rate();
+    }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/EntryPlan.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/EntryPlan.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -9,6 +10,7 @@
 import java.util.TreeMap;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.ShareBound;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
 import org.carawaysill.policy.fleet.summary.RouteSums;
 import org.carawaysill.policy.message.PeerMessage.RouteCost;
@@ -51,7 +53,11 @@
     private final RouteCosts costs = new RouteCosts();
     private final PlannedSlots slots = new PlannedSlots();
     private SlotAllocation allocation = new SlotAllocation();
+    private final PassPlan passes = new PassPlan();
+    private final CallerShares callers = new CallerShares();
     private Map<DemandKey, Double> shares = Map.of();
+    private Map<DemandKey, Double> ownShares = Map.of();
+    private final Set<DemandKey> shared = new HashSet<>();
     private Map<DemandKey, Double> offered = Map.of();
 
     /**
@@ -70,8 +76,10 @@
      * @param loads the load of the copies that may receive requests, by service; a service that is absent has no such
      *     copy
      * @param routes the routes, by name
+     * @param mixed what is known of services with both short and long work
      */
-    public void update(RouteSums demand, Map<ServiceName, ServiceLoad> loads, Map<String, Route> routes) {
+    public void update(
+            RouteSums demand, Map<ServiceName, ServiceLoad> loads, Map<String, Route> routes, MixedWork mixed) {
         costs.average(demand);
         costs.retain(routes.keySet());
         if (disabledMechanisms.contains(Mechanism.ENTRY_PLAN)) {
@@ -79,6 +87,10 @@
         }
         SortedMap<Integer, List<PlannedRoute>> byRank = byRank(demand, routes);
         List<PlannedRoute> all = byRank.values().stream().flatMap(List::stream).toList();
+        if (mixed.uses(Mechanism.SUCCESS_SHARES, disabledMechanisms)) {
+            passes.update(demand, byRank.values(), routes, costs, mixed);
+        }
+        passes.retain(demand, mixed);
         allocation = allocation(loads);
         fillMinimumShares(all);
         byRank.values().forEach(sameRank -> allocation.fill(sameRank, 1, 1));
@@ -87,9 +99,29 @@
         for (PlannedRoute route : all) {
             newShares.put(route.key(), route.share());
             newOffered.put(route.key(), route.offered());
+            passes.planned(route);
         }
         shares = newShares;
         offered = newOffered;
+        ownShares = ownShares(all, demand, mixed);
+    }
+
+    private Map<DemandKey, Double> ownShares(List<PlannedRoute> all, RouteSums demand, MixedWork mixed) {
+        shared.clear();
+        if (!mixed.uses(Mechanism.CALLER_SHARES, disabledMechanisms)) {
+            return shares;
+        }
+        Map<DemandKey, Double> own = new HashMap<>(shares);
+        for (PlannedRoute route : all) {
+            DemandKey key = route.key();
+            if (route.share() < 1 && mixed.isUsedBy(route.costs())) {
+                shared.add(key);
+                double ownRate = mixed.ownRate().applyAsDouble(key);
+                own.put(key, callers.share(key, route.share(), route.offered(), demand.callers(key), ownRate));
+            }
+        }
+        callers.planned();
+        return own;
     }
 
     private void fillMinimumShares(List<PlannedRoute> all) {
@@ -112,7 +144,7 @@
         double admitted = 0;
         for (Map.Entry<DemandKey, Double> each : offered.entrySet()) {
             asked += each.getValue();
-            admitted += each.getValue() * share(each.getKey());
+            admitted += each.getValue() * shares.getOrDefault(each.getKey(), 1.0);
         }
         return asked > 0 ? admitted / asked : 1;
     }
@@ -123,7 +155,7 @@
             Route route = routes.get(key.route());
             if (route != null && demand.offered(key) > 0) {
                 byRank.computeIfAbsent(RefusalOrder.rank(key.organisationRank(), route.rank()), _ -> new ArrayList<>())
-                        .add(new PlannedRoute(key, demand.offered(key), costs.of(key.route())));
+                        .add(new PlannedRoute(key, demand.offered(key), costs.of(key.route()), route.destinations()));
             }
         }
         return byRank;
@@ -168,13 +200,36 @@
     }
 
     /**
-     * Returns which share of a route's requests is admitted.
+     * Returns which share of a route's requests is admitted at this node.
      *
      * @param key the route, and the rank of the requesting organisations
      * @return 0 to 1
      */
     public double share(DemandKey key) {
-        return shares.getOrDefault(key, 1.0);
+        return ownShares.getOrDefault(key, 1.0);
+    }
+
+    /**
+     * Returns whether a plan needs to know at which nodes a route's requests enter.
+     *
+     * @param key the route, and the rank of the requesting organisations
+     * @return whether it does
+     */
+    public boolean needsCallers(DemandKey key) {
+        return shared.contains(key);
+    }
+
+    /**
+     * Returns what bounds the share of a route's requests that is admitted at this node.
+     *
+     * @param key the route, and the rank of the requesting organisations
+     * @return the bound that counts; slots where the share is not bounded
+     */
+    public ShareBound bound(DemandKey key) {
+        if (passes.isLimited(key)) {
+            return ShareBound.REJECTIONS;
+        }
+        return share(key) < shares.getOrDefault(key, 1.0) ? ShareBound.CALLERS : ShareBound.SLOTS;
     }
 
     /**
--- a/policy/src/main/java/org/carawaysill/policy/fleet/route/MixedServices.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/route/MixedServices.java
@@ -64,6 +64,15 @@
         return one.compareTo(other) >= 0 ? one : other;
     }
 
+    /**
+     * Returns whether no service does both short and long work.
+     *
+     * @return whether there is none
+     */
+    public boolean isEmpty() {
+        return services.isEmpty();
+    }
+
     /**
      * Returns whether a service does both short and long work.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/summary/ReportAggregator.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/summary/ReportAggregator.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Predicate;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.policy.fleet.entry.DemandKey;
 import org.carawaysill.policy.message.PeerMessage.NodeReport;
 import org.carawaysill.policy.message.StateSummary;
 import org.carawaysill.policy.message.StateSummary.NodeState;
@@ -67,11 +69,12 @@
      *
      * @param self this node
      * @param own its own report, including demands and costs if no other node sums them up
+     * @param withCallers for which requests to group nodes by their rates
      * @return the state of the members and of this node
      */
-    public StateSummary summary(NodeName self, NodeReport own) {
+    public StateSummary summary(NodeName self, NodeReport own, Predicate<DemandKey> withCallers) {
         List<NodeState> states = new ArrayList<>();
-        RouteSums sums = new RouteSums();
+        RouteSums sums = new RouteSums(withCallers);
         UseSums uses = new UseSums();
         states.add(state(self, own));
         sums.add(own);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/summary/RouteSums.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/summary/RouteSums.java
@@ -6,11 +6,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.policy.fleet.entry.DemandKey;
 import org.carawaysill.policy.message.PeerMessage.NodeReport;
 import org.carawaysill.policy.message.PeerMessage.RouteCost;
 import org.carawaysill.policy.message.PeerMessage.RouteDemand;
+import org.carawaysill.policy.message.StateSummary.CallerGroup;
 import org.carawaysill.policy.message.StateSummary.RankDemand;
 import org.carawaysill.policy.message.StateSummary.RouteSummary;
 import org.carawaysill.policy.message.StateSummary.ServiceCost;
@@ -30,7 +32,25 @@
     private static final double FAILING_WEIGHT = 0.001;
 
     private final Map<DemandKey, Double> offered = new HashMap<>();
+    private final Map<DemandKey, Double> admitted = new HashMap<>();
+    private final Map<DemandKey, Double> succeeded = new HashMap<>();
+    private final Map<DemandKey, CallerGroups> callers = new HashMap<>();
     private final Map<String, Map<ServiceName, Mean>> costs = new HashMap<>();
+    private final Predicate<DemandKey> withCallers;
+
+    /** Creates empty sums that do not tell callers apart. */
+    public RouteSums() {
+        this(_ -> false);
+    }
+
+    /**
+     * Creates empty sums.
+     *
+     * @param withCallers for which requests nodes that are added one by one are grouped by their rates
+     */
+    public RouteSums(Predicate<DemandKey> withCallers) {
+        this.withCallers = withCallers;
+    }
 
     /**
      * Adds one node. Its costs of a route are weighted by the rate at which the route's requests complete there.
@@ -43,6 +63,10 @@
             DemandKey key = new DemandKey(demand.route(), demand.organisationRank());
             offered.merge(key, (double) demand.offeredPerSecond(), Double::sum);
             completed.merge(demand.route(), demand.completedPerSecond(), Float::sum);
+            addSuccess(key, demand.admittedPerSecond(), demand.succeededPerSecond());
+            if (withCallers.test(key)) {
+                callers.computeIfAbsent(key, _ -> new CallerGroups()).add(demand.offeredPerSecond());
+            }
         }
         for (RouteCost cost : report.costs()) {
             double weight = completed.getOrDefault(cost.route(), 0f) + FAILING_WEIGHT;
@@ -60,6 +84,10 @@
             for (RankDemand demand : summary.demands()) {
                 DemandKey key = new DemandKey(summary.route(), demand.organisationRank());
                 offered.merge(key, (double) demand.offeredPerSecond(), Double::sum);
+                addSuccess(key, demand.admittedPerSecond(), demand.succeededPerSecond());
+                if (!demand.callers().isEmpty()) {
+                    callers.computeIfAbsent(key, _ -> new CallerGroups()).addAll(demand.callers());
+                }
             }
             for (ServiceCost cost : summary.costs()) {
                 mean(summary.route(), cost.service()).add(cost.slotSeconds(), cost.weight());
@@ -67,6 +95,13 @@
         }
     }
 
+    private void addSuccess(DemandKey key, float admittedThere, float succeededThere) {
+        if (admittedThere > 0) {
+            admitted.merge(key, (double) admittedThere, Double::sum);
+            succeeded.merge(key, (double) succeededThere, Double::sum);
+        }
+    }
+
     private Mean mean(String route, ServiceName service) {
         return costs.computeIfAbsent(route, _ -> new HashMap<>()).computeIfAbsent(service, _ -> new Mean());
     }
@@ -80,7 +115,12 @@
         Map<String, List<RankDemand>> demands = new HashMap<>();
         costs.keySet().forEach(route -> demands.put(route, new ArrayList<>()));
         offered.forEach((key, rate) -> demands.computeIfAbsent(key.route(), _ -> new ArrayList<>())
-                .add(new RankDemand(key.organisationRank(), rate.floatValue(), 0, 0, List.of())));
+                .add(new RankDemand(
+                        key.organisationRank(),
+                        rate.floatValue(),
+                        (float) admitted(key),
+                        (float) succeeded(key),
+                        callers(key))));
         List<RouteSummary> summaries = new ArrayList<>(demands.size());
         demands.forEach((route, routeDemands) -> summaries.add(summary(route, routeDemands)));
         return summaries;
@@ -113,6 +153,39 @@
         return offered.getOrDefault(key, 0.0);
     }
 
+    /**
+     * Returns the rate of admitted requests that have their final answer; for a route that no caller asks for, of the
+     * tries of calls that reached a copy.
+     *
+     * @param key the route, and the rank of the requesting organisations
+     * @return requests a second
+     */
+    public double admitted(DemandKey key) {
+        return admitted.getOrDefault(key, 0.0);
+    }
+
+    /**
+     * Returns the rate of admitted requests that succeeded; for a route that no caller asks for, of the tries of calls
+     * that a copy took.
+     *
+     * @param key the route, and the rank of the requesting organisations
+     * @return requests a second
+     */
+    public double succeeded(DemandKey key) {
+        return succeeded.getOrDefault(key, 0.0);
+    }
+
+    /**
+     * Returns the nodes at which requests enter, grouped by their rates.
+     *
+     * @param key the route, and the rank of the requesting organisations
+     * @return the groups; empty if they are not known
+     */
+    public List<CallerGroup> callers(DemandKey key) {
+        CallerGroups groups = callers.get(key);
+        return groups == null ? List.of() : groups.list();
+    }
+
     /**
      * Passes the known costs to a receiver.
      *
--- a/policy/src/test/java/org/carawaysill/policy/fleet/QuoteSiteTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/QuoteSiteTest.java
@@ -45,6 +45,13 @@
         return site.served(0, (int) SECONDS / 2 - 1);
     }
 
+    private static int failed(QuoteSite site) {
+        return site.tallies.values().stream()
+                .flatMap(byWindow -> byWindow.values().stream())
+                .mapToInt(tally -> tally.failed)
+                .sum();
+    }
+
     @Nested
     class LostCopies {
 
@@ -59,13 +66,6 @@
             site.at(13, () -> lost.forEach(copy -> copy.publish(false)));
         }
 
-        private static int failed(QuoteSite site) {
-            return site.tallies.values().stream()
-                    .flatMap(byWindow -> byWindow.values().stream())
-                    .mapToInt(tally -> tally.failed)
-                    .sum();
-        }
-
         /*
          * Guards against admitting requests for slots that are gone. Six VMs lose the platform during overload, and
          * three of the four copies of the service at which each deposit makes eight calls count as gone. While the plan
@@ -74,8 +74,8 @@
          */
         @Test
         void areNotCountedInThePlan() {
-            double counted = mean(LostCopies::day, EnumSet.of(Mechanism.USABLE_SLOTS), LostCopies::failed);
-            double failed = mean(LostCopies::day, Set.of(), LostCopies::failed);
+            double counted = mean(LostCopies::day, EnumSet.of(Mechanism.USABLE_SLOTS), QuoteSiteTest::failed);
+            double failed = mean(LostCopies::day, Set.of(), QuoteSiteTest::failed);
             assertTrue(failed < 0.5 * counted, "failed " + failed + ", with lost slots counted " + counted);
         }
 
@@ -129,6 +129,32 @@
             double filled = mean(SheddingCopies::day, Set.of(), prices);
             assertTrue(filled > kept + 0.06, "prices served " + filled + ", with idle slots kept " + kept);
         }
+
+        /*
+         * Guards against running chains of calls that cannot come out. Copies reject more than half of their calls, each
+         * deposit makes eight of them, and there are few retries: nearly all deposits run at three services and fail,
+         * which tells their clients nothing of when to come back, while single requests lack the slots and the retries.
+         */
+        @Test
+        void areNotSentChainsThatCannotComeOut() {
+            Set<Mechanism> admitted = EnumSet.of(Mechanism.SUCCESS_SHARES);
+            double failedIfAdmitted = mean(SheddingCopies::day, admitted, QuoteSiteTest::failed);
+            double failed = mean(SheddingCopies::day, Set.of(), QuoteSiteTest::failed);
+            assertTrue(failed < 0.6 * failedIfAdmitted, "failed " + failed + ", if admitted " + failedIfAdmitted);
+            ToDoubleFunction<QuoteSite> prices = site -> site.served("price", 4, 7);
+            double pricesIfAdmitted = mean(SheddingCopies::day, admitted, prices);
+            double pricesServed = mean(SheddingCopies::day, Set.of(), prices);
+            assertTrue(
+                    pricesServed > pricesIfAdmitted + 0.1,
+                    "prices served " + pricesServed + ", if chains are admitted " + pricesIfAdmitted);
+        }
+
+        /** The copies stop at 16.5 seconds. */
+        @Test
+        void getChainsAgainWithinASecondAndAHalf() {
+            double after = mean(SheddingCopies::day, Set.of(), site -> site.served("book", 9, 9));
+            assertTrue(after > 0.75, "deposits served that began from 1.5 to 3.5 seconds after: " + after);
+        }
     }
 
     @Nested
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
@@ -160,6 +160,11 @@
         return Credential.NONE;
     }
 
+    /** Returns the node at which the next attempt of a client enters. */
+    VirtualNode entryOf(Kind kind) {
+        return nodes.get(random.nextInt(nodes.size()));
+    }
+
     /** Returns the path of a new request; retries use it again. */
     String pathOf(Kind kind) {
         return kind.path();
@@ -170,7 +175,7 @@
 
     private void attempt(Request request, int repeats) {
         Kind kind = request.kind();
-        VirtualNode entry = nodes.get(random.nextInt(nodes.size()));
+        VirtualNode entry = entryOf(kind);
         long left = request.began() + kind.deadline() * MILLI - fleet.now;
         if (left <= 0) {
             request.tally().failed++;
--- a/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
@@ -11,6 +11,8 @@
 import org.carawaysill.model.fleet.RequestKind;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.policy.fleet.retry.RetrySettings;
+import org.carawaysill.policy.fleet.route.MixedServices;
 import org.carawaysill.policy.fleet.summary.RouteSums;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 import org.carawaysill.policy.message.PeerMessage.NodeReport;
@@ -26,6 +28,8 @@
     private static final ServiceName DEEP = new ServiceName("deep");
     private static final String LOOKUP = "lookup";
     private static final int SLOTS = 10;
+    private static final MixedWork NOT_MIXED =
+            new MixedWork(MixedServices.NONE, new RetrySettings(0.2, 48, Duration.ofSeconds(10)), _ -> 0);
 
     private final EntryPlan plan = new EntryPlan(Set.of());
 
@@ -49,7 +53,11 @@
                 new LoadReport(SLOTS, SLOTS, 0, 0),
                 List.of(new RouteDemand(LOOKUP, 0, offered, completed, offered, completed)),
                 plan.ownCosts());
-        plan.update(sums(report), Map.of(DEEP, new ServiceLoad(SLOTS, SLOTS, 0)), Map.of(LOOKUP, route(LOOKUP, 2)));
+        plan.update(
+                sums(report),
+                Map.of(DEEP, new ServiceLoad(SLOTS, SLOTS, 0)),
+                Map.of(LOOKUP, route(LOOKUP, 2)),
+                NOT_MIXED);
     }
 
     private static Route route(String name, int rank) {
@@ -123,7 +131,7 @@
                     List.of(demands),
                     List.of(new RouteCost("book", DEEP, 0.1f), new RouteCost("lookup", DEEP, 0.1f)));
             for (int i = 0; i < 20; i++) {
-                plan.update(sums(report), Map.of(DEEP, new ServiceLoad(SLOTS, SLOTS, 0)), routes);
+                plan.update(sums(report), Map.of(DEEP, new ServiceLoad(SLOTS, SLOTS, 0)), routes, NOT_MIXED);
             }
         }
 
@@ -198,7 +206,7 @@
                             new RouteCost("book", DEEP, 0.4f),
                             new RouteCost("lookup", DEEP, 0.2f),
                             new RouteCost("price", DEEP, 0.8f)));
-            plan.update(sums(report), Map.of(DEEP, new ServiceLoad(slots, running, 0)), routes);
+            plan.update(sums(report), Map.of(DEEP, new ServiceLoad(slots, running, 0)), routes, NOT_MIXED);
         }
 
         private static RouteDemand offered(String route, float rate) {
@@ -239,7 +247,7 @@
                     new LoadReport(0, 10, 0, 0),
                     List.of(offered("book", 10)),
                     List.of(new RouteCost("book", DEEP, 0.4f)));
-            plan.update(sums(report), Map.of(), routes);
+            plan.update(sums(report), Map.of(), routes, NOT_MIXED);
             assertEquals(0, share("book"), 0.001);
         }
 
