--- a/model/src/main/java/org/carawaysill/model/request/Counted.java
+++ b/model/src/main/java/org/carawaysill/model/request/Counted.java
@@ -12,7 +12,8 @@
                 CrashCount,
                 NoticeCount,
                 BodyCount,
-                WorkCount {
+                WorkCount,
+                ShareBound {
 
     /**
      * Returns the name of the family of counters.
--- a/node/src/main/java/org/carawaysill/node/observation/Counters.java
+++ b/node/src/main/java/org/carawaysill/node/observation/Counters.java
@@ -41,7 +41,9 @@
             "body",
             "bodies",
             "work_class",
-            "work_classes");
+            "work_classes",
+            "share_refusal",
+            "share_refusals");
 
     private static final Map<String, String> HELP = Map.of(
             "refusal", "Requests refused and not run",
@@ -52,7 +54,8 @@
             "crash", "Crashes of the copy beside the node, and what was concluded from those of all copies",
             "copy_notice", "Changes in what the answers of the copy beside the node state about it",
             "body", "Large bodies that are sent after their requests, and the places granted for them",
-            "work_class", "What the division of the copy's slots between short and long work led to");
+            "work_class", "What the division of the copy's slots between short and long work led to",
+            "share_refusal", "Requests refused at the entry, by what bounds their share");
 
     private static final double[] HANDOFF_BUCKETS = {
         5e-6, 10e-6, 25e-6, 50e-6, 100e-6, 250e-6, 500e-6, 1e-3, 5e-3, 25e-3, 100e-3, 1
--- a/policy/src/test/java/org/carawaysill/policy/fleet/UnevenSite.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/UnevenSite.java
@@ -56,7 +56,7 @@
     }
 
     @Override
-    VirtualNode entry() {
+    VirtualNode entryOf(Kind kind) {
         List<VirtualNode> from = random.nextDouble() < SHARE_OF_BUSY_ZONE ? inBusyZone : elsewhere;
         return from.get(random.nextInt(from.size()));
     }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualSite.java
@@ -154,17 +154,16 @@
         boolean abuser = random.nextDouble() < abusers;
         attempt(new Request(kind, tally, pathOf(kind), credentialOf(kind), fleet.now, abuser), abuser ? 1 + abuses : 1);
     }
-
-    /** Returns the node that receives a request. */
-    VirtualNode entry() {
-        return nodes.get(random.nextInt(nodes.size()));
-    }
-
     /** Returns the credential of a new request. */
     Credential credentialOf(Kind kind) {
         return Credential.NONE;
     }
 
+    /** Returns the node at which the next attempt of a client enters. */
+    VirtualNode entryOf(Kind kind) {
+        return nodes.get(random.nextInt(nodes.size()));
+    }
+
     /** Returns the path of a new request; retries use it again. */
     String pathOf(Kind kind) {
         return kind.path();
@@ -175,7 +174,7 @@
 
     private void attempt(Request request, int repeats) {
         Kind kind = request.kind();
-        VirtualNode entry = entry();
+        VirtualNode entry = entryOf(kind);
         long left = request.began() + kind.deadline() * MILLI - fleet.now;
         if (left <= 0) {
             request.tally().failed++;
