Order calls by the aim of their root request, and late ones last

A call's own deadline is often before the root's aim, so that calls went in the order of their arrival, and those that were late first.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/ClassQueue.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/ClassQueue.java
@@ -1,5 +1,6 @@
 package org.carawaysill.policy.fleet.copy;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -24,6 +25,9 @@
      */
     private static final double AIM_MARGIN = 1.5;
 
+    /** Longer than any request waits. */
+    private static final long AFTER_OTHERS_NANOS = Duration.ofDays(365).toNanos();
+
     private final ServiceWork work;
     private final RouteTimes times;
     private final Order order;
@@ -36,8 +40,8 @@
         /** The oldest root request first. */
         OLDEST_ROOT,
         /**
-         * The least slack first: the time until the root request's aim, or its deadline where the aim will hardly be met,
-         * less the usual time of a run.
+         * The least slack first: the time until the root request's aim, less the usual time of a run. Those that will
+         * hardly meet their aim go last, by their own deadlines.
          */
         LEAST_SLACK
     }
@@ -118,17 +122,16 @@
         if (order == Order.OLDEST_ROOT) {
             return run.rootArrivedNanos();
         }
-        String route = run.request().route();
+        long expected = times.meanNanos(now, run.request().route());
         long aim = aimNanos(run);
-        long expected = times.meanNanos(now, route);
-        boolean canMeetAim = now + expected * AIM_MARGIN <= aim;
-        return (canMeetAim ? aim : run.deadlineNanos()) - expected;
+        boolean canMeetAim = now + expected * AIM_MARGIN <= Math.min(aim, run.deadlineNanos());
+        return (canMeetAim ? aim : AFTER_OTHERS_NANOS + run.deadlineNanos()) - expected;
     }
 
-    /** Returns when the root request's target latency is over, or its deadline if it has none. */
+    /** Returns when the root request's target latency is over, or the deadline of this request if it has none. */
     private long aimNanos(LocalRun run) {
         Long aim = work.aimNanos().get(run.request().rootRoute());
-        return aim == null ? run.deadlineNanos() : Math.min(run.deadlineNanos(), run.rootArrivedNanos() + aim);
+        return aim == null ? run.deadlineNanos() : run.rootArrivedNanos() + aim;
     }
 
     boolean isHopeless(long now, LocalRun run) {
