--- a/policy/src/test/java/org/carawaysill/policy/fleet/copy/LeastLoadTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/copy/LeastLoadTest.java
@@ -45,7 +45,7 @@
             copies.add(copy(random, i));
         }
         long seed = random.nextLong();
-        RandomGenerator plainDraws = new SplittableRandom(seed);
+        Plain plain = new Plain(disabled, new SplittableRandom(seed));
         CopyChoice choice = new CopyChoice(SELF, ZONE, disabled, new SplittableRandom(seed));
         for (int step = 0; step < 10; step++) {
             long now = step * Duration.ofMillis(300).toNanos();
@@ -63,7 +63,7 @@
             boolean sentBack = random.nextBoolean();
             double bytes = random.nextInt(5000);
             assertEquals(
-                    plain(now, copies, tried, sentBack, bytes, reachable::contains, disabled, plainDraws),
+                    plain.choose(now, copies, tried, sentBack, bytes, reachable::contains),
                     choice.choose(
                             now, Placing.LeastLoad.INSTANCE, copies, tried, sentBack, bytes, reachable::contains));
         }
@@ -109,55 +109,59 @@
         }
     }
 
-    private static Optional<Copy> plain(
-            long now,
-            List<Copy> copies,
-            Set<CopyName> tried,
-            boolean sentBack,
-            double bytes,
-            Predicate<NodeName> isReachable,
-            Set<Mechanism> disabled,
-            RandomGenerator draws) {
-        double loads = 0;
-        double works = 0;
-        int withWork = 0;
-        double bestSuccess = 0;
-        for (Copy copy : copies) {
-            loads += Math.min(1, copy.expectedLoad(now, disabled));
-            bestSuccess = Math.max(bestSuccess, copy.success(now));
-            if (copy.workSeconds() > 0) {
-                works += copy.workSeconds();
-                withWork++;
-            }
-        }
-        double idlePart = copies.isEmpty() ? 0 : 1 - loads / copies.size();
-        double usualWork = withWork == 0 ? 0 : works / withWork;
-        Copy best = null;
-        double bestCost = Double.MAX_VALUE;
-        for (Copy copy : copies) {
-            if (tried.contains(copy.record().copy()) || !isReachable.test(copy.node())) {
-                continue;
-            }
-            boolean isSpeedUnknown =
-                    disabled.contains(Mechanism.COPY_SPEED) || copy.workSeconds() == 0 || usualWork == 0;
-            double slowness = isSpeedUnknown ? 1.5 : 1.5 * Math.min(3, copy.workSeconds() / usualWork);
-            double failures =
-                    disabled.contains(Mechanism.SUCCESS_WEIGHT) ? 0 : 4 * Math.max(0, bestSuccess - copy.success(now));
-            double gain = 0;
-            if (!disabled.contains(Mechanism.NEARNESS) && copy.record().zone().equals(ZONE)) {
-                gain = (copy.node().equals(SELF) ? 0.25 : 0.2) + idlePart * 0.5 * (1 + bytes / 1000);
+    /** The plain statement. */
+    private record Plain(Set<Mechanism> disabled, RandomGenerator draws) {
+
+        Optional<Copy> choose(
+                long now,
+                List<Copy> copies,
+                Set<CopyName> tried,
+                boolean sentBack,
+                double bytes,
+                Predicate<NodeName> isReachable) {
+            double loads = 0;
+            double works = 0;
+            int withWork = 0;
+            double bestSuccess = 0;
+            for (Copy copy : copies) {
+                loads += Math.min(1, copy.expectedLoad(now, disabled));
+                bestSuccess = Math.max(bestSuccess, copy.success(now));
+                if (copy.workSeconds() > 0) {
+                    works += copy.workSeconds();
+                    withWork++;
+                }
             }
-            double cost = copy.expectedLoad(now, disabled)
-                    + 0.02 * draws.nextDouble()
-                    + idlePart * slowness
-                    + failures
-                    + (sentBack && copy.isPaced() ? 1 : 0)
-                    - gain;
-            if (cost < bestCost) {
-                best = copy;
-                bestCost = cost;
+            double idlePart = copies.isEmpty() ? 0 : 1 - loads / copies.size();
+            double usualWork = withWork == 0 ? 0 : works / withWork;
+            Copy best = null;
+            double bestCost = Double.MAX_VALUE;
+            for (Copy copy : copies) {
+                if (tried.contains(copy.record().copy()) || !isReachable.test(copy.node())) {
+                    continue;
+                }
+                boolean isSpeedUnknown =
+                        disabled.contains(Mechanism.COPY_SPEED) || copy.workSeconds() == 0 || usualWork == 0;
+                double slowness = isSpeedUnknown ? 1.5 : 1.5 * Math.min(3, copy.workSeconds() / usualWork);
+                double failures = disabled.contains(Mechanism.SUCCESS_WEIGHT)
+                        ? 0
+                        : 4 * Math.max(0, bestSuccess - copy.success(now));
+                double gain = 0;
+                if (!disabled.contains(Mechanism.NEARNESS)
+                        && copy.record().zone().equals(ZONE)) {
+                    gain = (copy.node().equals(SELF) ? 0.25 : 0.2) + idlePart * 0.5 * (1 + bytes / 1000);
+                }
+                double cost = copy.expectedLoad(now, disabled)
+                        + 0.02 * draws.nextDouble()
+                        + idlePart * slowness
+                        + failures
+                        + (sentBack && copy.isPaced() ? 1 : 0)
+                        - gain;
+                if (cost < bestCost) {
+                    best = copy;
+                    bestCost = cost;
+                }
             }
+            return Optional.ofNullable(best);
         }
-        return Optional.ofNullable(best);
     }
 }
