Give callers equal rates only where some ask for several times the mean

Change: the common rate counts only while a group of nodes asks for at least three times the mean; else all have the share of the plan.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/CallerShares.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/CallerShares.java
@@ -12,7 +12,7 @@
  * what it asks for.
  *
  * <p>Guards against callers of one node that ask for more than all others together: with equal shares they get the
- * slots of all. Invariants: no node is refused anything while it asks for less than the common rate; the common rate is
+ * slots of all. While no node asks for several times the mean, all have the same share. Invariants: no node is refused anything while it asks for less than the common rate; the common rate is
  * at least an even part of what is admitted. Not thread safe: owned by the policy.
  */
 final class CallerShares {
@@ -23,6 +23,12 @@
     /** Below this part of all requests, the known groups say too little: some aggregators do not tell them yet. */
     private static final double LEAST_GROUPED = 0.9;
 
+    /**
+     * The least ratio of a node's rate to the mean rate at which callers count as uneven. The rates of equal callers scatter
+     * by less, and to cut those that ask for more at the moment would leave slots idle.
+     */
+    private static final double UNEVEN_RATIO = 3;
+
     private Map<DemandKey, Double> rates = Map.of();
     private Map<DemandKey, Double> newRates = new HashMap<>();
 
@@ -40,7 +46,7 @@
         for (CallerGroup group : groups) {
             grouped += group.offeredPerSecond();
         }
-        if (grouped < LEAST_GROUPED * offered) {
+        if (grouped < LEAST_GROUPED * offered || !areUneven(groups)) {
             return share;
         }
         double rate = bounded(key, commonRate(groups, share * grouped));
@@ -48,6 +54,21 @@
         return ownRate <= rate ? 1 : rate / ownRate;
     }
 
+    /** Returns whether the callers of some nodes ask for several times what those of a node ask for on average. */
+    static boolean areUneven(List<CallerGroup> groups) {
+        double offered = 0;
+        int nodes = 0;
+        double most = 0;
+        for (CallerGroup group : groups) {
+            if (group.nodes() > 0) {
+                offered += group.offeredPerSecond();
+                nodes += group.nodes();
+                most = Math.max(most, meanRate(group));
+            }
+        }
+        return nodes > 0 && most >= UNEVEN_RATIO * offered / nodes;
+    }
+
     private double bounded(DemandKey key, double rate) {
         Double before = rates.get(key);
         return before == null ? rate : Math.clamp(rate, before / MAXIMUM_STEP, before * MAXIMUM_STEP);
