Keep the common rate of callers at an even part at least, and bound groups of callers on the wire

Found by review: while no copy of a service is reachable the share is 0, the common rate became 0, and its bounded change kept it there, so that each node refused all of its callers after the copies were back, as long as the share stayed below 1; an infinite rate stayed as well. Sums of numbers of nodes could overflow by the report of one faulty peer. Each was shown by reading; CallerSharesTest has the first as a test (isAnEvenPartAtOnceAfterNothingWasAdmitted). Two classes get names of their own, and what the division of slots leads to is counted in WorkReports.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -299,7 +299,7 @@
                 state.routes(),
                 loads.sum(now),
                 view.routesByName(),
-                new MixedWork(view.mixedServices(), settings.retries(), demand::offeredPerSecond));
+                new MixedWork(view.mixedServices(), demand::offeredPerSecond));
         logShares(state.states().size());
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -18,11 +18,9 @@
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
-import org.carawaysill.model.request.WorkCount;
 import org.carawaysill.policy.fleet.body.HeldPlaces;
 import org.carawaysill.policy.fleet.copy.CopyGate;
 import org.carawaysill.policy.fleet.copy.LocalRun;
-import org.carawaysill.policy.fleet.copy.SlotDivision;
 import org.carawaysill.policy.fleet.schedule.ServiceWork;
 import org.carawaysill.policy.message.PeerMessage.AttemptBody;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
@@ -52,10 +50,10 @@
     private final CopyNotices notices;
     private final RunAnswers answers;
     private final BodyPlaces places;
+    private final WorkReports work;
     private final LocalCopy localCopy;
     private final Map<String, LocalRun> runningByName = new HashMap<>();
     private int loggedLimit;
-    private Optional<SlotDivision> loggedDivision = Optional.empty();
     private boolean closed;
 
     LocalRuns(FleetSettings settings, Effects effects, CrashSuspects suspects) {
@@ -65,6 +63,7 @@
         notices = new CopyNotices(effects, gate);
         answers = new RunAnswers(effects, gate, notices);
         places = new BodyPlaces(effects);
+        work = new WorkReports(effects, gate);
         localCopy = new LocalCopy(suspects, notices);
     }
 
@@ -101,8 +100,8 @@
     }
 
     /** Applies the routes of a configuration: how requests for the local copy wait may change. */
-    void configured(long now, Optional<ServiceWork> work) {
-        if (gate.serves(now, work)) {
+    void configured(long now, Optional<ServiceWork> newWork) {
+        if (gate.serves(now, newWork)) {
             readmitWaiting(now);
         }
     }
@@ -254,17 +253,13 @@
         switch (gate.offer(now, run)) {
             case CopyGate.Offered.Started _ -> started(now, run);
             case CopyGate.Offered.Waits(Optional<LocalRun> evicted) -> {
-                if (gate.holdsBack(now, run)) {
-                    effects.count(WorkCount.LONG_HELD_BACK);
-                }
+                work.waits(now, run);
                 evicted.ifPresent(other -> answers.refuse(now, other, RefusalReason.EVICTED, Step.QUEUE));
             }
             case CopyGate.Offered.Full _ -> answers.refuse(now, run, RefusalReason.QUEUE_FULL, Step.QUEUE);
             case CopyGate.Offered.OverRate _ -> answers.refuse(now, run, RefusalReason.COPY_RATE_LIMITED, Step.QUEUE);
             case CopyGate.Offered.TooLate _ -> {
-                if (run.deadlineNanos() > now) {
-                    effects.count(WorkCount.HOPELESS_ON_ARRIVAL);
-                }
+                work.refusedOnArrival(now, run);
                 answers.refuse(now, run, RefusalReason.DEADLINE, Step.QUEUE);
             }
         }
@@ -442,9 +437,7 @@
         endLapsedPlaces(now);
         List<LocalRun> overdue = gate.takeOverdue(now, ANSWER_MARGIN_NANOS);
         overdue.forEach(run -> {
-            if (run.deadlineNanos() - ANSWER_MARGIN_NANOS > now) {
-                effects.count(WorkCount.HOPELESS_IN_QUEUE);
-            }
+            work.refusedInQueue(now, run, ANSWER_MARGIN_NANOS);
             answers.refuse(now, run, RefusalReason.DEADLINE, Step.QUEUE);
         });
         if (now >= gate.nextReleaseNanos()) {
@@ -459,12 +452,7 @@
             loggedLimit = load.limit();
             effects.log(new Decision.LimitChanged(load.limit(), load.inFlight(), load.queued()));
         }
-        gate.division(now)
-                .filter(division -> division.differsFrom(loggedDivision))
-                .ifPresent(division -> {
-                    loggedDivision = Optional.of(division);
-                    effects.log(new Decision.SlotsDivided(division));
-                });
+        work.logDivision(now);
     }
 
     /**
--- a/policy/src/main/java/org/carawaysill/policy/fleet/RequestPlacing.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/RequestPlacing.java
@@ -11,8 +11,8 @@
 import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
 import org.carawaysill.policy.fleet.placing.Placing;
-import org.carawaysill.policy.fleet.placing.RouteTimes;
 import org.carawaysill.policy.fleet.placing.ServiceMeans;
+import org.carawaysill.policy.fleet.placing.UsualTimes;
 import org.carawaysill.policy.fleet.placing.Way;
 import org.carawaysill.policy.message.PeerMessage.SlotTime;
 import org.carawaysill.policy.time.Nanos;
@@ -41,7 +41,7 @@
     private final PublishedView view;
     private final Effects effects;
     private final Set<Mechanism> disabled;
-    private final RouteTimes routeTimes = new RouteTimes();
+    private final UsualTimes routeTimes = new UsualTimes();
     private final Map<ServiceName, ServiceMeans> means = new HashMap<>();
 
     RequestPlacing(FleetParts parts) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/ClassQueue.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/ClassQueue.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
-import org.carawaysill.policy.fleet.schedule.CallerShares;
+import org.carawaysill.policy.fleet.schedule.CallerTurns;
 import org.carawaysill.policy.fleet.schedule.RouteTimes;
 import org.carawaysill.policy.fleet.schedule.ServiceWork;
 
@@ -31,7 +31,7 @@
     private final ServiceWork work;
     private final RouteTimes times;
     private final Order order;
-    private final CallerShares shares = new CallerShares();
+    private final CallerTurns turns = new CallerTurns();
     private final List<LocalRun> waiting = new ArrayList<>();
     private int running;
 
@@ -62,18 +62,18 @@
 
     void add(LocalRun run) {
         waiting.add(run);
-        shares.waits(caller(run));
+        turns.waits(caller(run));
     }
 
     void remove(LocalRun run) {
         if (waiting.remove(run)) {
-            shares.waitsNoLonger(caller(run));
+            turns.waitsNoLonger(caller(run));
         }
     }
 
     void started(long now, LocalRun run) {
         running++;
-        shares.given(caller(run), Math.max(1, times.meanNanos(now, run.request().route())));
+        turns.given(caller(run), Math.max(1, times.meanNanos(now, run.request().route())));
     }
 
     void finished() {
@@ -93,7 +93,7 @@
         return waiting.stream()
                 .filter(run -> !isHopeless(now, run))
                 .map(run -> new Candidate(
-                        run, run.request().rank(), crowded && shares.isAhead(caller(run)) ? 1 : 0, key(now, run)))
+                        run, run.request().rank(), crowded && turns.isAhead(caller(run)) ? 1 : 0, key(now, run)))
                 .min(Candidate.FIRST)
                 .map(Candidate::run);
     }
@@ -108,7 +108,7 @@
     }
 
     private double claim(LocalRun run) {
-        return shares.claimNanos(caller(run));
+        return turns.claimNanos(caller(run));
     }
 
     private record Candidate(LocalRun run, int rank, double ahead, long key) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/CallerShares.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/CallerShares.java
@@ -12,8 +12,9 @@
  * what it asks for.
  *
  * <p>Guards against callers of one node that ask for more than all others together: with equal shares they get the
- * slots of all. While no node asks for several times the mean, all have the same share. Invariants: no node is refused anything while it asks for less than the common rate; the common rate is
- * at least an even part of what is admitted. Not thread safe: owned by the policy.
+ * slots of all. While no node asks for several times the mean, all have the same share. Invariants: no node is refused
+ * anything while it asks for less than the common rate; the common rate is at least an even part of what is admitted.
+ * Not thread safe: owned by the policy.
  */
 final class CallerShares {
 
@@ -24,8 +25,8 @@
     private static final double LEAST_GROUPED = 0.9;
 
     /**
-     * The least ratio of a node's rate to the mean rate at which callers count as uneven. The rates of equal callers scatter
-     * by less, and to cut those that ask for more at the moment would leave slots idle.
+     * The least ratio of a node's rate to the mean rate at which callers count as uneven. The rates of equal callers
+     * scatter by less, and to cut those that ask for more at the moment would leave slots idle.
      */
     private static final double UNEVEN_RATIO = 3;
 
@@ -49,7 +50,7 @@
         if (grouped < LEAST_GROUPED * offered || !areUneven(groups)) {
             return share;
         }
-        double rate = bounded(key, commonRate(groups, share * grouped));
+        double rate = Math.max(evenPart(groups, share * grouped), bounded(key, commonRate(groups, share * grouped)));
         newRates.put(key, rate);
         return ownRate <= rate ? 1 : rate / ownRate;
     }
@@ -57,7 +58,7 @@
     /** Returns whether the callers of some nodes ask for several times what those of a node ask for on average. */
     static boolean areUneven(List<CallerGroup> groups) {
         double offered = 0;
-        int nodes = 0;
+        long nodes = 0;
         double most = 0;
         for (CallerGroup group : groups) {
             if (group.nodes() > 0) {
@@ -69,9 +70,20 @@
         return nodes > 0 && most >= UNEVEN_RATIO * offered / nodes;
     }
 
+    /** Returns what each node gets if all get the same, whatever the bound on changes. */
+    private static double evenPart(List<CallerGroup> groups, double admitted) {
+        long nodes = 0;
+        for (CallerGroup group : groups) {
+            nodes += group.nodes();
+        }
+        return nodes > 0 ? admitted / nodes : 0;
+    }
+
     private double bounded(DemandKey key, double rate) {
         Double before = rates.get(key);
-        return before == null ? rate : Math.clamp(rate, before / MAXIMUM_STEP, before * MAXIMUM_STEP);
+        return before == null || !Double.isFinite(before)
+                ? rate
+                : Math.clamp(rate, before / MAXIMUM_STEP, before * MAXIMUM_STEP);
     }
 
     /** Ends a plan: classes for which no share was asked in it are no longer limited. */
@@ -91,7 +103,7 @@
         ascending.removeIf(group -> group.nodes() <= 0);
         ascending.sort(Comparator.comparingDouble(CallerShares::meanRate));
         double left = admitted;
-        int nodes = 0;
+        long nodes = 0;
         for (CallerGroup group : ascending) {
             nodes += group.nodes();
         }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/entry/MixedWork.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/entry/MixedWork.java
@@ -5,17 +5,15 @@
 import java.util.function.ToDoubleFunction;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
-import org.carawaysill.policy.fleet.retry.RetrySettings;
 import org.carawaysill.policy.fleet.route.MixedServices;
 
 /**
  * What a plan needs to know for routes that use a service with both short and long work.
  *
  * @param services these services
- * @param retries the bound of retries in the whole fleet
  * @param ownRate the rate of callers' requests at this node
  */
-public record MixedWork(MixedServices services, RetrySettings retries, ToDoubleFunction<DemandKey> ownRate) {
+public record MixedWork(MixedServices services, ToDoubleFunction<DemandKey> ownRate) {
 
     /** Returns whether a request uses such a service, calls included, judged by its known costs. */
     boolean isUsedBy(Map<ServiceName, Double> costs) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/mechanism/Mechanism.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/mechanism/Mechanism.java
@@ -33,6 +33,6 @@
     WORK_CLASSES,
     /** Chooses the copy by the expected time to completion where its service does both short and long work. */
     EXPECTED_COMPLETION,
-    /** Admits callers of equal rank by equal rates where a service does both short and long work. */
+    /** Admits callers of some nodes who ask for several times the mean by equal rates, at services with mixed work. */
     CALLER_SHARES
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/placing/RouteTimes.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/placing/UsualTimes.java
@@ -10,7 +10,7 @@
  * <p>A measurement counts with a bounded weight, and within bounds around what is known. Not thread safe: owned by the
  * policy.
  */
-public final class RouteTimes {
+public final class UsualTimes {
 
     private static final double WEIGHT = 0.05;
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/schedule/CallerShares.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/schedule/CallerTurns.java
@@ -10,7 +10,7 @@
  * Invariants: the virtual time never falls; only callers that wait, or have been given more than the virtual time, are
  * remembered, and of the latter a bounded number. Not thread safe: owned by the policy.
  */
-public final class CallerShares {
+public final class CallerTurns {
 
     /** How many mean runs a caller may be given before the others, so that the order by slack rules among equals. */
     private static final double LEAD_RUNS = 4;
--- a/policy/src/test/java/org/carawaysill/policy/fleet/entry/CallerSharesTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/entry/CallerSharesTest.java
@@ -131,6 +131,17 @@
             assertEquals(before / 2, shares.share(READ, 0.1, 109, uneven(), 100), 0.001);
         }
 
+        /* Guards against callers that are refused for good after all copies of a service were away for a moment. */
+        @Test
+        void isAnEvenPartAtOnceAfterNothingWasAdmitted() {
+            CallerShares shares = new CallerShares();
+            for (int plans = 0; plans < 20; plans++) {
+                shares.share(READ, 0, 109, uneven(), 100);
+                shares.planned();
+            }
+            assertTrue(shares.share(READ, 0.5, 109, uneven(), 100) * 100 >= 0.5 * 109 / 10 - 0.001);
+        }
+
         @Test
         void isForgottenOnceAllIsAdmitted() {
             CallerShares shares = new CallerShares();
--- a/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
@@ -11,7 +11,6 @@
 import org.carawaysill.model.fleet.RequestKind;
 import org.carawaysill.model.fleet.Route;
 import org.carawaysill.model.identity.ServiceName;
-import org.carawaysill.policy.fleet.retry.RetrySettings;
 import org.carawaysill.policy.fleet.route.MixedServices;
 import org.carawaysill.policy.fleet.summary.RouteSums;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
@@ -28,8 +27,7 @@
     private static final ServiceName DEEP = new ServiceName("deep");
     private static final String LOOKUP = "lookup";
     private static final int SLOTS = 10;
-    private static final MixedWork NOT_MIXED =
-            new MixedWork(MixedServices.NONE, new RetrySettings(0.2, 48, Duration.ofSeconds(10)), _ -> 0);
+    private static final MixedWork NOT_MIXED = new MixedWork(MixedServices.NONE, _ -> 0);
 
     private final EntryPlan plan = new EntryPlan(Set.of());
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/schedule/ScheduleTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/schedule/ScheduleTest.java
@@ -191,7 +191,7 @@
     @Nested
     class Callers {
 
-        private final CallerShares shares = new CallerShares();
+        private final CallerTurns shares = new CallerTurns();
 
         @Test
         void areAheadOnceTheyWereGivenMoreThanOneThatWaits() {
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/SummaryCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/SummaryCodec.java
@@ -33,6 +33,9 @@
  */
 final class SummaryCodec {
 
+    /** More nodes than any fleet has; sums of several such numbers still fit. */
+    private static final int MAXIMUM_NODES = 1_000_000;
+
     private SummaryCodec() {}
 
     static StateSummaryFrame encode(StateSummary summary) {
@@ -173,8 +176,8 @@
         List<CallerGroup> callers = new ArrayList<>(demand.getCallersCount());
         for (CallerGroupFrame group : demand.getCallersList()) {
             callers.add(new CallerGroup(
-                    group.getExponent(),
-                    Fields.notNegative(group.getNodes(), "nodes"),
+                    Fields.inRange(group.getExponent(), 0, Float.MAX_EXPONENT, "exponent"),
+                    Fields.inRange(group.getNodes(), 1, MAXIMUM_NODES, "nodes"),
                     Fields.notNegative(group.getOfferedPerSecond(), "offered per second")));
         }
         return new RankDemand(
--- a/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
@@ -221,7 +221,8 @@
         return new RankDemand(
                 organisationRank(),
                 random.nextFloat(),
-                list(() -> new CallerGroup(random.nextInt(), count(), random.nextFloat())));
+                list(() -> new CallerGroup(
+                        random.nextInt(Float.MAX_EXPONENT + 1), 1 + random.nextInt(1_000_000), random.nextFloat())));
     }
 
     private EntriesWanted wanted() {
