Look again at work that is held back, and send no short work back because of it

Found by review: long work that waited beside free slots was started only by the next event at the gate, though its part grows with time; and at a copy that names a limit of requests per second, short requests were sent back to their senders while held-back long work was first in the line. A refusal by the copy lowered the limit by requests that only hold a place for their body as well.

Change: held-back work is looked at again after 0.1 s; a request goes first where none of those that wait may start; only what is at the copy counts for the limit after a refusal.

Evidence: HeldBackWorkTest failed twice before (not released by time alone; OverRate) and passes now. WaitingLineTest, ClassedLineTest, CopyGateTest, CopyLimitTest, QuoteSiteTest, ScheduleTest pass.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/ClassedLine.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/ClassedLine.java
@@ -83,6 +83,12 @@
                 && (classOf(run) == WorkClass.SHORT || longWork().running() < parts.mostLong(now, limit));
     }
 
+    @Override
+    public boolean hasNext(long now, int limit) {
+        return !shortWork().waiting().isEmpty()
+                || !longWork().waiting().isEmpty() && longWork().running() < parts.mostLong(now, limit);
+    }
+
     @Override
     public CopyGate.Offered add(long now, LocalRun run, int limit, int capacity) {
         ClassQueue own = queueOf(run);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
@@ -1,5 +1,6 @@
 package org.carawaysill.policy.fleet.copy;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -32,6 +33,9 @@
     /** The least length of the queue, which absorbs a burst at a copy with few slots. */
     private static final int MINIMUM_QUEUE_LENGTH = 16;
 
+    /** After this time it is looked at again whether work that is held back may have a free slot. */
+    private static final long HELD_BACK_NANOS = Duration.ofMillis(100).toNanos();
+
     private final Map<AttemptIdentifier, LocalRun> runs = new HashMap<>();
     private final Comparator<LocalRun> order;
     private final SuspectQueue suspects = new SuspectQueue();
@@ -42,7 +46,7 @@
     private WaitingLine line;
     private boolean unheard = true;
     private int running;
-    private long pacedUntilNanos = Long.MAX_VALUE;
+    private long releaseNanos = Long.MAX_VALUE;
 
     /**
      * Creates a gate in front of a copy whose record is still unknown.
@@ -152,7 +156,8 @@
      * refusals: the limit returns to all slots.
      */
     public void refused() {
-        limit.refused(running);
+        limit.refused(
+                (int) runs.values().stream().filter(LocalRun::isSentToCopy).count());
     }
 
     /** Notes that the copy answered, and raises a lowered limit. */
@@ -179,8 +184,8 @@
             return new Offered.TooLate();
         }
         // The next start at a limited copy belongs to the first of those that wait for it.
-        boolean isNext = line.isEmpty() || !pacer.isLimited();
         int slots = limit.now(now);
+        boolean isNext = !pacer.isLimited() || !line.hasNext(now, slots);
         if (isNext && running < slots && line.mayStart(now, run, slots) && pacer.tryTake(now)) {
             start(now, run);
             return new Offered.Started();
@@ -318,15 +323,16 @@
     public List<LocalRun> startNext(long now) {
         suspects.release(now).forEach(line::addReleased);
         List<LocalRun> started = new ArrayList<>();
-        pacedUntilNanos = Long.MAX_VALUE;
+        releaseNanos = Long.MAX_VALUE;
         while (running < limit.now(now) && !line.isEmpty()) {
             if (!pacer.tryTake(now)) {
-                pacedUntilNanos = pacer.nextStartNanos();
+                releaseNanos = pacer.nextStartNanos();
                 break;
             }
             Optional<LocalRun> next = line.takeNext(now, limit.now(now));
             if (next.isEmpty()) {
                 pacer.giveBack();
+                releaseNanos = now + HELD_BACK_NANOS;
                 break;
             }
             start(now, next.get());
@@ -371,7 +377,7 @@
      * @return the monotonic time, {@link Long#MAX_VALUE} if no request waits for that
      */
     public long nextReleaseNanos() {
-        return Math.min(suspects.nextNanos(), pacedUntilNanos);
+        return Math.min(suspects.nextNanos(), releaseNanos);
     }
 
     /**
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/SingleLine.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/SingleLine.java
@@ -34,6 +34,11 @@
         return true;
     }
 
+    @Override
+    public boolean hasNext(long now, int limit) {
+        return !queue.isEmpty();
+    }
+
     @Override
     public CopyGate.Offered add(long now, LocalRun run, int limit, int capacity) {
         if (queue.size() < capacity) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/WaitingLine.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/WaitingLine.java
@@ -19,6 +19,9 @@
     /** Returns whether a request may start before those that wait, while fewer than {@code limit} requests run. */
     boolean mayStart(long now, LocalRun run, int limit);
 
+    /** Returns whether a request that waits may start, while fewer than {@code limit} requests run. */
+    boolean hasNext(long now, int limit);
+
     /** Adds a request where there is room for it, if need be in place of one that goes after it. */
     CopyGate.Offered add(long now, LocalRun run, int limit, int capacity);
 
