--- a/review/2/SlowReaderAtStop.java
+++ b/review/2/SlowReaderAtStop.java
@@ -16,10 +16,10 @@
 public final class SlowReaderAtStop {
 
     private static final int REQUESTS = 600;
-    private static final int REQUESTS_PER_SECOND = 200;
+    private static final int REQUESTS_PER_SECOND = 120;
     private static final int ANSWER_BYTES = 36_000;
     private static final double READ_BYTES_PER_SECOND = 2_750_000;
-    private static final int DEADLINE_MILLIS = 10_000;
+    private static final int DEADLINE_MILLIS = 5000;
     private static final int TERM_AFTER_MILLIS = 3000;
     private static final int WORK_MILLIS = 20;
 
@@ -56,7 +56,7 @@
                 return new Target.Result(200, new byte[ANSWER_BYTES]);
             });
         }
-        site.configure(1, List.of(new Installation.Route("files.example", "safe", "files", DEADLINE_MILLIS, 2500, 2)));
+        site.configure(1, List.of(new Installation.Route("files.example", "safe", "files", DEADLINE_MILLIS, 1200, 2)));
         site.publishTargets(1500);
         for (Installation.Machine machine : site.machines) {
             site.start(machine);
