--- a/review/1/WaitingAtGoneTarget.java
+++ b/review/1/WaitingAtGoneTarget.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -37,23 +38,27 @@
 
     private final Record record;
     private final boolean trouble;
+    private final boolean givesNotice;
     private final Map<String, Long> beganAtLeaving = new ConcurrentHashMap<>();
     private final Map<String, String> answers = new ConcurrentHashMap<>();
     private volatile boolean slow;
     private volatile long goneNanos;
 
-    private WaitingAtGoneTarget(Record record, boolean trouble) {
+    private WaitingAtGoneTarget(Record record, boolean trouble, boolean givesNotice) {
         this.record = record;
         this.trouble = trouble;
+        this.givesNotice = givesNotice;
     }
 
     /** Plays the case: arguments are the repository's root and the record's file. */
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        // For comparison: the target says that it is draining, where it else says nothing.
+        boolean givesNotice = "1".equals(System.getenv("DRAINING"));
         int status = 2;
         try (Record record = new Record(Path.of(arguments[1]))) {
             try (Installation site = new Installation(Path.of(arguments[0]), record, TARGETS + 1)) {
-                status = new WaitingAtGoneTarget(record, trouble).play(site);
+                status = new WaitingAtGoneTarget(record, trouble, givesNotice).play(site);
             } catch (IOException | InterruptedException failure) {
                 record.say("couldn't run: %s", failure);
             }
@@ -115,7 +120,11 @@
             slow = true;
             record.line("%d of %d targets are %d times as slow", SLOW_TARGETS, TARGETS, SLOWNESS);
             sleepUntil(start, GONE_AT_MILLIS);
-            site.withdraw(leaving);
+            if (givesNotice) {
+                site.drain(leaving);
+            } else {
+                site.withdraw(leaving);
+            }
             goneNanos = System.nanoTime();
             Thread.sleep(DRAIN_MILLIS + LONGER_MILLIS);
             leaving.target().exit();
@@ -147,7 +156,7 @@
     }
 
     private int judge() {
-        Map<String, Integer> statuses = new java.util.TreeMap<>();
+        Map<String, Integer> statuses = new TreeMap<>();
         answers.values().forEach(answer -> statuses.merge(answer, 1, Integer::sum));
         record.say("answers: %s", statuses);
         if (!trouble) {
--- a/review/standin/review/Installation.java
+++ b/review/standin/review/Installation.java
@@ -302,10 +302,6 @@
         return socket;
     }
 
-    InetSocketAddress targetAddress(Machine machine) {
-        return new InetSocketAddress(machine.host(), port(TARGET));
-    }
-
     Process node(Machine machine) {
         return nodes.get(machine.host());
     }
@@ -317,11 +313,6 @@
         new ProcessBuilder("sh", "-c", "kill -" + signal + " " + pid).inheritIO().start().waitFor();
     }
 
-    /** Returns the log of a machine's node. */
-    String log(Machine machine) throws IOException {
-        return Files.readString(directory.resolve(machine.host() + ".log"));
-    }
-
     private void endNodes() {
         nodes.values().forEach(Process::destroyForcibly);
         nodes.values().forEach(node -> node.onExit().join());
@@ -337,10 +328,6 @@
         store.close();
         try (var files = Files.list(directory)) {
             for (Path file : files.toList()) {
-                if (System.getenv("KEEP_LOGS") != null) {
-                    Files.copy(file, Path.of(System.getenv("KEEP_LOGS")).resolve(file.getFileName()),
-                            java.nio.file.StandardCopyOption.REPLACE_EXISTING);
-                }
                 Files.delete(file);
             }
         }
--- a/review/standin/review/Target.java
+++ b/review/standin/review/Target.java
@@ -40,7 +40,6 @@
     private final AtomicInteger running = new AtomicInteger();
     private final Map<String, Integer> runs = new ConcurrentHashMap<>();
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
-    private final AtomicInteger mostRunning = new AtomicInteger();
 
     Target(String id, String host, int port, int slots, Work work, Record record) throws IOException {
         this.id = id;
@@ -57,10 +56,6 @@
         return runs;
     }
 
-    int mostRunning() {
-        return mostRunning.get();
-    }
-
     private void accept() {
         try {
             while (true) {
@@ -102,7 +97,6 @@
                 headers.put("Not-Executed", "1");
                 return Http.message("HTTP/1.1 503 Service Unavailable", headers, new byte[0]);
             }
-            mostRunning.accumulateAndGet(now, Math::max);
             runs.merge(name, 1, Integer::sum);
             record.line("run %s at %s, deadline %s ms", name, id, request.header("Deadline-Ms"));
             Result result = work.run(request);
