End the slowness of the targets in review case 1

Cause: nothing ended it before the case did, so that a slow machine could have passed the limit of 9 s; it was 7.5 s here.

--- a/review/1/WaitingAtGoneTarget.java
+++ b/review/1/WaitingAtGoneTarget.java
@@ -28,6 +28,9 @@
     private static final int SLOW_AT_MILLIS = 4000;
     private static final int GONE_AT_MILLIS = 5000;
     private static final int END_AT_MILLIS = 10_000;
+
+    /** The targets are slow for 6 s; the limit is 9 s. */
+    private static final int SLOW_UNTIL_MILLIS = 10_000;
     private static final int DRAIN_MILLIS = 2000;
 
     /** How much longer than drain_ms the target serves. */
@@ -129,6 +132,9 @@
             Thread.sleep(DRAIN_MILLIS + LONGER_MILLIS);
             leaving.target().exit();
             record.line("%s exits", leaving.target().id);
+            sleepUntil(start, SLOW_UNTIL_MILLIS);
+            slow = false;
+            record.line("the targets are as fast as before");
         } catch (IOException | InterruptedException failure) {
             record.say("%s", failure);
         }
