--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,4 @@
 . config/find-java.sh
 rm -rf target/review
 mkdir -p target/review
-"$JAVA_HOME/bin/javac" -d target/review review/standin/review/*.java review/[0-9]/*.java review/also/*.java
+"$JAVA_HOME/bin/javac" -d target/review review/standin/review/*.java review/[0-9]/*.java
