Wait at a planned stop for answers that their readers still read

Cause: a stop was complete when the policy had no request left, and an answer left the policy when it was handed to its connection. Nobody asked whether the connection, or the link to another node, had written it; the process ended with the bytes in its memory. Whether a connection is idle was answered in three places by open requests only, and whether its client had stopped reading by whole answers: without any stop, a client that reads longer than the idle timeout after the last answer was handed over lost its connection. A connection was also closed 1 s after its last answer, read or not; bytes that arrive later reset it, with all that the operating system still holds.

Change: a connection says itself which answers its client has not read: those that are not written, and after the last one, until the client has closed. Idle, the end of a stop, the line of the stop and the metrics entry_unwritten and link_unwritten go by that. The policy asks for it each 20 ms once it refuses clients (CheckUnwritten, UnwrittenChecked) and ends the process when clients and links have nothing left, or at the end of its time, as before. ConnectionOutput follows the bytes that the operating system accepts, so that progress within one large answer counts. After a refused request a connection is still closed after 1 s.

A node without unread answers ends 2.5 s after its order, as before (PlannedStopTest.UnwrittenAnswersOfConnections.doNotDelayAStopWithoutThem).

--- a/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
@@ -26,6 +26,7 @@
 import org.carawaysill.model.identity.ExchangeIdentifier;
 import org.carawaysill.model.request.Body;
 import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.UnwrittenAnswers;
 import org.carawaysill.node.observation.BadRequest;
 import org.carawaysill.node.observation.ConnectionFault;
 import org.carawaysill.policy.fleet.FleetEvent;
@@ -46,14 +47,16 @@
     private static final int MAXIMUM_OPEN_EXCHANGES = 64;
 
     /**
-     * The time limit for a client to read its answers, which stay in memory until then. Longer than any client waits
-     * for an answer.
+     * How long a client may read nothing while answers wait for it, which stay in memory until then. Longer than any
+     * client waits for an answer.
      */
     private static final Duration READ_LIMIT = Duration.ofSeconds(20);
 
-    private static final Duration LINGER = Duration.ofSeconds(1);
+    /** How long a client whose request was malformed or too large may go on sending after the answer that says so. */
+    private static final Duration REJECTED_LINGER = Duration.ofSeconds(1);
 
     private final EntryServer server;
+    private final ConnectionOutput output;
     private final ArrayDeque<EntryExchange> open = new ArrayDeque<>();
     private Optional<ChannelHandlerContext> channel = Optional.empty();
     private Optional<RequestHead> head = Optional.empty();
@@ -64,11 +67,12 @@
     private boolean receiving;
     private boolean headStarted;
     private long headStartNanos;
-    private int unwritten;
-    private long unwrittenSinceNanos;
+    private int unwrittenAnswers;
+    private boolean lingering;
 
-    EntryConnection(EntryServer server) {
+    EntryConnection(EntryServer server, ConnectionOutput output) {
         this.server = server;
+        this.output = output;
         body = new BodyBuffer(server.bodies());
     }
 
@@ -237,32 +241,50 @@
     private void write(ChannelHandlerContext context, EntryExchange exchange) {
         FullHttpResponse response = exchange.answer().orElseThrow();
         lastProgressNanos = server.nanoTime();
-        boolean last = exchange.isClosing() || server.isStopping() && open.isEmpty() && !receiving;
-        if (unwritten++ == 0) {
-            unwrittenSinceNanos = lastProgressNanos;
-        }
+        boolean last = exchange.isClosing() || server.isStopping() && !hasRequest();
+        unwrittenAnswers++;
         if (last) {
             closing = true;
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            context.write(response).addListener(_ -> shutDownGracefully(context));
+            context.write(response).addListener(_ -> {
+                answerWritten();
+                shutDownGracefully(context);
+            });
         } else {
             context.write(response).addListener(_ -> answerWritten());
         }
     }
 
     /**
-     * Shuts down the node's own direction first, and closes the connection after the client has had time to do the
-     * same. If a connection is closed with unread bytes, the operating system resets it and the client may lose the
-     * answer.
+     * Shuts down the node's own direction first, and leaves it to the client to close the connection once it has read
+     * the last answer. If a connection is closed with unread bytes, or bytes arrive after its end, the operating system
+     * resets it and the client may lose the answers that it has not read yet.
      */
-    private static void shutDownGracefully(ChannelHandlerContext context) {
+    private void shutDownGracefully(ChannelHandlerContext context) {
+        lingering = true;
         ((SocketChannel) context.channel()).shutdownOutput();
-        context.executor().schedule(() -> context.close(), LINGER.toMillis(), TimeUnit.MILLISECONDS);
+        Duration limit = rejecting ? REJECTED_LINGER : READ_LIMIT;
+        context.executor().schedule(() -> context.close(), limit.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void answerWritten() {
-        unwritten--;
-        unwrittenSinceNanos = server.nanoTime();
+        unwrittenAnswers--;
+        lastProgressNanos = server.nanoTime();
+    }
+
+    /** Returns the answers that the client has not read yet, as far as this node can know. */
+    UnwrittenAnswers unwritten() {
+        return isDelivering()
+                ? new UnwrittenAnswers(1, unwrittenAnswers, output.unwrittenBytes())
+                : UnwrittenAnswers.NONE;
+    }
+
+    /**
+     * Returns whether the client still reads answers: some are not written, or it has not closed the connection after
+     * the last one, so that the operating system may hold some of them.
+     */
+    private boolean isDelivering() {
+        return unwrittenAnswers > 0 || lingering;
     }
 
     /** Records the arrival of bytes that may or may not form a complete request head. */
@@ -288,7 +310,7 @@
                 && receiving
                 && now - lastProgressNanos > limits.idleTimeout().toNanos()) {
             refuse(BadRequest.BODY_TOO_SLOW, requestName());
-        } else if (unwritten > 0 && now - unwrittenSinceNanos > READ_LIMIT.toNanos()) {
+        } else if (unwrittenAnswers > 0 && now - output.progressNanos() > READ_LIMIT.toNanos()) {
             end(ConnectionFault.SLOW_READER);
         } else if (!closing
                 && isIdle()
@@ -297,8 +319,14 @@
         }
     }
 
+    /** Returns whether a request is being received or is not answered yet. */
+    private boolean hasRequest() {
+        return receiving || !open.isEmpty();
+    }
+
+    /** Returns whether the connection can be closed without loss to its client. */
     private boolean isIdle() {
-        return !receiving && open.isEmpty();
+        return !hasRequest() && !isDelivering();
     }
 
     private void end(ConnectionFault fault) {
@@ -307,7 +335,7 @@
         channel.ifPresent(ChannelHandlerContext::close);
     }
 
-    /** Closes the connection if no request is in progress. */
+    /** Closes the connection if no request is in progress and the client has read its answers. */
     void closeIfIdle() {
         if (isIdle() && !closing) {
             closing = true;
--- a/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
@@ -32,11 +32,14 @@
 import org.carawaysill.model.identity.NetworkAddress;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.Step;
+import org.carawaysill.model.request.UnwrittenAnswers;
 import org.carawaysill.node.exchange.BodyBudget;
 import org.carawaysill.node.fleet.DecisionLog;
 import org.carawaysill.node.observation.BadRequest;
 import org.carawaysill.node.observation.ConnectionFault;
 import org.carawaysill.node.observation.Counters;
+import org.carawaysill.node.observation.StateLog;
+import org.carawaysill.node.observation.UnwrittenGauge;
 import org.carawaysill.policy.fleet.FleetEvent;
 
 /**
@@ -105,6 +108,7 @@
                     callback.call(bodyMemory, "limit");
                 })
                 .register(counters.registry());
+        UnwrittenGauge.register(counters.registry(), "entry_unwritten", "clients", this::unwritten);
         log = registry.require(DecisionLog.NAME, DecisionLog.class);
     }
 
@@ -144,8 +148,10 @@
     }
 
     private void install(SocketChannel channel) {
-        EntryConnection connection = new EntryConnection(this);
+        ConnectionOutput output = new ConnectionOutput(this::nanoTime);
+        EntryConnection connection = new EntryConnection(this, output);
         channel.pipeline()
+                .addLast(output)
                 .addLast(new ChannelInboundHandlerAdapter() {
                     @Override
                     public void channelRead(ChannelHandlerContext context, Object message) {
@@ -167,12 +173,31 @@
         CompletableFuture<Void> closed = new CompletableFuture<>();
         eventLoop.execute(() -> {
             server.ifPresent(Channel::close);
+            logUnwritten();
             List.copyOf(connections).forEach(EntryConnection::closeIfIdle);
             closed.complete(null);
         });
         return closed;
     }
 
+    private void logUnwritten() {
+        UnwrittenAnswers unwritten = unwritten();
+        if (!unwritten.isEmpty()) {
+            StateLog.fault(Step.DRAIN, Optional.empty(), "ends before clients have read their answers: " + unwritten);
+        }
+    }
+
+    /**
+     * Returns the answers that clients have not read yet. Must be called on the event loop.
+     *
+     * @return the sum over all connections
+     */
+    public UnwrittenAnswers unwritten() {
+        return connections.stream()
+                .map(EntryConnection::unwritten)
+                .reduce(UnwrittenAnswers.NONE, UnwrittenAnswers::plus);
+    }
+
     /**
      * Returns the port on which the server listens.
      *
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -181,6 +181,8 @@
             }
             case FleetEffect.ShowSuspects show -> suspects.show(show);
             case FleetEffect.ShowRateLimit limit -> copyGauges.showLimit(limit.requestsPerSecond());
+            case FleetEffect.CheckUnwritten _ ->
+                loop.handle(new FleetEvent.UnwrittenChecked(entry.unwritten(), peers.unwritten()));
             case FleetEffect.StopProcess _ -> stopCompletion.complete(null);
         }
     }
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetPeers.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetPeers.java
@@ -1,12 +1,15 @@
 package org.carawaysill.node.fleet;
 
 import io.netty.channel.EventLoop;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.carawaysill.kernel.service.Service;
 import org.carawaysill.kernel.service.ServiceRegistry;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.request.UnwrittenAnswers;
 import org.carawaysill.node.observation.Counters;
+import org.carawaysill.node.observation.UnwrittenGauge;
 import org.carawaysill.node.peer.LinkFaultLog;
 import org.carawaysill.node.peer.LinkMetrics;
 import org.carawaysill.policy.fleet.FleetEvent;
@@ -58,8 +61,10 @@
                         .build())
                 .listener(this)
                 .build();
-        LinkMetrics.register(
-                link.counters(), registry.require(Counters.NAME, Counters.class).registry());
+        PrometheusRegistry metrics =
+                registry.require(Counters.NAME, Counters.class).registry();
+        LinkMetrics.register(link.counters(), metrics);
+        UnwrittenGauge.register(metrics, "link_unwritten", "other nodes", link::unwritten);
     }
 
     @Override
@@ -95,6 +100,11 @@
         link.reset(peer, "no report in time");
     }
 
+    /** Returns the answers that connections to other nodes have not written yet. */
+    UnwrittenAnswers unwritten() {
+        return link.unwritten();
+    }
+
     @Override
     public void connected(NodeName peer, long incarnation) {
         faults.clear(peer);
--- a/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
+++ b/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import org.carawaysill.model.fleet.ClientLimits;
 import org.carawaysill.model.identity.ExchangeIdentifier;
 import org.carawaysill.model.identity.KeyDigest;
@@ -21,6 +22,7 @@
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
+import org.carawaysill.model.request.UnwrittenAnswers;
 import org.carawaysill.node.observation.Counters;
 import org.carawaysill.node.testing.LoopBench;
 import org.carawaysill.node.testing.RawConnection;
@@ -365,6 +367,83 @@
         }
     }
 
+    @Nested
+    class SlowReaders {
+
+        private static final Duration IDLE = Duration.ofMillis(600);
+
+        /** More than the buffers of the operating system take of an answer. */
+        private static final int ANSWER_BYTES = 12_000_000;
+
+        /** Less than these buffers take, and more than that of the client alone. */
+        private static final int BUFFERED_BYTES = 3_000_000;
+
+        /** Answers a request with so large a body that its client must read it in time. */
+        private RawConnection answerAtLength() {
+            RawConnection connection = send(get("a"));
+            answer(arrived().exchange(), good("x".repeat(ANSWER_BYTES)));
+            return connection;
+        }
+
+        private UnwrittenAnswers unwritten() {
+            AtomicReference<UnwrittenAnswers> unwritten = new AtomicReference<>();
+            bench.onLoop(() -> unwritten.set(server.unwritten()));
+            return unwritten.get();
+        }
+
+        /** Guards against a connection that is closed as idle while its client still reads an answer. */
+        @Test
+        void areNotIdle() {
+            limit(new ClientLimits(4096, 10_000, Duration.ofSeconds(20), IDLE));
+            RawConnection connection = answerAtLength();
+            LoopBench.pause(IDLE.multipliedBy(3));
+            assertEquals(ANSWER_BYTES, connection.readMessageLength());
+        }
+
+        /** Guards against a stop that closes a connection whose client still reads an answer. */
+        @Test
+        void keepTheirConnectionsAtTheEndOfAStop() {
+            RawConnection connection = answerAtLength();
+            bench.onLoop(server::beginStop);
+            server.stop().join();
+            assertEquals(ANSWER_BYTES, connection.readMessageLength());
+        }
+
+        @Test
+        void areCountedUntilTheyHaveReadAll() {
+            RawConnection connection = answerAtLength();
+            UnwrittenAnswers left = unwritten();
+            assertEquals(1, left.connections());
+            assertEquals(1, left.answers());
+            assertTrue(left.bytes() > 0 && left.bytes() < ANSWER_BYTES, left.toString());
+            connection.readMessageLength();
+            bench.onLoop(() -> {});
+            assertEquals(UnwrittenAnswers.NONE, unwritten());
+        }
+
+        /** Guards against a client that leaves and is waited for. */
+        @Test
+        void thatDisconnectAreNotCounted() {
+            answerAtLength().reset();
+            bench.awaitOnLoop(() -> server.unwritten().isEmpty());
+        }
+
+        /** Guards against a reset that takes answers from a client which reads them late and goes on sending. */
+        @Test
+        void keepTheirConnectionsAfterTheLastAnswerUntilTheyCloseThem() {
+            RawConnection connection = send(get("a"));
+            bench.onLoop(server::beginStop);
+            answer(arrived().exchange(), good("x".repeat(BUFFERED_BYTES)));
+            LoopBench.pause(Duration.ofMillis(1500));
+            connection.write(get("b"));
+            assertEquals(1, unwritten().connections());
+            assertEquals(BUFFERED_BYTES, connection.readMessageLength());
+            assertEquals("", connection.readToEnd());
+            connection.close();
+            bench.awaitOnLoop(() -> server.unwritten().isEmpty());
+        }
+    }
+
     @Nested
     class Stopping {
 
--- a/node/src/test/java/org/carawaysill/node/testing/LoopBench.java
+++ b/node/src/test/java/org/carawaysill/node/testing/LoopBench.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.carawaysill.kernel.service.ServiceRegistry;
 import org.carawaysill.node.entry.WireDialect;
 import org.carawaysill.node.fleet.DecisionLog;
@@ -85,6 +86,22 @@
         CompletableFuture.runAsync(action, eventLoop).join();
     }
 
+    /**
+     * Waits until a condition holds on the event loop.
+     *
+     * @param condition the condition
+     */
+    public void awaitOnLoop(BooleanSupplier condition) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+        while (!CompletableFuture.supplyAsync(condition::getAsBoolean, eventLoop)
+                .join()) {
+            if (System.nanoTime() - end > 0) {
+                throw new AssertionError("the condition did not come to hold in time");
+            }
+            pause(Duration.ofMillis(5));
+        }
+    }
+
     public static void pause(Duration duration) {
         try {
             Thread.sleep(duration);
--- a/node/src/test/java/org/carawaysill/node/testing/RawConnection.java
+++ b/node/src/test/java/org/carawaysill/node/testing/RawConnection.java
@@ -66,6 +66,38 @@
         return head.toString();
     }
 
+    private static int contentLength(String head) {
+        return head.lines()
+                .filter(line -> line.toLowerCase(Locale.ROOT).startsWith("content-length:"))
+                .mapToInt(line ->
+                        Integer.parseInt(line.substring(line.indexOf(':') + 1).strip()))
+                .findFirst()
+                .orElse(0);
+    }
+
+    /**
+     * Reads a message with a stated length, whose body may be large, and drops it.
+     *
+     * @return the number of bytes of the body that arrived
+     */
+    public int readMessageLength() {
+        return readBytes(contentLength(readHead()));
+    }
+
+    /**
+     * Reads a number of bytes and drops them.
+     *
+     * @param count the number of bytes
+     * @return the number that arrived before the end of the connection
+     */
+    public int readBytes(int count) {
+        try {
+            return socket.getInputStream().readNBytes(count).length;
+        } catch (IOException reset) {
+            throw new UncheckedIOException(reset);
+        }
+    }
+
     /**
      * Reads a message with a stated length.
      *
@@ -73,12 +105,7 @@
      */
     public String readMessage() {
         String head = readHead();
-        int length = head.lines()
-                .filter(line -> line.toLowerCase(Locale.ROOT).startsWith("content-length:"))
-                .mapToInt(line ->
-                        Integer.parseInt(line.substring(line.indexOf(':') + 1).strip()))
-                .findFirst()
-                .orElse(0);
+        int length = contentLength(head);
         StringBuilder message = new StringBuilder(head);
         for (int i = 0; i < length; i++) {
             message.append((char) read());
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetEffect.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetEffect.java
@@ -140,6 +140,9 @@
      */
     record ShowRateLimit(double requestsPerSecond) implements FleetEffect {}
 
+    /** Report at once which answers are not written yet, by {@link FleetEvent.UnwrittenChecked}. */
+    record CheckUnwritten() implements FleetEffect {}
+
     /** End the process: every request is finished, or the time for a planned stop is over. */
     record StopProcess() implements FleetEffect {}
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetEvent.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetEvent.java
@@ -12,6 +12,7 @@
 import org.carawaysill.model.request.Credential;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RequestContent;
+import org.carawaysill.model.request.UnwrittenAnswers;
 import org.carawaysill.policy.message.PeerMessage;
 
 /** An event that a node of a fleet handles. Immutable and thread safe. */
@@ -155,6 +156,14 @@
     /** A planned stop was requested: the process ends once its requests are finished. */
     record StopRequested() implements FleetEvent {}
 
+    /**
+     * The node reports the answers that it has not written yet, as {@link FleetEffect.CheckUnwritten} asked.
+     *
+     * @param toClients answers to clients and to the local copy's calls
+     * @param toNodes answers to other nodes
+     */
+    record UnwrittenChecked(UnwrittenAnswers toClients, UnwrittenAnswers toNodes) implements FleetEvent {}
+
     /** Time passed; sent when the policy's next wake-up is due. */
     record WakeUp() implements FleetEvent {}
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -133,6 +133,7 @@
             case FleetEvent.EntriesReadFailed failed -> view.readFailed(now, failed.failure());
             case FleetEvent.SettingsChanged changed -> reload(changed.settings());
             case FleetEvent.StopRequested _ -> plannedStop.order(now);
+            case FleetEvent.UnwrittenChecked checked -> plannedStop.unwrittenChecked(now, checked);
         }
         passTime(now);
         return effects.drain();
--- a/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.carawaysill.model.request.UnwrittenAnswers;
 import org.carawaysill.policy.time.Nanos;
 
 /**
@@ -55,6 +56,9 @@
      */
     private static final Duration IDLE_BEFORE_END = Duration.ofMillis(20);
 
+    /** How often it is checked whether answers are not written yet, once the process may end. */
+    private static final Duration CHECK_INTERVAL = IDLE_BEFORE_END;
+
     /** How many times its usual time a request may take at the copy to end before the process does. */
     private static final int USUAL_RUNS_LEFT = 2;
 
@@ -68,12 +72,18 @@
 
     private static final long NOT_IDLE = Long.MAX_VALUE;
 
+    private static final long NOT_CHECKED = Long.MIN_VALUE;
+
     private final Effects effects;
     private final OutgoingRequests outgoing;
     private final LocalRuns localRuns;
     private final UnsentMessages unsentMessages;
     private long orderedNanos = NOT_ORDERED;
     private long idleSinceNanos = NOT_IDLE;
+    private long nextCheckNanos = NOT_CHECKED;
+    private long checkedNanos = NOT_CHECKED;
+    private UnwrittenAnswers toClients = UnwrittenAnswers.NONE;
+    private UnwrittenAnswers toNodes = UnwrittenAnswers.NONE;
     private boolean leavingAnnounced;
     private boolean lateLogged;
     private boolean ended;
@@ -96,6 +106,13 @@
         return orderedNanos != NOT_ORDERED;
     }
 
+    /** Takes in which answers connections have accepted and not written yet. */
+    void unwrittenChecked(long now, FleetEvent.UnwrittenChecked checked) {
+        checkedNanos = now;
+        toClients = checked.toClients();
+        toNodes = checked.toNodes();
+    }
+
     /** Returns true once, when the other nodes must be notified that this node leaves. */
     boolean isAnnouncementDue(long now) {
         boolean due = isOrdered() && !leavingAnnounced && now - orderedNanos >= ANNOUNCE_AFTER.toNanos();
@@ -136,10 +153,10 @@
         if (idleSinceNanos != NOT_IDLE && idleSinceNanos + IDLE_BEFORE_END.toNanos() > now) {
             next = Math.min(next, idleSinceNanos + IDLE_BEFORE_END.toNanos());
         }
-        return next;
+        return nextCheckNanos > now ? Math.min(next, nextCheckNanos) : next;
     }
 
-    /** Ends the process once nothing is left to do, or when the time for the stop is over. */
+    /** Ends the process once nothing is left to do and every answer is written, or when the time for the stop is over. */
     void passTime(long now, Duration limit) {
         if (ended || !isOrdered()) {
             return;
@@ -149,6 +166,7 @@
         boolean refusesClients = stopping >= refuseClientsAfter(limit).toNanos();
         if (refusesClients) {
             outgoing.setIntake(Arrivals.Intake.CALLS);
+            checkUnwritten(now);
         }
         if (stopping >= closeCopyAfter(limit).toNanos()) {
             localRuns.close(now);
@@ -167,11 +185,26 @@
         }
     }
 
-    /** Returns whether nothing has been left to do for {@link #IDLE_BEFORE_END}. */
+    private void checkUnwritten(long now) {
+        if (now >= nextCheckNanos) {
+            nextCheckNanos = now + CHECK_INTERVAL.toNanos();
+            effects.add(new FleetEffect.CheckUnwritten());
+        }
+    }
+
+    /**
+     * Returns whether nothing has been left to do for {@link #IDLE_BEFORE_END}, and no answer was left to write after
+     * the last request had ended.
+     */
     private boolean hasBeenIdle(long now) {
-        boolean idle = outgoing.isEmpty() && localRuns.isEmpty() && !unsentMessages.holdsAnswers();
+        boolean idle =
+                outgoing.isEmpty() && localRuns.isEmpty() && !unsentMessages.holdsAnswers() && isEveryAnswerWritten();
         idleSinceNanos = idle ? Math.min(idleSinceNanos, now) : NOT_IDLE;
-        return idle && now - idleSinceNanos >= IDLE_BEFORE_END.toNanos();
+        return idle && now - idleSinceNanos >= IDLE_BEFORE_END.toNanos() && checkedNanos > idleSinceNanos;
+    }
+
+    private boolean isEveryAnswerWritten() {
+        return toClients.isEmpty() && toNodes.isEmpty();
     }
 
     private static Duration endRunsAfter(Duration limit) {
@@ -207,12 +240,20 @@
     }
 
     /**
-     * Returns the numbers of requests that entered here, of unanswered attempts, of requests for the local copy, and of
-     * those running at it.
+     * Returns the numbers of requests that entered here, of unanswered attempts, of requests for the local copy, of
+     * those running at it, and of answers that are not written yet, if there are any.
      */
     private String pendingWork() {
         return "requests=" + outgoing.count() + " sent=" + outgoing.sentCount() + " at_copy=" + localRuns.count()
-                + " running=" + localRuns.runningCount();
+                + " running=" + localRuns.runningCount() + unwrittenFields("client", toClients)
+                + unwrittenFields("node", toNodes);
+    }
+
+    private static String unwrittenFields(String receiver, UnwrittenAnswers unwritten) {
+        return unwritten.isEmpty()
+                ? ""
+                : " unread_by_" + receiver + "s=" + unwritten.connections() + " " + receiver + "_answers="
+                        + unwritten.answers() + " " + receiver + "_bytes=" + unwritten.bytes();
     }
 
     private static String tookMillis(long stopping) {
--- a/policy/src/test/java/org/carawaysill/policy/fleet/PlannedStopTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/PlannedStopTest.java
@@ -21,6 +21,7 @@
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.RequestContent;
+import org.carawaysill.model.request.UnwrittenAnswers;
 import org.carawaysill.policy.fleet.VirtualFleet.VirtualNode;
 import org.carawaysill.policy.message.PeerMessage;
 import org.junit.jupiter.api.Nested;
@@ -96,6 +97,89 @@
         }
     }
 
+    @Nested
+    class UnwrittenAnswersOfConnections {
+
+        private static final long ORDERED = 4 * SECOND;
+        private static final UnwrittenAnswers SOME = new UnwrittenAnswers(1, 86, 3_096_000);
+
+        private VirtualNode node;
+
+        private void order(UnwrittenAnswers toClients, UnwrittenAnswers toNodes) {
+            fleet.configure(route("/front/", "front", 900));
+            node = node("front", "10.1.1.1");
+            fleet.runUntil(ORDERED);
+            node.unreadByClients = toClients;
+            node.unreadByNodes = toNodes;
+            node.deliver(new FleetEvent.StopRequested());
+        }
+
+        private void assertEndsOnceWritten() {
+            fleet.runUntil(ORDERED + 4500 * MILLI);
+            assertFalse(node.stopped);
+            node.unreadByClients = UnwrittenAnswers.NONE;
+            node.unreadByNodes = UnwrittenAnswers.NONE;
+            fleet.runUntil(ORDERED + 4550 * MILLI);
+            assertTrue(node.stopped);
+        }
+
+        /** Guards against answers of requests that ran, which are cut while their clients still read them. */
+        @Test
+        void toClientsHoldTheStopUpUntilTheyAreWritten() {
+            order(SOME, UnwrittenAnswers.NONE);
+            assertEndsOnceWritten();
+        }
+
+        /** Guards against an answer that the link has accepted, which is cut before the other node has read it. */
+        @Test
+        void toOtherNodesHoldTheStopUpUntilTheyAreWritten() {
+            order(UnwrittenAnswers.NONE, SOME);
+            assertEndsOnceWritten();
+        }
+
+        /** Guards against a client that reads nothing and holds up a stop until the process is killed. */
+        @Test
+        void areGivenUpAndLoggedWhenTheTimeIsOver() {
+            order(SOME, UnwrittenAnswers.NONE);
+            fleet.runUntil(ORDERED + LIMIT.toNanos() - 690 * MILLI);
+            assertTrue(node.stopped);
+            assertEquals(
+                    List.of(
+                            "state=stop_late requests=0 sent=0 at_copy=0 running=0 unread_by_clients=1"
+                                    + " client_answers=86 client_bytes=3096000 took_ms=5000",
+                            "state=stopped requests=0 sent=0 at_copy=0 running=0 unread_by_clients=1"
+                                    + " client_answers=86 client_bytes=3096000 took_ms=5300"),
+                    node.log.stream()
+                            .map(Decision::fields)
+                            .filter(fields ->
+                                    fields.startsWith("state=stop_late") || fields.startsWith("state=stopped"))
+                            .toList());
+        }
+
+        /** Guards against an answer that is handed over in the moment in which the last check found none. */
+        @Test
+        void ofTheLastRequestAreCheckedAfterItsEnd() {
+            fleet.configure(route("/front/", "front", 5000));
+            node = node("front", "10.1.1.1");
+            node.works.put("/front/", new Work(300 * MILLI, List.of()));
+            fleet.runUntil(ORDERED);
+            node.deliver(new FleetEvent.StopRequested());
+            fleet.runUntil(ORDERED + 2490 * MILLI);
+            fleet.send(node, "last", "/front/", 5 * SECOND, (_, _) -> node.unreadByClients = SOME);
+            fleet.runUntil(ORDERED + 4 * SECOND);
+            assertFalse(node.stopped);
+        }
+
+        @Test
+        void doNotDelayAStopWithoutThem() {
+            order(UnwrittenAnswers.NONE, UnwrittenAnswers.NONE);
+            fleet.runUntil(ORDERED + 2499 * MILLI);
+            assertFalse(node.stopped);
+            fleet.runUntil(ORDERED + 2500 * MILLI);
+            assertTrue(node.stopped);
+        }
+    }
+
     @Nested
     class Clients {
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -36,6 +36,7 @@
 import org.carawaysill.model.request.Credential;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RequestContent;
+import org.carawaysill.model.request.UnwrittenAnswers;
 import org.carawaysill.policy.fleet.allowance.AllowanceBounds;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
 import org.carawaysill.policy.fleet.publication.PublicationDecoder;
@@ -303,6 +304,11 @@
         /** What its answers state about it. */
         CopyNotice notice = CopyNotice.NONE;
 
+        /** The answers that its connections have not written to clients and to other nodes. */
+        UnwrittenAnswers unreadByClients = UnwrittenAnswers.NONE;
+
+        UnwrittenAnswers unreadByNodes = UnwrittenAnswers.NONE;
+
         /** The requests that crash the copy when it runs them. */
         Optional<CrashingRequest> crashingRequest = Optional.empty();
 
@@ -523,6 +529,8 @@
                 case FleetEffect.ShowReadiness shown -> ready = shown.ready();
                 case FleetEffect.Log logged -> log.add(logged.decision());
                 case FleetEffect.StopProcess _ -> stopped = true;
+                case FleetEffect.CheckUnwritten _ ->
+                    at(now, () -> deliver(new FleetEvent.UnwrittenChecked(unreadByClients, unreadByNodes)));
                 case FleetEffect.ResetPeer reset -> reset(reset.peer());
                 // The other node, which still knows this one, dials again.
                 case FleetEffect.DisconnectPeer disconnect -> reset(disconnect.peer());
--- a/protocol/src/main/java/org/carawaysill/protocol/link/OutboundFrames.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/OutboundFrames.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Optional;
+import org.carawaysill.model.request.UnwrittenAnswers;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.protocol.generated.Frame;
 
@@ -40,7 +41,7 @@
     }
 
     private void write(Frame frame, int size, Optional<PeerMessage> message) {
-        PendingFrame pending = new PendingFrame(message, System.nanoTime());
+        PendingFrame pending = new PendingFrame(message, size, System.nanoTime());
         frames.add(pending);
         ChannelProgressivePromise promise = channel.newProgressivePromise();
         promise.addListener(pending);
@@ -71,6 +72,18 @@
                 .toList();
     }
 
+    /** Returns the answers that are not completely written. */
+    UnwrittenAnswers unwrittenAnswers() {
+        List<PendingFrame> answers =
+                frames.stream().filter(PendingFrame::isUnwrittenAnswer).toList();
+        return answers.isEmpty()
+                ? UnwrittenAnswers.NONE
+                : new UnwrittenAnswers(
+                        1,
+                        answers.size(),
+                        answers.stream().mapToLong(answer -> answer.remaining).sum());
+    }
+
     private void dropWritten() {
         while (!frames.isEmpty() && frames.peek().written) {
             frames.remove();
@@ -81,17 +94,24 @@
 
         private final Optional<PeerMessage> message;
         private final long since;
+        private long remaining;
         private boolean progressed;
         private boolean written;
 
-        PendingFrame(Optional<PeerMessage> message, long since) {
+        PendingFrame(Optional<PeerMessage> message, int size, long since) {
             this.message = message;
             this.since = since;
+            remaining = size;
+        }
+
+        private boolean isUnwrittenAnswer() {
+            return !written && message.orElse(null) instanceof PeerMessage.CopyAnswer;
         }
 
         @Override
         public void operationProgressed(ChannelProgressiveFuture future, long progress, long total) {
             progressed = true;
+            remaining = total - progress;
         }
 
         @Override
--- a/protocol/src/main/java/org/carawaysill/protocol/link/PeerConnection.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/PeerConnection.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.request.UnwrittenAnswers;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.protocol.codec.PeerMessageCodec;
 import org.carawaysill.protocol.codec.ProtocolFault;
@@ -187,6 +188,10 @@
         }
     }
 
+    UnwrittenAnswers unwritten() {
+        return outbound.unwrittenAnswers();
+    }
+
     /**
      * Sends a probe to the peer, and ends the connection if no reply arrives in time.
      *
--- a/protocol/src/main/java/org/carawaysill/protocol/link/PeerLink.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/PeerLink.java
@@ -16,6 +16,7 @@
 import java.util.random.RandomGenerator;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.UnwrittenAnswers;
 import org.carawaysill.policy.message.PeerMessage;
 
 /**
@@ -141,6 +142,15 @@
         table.block(peers);
     }
 
+    /**
+     * Returns the answers that are not completely written to the operating system. Must be called on the event loop.
+     *
+     * @return the sum over all connections
+     */
+    public UnwrittenAnswers unwritten() {
+        return table.unwritten();
+    }
+
     /**
      * Returns the counters of this link.
      *
--- a/protocol/src/main/java/org/carawaysill/protocol/link/PeerTable.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/PeerTable.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.carawaysill.model.identity.NodeName;
+import org.carawaysill.model.request.UnwrittenAnswers;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.protocol.codec.PeerMessageCodec;
 import org.carawaysill.protocol.generated.Frame;
@@ -153,6 +154,12 @@
         List.copyOf(open.values()).forEach(connection -> connection.checkDraining(now));
     }
 
+    UnwrittenAnswers unwritten() {
+        return connections.stream()
+                .map(PeerConnection::unwritten)
+                .reduce(UnwrittenAnswers.NONE, UnwrittenAnswers::plus);
+    }
+
     /** Closes every connection to a peer, including those still in the handshake. */
     void close(NodeName peer) {
         List.copyOf(connections).stream()
