Let no request wait for a copy whose entry is removed

Cause: three signs tell that a copy leaves: its record, its own answers, and the removal of its entry. Each path that lets a request wait or start looked at the first two in its own way; the removal only set a flag for the report of crashes. The node beside the copy was the last to act on a removal that all senders kept to.

Change: LocalCopy alone says whether the copy takes requests, and by which sign not. Admission asks it (requests of this node and of others, bodies that arrive, what is offered again), and so does the start of a request, with the time: a missing entry whose time to reappear is over counts before the next news of it. When a sign appears, waiting requests are refused as not run and slots that are kept for bodies are given up; their senders choose another copy, outside the retry budget, as with notice. A sender that is granted a slot at a copy that it knows to be gone keeps the body and chooses again. A copy that is published again takes requests again. A service that the configuration no longer names is no removal. LocalCopyChanged and copy_leaving_total tell the sign.

The cases with a pause of the process fail if the start doesn't ask.

--- a/model/src/main/java/org/carawaysill/model/request/Counted.java
+++ b/model/src/main/java/org/carawaysill/model/request/Counted.java
@@ -11,6 +11,7 @@
                 ConfigurationCount,
                 CrashCount,
                 NoticeCount,
+                LeavingSign,
                 BodyCount,
                 WorkCount,
                 ShareBound {
--- a/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
@@ -175,6 +175,7 @@
             case Decision.Abandoned _ -> Kind.ABANDONED;
             case Decision.CopyChanged changed
             when !changed.state().equals(Decision.CopyChanged.READY) -> Kind.COPY_LEAVES;
+            case Decision.LocalCopyChanged _ -> Kind.COPY_LEAVES;
             case Decision.CopyCrashed _, Decision.SuspicionChanged _, Decision.SuspicionsForgotten _ -> Kind.CRASH;
             case Decision.OfState _ -> Kind.BELIEF;
         };
--- a/node/src/main/java/org/carawaysill/node/observation/Counters.java
+++ b/node/src/main/java/org/carawaysill/node/observation/Counters.java
@@ -45,17 +45,18 @@
             "share_refusal",
             "share_refusals");
 
-    private static final Map<String, String> HELP = Map.of(
-            "refusal", "Requests refused and not run",
-            "unknown", "Requests of which it is not known whether they ran",
-            "retry", "Requests tried again",
-            "breach", "Broken promises that the program noticed about itself",
-            "configuration", "What became of configuration that was read or received",
-            "crash", "Crashes of the copy beside the node, and what was concluded from those of all copies",
-            "copy_notice", "Changes in what the answers of the copy beside the node state about it",
-            "body", "Large bodies that are sent after their requests, and the places granted for them",
-            "work_class", "What the division of the copy's slots between short and long work led to",
-            "share_refusal", "Requests refused at the entry, by what bounds their share");
+    private static final Map<String, String> HELP = Map.ofEntries(
+            Map.entry("refusal", "Requests refused and not run"),
+            Map.entry("unknown", "Requests of which it is not known whether they ran"),
+            Map.entry("retry", "Requests tried again"),
+            Map.entry("breach", "Broken promises that the program noticed about itself"),
+            Map.entry("configuration", "What became of configuration that was read or received"),
+            Map.entry("crash", "Crashes of the copy beside the node, and what was concluded from those of all copies"),
+            Map.entry("copy_notice", "Changes in what the answers of the copy beside the node state about it"),
+            Map.entry("copy_leaving", "Copies beside the node that began to leave, by what showed it"),
+            Map.entry("body", "Large bodies that are sent after their requests, and the places granted for them"),
+            Map.entry("work_class", "What the division of the copy's slots between short and long work led to"),
+            Map.entry("share_refusal", "Requests refused at the entry, by what bounds their share"));
 
     private static final double[] HANDOFF_BUCKETS = {
         5e-6, 10e-6, 25e-6, 50e-6, 100e-6, 250e-6, 500e-6, 1e-3, 5e-3, 25e-3, 100e-3, 1
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Decision.java
@@ -1,12 +1,14 @@
 package org.carawaysill.policy.fleet;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Collectors;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.fleet.Revision;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.identity.ServiceName;
 import org.carawaysill.model.request.Fingerprint;
+import org.carawaysill.model.request.LeavingSign;
 import org.carawaysill.model.request.NoticeCount;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
@@ -472,6 +474,28 @@
         }
     }
 
+    /**
+     * The local copy takes no new requests from now on, or takes them again.
+     *
+     * @param copy the copy
+     * @param sign what shows that it leaves; empty if it takes requests again
+     * @param queued the requests that waited for it, which are refused if it leaves
+     * @param inFlight requests in flight at the copy
+     */
+    record LocalCopyChanged(CopyName copy, Optional<LeavingSign> sign, int queued, int inFlight) implements OfState {
+
+        @Override
+        public String subject() {
+            return copy.value();
+        }
+
+        @Override
+        public String fields() {
+            return "sign=" + sign.map(LeavingSign::name).orElse("NONE") + " queued=" + queued + " in_flight="
+                    + inFlight;
+        }
+    }
+
     /**
      * A copy's success share fell below or rose above the threshold under which it gets hardly any requests.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/EntryOutcomes.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/EntryOutcomes.java
@@ -24,6 +24,11 @@
         return notRun(RefusalReason.PEER_UNREACHABLE, step);
     }
 
+    /** Returns the outcome of an attempt whose body was not sent, because its copy left meanwhile. */
+    static Outcome.NotRun copyLeft() {
+        return notRun(RefusalReason.DRAINING, Step.PEER_WAIT);
+    }
+
     /** Returns the outcome of a request whose deadline has come. */
     static Outcome atDeadline(OutgoingRequest request) {
         if (request.awaitsPlace()) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -251,7 +251,9 @@
         localRuns.configured(now, view.workOf(settings.service()));
         view.copies()
                 .at(settings.copyAddress())
-                .ifPresentOrElse(copy -> localRuns.published(moment, copy.record()), localRuns::unpublished);
+                .ifPresentOrElse(
+                        copy -> localRuns.published(moment, copy),
+                        () -> localRuns.unpublished(now, view.copies()::isPublished));
     }
 
     /** Applies changed bounds; the node's identity and its listening address can't change while it runs. */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalCopy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalCopy.java
@@ -4,21 +4,27 @@
 import java.util.Optional;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.fleet.CopyRecord;
+import org.carawaysill.model.request.LeavingSign;
 import org.carawaysill.model.request.UnknownReason;
+import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.LocalRun;
 import org.carawaysill.policy.time.Moment;
 import org.carawaysill.policy.time.Nanos;
 
 /**
- * What is published and stated about the local copy: its process, and whether it leaves.
+ * What is published and stated about the local copy: its process, and whether it takes new requests.
  *
- * <p>Not thread safe: owned by the policy.
+ * <p>Invariant: a copy whose entry is gone takes none until it is published again, even while the platform is away. Not
+ * thread safe: owned by the policy.
  */
 final class LocalCopy {
 
+    private static final long NOT_GONE = Long.MAX_VALUE;
+
     private final CrashSuspects suspects;
     private final CopyNotices notices;
     private Optional<CopyRecord> record = Optional.empty();
+    private long goneNanos = NOT_GONE;
     private boolean unpublished;
 
     LocalCopy(CrashSuspects suspects, CopyNotices notices) {
@@ -31,14 +37,26 @@
         return record.isPresent() && !record.get().isSameStart(newer);
     }
 
-    void published(CopyRecord newer) {
-        record = Optional.of(newer);
+    /** Takes in the published copy, whose entry may be missing since the last read. */
+    void published(Copy copy) {
+        record = Optional.of(copy.record());
+        goneNanos = copy.goneNanos();
         unpublished = false;
     }
 
-    /** Notes that the copy is no longer published; it may have left without notice. */
-    void unpublished() {
+    /**
+     * Notes that the copy is no longer published; it may have left without notice.
+     *
+     * @param removed whether its entry is gone, so that it is not only the configuration that doesn't name its service
+     */
+    void unpublished(long now, boolean removed) {
         unpublished = true;
+        goneNanos = removed ? Math.min(goneNanos, now) : NOT_GONE;
+    }
+
+    /** Returns the copy that was last published. */
+    Optional<CopyName> name() {
+        return record.map(CopyRecord::copy);
     }
 
     /** Returns whether a copy may be the present one. */
@@ -46,13 +64,30 @@
         return record.isEmpty() || record.get().copy().equals(copy);
     }
 
-    boolean isLeaving(CopyName copy) {
-        return record.filter(CopyRecord::draining).isPresent() || notices.isLeaving(copy);
+    /** Returns whether a copy takes new requests. Every request asks this before it waits for the copy, and again before it starts. */
+    boolean takes(long now, CopyName copy) {
+        return leavingSign(now, copy).isEmpty();
+    }
+
+    /** Returns what shows that a copy leaves, empty if it takes new requests. */
+    Optional<LeavingSign> leavingSign(long now, CopyName copy) {
+        if (record.filter(CopyRecord::draining).isPresent()) {
+            return Optional.of(LeavingSign.DRAINING);
+        }
+        if (notices.isLeaving(copy)) {
+            return Optional.of(LeavingSign.STATED);
+        }
+        return now >= goneNanos && mayBe(copy) ? Optional.of(LeavingSign.REMOVED) : Optional.empty();
+    }
+
+    /** Returns when the copy counts as gone unless its missing entry reappears, {@link Long#MAX_VALUE} if it isn't missing. */
+    long goneNanos() {
+        return goneNanos;
     }
 
     /** Reports the end of the published copy's process as a crash, unless that end was expected. */
     List<CrashSuspects.LostRun> reportLost(long now, List<LocalRun> runs) {
-        if (record.isEmpty() || isLeaving(record.get().copy()) || unpublished || runs.isEmpty()) {
+        if (record.isEmpty() || !takes(now, record.get().copy()) || unpublished || runs.isEmpty()) {
             return runs.stream()
                     .map(run -> new CrashSuspects.LostRun(run, UnknownReason.COPY_LOST))
                     .toList();
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.fleet.CopyRecord;
 import org.carawaysill.model.identity.AttemptIdentifier;
@@ -14,11 +15,13 @@
 import org.carawaysill.model.request.BodyCount;
 import org.carawaysill.model.request.CopyNotice;
 import org.carawaysill.model.request.Fingerprint;
+import org.carawaysill.model.request.LeavingSign;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.policy.fleet.body.HeldPlaces;
+import org.carawaysill.policy.fleet.copy.Copy;
 import org.carawaysill.policy.fleet.copy.CopyGate;
 import org.carawaysill.policy.fleet.copy.LocalRun;
 import org.carawaysill.policy.fleet.schedule.ServiceWork;
@@ -54,6 +57,7 @@
     private final LocalCopy localCopy;
     private final Map<String, LocalRun> runningByName = new HashMap<>();
     private int loggedLimit;
+    private Optional<LeavingSign> appliedSign = Optional.empty();
     private boolean closed;
 
     LocalRuns(FleetSettings settings, Effects effects, CrashSuspects suspects) {
@@ -106,22 +110,36 @@
         }
     }
 
-    /** Applies the published record of the local copy. */
-    void published(Moment moment, CopyRecord record) {
+    /** Applies what is published of the local copy. */
+    void published(Moment moment, Copy copy) {
         long now = moment.nanos();
-        gate.limit(now, record.slots());
-        if (localCopy.hasRestarted(record)) {
-            restarted(moment, record);
-        }
-        localCopy.published(record);
-        if (record.draining()) {
-            refuseWaiting(now);
+        gate.limit(now, copy.record().slots());
+        if (localCopy.hasRestarted(copy.record())) {
+            restarted(moment, copy.record());
         }
+        localCopy.published(copy);
+        applyLeaving(now);
+    }
+
+    /** Notes that the local copy is not published; it may have left without notice. */
+    void unpublished(long now, Predicate<CopyName> isPublished) {
+        boolean removed = localCopy.name().filter(isPublished.negate()).isPresent();
+        localCopy.unpublished(now, removed);
+        applyLeaving(now);
     }
 
-    /** Notes that the local copy is no longer published; it may have left without notice. */
-    void unpublished() {
-        localCopy.unpublished();
+    /** Refuses what waits for a copy that has begun to leave: other copies can run it, and this one may end. */
+    private void applyLeaving(long now) {
+        Optional<LeavingSign> sign = localCopy.name().flatMap(copy -> localCopy.leavingSign(now, copy));
+        if (sign.equals(appliedSign)) {
+            return;
+        }
+        appliedSign = sign;
+        LoadReport load = gate.load(now);
+        sign.ifPresent(effects::count);
+        effects.log(
+                new Decision.LocalCopyChanged(localCopy.name().orElseThrow(), sign, load.queued(), load.inFlight()));
+        readmitWaiting(now);
     }
 
     /** Fails the requests that were running when the copy's process ended. */
@@ -198,7 +216,7 @@
             answers.reply(now, run, answers.refusal(now, RefusalReason.DEADLINE, Step.QUEUE));
             return;
         }
-        if (localCopy.isLeaving(request.copy()) || closed) {
+        if (closed) {
             answers.reply(now, run, answers.refusal(now, RefusalReason.DRAINING, Step.QUEUE));
             return;
         }
@@ -211,7 +229,7 @@
 
     /** Starts, queues or refuses a request, depending on whether it is suspected. */
     private void admit(long now, LocalRun run) {
-        if (notices.isLeaving(run.request().copy())) {
+        if (isAtLeavingCopy(now, run)) {
             answers.refuse(now, run, RefusalReason.DRAINING, Step.QUEUE);
             return;
         }
@@ -243,12 +261,22 @@
         readmitWaiting(now);
     }
 
-    /** Offers the waiting requests again: what decides about them has changed. */
+    /**
+     * Offers the waiting requests again: what decides about them has changed. Slots that are kept at a leaving copy are
+     * given up.
+     */
     private void readmitWaiting(long now) {
         gate.takeWaiting().forEach(run -> admit(now, run));
+        places.all().stream()
+                .filter(run -> isAtLeavingCopy(now, run))
+                .forEach(run -> endPlace(now, run, BodyCount.PLACE_RELEASED, RefusalReason.DRAINING));
         startNext(now);
     }
 
+    private boolean isAtLeavingCopy(long now, LocalRun run) {
+        return !localCopy.takes(now, run.request().copy());
+    }
+
     private void offer(long now, LocalRun run) {
         switch (gate.offer(now, run)) {
             case CopyGate.Offered.Started _ -> started(now, run);
@@ -265,9 +293,12 @@
         }
     }
 
-    /** Sends a request that has got a slot to the copy, or asks for its body. */
+    /** Sends a request that has got a slot to the copy, or asks for its body, unless the copy leaves. */
     private void started(long now, LocalRun run) {
-        if (run.holdsPlace()) {
+        if (isAtLeavingCopy(now, run)) {
+            release(now, run, CopyGate.Ending.BROKEN_OFF);
+            answers.refuse(now, run, RefusalReason.DRAINING, Step.QUEUE);
+        } else if (run.holdsPlace()) {
             places.grant(now, run, run.deadlineNanos() - ANSWER_MARGIN_NANOS);
         } else {
             sendToCopy(run);
@@ -279,7 +310,7 @@
         endLapsedPlaces(now);
         places.bodyArrived(gate.find(message.attempt()), from).ifPresent(run -> {
             CopyRequest whole = HeldPlaces.whole(now, run, message.body());
-            if (suspects.isClear(now, whole) && !localCopy.isLeaving(whole.copy())) {
+            if (suspects.isClear(now, whole) && localCopy.takes(now, whole.copy())) {
                 run.bodyArrived(now, whole);
                 sendToCopy(run);
             } else {
@@ -337,6 +368,7 @@
 
     private void noticed(long now, CopyName copy, CopyNotice notice) {
         if (notices.received(now, copy, notice)) {
+            applyLeaving(now);
             readmitWaiting(now);
         }
     }
@@ -434,6 +466,7 @@
     }
 
     void passTime(long now) {
+        applyLeaving(now);
         endLapsedPlaces(now);
         List<LocalRun> overdue = gate.takeOverdue(now, ANSWER_MARGIN_NANOS);
         overdue.forEach(run -> {
@@ -469,6 +502,7 @@
 
     long nextNanos() {
         long waiting = Math.min(gate.nextOverdueNanos(ANSWER_MARGIN_NANOS), gate.nextReleaseNanos());
-        return Math.min(waiting, places.nextNanos());
+        long leaving = appliedSign.isPresent() ? Long.MAX_VALUE : localCopy.goneNanos();
+        return Math.min(Math.min(waiting, leaving), places.nextNanos());
     }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -189,6 +189,10 @@
             effects.count(BodyCount.GRANT_IGNORED);
             return;
         }
+        if (request.copy().filter(view.copies()::isUsable).isEmpty()) {
+            endWithoutBody(now, from, attempt, EntryOutcomes.copyLeft());
+            return;
+        }
         request.bodySent();
         effects.count(BodyCount.BODY_SENT);
         effects.add(new FleetEffect.SendToPeer(from, new PeerMessage.AttemptBody(attempt, request.body())));
@@ -199,11 +203,15 @@
     void bodyUnsent(long now, NodeName peer, AttemptIdentifier attempt) {
         effects.count(BodyCount.BODY_UNSENT);
         if (byAttempt.containsKey(attempt)) {
-            effects.add(new FleetEffect.SendToPeer(peer, new PeerMessage.CancelAttempt(attempt)));
-            answered(now, attempt, EntryOutcomes.unreachable(Step.PEER_SEND), List.of());
+            endWithoutBody(now, peer, attempt, EntryOutcomes.unreachable(Step.PEER_SEND));
         }
     }
 
+    private void endWithoutBody(long now, NodeName peer, AttemptIdentifier attempt, Outcome.NotRun outcome) {
+        effects.add(new FleetEffect.SendToPeer(peer, new PeerMessage.CancelAttempt(attempt)));
+        answered(now, attempt, outcome, List.of());
+    }
+
     void peerAnswered(long now, NodeName from, PeerMessage.CopyAnswer answer) {
         OutgoingRequest request = byAttempt.get(answer.attempt());
         if (request == null || request.copy().isEmpty()) {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/Copy.java
@@ -110,6 +110,15 @@
         return goneNanos <= now;
     }
 
+    /**
+     * Returns when the copy counts as gone because its entry is missing.
+     *
+     * @return the monotonic time, {@link Long#MAX_VALUE} if the entry is not missing
+     */
+    public long goneNanos() {
+        return goneNanos;
+    }
+
     void markGone() {
         gone = true;
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyTable.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
+import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.fleet.CopyRecord;
 import org.carawaysill.model.fleet.Revision;
 import org.carawaysill.model.identity.NetworkAddress;
@@ -194,6 +195,27 @@
                 .reduce((one, other) -> one.isNewerThan(other) ? one : other);
     }
 
+    /**
+     * Returns whether a copy is published, be it of a service that the configuration doesn't name.
+     *
+     * @param name the copy
+     * @return whether its entry is there, or may still reappear
+     */
+    public boolean isPublished(CopyName name) {
+        return byKey.values().stream().anyMatch(copy -> copy.record().copy().equals(name));
+    }
+
+    /**
+     * Returns whether a copy may still receive requests.
+     *
+     * @param known a copy that was published
+     * @return whether this start of it may
+     */
+    public boolean isUsable(Copy known) {
+        return usable(known.record().service()).stream()
+                .anyMatch(copy -> copy.record().isSameStart(known.record()));
+    }
+
     /**
      * Returns all published copies of services that the configuration names.
      *
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -331,6 +331,7 @@
         private boolean draining;
         private long incarnation;
         private long wakeAt = Long.MAX_VALUE;
+        private long pausedUntil;
 
         VirtualNode(String service, String host, String zone, int slots) {
             this.service = service;
@@ -489,10 +490,19 @@
             start();
         }
 
+        /** Pauses the process: what happens meanwhile is delivered when it continues, in order. */
+        void pause(long until) {
+            pausedUntil = until;
+        }
+
         void deliver(FleetEvent event) {
             if (!alive) {
                 return;
             }
+            if (now < pausedUntil) {
+                at(pausedUntil, () -> deliver(event));
+                return;
+            }
             List<FleetEffect> effects = policy.decide(new Moment(now, now / MILLI), event);
             effects.forEach(this::apply);
             long due = policy.nextWakeNanos();
