Let the check of timeouts end connections that clients don't close

Cause: since a connection waits for its client to close it after the last answer, up to 20 s, a scheduled task of each such connection kept it in memory for that time, also after the client had closed it. At 1,000 requests a second with "Connection: close" that is 20,000 connections in a heap of 48 MB (worked out, not measured).

Change: the check each 500 ms, which knows only open connections, closes those whose client has not closed them in time: 1 s after a refused request, else 20 s.

EntryServerTest.HostileClients.thatGoOnSendingAreDisconnected; EntryServerTest and SlowReadersTest pass.

--- a/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
@@ -21,7 +21,6 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.carawaysill.model.fleet.ClientLimits;
 import org.carawaysill.model.identity.ExchangeIdentifier;
 import org.carawaysill.model.request.Body;
@@ -263,8 +262,6 @@
     private void shutDownGracefully(ChannelHandlerContext context) {
         lingering = true;
         ((SocketChannel) context.channel()).shutdownOutput();
-        Duration limit = rejecting ? REJECTED_LINGER : READ_LIMIT;
-        context.executor().schedule(() -> context.close(), limit.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void answerWritten() {
@@ -296,12 +293,14 @@
     }
 
     /**
-     * Ends requests and connections that exceed a time limit: a slow request head, a slow body, an idle connection, or
-     * a client that doesn't read its answers.
+     * Ends requests and connections that exceed a time limit: a slow request head, a slow body, an idle connection, a
+     * client that doesn't read its answers, or one that doesn't close the connection after the last of them.
      */
     void sweep(long now) {
         ClientLimits limits = server.limits();
-        if (!closing
+        if (lingering && now - lastProgressNanos > lingerLimit().toNanos()) {
+            channel.ifPresent(ChannelHandlerContext::close);
+        } else if (!closing
                 && headStarted
                 && now - headStartNanos > limits.headerTimeout().toNanos()) {
             headStarted = false;
@@ -319,6 +318,10 @@
         }
     }
 
+    private Duration lingerLimit() {
+        return rejecting ? REJECTED_LINGER : READ_LIMIT;
+    }
+
     /** Returns whether a request is being received or is not answered yet. */
     private boolean hasRequest() {
         return receiving || !open.isEmpty();
--- a/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
+++ b/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
@@ -303,6 +303,14 @@
             assertTrue(connection.readMessage().startsWith("HTTP/1.1 408"));
         }
 
+        /** Guards against a client that goes on sending what is refused, and keeps its connection. */
+        @Test
+        void thatGoOnSendingAreDisconnected() {
+            RawConnection connection = send("nonsense\r\n\r\n");
+            assertTrue(connection.readMessage().startsWith("HTTP/1.1 400"));
+            connection.writeUntilRefused("x".repeat(1000));
+        }
+
         @Test
         void thatExceedTheMemoryForBodiesAreRejectedWhileOthersAreServed() {
             limit(new ClientLimits(4096, 1_000_000, Duration.ofSeconds(20), Duration.ofSeconds(20)));
