--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalCopy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalCopy.java
@@ -7,7 +7,9 @@
 import org.carawaysill.model.request.LeavingSign;
 import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.policy.fleet.copy.Copy;
+import org.carawaysill.policy.fleet.copy.CopyGate;
 import org.carawaysill.policy.fleet.copy.LocalRun;
+import org.carawaysill.policy.message.PeerMessage.LoadReport;
 import org.carawaysill.policy.time.Moment;
 import org.carawaysill.policy.time.Nanos;
 
@@ -21,14 +23,19 @@
 
     private static final long NOT_GONE = Long.MAX_VALUE;
 
+    private final Effects effects;
     private final CrashSuspects suspects;
+    private final CopyGate gate;
     private final CopyNotices notices;
     private Optional<CopyRecord> record = Optional.empty();
+    private Optional<LeavingSign> notedSign = Optional.empty();
     private long goneNanos = NOT_GONE;
     private boolean unpublished;
 
-    LocalCopy(CrashSuspects suspects, CopyNotices notices) {
+    LocalCopy(Effects effects, CrashSuspects suspects, CopyGate gate, CopyNotices notices) {
+        this.effects = effects;
         this.suspects = suspects;
+        this.gate = gate;
         this.notices = notices;
     }
 
@@ -69,8 +76,7 @@
         return leavingSign(now, copy).isEmpty();
     }
 
-    /** Returns what shows that a copy leaves, empty if it takes new requests. */
-    Optional<LeavingSign> leavingSign(long now, CopyName copy) {
+    private Optional<LeavingSign> leavingSign(long now, CopyName copy) {
         if (record.filter(CopyRecord::draining).isPresent()) {
             return Optional.of(LeavingSign.DRAINING);
         }
@@ -80,9 +86,22 @@
         return now >= goneNanos && mayBe(copy) ? Optional.of(LeavingSign.REMOVED) : Optional.empty();
     }
 
-    /** Returns when the copy counts as gone unless its entry reappears, {@link Long#MAX_VALUE} if it is not missing. */
-    long goneNanos() {
-        return goneNanos;
+    /** Notes whether the copy leaves now; logs it and returns true if that has changed. */
+    boolean noteLeaving(long now) {
+        Optional<LeavingSign> sign = name().flatMap(copy -> leavingSign(now, copy));
+        if (sign.equals(notedSign)) {
+            return false;
+        }
+        notedSign = sign;
+        LoadReport load = gate.load(now);
+        sign.ifPresent(effects::count);
+        effects.log(new Decision.LocalCopyChanged(name().orElseThrow(), sign, load.queued(), load.inFlight()));
+        return true;
+    }
+
+    /** Returns when the copy begins to leave by the passing of time alone, because its entry is missing. */
+    long nextGoneNanos() {
+        return notedSign.isPresent() ? NOT_GONE : goneNanos;
     }
 
     /** Reports the end of the published copy's process as a crash, unless that end was expected. */
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -15,7 +15,6 @@
 import org.carawaysill.model.request.BodyCount;
 import org.carawaysill.model.request.CopyNotice;
 import org.carawaysill.model.request.Fingerprint;
-import org.carawaysill.model.request.LeavingSign;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
@@ -57,7 +56,6 @@
     private final LocalCopy localCopy;
     private final Map<String, LocalRun> runningByName = new HashMap<>();
     private int loggedLimit;
-    private Optional<LeavingSign> appliedSign = Optional.empty();
     private boolean closed;
 
     LocalRuns(FleetSettings settings, Effects effects, CrashSuspects suspects) {
@@ -68,7 +66,7 @@
         answers = new RunAnswers(effects, gate, notices);
         places = new BodyPlaces(effects);
         work = new WorkReports(effects, gate);
-        localCopy = new LocalCopy(suspects, notices);
+        localCopy = new LocalCopy(effects, suspects, gate, notices);
     }
 
     void localSender(RunAnswers.LocalSender sender) {
@@ -130,16 +128,9 @@
 
     /** Refuses what waits for a copy that has begun to leave: other copies can run it, and this one may end. */
     private void applyLeaving(long now) {
-        Optional<LeavingSign> sign = localCopy.name().flatMap(copy -> localCopy.leavingSign(now, copy));
-        if (sign.equals(appliedSign)) {
-            return;
+        if (localCopy.noteLeaving(now)) {
+            readmitWaiting(now);
         }
-        appliedSign = sign;
-        LoadReport load = gate.load(now);
-        sign.ifPresent(effects::count);
-        effects.log(
-                new Decision.LocalCopyChanged(localCopy.name().orElseThrow(), sign, load.queued(), load.inFlight()));
-        readmitWaiting(now);
     }
 
     /** Fails the requests that were running when the copy's process ended. */
@@ -466,7 +457,7 @@
     }
 
     void passTime(long now) {
-        if (now >= nextGoneNanos()) {
+        if (now >= localCopy.nextGoneNanos()) {
             applyLeaving(now);
         }
         endLapsedPlaces(now);
@@ -504,11 +495,6 @@
 
     long nextNanos() {
         long waiting = Math.min(gate.nextOverdueNanos(ANSWER_MARGIN_NANOS), gate.nextReleaseNanos());
-        return Math.min(Math.min(waiting, nextGoneNanos()), places.nextNanos());
-    }
-
-    /** Returns when the copy begins to leave by the passing of time alone. */
-    private long nextGoneNanos() {
-        return appliedSign.isPresent() ? Long.MAX_VALUE : localCopy.goneNanos();
+        return Math.min(Math.min(waiting, localCopy.nextGoneNanos()), places.nextNanos());
     }
 }
