Read from a connection that has its last answer

What callers saw: a client with 64 or more open requests, whose first answer comes last, was never read from again after the answer that closes the connection. Its close wasn't seen, so that a planned stop waited for it until the end of its time, and bytes that it had still sent reset the connection when it was closed.

Cause: reading pauses at 64 open requests and resumes when answers are written, but not if the last of them closes the connection. Before the connection waited for its client's close, the end after 1 s hid the first of the two.

Change: after the last answer what the client still sends is read and dropped. EntryServerTest.SlowReaders.areReadFromAfterTheLastAnswer: failed before (the client's write broke after 20 s), passes.

--- a/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
@@ -230,7 +230,8 @@
             write(context, open.poll());
         }
         context.flush();
-        if (open.size() < MAXIMUM_OPEN_EXCHANGES && !context.channel().config().isAutoRead() && !closing) {
+        // After the last answer, what the client still sends is read and dropped until it closes the connection.
+        if (open.size() < MAXIMUM_OPEN_EXCHANGES || closing) {
             context.channel().config().setAutoRead(true);
         }
     }
--- a/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
+++ b/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
@@ -11,6 +11,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.IntStream;
 import org.carawaysill.model.fleet.ClientLimits;
 import org.carawaysill.model.identity.ExchangeIdentifier;
 import org.carawaysill.model.identity.KeyDigest;
@@ -386,6 +387,9 @@
         /** Less than these buffers take, and more than that of the client alone. */
         private static final int BUFFERED_BYTES = 3_000_000;
 
+        /** As many as a connection may have, so that no more are read from it. */
+        private static final int OPEN_REQUESTS = 64;
+
         /** Answers a request with so large a body that its client must read it in time. */
         private RawConnection answerAtLength() {
             RawConnection connection = send(get("a"));
@@ -450,6 +454,21 @@
             connection.close();
             bench.awaitOnLoop(() -> server.unwritten().isEmpty());
         }
+
+        /** Guards against a client with many open requests from which nothing is read any more after the last answer. */
+        @Test
+        void areReadFromAfterTheLastAnswer() {
+            RawConnection connection = send(get("a").repeat(OPEN_REQUESTS));
+            List<ExchangeIdentifier> exchanges = IntStream.range(0, OPEN_REQUESTS)
+                    .mapToObj(_ -> arrived().exchange())
+                    .toList();
+            bench.onLoop(server::beginStop);
+            // All are written with that of the first request, which comes last.
+            exchanges.reversed().forEach(exchange -> answer(exchange, good("one")));
+            connection.write("x".repeat(ANSWER_BYTES));
+            exchanges.forEach(_ -> assertTrue(connection.readMessage().endsWith("one")));
+            assertEquals("", connection.readToEnd());
+        }
     }
 
     @Nested
