--- a/review/standin-2/src/review/Site.java
+++ b/review/standin-2/src/review/Site.java
@@ -361,6 +361,9 @@
         volatile boolean beating = true;
         volatile String state = "ready";
 
+        /** How many times as long the target works on a request. */
+        volatile int slowness = 1;
+
         /** Status and reason of the answer to a run; a faulty target spoils some of them. */
         volatile java.util.function.Function<Run, String> statusLine = _ -> "200 OK";
 
@@ -415,7 +418,7 @@
             runs.add(run);
             log("target " + id + " runs " + run.id + " " + request.line() + " deadline=" + request.field("Deadline-Ms"));
             String[] parts = path.split("\\?")[0].split("/");
-            int millis = Integer.parseInt(parts[parts.length - 2]);
+            int millis = Integer.parseInt(parts[parts.length - 2]) * slowness;
             int bytes = Integer.parseInt(parts[parts.length - 1]);
             // Drops a request when its connection closes, as most targets do.
             long until = System.nanoTime() + millis * 1_000_000L;
