Name record and TROUBLE in the scripts of the second review's cases

Cause: the scripts left both to the class that they start, so that neither showed in the folders of the cases. Change: run.sh hands both on; cases 4 and 7 also record what was sent.

--- a/review/standin-2/run.sh
+++ b/review/standin-2/run.sh
@@ -1,4 +1,4 @@
-# Sourced by the run.sh of a case: runs a class of the stand-ins, with the record in the folder of the case.
+# Sourced by the run.sh of a case: play CLASS RECORD runs a class of the stand-ins, which reads TROUBLE and writes the record.
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 set -u
 case_folder="$(cd "$(dirname "$0")" && pwd)"
@@ -9,7 +9,7 @@
   exit 2
 fi
 play() {
-  timeout --kill-after=5 115 "$JAVA_HOME/bin/java" -cp target/review-2 "review.$1" "$case_folder/record.txt"
+  timeout --kill-after=5 115 "$JAVA_HOME/bin/java" -cp target/review-2 "review.$1" "$2"
   status=$?
   case $status in
     0) exit 0 ;;
--- a/review/standin-2/src/review/LargeBodies.java
+++ b/review/standin-2/src/review/LargeBodies.java
@@ -133,6 +133,7 @@
                             + DEADLINE_MILLIS + "\r\nContent-Length: " + body.length + "\r\n\r\n")
                     .getBytes(StandardCharsets.ISO_8859_1));
             out.write(body);
+            site.log("client has sent " + id);
             InputStream in = new BufferedInputStream(socket.getInputStream());
             Site.Message answer = Site.read(in);
             long millis = (System.nanoTime() - sent) / 1_000_000;
--- a/review/standin-2/src/review/SpoiltStatus.java
+++ b/review/standin-2/src/review/SpoiltStatus.java
@@ -44,6 +44,7 @@
                 String id = "s" + i;
                 try (Socket socket = site.nodes.getFirst().connect()) {
                     socket.setSoTimeout(6000);
+                    site.log("client sends " + id);
                     socket.getOutputStream().write(Site.get("/s/" + i + "/10/200", "bill.example", id, 5000));
                     Site.Message answer = Site.read(new BufferedInputStream(socket.getInputStream()));
                     site.log("client gets \"" + answer.line() + "\" for " + id + ", Response-Seal "
