--- a/review/standin-2/src/review/RefusedBetween.java
+++ b/review/standin-2/src/review/RefusedBetween.java
@@ -21,8 +21,8 @@
 final class RefusedBetween {
 
     private static final int UPLOAD_BYTES = 200_000;
-    private static final int UPLOADS_PER_SECOND = 50;
-    private static final int UPLOAD_MILLIS = 690;
+    private static final int UPLOADS_PER_SECOND = 22;
+    private static final int UPLOAD_MILLIS = 2000;
     private static final int SLOTS = 150;
 
     /** The largest dose of burst in trinacria-mesh: x = 1.8, for_s = 20. */
