Decide in one place which bytes of a copy are an answer, and bound them all

Bytes without end held a request until its deadline, and many at once filled the memory.

Cause: no part said what a valid answer is. Netty is lenient on purpose; AnswerClassifier took a head that echoes the request's name for the copy's own; only the codec between nodes checked the status, where a breach ends the connection of all requests. A body had a bound for each connection alone; heads, informational answers, framing and bodies that nobody reads had none.

Change: AnswerDecoder rejects what RFC 9112 doesn't allow, before it is asked whose an answer is; the request ends as possibly run, alone. An invalid answer that an older node passes on fails its request only. AnswerLimits bounds all bytes in reply to a request; AnswerBody keeps them within one budget of the node, and the largest unfinished answer makes room. CopyConnectionEnded says how many bytes came.

Ruled out: a check of the status in AnswerClassifier alone, which leaves versions, framing and fields, and a check at the sender of each message, which can't tell the client's fault from the copy's.

--- a/node/src/main/java/org/carawaysill/node/copy/AnswerReader.java
+++ b/node/src/main/java/org/carawaysill/node/copy/AnswerReader.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.carawaysill.model.request.AnswerContent;
 import org.carawaysill.model.request.Body;
+import org.carawaysill.model.request.ContentRules;
 import org.carawaysill.node.exchange.CarawaysillHeaders;
 import org.carawaysill.node.exchange.HeaderFilter;
 import org.carawaysill.policy.effect.Effect;
@@ -19,8 +20,6 @@
  */
 final class AnswerReader {
 
-    private static final int FIRST_FINAL_STATUS = 200;
-
     private static final int NO_CONTENT = 204;
 
     private static final int NOT_MODIFIED = 304;
@@ -53,7 +52,7 @@
      * @return completes on the event loop with the complete answer, or empty if it is incomplete or too large
      */
     CompletableFuture<Optional<AnswerContent>> read(HttpClientResponse response) {
-        if (response.statusCode() < FIRST_FINAL_STATUS || !isEndDetectable(response)) {
+        if (!ContentRules.isFinalStatus(response.statusCode()) || !isEndDetectable(response)) {
             result.complete(Optional.empty());
             return result;
         }
--- a/node/src/main/java/org/carawaysill/node/entry/RequestHead.java
+++ b/node/src/main/java/org/carawaysill/node/entry/RequestHead.java
@@ -4,17 +4,18 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.carawaysill.model.fleet.ClientLimits;
 import org.carawaysill.model.request.Body;
+import org.carawaysill.model.request.ContentRules;
 import org.carawaysill.model.request.Credential;
 import org.carawaysill.model.request.Header;
 import org.carawaysill.model.request.RequestContent;
 import org.carawaysill.node.exchange.HeaderFilter;
+import org.carawaysill.node.exchange.MessageFraming;
 import org.carawaysill.node.exchange.RequestTarget;
 import org.carawaysill.node.observation.BadRequest;
 import org.jspecify.annotations.Nullable;
@@ -47,8 +48,6 @@
         Credential credential,
         List<Header> headers) {
 
-    private static final String CHUNKED = "chunked";
-
     /** Larger than any body that a node accepts. */
     private static final int MAXIMUM_STATED_LENGTH = Integer.MAX_VALUE;
 
@@ -65,7 +64,7 @@
                 clientTimeout(request.headers().get(dialect.clientTimeout())),
                 (int) Math.min(MAXIMUM_STATED_LENGTH, Math.max(0, HttpUtil.getContentLength(request, 0L))),
                 HttpUtil.isKeepAlive(request),
-                isFramedUnambiguously(request),
+                MessageFraming.isUnambiguous(request),
                 Credentials.of(request.headers(), dialect.keyScheme()),
                 forwardedHeaders(request, host, dialect));
     }
@@ -85,23 +84,6 @@
         }
     }
 
-    /**
-     * Checks for ambiguous framing, which enables request smuggling: this node and another reader on the path could see
-     * the end of the body at different places. Rejects a length combined with chunks, two lengths, and transfer codings
-     * other than chunked.
-     */
-    private static boolean isFramedUnambiguously(HttpRequest request) {
-        List<String> codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        List<String> lengths = request.headers().getAll(HttpHeaderNames.CONTENT_LENGTH);
-        if (codings.isEmpty()) {
-            return lengths.size() <= 1;
-        }
-        return lengths.isEmpty()
-                && codings.size() == 1
-                && codings.getFirst().strip().equalsIgnoreCase(CHUNKED)
-                && request.protocolVersion().equals(HttpVersion.HTTP_1_1);
-    }
-
     private static List<Header> forwardedHeaders(HttpRequest request, String host, WireDialect dialect) {
         List<Header> headers = new ArrayList<>();
         headers.add(new Header("Host", host));
@@ -132,7 +114,8 @@
         if (!framing) {
             return Optional.of(BadRequest.FRAMING);
         }
-        if (host.isEmpty() || !path().startsWith("/") || requestName.isEmpty()) {
+        boolean validPath = path().startsWith("/") && ContentRules.isWithoutWhiteSpace(path());
+        if (host.isEmpty() || !validPath || requestName.isEmpty()) {
             return Optional.of(BadRequest.MALFORMED);
         }
         return statedLength > limits.bodyBytes() ? Optional.of(BadRequest.BODY_TOO_LARGE) : Optional.empty();
--- a/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
@@ -5,12 +5,12 @@
 import java.util.Map;
 import java.util.Optional;
 import org.carawaysill.kernel.service.Service;
-import org.carawaysill.model.fleet.CopyName;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.node.observation.BadRequest;
 import org.carawaysill.node.observation.ConnectionEnd;
 import org.carawaysill.node.observation.CopyCheck;
 import org.carawaysill.policy.fleet.Decision;
+import org.carawaysill.policy.fleet.FleetEffect;
 import org.tinylog.Logger;
 
 /**
@@ -108,20 +108,25 @@
     /**
      * Writes that a connection to the local copy ended while a request was in flight on it.
      *
-     * @param requestName the request
-     * @param copy the copy
+     * @param request the request
      * @param reason which side ended the connection, and why
+     * @param answerBytes how many bytes the copy had sent in reply
      * @param age time since the request was written
      * @param rested how long the connection had rested before the request, empty if it carried no request before
      */
     public void copyConnectionEnded(
-            String requestName, CopyName copy, ConnectionEnd reason, Duration age, Optional<Duration> rested) {
+            FleetEffect.SendToCopy request,
+            ConnectionEnd reason,
+            long answerBytes,
+            Duration age,
+            Optional<Duration> rested) {
         if (admit(reason == ConnectionEnd.CANCELLED ? Kind.ABANDONED : Kind.COPY_CONNECTION)) {
             Logger.info(
-                    "decision=CopyConnectionEnded subject={} copy={} reason={} age_ms={} rested_ms={}",
-                    oneLine(requestName),
-                    copy,
+                    "decision=CopyConnectionEnded subject={} copy={} reason={} bytes={} age_ms={} rested_ms={}",
+                    oneLine(request.requestName()),
+                    request.copy(),
                     reason,
+                    answerBytes,
                     age.toMillis(),
                     rested.map(Duration::toMillis).map(String::valueOf).orElse("new"));
         }
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -31,7 +31,7 @@
  */
 public final class FleetNode {
 
-    /** The divisor for the part of the heap that bodies of open exchanges may use: a quarter. */
+    /** The divisor for the part of the heap that bodies of requests may use, and that of answers: a quarter each. */
     private static final int HEAP_PARTS_FOR_BODIES = 4;
 
     private static final long STOP_LIMIT_MILLIS = 500;
@@ -74,10 +74,10 @@
         FleetPolicy policy =
                 new FleetPolicy(settings.policy(), decoder, new SplittableRandom(seed(settings, start)), start);
         loop = registry.register(new FleetLoop(eventLoop, policy, NodeClock.SYSTEM, counters));
+        long bodyMemory = Runtime.getRuntime().maxMemory() / HEAP_PARTS_FOR_BODIES;
         copy = registry.register(new CopyConnections(
-                eventLoop, settings.policy().copyAddress(), settings.dialect(), loop::handle, registry));
+                eventLoop, settings.policy().copyAddress(), settings.dialect(), bodyMemory, loop::handle, registry));
         peers = registry.register(new FleetPeers(settings, start.epochMillis(), eventLoop, registry));
-        long bodyMemory = Runtime.getRuntime().maxMemory() / HEAP_PARTS_FOR_BODIES;
         entry = registry.register(
                 new EntryServer(eventLoop, settings.entry(), settings.dialect(), bodyMemory, loop::handle, registry));
         admin = registry.register(new FleetAdmin(eventLoop, settings, readyPath, registry));
--- a/node/src/main/java/org/carawaysill/node/observation/ConnectionEnd.java
+++ b/node/src/main/java/org/carawaysill/node/observation/ConnectionEnd.java
@@ -10,6 +10,8 @@
     WRITE_FAILED,
     /** This node closed it because the received bytes are not an answer to the request. */
     BAD_ANSWER,
+    /** This node closed it because the copy sent more bytes than an answer may have, or than there was memory for. */
+    ANSWER_TOO_LARGE,
     /** This node closed it because the request was cancelled. */
     CANCELLED,
     /** This node closed it because no request needs it. */
@@ -25,7 +27,7 @@
     public boolean isOfThisNode() {
         return switch (this) {
             case COPY_CLOSED, COPY_RESET, WRITE_FAILED -> false;
-            case BAD_ANSWER, CANCELLED, IDLE, NODE_STOPS -> true;
+            case BAD_ANSWER, ANSWER_TOO_LARGE, CANCELLED, IDLE, NODE_STOPS -> true;
         };
     }
 }
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
@@ -1,7 +1,6 @@
 package org.carawaysill.node.upstream;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -18,12 +17,10 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.carawaysill.model.request.AnswerContent;
-import org.carawaysill.model.request.Body;
 import org.carawaysill.model.request.CopyNotice;
 import org.carawaysill.model.request.Header;
 import org.carawaysill.model.request.Outcome;
@@ -46,9 +43,6 @@
  */
 final class CopyConnection extends ChannelInboundHandlerAdapter {
 
-    /** Guards against an endless answer, which would exhaust the memory. */
-    private static final int MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
-
     private static final Duration REFUSED_RETRY_AFTER = Duration.ofMillis(100);
 
     private static final String KEEP_ALIVE_TIMEOUT = "timeout=";
@@ -59,7 +53,8 @@
     private Optional<CopyExchange> exchange = Optional.empty();
     private Optional<HttpResponse> answer = Optional.empty();
     private Verdict verdict = Verdict.OWN;
-    private ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final AnswerBody body;
+    private long discardedBytes;
     private Optional<ConnectionEnd> endReason = Optional.empty();
     private boolean reusable = true;
     private boolean requestWritten = true;
@@ -72,6 +67,7 @@
         this.pool = pool;
         this.decoder = decoder;
         this.idleLimit = idleLimit;
+        body = new AnswerBody(pool.answerBodies());
     }
 
     /** Called before the connect future completes, while channelActive is called only after that. */
@@ -113,10 +109,10 @@
         used = true;
         exchange = Optional.of(next);
         answer = Optional.empty();
-        body = new ByteArrayOutputStream();
+        discardedBytes = 0;
         answerComplete = false;
         requestWritten = false;
-        decoder.bodyless(next.request().content().method().equals(HttpMethod.HEAD.name()));
+        decoder.begin(next.request().content().method().equals(HttpMethod.HEAD.name()));
         channel.orElseThrow()
                 .writeAndFlush(encode(next.request(), remaining))
                 .addListener((ChannelFuture written) -> written(next, written.isSuccess()));
@@ -174,6 +170,10 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
+            if (endReason.isPresent()) {
+                // The connection is being closed, and its request has ended.
+                return;
+            }
             if (exchange.isEmpty()) {
                 // Bytes after a complete answer, or an unsolicited answer, belong to no request; they would be matched
                 // to the next one.
@@ -189,7 +189,7 @@
     private void receive(Object message) {
         if (message instanceof HttpResponse response) {
             if (response.decoderResult().isFailure()) {
-                endInvalid();
+                endBroken(ConnectionEnd.BAD_ANSWER);
                 return;
             }
             begin(response);
@@ -197,6 +197,7 @@
         if (message instanceof HttpContent content && answer.isPresent()) {
             receiveBody(content);
         }
+        endIfTooLarge();
     }
 
     private void begin(HttpResponse response) {
@@ -204,12 +205,13 @@
             return;
         }
         answer = Optional.of(response);
-        body = new ByteArrayOutputStream();
         CopyExchange current = exchange.orElseThrow();
         verdict = pool.classifier().classify(response, current.request().requestName());
         if (verdict == Verdict.INVALID) {
-            endInvalid();
-        } else if (verdict == Verdict.FOREIGN) {
+            endBroken(ConnectionEnd.BAD_ANSWER);
+            return;
+        }
+        if (verdict == Verdict.FOREIGN) {
             // The answer to this request follows on this connection, which then carries no further request.
             pool.count(ConnectionFault.COPY_BROKEN);
             reusable = false;
@@ -234,17 +236,38 @@
     }
 
     private void receiveBody(HttpContent content) {
-        if (content.decoderResult().isFailure() || body.size() > MAXIMUM_BODY_BYTES) {
-            endInvalid();
+        if (content.decoderResult().isFailure()) {
+            endBroken(ConnectionEnd.BAD_ANSWER);
             return;
         }
-        byte[] bytes = ByteBufUtil.getBytes(content.content());
-        body.write(bytes, 0, bytes.length);
-        if (content instanceof LastHttpContent) {
+        if (verdict == Verdict.OWN) {
+            keep(content.content());
+        } else {
+            discardedBytes += content.content().readableBytes();
+        }
+        if (content instanceof LastHttpContent && answer.isPresent()) {
             complete();
         }
     }
 
+    /** Keeps a part of the body. If the memory for answers is full, the largest unfinished one is ended to make room. */
+    private void keep(ByteBuf bytes) {
+        while (exchange.isPresent() && !body.append(bytes)) {
+            pool.largestAnswer(this).endBroken(ConnectionEnd.ANSWER_TOO_LARGE);
+        }
+    }
+
+    /** Returns the bytes that are kept of an unfinished answer. */
+    int keptBytes() {
+        return body.length();
+    }
+
+    private void endIfTooLarge() {
+        if (exchange.isPresent() && AnswerLimits.areExceeded(decoder.decodedBytes(), body.length(), discardedBytes)) {
+            endBroken(ConnectionEnd.ANSWER_TOO_LARGE);
+        }
+    }
+
     private void complete() {
         HttpResponse response = answer.orElseThrow();
         answer = Optional.empty();
@@ -259,6 +282,7 @@
                 ? notRun(RefusalReason.COPY_REFUSED, Step.COPY_WAIT)
                 : new Outcome.Answered(content(response, done));
         pool.ended(done, outcome, notice);
+        body.discard();
     }
 
     private AnswerContent content(HttpResponse response, CopyExchange done) {
@@ -268,7 +292,7 @@
         return new AnswerContent(
                 response.status().code(),
                 HeaderFilter.ofAnswer(response.headers().entries(), head),
-                Body.wrap(body.toByteArray()));
+                body.whole());
     }
 
     /** Returns the connection to the pool only now, when all bytes that arrived with the answer have been decoded. */
@@ -313,9 +337,10 @@
         }
     }
 
-    /** Ends an exchange because of an invalid answer; the copy is running. */
-    private void endInvalid() {
-        closeBroken();
+    /** Ends an exchange because of what the copy sent; the copy is running. */
+    private void endBroken(ConnectionEnd reason) {
+        pool.count(ConnectionFault.COPY_BROKEN);
+        close(reason);
         removeLost().ifPresent(broken -> pool.ended(broken.exchange(), broken.outcome()));
     }
 
@@ -334,6 +359,7 @@
         logEnd();
         exchange = Optional.empty();
         answer = Optional.empty();
+        body.discard();
         return lost;
     }
 
@@ -343,11 +369,14 @@
         logEnd();
         // Closing may fail a pending write, which must not be treated as the end of a request.
         exchange = Optional.empty();
+        answer = Optional.empty();
+        body.discard();
         close(ConnectionEnd.CANCELLED);
     }
 
     private void logEnd() {
-        exchange.ifPresent(current -> pool.logEnd(current, endReason.orElse(ConnectionEnd.COPY_CLOSED)));
+        exchange.ifPresent(
+                current -> pool.logEnd(current, endReason.orElse(ConnectionEnd.COPY_CLOSED), decoder.decodedBytes()));
     }
 
     private void closeBroken() {
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -12,6 +12,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -33,6 +34,7 @@
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.node.entry.WireDialect;
+import org.carawaysill.node.exchange.BodyBudget;
 import org.carawaysill.node.fleet.DecisionLog;
 import org.carawaysill.node.observation.ConnectionEnd;
 import org.carawaysill.node.observation.ConnectionFault;
@@ -53,8 +55,6 @@
     public static final String NAME = "copy-connections";
 
     private static final int CONNECT_LIMIT_MILLIS = 500;
-    private static final int MAXIMUM_LINE_BYTES = 8192;
-    private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
     private static final int CHUNK_BYTES = 64 * 1024;
 
     private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(1);
@@ -91,6 +91,7 @@
     private final ArrayDeque<CopyConnection> idle = new ArrayDeque<>();
     private final Set<CopyConnection> all = new HashSet<>();
     private final Map<AttemptIdentifier, CopyExchange> running = new HashMap<>();
+    private final BodyBudget answerBodies;
     private final CopyEndCheck endCheck = new CopyEndCheck(this);
 
     /**
@@ -99,6 +100,7 @@
      * @param eventLoop the thread that runs the pool
      * @param copy the address of the copy
      * @param dialect the names of header fields
+     * @param answerMemory how many bytes of the bodies of unfinished answers are kept in memory
      * @param events receives the events of answers
      * @param registry provides the counters and the decision log
      */
@@ -106,11 +108,13 @@
             EventLoop eventLoop,
             NetworkAddress copy,
             WireDialect dialect,
+            long answerMemory,
             Consumer<FleetEvent> events,
             ServiceRegistry registry) {
         this.eventLoop = eventLoop;
         this.dialect = dialect;
         this.events = events;
+        answerBodies = new BodyBudget(answerMemory);
         classifier = new AnswerClassifier(dialect);
         noticeReader = new NoticeReader(dialect);
         counters = registry.require(Counters.NAME, Counters.class);
@@ -236,8 +240,8 @@
 
     private static AnswerDecoder decoder() {
         return new AnswerDecoder(new HttpDecoderConfig()
-                .setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
-                .setMaxHeaderSize(MAXIMUM_HEAD_BYTES)
+                .setMaxInitialLineLength(AnswerLimits.MAXIMUM_LINE_BYTES)
+                .setMaxHeaderSize(AnswerLimits.MAXIMUM_HEAD_BYTES)
                 .setMaxChunkSize(CHUNK_BYTES));
     }
 
@@ -386,9 +390,20 @@
         log.fieldUnread(field);
     }
 
-    void logEnd(CopyExchange exchange, ConnectionEnd reason) {
-        log.copyConnectionEnded(
-                exchange.request().requestName(), exchange.request().copy(), reason, exchange.age(), exchange.rested());
+    BodyBudget answerBodies() {
+        return answerBodies;
+    }
+
+    /** Returns the connection with the largest unfinished answer; the given one if none has begun. */
+    CopyConnection largestAnswer(CopyConnection receiving) {
+        return all.stream()
+                .filter(connection -> connection.keptBytes() > receiving.keptBytes())
+                .max(Comparator.comparingInt(CopyConnection::keptBytes))
+                .orElse(receiving);
+    }
+
+    void logEnd(CopyExchange exchange, ConnectionEnd reason, long answerBytes) {
+        log.copyConnectionEnded(exchange.request(), reason, answerBytes, exchange.age(), exchange.rested());
     }
 
     void count(ConnectionFault fault) {
--- a/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
+++ b/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
@@ -35,6 +35,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @Timeout(120)
 class EntryServerTest {
@@ -265,6 +266,16 @@
     @Nested
     class HostileClients {
 
+        /** Guards against a path that no other node accepts: the message with it would end the link between two nodes. */
+        @ParameterizedTest
+        @ValueSource(strings = {"/a\u0001b", "/a\u007fb", "/a\u0000b"})
+        void sendAPathWithControlCharacters(String path) {
+            String answer = send("GET " + path + " HTTP/1.1\r\nHost: fleet.example\r\nName: a\r\n\r\n")
+                    .readMessage();
+            assertTrue(answer.startsWith("HTTP/1.1 400"), answer);
+            assertTrue(bench.hasNone());
+        }
+
         @ParameterizedTest
         @CsvSource(
                 delimiter = '|',
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/ContentCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/ContentCodec.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.carawaysill.model.request.AnswerContent;
 import org.carawaysill.model.request.Body;
+import org.carawaysill.model.request.ContentRules;
 import org.carawaysill.model.request.Header;
 import org.carawaysill.model.request.RequestContent;
 import org.carawaysill.protocol.generated.AnswerContentFrame;
@@ -13,9 +15,6 @@
 /** Encodes and decodes the content of HTTP requests and answers. Stateless and thread safe. */
 final class ContentCodec {
 
-    private static final int MINIMUM_STATUS = 100;
-    private static final int MAXIMUM_STATUS = 999;
-
     private ContentCodec() {}
 
     static RequestContentFrame encode(RequestContent content) {
@@ -43,11 +42,24 @@
                 .build();
     }
 
-    static AnswerContent decode(AnswerContentFrame frame) throws ProtocolFault {
-        return new AnswerContent(
-                Fields.inRange(frame.getStatus(), MINIMUM_STATUS, MAXIMUM_STATUS, "status"),
-                decode(frame.getHeadersList()),
-                Body.wrap(BodyCodec.decode(frame.hasBody(), frame.getBody())));
+    /**
+     * Decodes an answer of a copy.
+     *
+     * @return the answer; empty if it is none that can be passed on, which ends only its own request: a node that does not
+     *     check answers passes on whatever its copy sends
+     */
+    static Optional<AnswerContent> decode(AnswerContentFrame frame) throws ProtocolFault {
+        Body body = Body.wrap(BodyCodec.decode(frame.hasBody(), frame.getBody()));
+        if (!ContentRules.isFinalStatus(frame.getStatus()) || !areValid(frame.getHeadersList())) {
+            return Optional.empty();
+        }
+        return Optional.of(new AnswerContent(frame.getStatus(), decode(frame.getHeadersList()), body));
+    }
+
+    private static boolean areValid(List<HeaderField> fields) {
+        return fields.stream()
+                .allMatch(field -> ContentRules.isWithoutWhiteSpace(field.getName())
+                        && ContentRules.isSingleLine(field.getValue()));
     }
 
     private static List<HeaderField> encode(List<Header> headers) {
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/Fields.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/Fields.java
@@ -9,6 +9,7 @@
 import org.carawaysill.model.identity.OrganisationName;
 import org.carawaysill.model.identity.RequestIdentifier;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.ContentRules;
 import org.carawaysill.model.request.Priority;
 import org.carawaysill.protocol.generated.Identifier;
 
@@ -21,9 +22,6 @@
     /** The greatest admission cut: one above the greatest priority, so that nothing is admitted. */
     static final int MAXIMUM_CUT = Priority.MAXIMUM + 1;
 
-    private static final char SPACE = ' ';
-    private static final char DELETE = 0x7f;
-
     private Fields() {}
 
     static void requirePresent(boolean present, String field) throws ProtocolFault {
@@ -98,27 +96,20 @@
         return duration.isNegative() ? 0 : duration.toNanos();
     }
 
-    /**
-     * Checks a method, path or header name, which must not contain white space or control characters: a line break
-     * would let the sender inject HTTP headers or a whole request at the copy.
-     */
+    /** Checks a method, path or header name. */
     static String withoutWhiteSpace(String text, String field) throws ProtocolFault {
         requirePresent(!text.isEmpty(), field);
-        for (int i = 0; i < text.length(); i++) {
-            if (text.charAt(i) <= SPACE || text.charAt(i) == DELETE) {
-                throw new ProtocolFault(ProtocolFault.Kind.BAD_TEXT, field);
-            }
-        }
-        return text;
+        return require(ContentRules.isWithoutWhiteSpace(text), text, field);
     }
 
-    /** Checks a header's value, which must not contain a line break, for the same reason as {@link #withoutWhiteSpace}. */
+    /** Checks a header's value. */
     static String singleLine(String text, String field) throws ProtocolFault {
-        for (int i = 0; i < text.length(); i++) {
-            char character = text.charAt(i);
-            if (character == '\r' || character == '\n' || character == 0) {
-                throw new ProtocolFault(ProtocolFault.Kind.BAD_TEXT, field);
-            }
+        return require(ContentRules.isSingleLine(text), text, field);
+    }
+
+    private static String require(boolean allowed, String text, String field) throws ProtocolFault {
+        if (!allowed) {
+            throw new ProtocolFault(ProtocolFault.Kind.BAD_TEXT, field);
         }
         return text;
     }
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/OutcomeCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/OutcomeCodec.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.request.Outcome;
+import org.carawaysill.model.request.Step;
+import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.protocol.generated.NotRunFrame;
 import org.carawaysill.protocol.generated.OutcomeFrame;
 import org.carawaysill.protocol.generated.UnknownFrame;
@@ -11,6 +13,9 @@
 /** Encodes and decodes the outcomes of requests. Stateless and thread safe. */
 final class OutcomeCodec {
 
+    private static final Outcome NO_VALID_ANSWER =
+            new Outcome.Unknown(UnknownReason.TRUNCATED, Step.COPY_WAIT, Optional.empty());
+
     private OutcomeCodec() {}
 
     static OutcomeFrame encode(Outcome outcome) {
@@ -41,7 +46,10 @@
 
     static Outcome decode(OutcomeFrame frame) throws ProtocolFault {
         return switch (frame.getKindCase()) {
-            case ANSWERED -> new Outcome.Answered(ContentCodec.decode(frame.getAnswered()));
+            case ANSWERED ->
+                ContentCodec.decode(frame.getAnswered())
+                        .<Outcome>map(Outcome.Answered::new)
+                        .orElse(NO_VALID_ANSWER);
             case NOT_RUN -> decode(frame.getNotRun());
             case UNKNOWN -> decode(frame.getUnknown());
             case KIND_NOT_SET -> throw new ProtocolFault(ProtocolFault.Kind.MISSING, "outcome");
--- a/protocol/src/test/java/org/carawaysill/protocol/codec/PeerMessageCodecTest.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/PeerMessageCodecTest.java
@@ -1,6 +1,7 @@
 package org.carawaysill.protocol.codec;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.time.Duration;
@@ -12,6 +13,7 @@
 import org.carawaysill.model.identity.CallerName;
 import org.carawaysill.model.identity.RequestIdentifier;
 import org.carawaysill.model.identity.ServiceName;
+import org.carawaysill.model.request.AnswerContent;
 import org.carawaysill.model.request.Body;
 import org.carawaysill.model.request.Header;
 import org.carawaysill.model.request.Outcome;
@@ -19,6 +21,7 @@
 import org.carawaysill.model.request.RefusalReason;
 import org.carawaysill.model.request.RequestContent;
 import org.carawaysill.model.request.Step;
+import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.ConfigurationDocument;
 import org.carawaysill.policy.message.PeerMessage.Heartbeat;
@@ -31,6 +34,8 @@
 import org.carawaysill.protocol.generated.PeerRequestFrame;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class PeerMessageCodecTest {
 
@@ -152,6 +157,35 @@
         }
     }
 
+    /** Guards against an invalid answer of a copy that ends the connection between two nodes, with all requests on it. */
+    @Nested
+    class InvalidAnswersOfCopies {
+
+        private void check(int status, String name, String value) throws ProtocolFault {
+            AnswerContent content = new AnswerContent(status, List.of(new Header(name, value)), Body.ofText("x"));
+            PeerAnswer answer =
+                    new PeerAnswer(new AttemptIdentifier(1, 2), new Outcome.Answered(content), 0, LOAD, List.of());
+            PeerAnswer received = assertInstanceOf(PeerAnswer.class, roundTrip(answer));
+            assertEquals(
+                    new Outcome.Unknown(UnknownReason.TRUNCATED, Step.COPY_WAIT, Optional.empty()), received.outcome());
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = {-1, 0, 20, 99, 100, 199, 600, 700, 1200, Integer.MAX_VALUE})
+        void endTheirRequestIfTheStatusIsNoneOfAFinalAnswer(int status) throws ProtocolFault {
+            check(status, "name", "value");
+        }
+
+        @Test
+        void endTheirRequestIfAFieldCannotBePassedOn() throws ProtocolFault {
+            check(200, "", "value");
+            check(200, "a name", "value");
+            check(200, "name\n", "value");
+            check(200, "name", "value\r\nother: value");
+            check(200, "name", "\0");
+        }
+    }
+
     @Nested
     class OtherMalformedFrames {
 
