Take back what waits at other nodes before a stop ends

Cause: a stop asked its own copy's queue what waits there, and no other node; nothing answered what runs beyond the end.

Change: StopSchedule holds one rule until when a request may start at a copy, its own or another one. From then on Withdrawals asks the node that holds a request for it (WithdrawAttempt), which refuses what has not begun and lets the rest go on; only its word makes a request "not run". A request that waits for a place for its body is refused at once. 20 ms before the process ends, all that is left is answered as possibly run (node_stops), so that the ready answers follow; runs at other nodes are not cancelled. A node's reports say that it takes withdrawals: none is sent to an older one, which would end the link.

Ruled out: CancelAttempt, which also ends what runs; a refusal without the other node's word.

--- a/model/src/main/java/org/carawaysill/model/request/UnknownReason.java
+++ b/model/src/main/java/org/carawaysill/model/request/UnknownReason.java
@@ -10,6 +10,8 @@
     DEADLINE,
     /** The connection to the other node was lost after the request had been written to it. */
     PEER_LOST,
+    /** The time for a planned stop of this node was over before the answer came. */
+    NODE_STOPS,
     /** The connection to the local copy was lost after a part of the request had been written. */
     COPY_LOST,
     /** The local copy's process ended while it ran the request. */
--- a/node/src/main/java/org/carawaysill/node/peer/PeerAdapter.java
+++ b/node/src/main/java/org/carawaysill/node/peer/PeerAdapter.java
@@ -175,6 +175,7 @@
             case PeerMessage.Suspicions ignored -> offerNotice(event);
             case PeerMessage.PlaceGranted ignored -> inbox.deliver(event);
             case PeerMessage.AttemptBody ignored -> inbox.deliver(event);
+            case PeerMessage.WithdrawAttempt ignored -> inbox.deliver(event);
         }
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
+++ b/policy/src/main/java/org/carawaysill/policy/distribution/ConfigurationDistribution.java
@@ -155,6 +155,7 @@
                     PeerMessage.Suspicions _,
                     PeerMessage.PlaceGranted _,
                     PeerMessage.AttemptBody _,
+                    PeerMessage.WithdrawAttempt _,
                     PeerMessage.Entries _ -> List.of();
         };
     }
--- a/policy/src/main/java/org/carawaysill/policy/engine/BaselinePolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/BaselinePolicy.java
@@ -174,6 +174,7 @@
                     PeerMessage.Suspicions _,
                     PeerMessage.PlaceGranted _,
                     PeerMessage.AttemptBody _,
+                    PeerMessage.WithdrawAttempt _,
                     PeerMessage.Entries _ -> {}
         }
     }
--- a/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/engine/OverloadPolicy.java
@@ -150,6 +150,7 @@
                     PeerMessage.Suspicions _,
                     PeerMessage.PlaceGranted _,
                     PeerMessage.AttemptBody _,
+                    PeerMessage.WithdrawAttempt _,
                     PeerMessage.Entries _ -> {}
         }
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/AttemptRules.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/AttemptRules.java
@@ -86,8 +86,14 @@
             case PEER_LOST, COPY_LOST, COPY_CRASHED, TRUNCATED -> true;
             // After a quarantine the next copy would crash too, and after the deadline no client waits. The other
             // reasons do not occur for requests that any copy may run.
-            case QUARANTINED, DEADLINE, RESTARTED, IDENTIFIER_TIME, HOLDER_UNREACHABLE, NO_LEASE, EARLIER_ATTEMPT ->
-                false;
+            case QUARANTINED,
+                    DEADLINE,
+                    NODE_STOPS,
+                    RESTARTED,
+                    IDENTIFIER_TIME,
+                    HOLDER_UNREACHABLE,
+                    NO_LEASE,
+                    EARLIER_ATTEMPT -> false;
         };
     }
 
--- a/policy/src/main/java/org/carawaysill/policy/fleet/EntryOutcomes.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/EntryOutcomes.java
@@ -24,8 +24,8 @@
         return notRun(RefusalReason.PEER_UNREACHABLE, step);
     }
 
-    /** Returns the outcome of an attempt whose body was not sent, because its copy left meanwhile. */
-    static Outcome.NotRun copyLeft() {
+    /** Returns the outcome of an attempt whose body was not sent, because its copy left or this node stops. */
+    static Outcome.NotRun bodyUnsent() {
         return notRun(RefusalReason.DRAINING, Step.PEER_WAIT);
     }
 
@@ -38,6 +38,13 @@
         return new Outcome.Unknown(UnknownReason.DEADLINE, step, Optional.empty());
     }
 
+    /** Returns the outcome of a request that is not answered when the time for a stop is over. */
+    static Outcome atEndOfStop(OutgoingRequest request) {
+        return request.awaitsPlace()
+                ? bodyUnsent()
+                : new Outcome.Unknown(UnknownReason.NODE_STOPS, Step.PEER_WAIT, Optional.empty());
+    }
+
     private static Outcome.NotRun notRun(RefusalReason reason, Step step) {
         return new Outcome.NotRun(reason, UNREACHABLE_RETRY_AFTER, step, Optional.empty());
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -153,6 +153,7 @@
             case PeerMessage.CopyRequest request -> requested(now, from, request);
             case PeerMessage.CopyAnswer answer -> outgoing.peerAnswered(now, from, answer);
             case PeerMessage.CancelAttempt cancel -> localRuns.cancelled(now, cancel.attempt());
+            case PeerMessage.WithdrawAttempt withdraw -> localRuns.withdrawn(now, from, withdraw.attempt());
             case PeerMessage.NodeReport report -> reported(now, from, report);
             case PeerMessage.ReportWanted _ -> state.sendReport(from, report(now));
             case PeerMessage.GroupSummary(StateSummary summary) -> {
@@ -281,7 +282,7 @@
         outgoing.passTime(now);
         unsentMessages.sendAgain(now, peers::isConnected);
         showReadiness(now);
-        if (plannedStop.isAnnouncementDue(now)) {
+        if (plannedStop.isAnnouncementDue(now, settings.stopLimit())) {
             announceLeaving(now);
         }
         plannedStop.passTime(now, settings.stopLimit());
@@ -341,6 +342,7 @@
                 view.published(),
                 view.mayReadPlatform(),
                 plannedStop.isLeavingAnnounced(),
+                true,
                 settings.service(),
                 localRuns.load(now),
                 (float) localRuns.workSeconds(now),
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -416,6 +416,18 @@
         });
     }
 
+    /** Refuses a request that its sender takes back, unless it has begun at the copy. */
+    void withdrawn(long now, NodeName sender, AttemptIdentifier attempt) {
+        gate.find(attempt)
+                .filter(run -> run.sender().filter(sender::equals).isPresent() && !run.isSentToCopy())
+                .ifPresent(run -> {
+                    places.ended(now, run, BodyCount.PLACE_RELEASED, RefusalReason.DRAINING);
+                    release(now, run, CopyGate.Ending.BROKEN_OFF);
+                    answers.refuse(now, run, RefusalReason.DRAINING, Step.QUEUE);
+                    startNext(now);
+                });
+    }
+
     /**
      * Ends the requests of a node whose connection ended, which retries the idempotent ones elsewhere. A running request
      * that is not idempotent continues: cancelling it would leave it half done, and no node could retry it. One that
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -27,6 +27,7 @@
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.SlotTime;
+import org.carawaysill.policy.time.Nanos;
 
 /**
  * The requests that entered at this node, from its clients and from its own copy.
@@ -57,9 +58,11 @@
     private final Arrivals arrivals;
     private final FinalAnswers answers;
     private final LinkWaits linkWaits;
+    private final Withdrawals withdrawals;
     private final Map<ExchangeIdentifier, OutgoingRequest> byExchange = new HashMap<>();
     private final Map<AttemptIdentifier, OutgoingRequest> byAttempt = new HashMap<>();
     private final RequestDeadlines deadlines = new RequestDeadlines();
+    private Optional<StopSchedule> stop = Optional.empty();
 
     OutgoingRequests(FleetParts parts, RandomGenerator random) {
         this.settings = parts.settings();
@@ -78,6 +81,7 @@
         admission = new Admission(parts, random);
         answers = new FinalAnswers(parts);
         linkWaits = new LinkWaits(effects, settings.service());
+        withdrawals = new Withdrawals(effects, peers);
         arrivals = new Arrivals(view, admission, answers);
         localRuns.localSender(this::answered);
     }
@@ -142,7 +146,8 @@
         ServiceName service = request.service();
         List<Copy> copies = view.copies().usable(service);
         double bytes = requestBytes.of(request.route(), request.body());
-        Predicate<NodeName> mayReceive = node -> request.maySendTo(node) && reachableNodes.contains(now, node);
+        Predicate<NodeName> mayRun = node -> request.maySendTo(node) && hasTimeAt(now, request, node);
+        Predicate<NodeName> mayReceive = node -> mayRun.test(node) && reachableNodes.contains(now, node);
         Placing placing = placings.of(now, request, copies, bytes);
         Optional<Copy> chosen = choice.choose(
                         now, placing, copies, request.tried(), request.isSentBack(), bytes, mayReceive)
@@ -153,7 +158,7 @@
                         request.tried(),
                         request.isSentBack(),
                         bytes,
-                        node -> request.maySendTo(node) && reachableNodes.containsAsLastResort(now, node)));
+                        node -> mayRun.test(node) && reachableNodes.containsAsLastResort(now, node)));
         if (chosen.isEmpty()) {
             finish(now, request, EntryOutcomes.noCopy());
             return;
@@ -182,6 +187,62 @@
         }
     }
 
+    /** Returns whether another attempt could be answered by the copy of a node before this process ends. */
+    private boolean hasTimeAt(long now, OutgoingRequest request, NodeName node) {
+        return request.sentAttempts() == 0
+                || stop.isEmpty()
+                || view.copies().beside(node).stream().allMatch(copy -> now < lastStartNanos(stop.get(), copy));
+    }
+
+    private long lastStartNanos(StopSchedule schedule, Copy copy) {
+        return schedule.lastStartNanos(
+                copy.node().equals(settings.self())
+                        ? localRuns.usualRunNanos()
+                        : (long) (copy.load().runSeconds() * Nanos.PER_SECOND));
+    }
+
+    /** Takes back what waits for copies of other nodes too late to be answered before this process ends. */
+    void withdrawWaiting(long now, StopSchedule schedule) {
+        stop = Optional.of(schedule);
+        for (AttemptIdentifier attempt : List.copyOf(byAttempt.keySet())) {
+            OutgoingRequest request = byAttempt.get(attempt);
+            Copy copy = request.copy().orElseThrow();
+            if (copy.node().equals(settings.self()) || now < lastStartNanos(schedule, copy)) {
+                continue;
+            }
+            if (request.awaitsPlace()) {
+                endWithoutBody(now, copy.node(), attempt, EntryOutcomes.bodyUnsent());
+            } else {
+                withdrawals.ask(now, attempt, copy.node());
+            }
+        }
+    }
+
+    /** Returns when the next request is to be taken back; later than now. */
+    long nextWithdrawalNanos(long now, StopSchedule schedule) {
+        return byAttempt.values().stream()
+                .flatMap(request -> request.copy().stream())
+                .mapToLong(copy -> lastStartNanos(schedule, copy))
+                .filter(due -> due > now)
+                .min()
+                .orElse(Long.MAX_VALUE);
+    }
+
+    Withdrawals withdrawals() {
+        return withdrawals;
+    }
+
+    /** Answers all requests because the time for a stop is over, and returns how many; runs at other nodes go on. */
+    int giveUp(long now) {
+        List<OutgoingRequest> left = List.copyOf(byExchange.values());
+        for (OutgoingRequest request : left) {
+            Outcome outcome = EntryOutcomes.atEndOfStop(request);
+            request.attempt().ifPresent(attempt -> forget(request, attempt));
+            finish(now, request, outcome);
+        }
+        return left.size();
+    }
+
     /** Sends the body of an attempt to the node that has a place for it. */
     void placeGranted(long now, NodeName from, AttemptIdentifier attempt) {
         OutgoingRequest request = byAttempt.get(attempt);
@@ -190,7 +251,7 @@
             return;
         }
         if (request.copy().filter(view.copies()::isUsable).isEmpty()) {
-            endWithoutBody(now, from, attempt, EntryOutcomes.copyLeft());
+            endWithoutBody(now, from, attempt, EntryOutcomes.bodyUnsent());
             return;
         }
         request.bodySent();
@@ -248,6 +309,7 @@
             return;
         }
         linkWaits.ended(now, attempt, outcome);
+        withdrawals.ended(attempt, outcome);
         request.times().addAll(times);
         Copy copy = request.copy().orElseThrow();
         request.attemptEnded();
@@ -342,11 +404,8 @@
 
     private void cancelAttempt(long now, OutgoingRequest request) {
         request.attempt().ifPresent(attempt -> {
-            byAttempt.remove(attempt);
-            linkWaits.cancelled(attempt);
             Copy copy = request.copy().orElseThrow();
-            copy.withdrawn();
-            request.attemptEnded();
+            forget(request, attempt);
             if (copy.node().equals(settings.self())) {
                 localRuns.cancelled(now, attempt);
             } else {
@@ -355,6 +414,14 @@
         });
     }
 
+    /** Waits no longer for an attempt. */
+    private void forget(OutgoingRequest request, AttemptIdentifier attempt) {
+        byAttempt.remove(attempt);
+        linkWaits.cancelled(attempt);
+        request.copy().orElseThrow().withdrawn();
+        request.attemptEnded();
+    }
+
     void unsent(long now, CopyRequest message) {
         if (CopyRequests.isQuestion(message)) {
             linkWaits.unsent(now, message.attempt());
--- a/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/Peers.java
@@ -158,6 +158,7 @@
     void reported(long now, NodeName name, NodeReport report) {
         Peer peer = peer(name);
         peer.readsPlatform = report.readsPlatform();
+        peer.takesWithdrawals = report.takesWithdrawals();
         if (report.leaving() && !peer.leaving) {
             peer.leaving = true;
             // A node that leaves when it connects announced that to others at an unknown time before.
@@ -274,6 +275,11 @@
         return isReachable(name) && known.get(name).readsPlatform;
     }
 
+    /** Returns whether a node is connected and answers withdrawals. */
+    boolean takesWithdrawals(NodeName name) {
+        return isConnected(name) && known.get(name).takesWithdrawals;
+    }
+
     /** Returns the number of nodes, including this one. */
     int count() {
         Set<NodeName> wanted = new HashSet<>();
@@ -295,6 +301,7 @@
         private boolean leaving;
         private boolean reported;
         private boolean readsPlatform;
+        private boolean takesWithdrawals;
         private boolean probed;
         private OptionalLong incarnation = OptionalLong.empty();
         private long leavingNanos;
--- a/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
+++ b/policy/src/main/java/org/carawaysill/policy/message/PeerMessage.java
@@ -91,6 +91,14 @@
      */
     record CancelAttempt(AttemptIdentifier attempt) implements PeerMessage {}
 
+    /**
+     * The sender asks for an attempt that has not begun at the receiver's copy, which answers it as not run. One that runs
+     * goes on and gets its own answer.
+     *
+     * @param attempt the attempt
+     */
+    record WithdrawAttempt(AttemptIdentifier attempt) implements PeerMessage {}
+
     /** The sender is draining and must not receive new work. */
     record DrainNotice() implements PeerMessage {}
 
@@ -411,6 +419,7 @@
      * @param published the sender's known state of the published entries
      * @param readsPlatform whether the sender could read the platform for others: none of its reads failed recently
      * @param leaving whether the sender accepts no new work
+     * @param takesWithdrawals whether the sender answers {@link WithdrawAttempt}, as older nodes do not
      * @param service the service of the sender's copy
      * @param load the load of the sender's copy
      * @param workSeconds how long the sender's copy recently worked on a request, without its calls; 0 if unknown
@@ -425,6 +434,7 @@
             PublishedState published,
             boolean readsPlatform,
             boolean leaving,
+            boolean takesWithdrawals,
             ServiceName service,
             LoadReport load,
             float workSeconds,
@@ -474,6 +484,7 @@
                     published,
                     readsPlatform,
                     leaving,
+                    takesWithdrawals,
                     service,
                     load,
                     workSeconds,
--- a/policy/src/test/java/org/carawaysill/policy/fleet/UnevenSiteTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/UnevenSiteTest.java
@@ -164,6 +164,7 @@
                     new PublishedState(0, 0),
                     true,
                     false,
+                    true,
                     new ServiceName(UnevenSite.DEEP),
                     idle,
                     0.001f,
--- a/policy/src/test/java/org/carawaysill/policy/fleet/entry/CallerSharesTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/entry/CallerSharesTest.java
@@ -35,6 +35,7 @@
                 new PublishedState(0, 0),
                 true,
                 false,
+                true,
                 new ServiceName("work"),
                 new LoadReport(0, 8, 0, 0),
                 0,
--- a/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/entry/EntryPlanTest.java
@@ -33,7 +33,7 @@
 
     private static NodeReport report(LoadReport load, List<RouteDemand> demands, List<RouteCost> costs) {
         return new NodeReport(
-                1, new PublishedState(0, 0), true, false, DEEP, load, 0, true, true, demands, costs, List.of());
+                1, new PublishedState(0, 0), true, false, true, DEEP, load, 0, true, true, demands, costs, List.of());
     }
 
     private double share(String route) {
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/Codes.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/Codes.java
@@ -82,6 +82,7 @@
             case NO_LEASE -> UnknownCode.UNKNOWN_NO_LEASE;
             case COPY_CRASHED -> UnknownCode.UNKNOWN_COPY_CRASHED;
             case QUARANTINED -> UnknownCode.UNKNOWN_QUARANTINED;
+            case NODE_STOPS -> UnknownCode.UNKNOWN_NODE_STOPS;
         };
     }
 
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/FleetCodec.java
@@ -16,6 +16,7 @@
 import org.carawaysill.policy.message.PeerMessage.RouteCost;
 import org.carawaysill.policy.message.PeerMessage.RouteDemand;
 import org.carawaysill.policy.message.PeerMessage.SlotTime;
+import org.carawaysill.policy.message.PeerMessage.WithdrawAttempt;
 import org.carawaysill.policy.message.PublishedState;
 import org.carawaysill.protocol.generated.AttemptBodyFrame;
 import org.carawaysill.protocol.generated.CopyAnswerFrame;
@@ -25,6 +26,7 @@
 import org.carawaysill.protocol.generated.RouteCostFrame;
 import org.carawaysill.protocol.generated.RouteDemandFrame;
 import org.carawaysill.protocol.generated.SlotTimeFrame;
+import org.carawaysill.protocol.generated.WithdrawAttemptFrame;
 
 /** Encodes and decodes the messages between the nodes of a fleet that shares its routes. Stateless and thread safe. */
 final class FleetCodec {
@@ -88,6 +90,16 @@
         return new PlaceGranted(Fields.attempt(frame.hasAttempt(), frame.getAttempt()));
     }
 
+    static WithdrawAttemptFrame encode(WithdrawAttempt withdraw) {
+        return WithdrawAttemptFrame.newBuilder()
+                .setAttempt(Fields.identifier(withdraw.attempt()))
+                .build();
+    }
+
+    static WithdrawAttempt decode(WithdrawAttemptFrame frame) throws ProtocolFault {
+        return new WithdrawAttempt(Fields.attempt(frame.hasAttempt(), frame.getAttempt()));
+    }
+
     static AttemptBodyFrame encode(AttemptBody body) {
         return AttemptBodyFrame.newBuilder()
                 .setAttempt(Fields.identifier(body.attempt()))
@@ -114,6 +126,7 @@
                 .setPublishedDigest(report.published().digest())
                 .setReadsPlatform(report.readsPlatform())
                 .setLeaving(report.leaving())
+                .setTakesWithdrawals(report.takesWithdrawals())
                 .setService(report.service().value())
                 .setLoad(LoadCodec.encode(report.load()))
                 .setWorkSeconds(report.workSeconds())
@@ -159,6 +172,7 @@
                         frame.getPublishedDigest()),
                 frame.getReadsPlatform(),
                 frame.getLeaving(),
+                frame.getTakesWithdrawals(),
                 Fields.service(frame.getService()),
                 LoadCodec.decode(frame.hasLoad(), frame.getLoad()),
                 Fields.notNegative(frame.getWorkSeconds(), "work seconds"),
--- a/protocol/src/main/java/org/carawaysill/protocol/codec/PeerMessageCodec.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/codec/PeerMessageCodec.java
@@ -23,6 +23,7 @@
 import org.carawaysill.policy.message.PeerMessage.PlaceGranted;
 import org.carawaysill.policy.message.PeerMessage.ReportWanted;
 import org.carawaysill.policy.message.PeerMessage.Suspicions;
+import org.carawaysill.policy.message.PeerMessage.WithdrawAttempt;
 import org.carawaysill.policy.message.StateSummary;
 import org.carawaysill.protocol.generated.DrainNoticeFrame;
 import org.carawaysill.protocol.generated.Frame;
@@ -70,6 +71,7 @@
             case Suspicions suspicions -> frame.setSuspicions(SuspicionCodec.encode(suspicions));
             case PlaceGranted granted -> frame.setPlaceGranted(FleetCodec.encode(granted));
             case AttemptBody body -> frame.setAttemptBody(FleetCodec.encode(body));
+            case WithdrawAttempt withdraw -> frame.setWithdrawAttempt(FleetCodec.encode(withdraw));
         }
         return frame.build();
     }
@@ -105,6 +107,7 @@
             case SUSPICIONS -> SuspicionCodec.decode(frame.getSuspicions());
             case PLACE_GRANTED -> FleetCodec.decode(frame.getPlaceGranted());
             case ATTEMPT_BODY -> FleetCodec.decode(frame.getAttemptBody());
+            case WITHDRAW_ATTEMPT -> FleetCodec.decode(frame.getWithdrawAttempt());
             case HELLO, ACCEPTED, REFUSED, PROBE, PROBE_REPLY, KIND_NOT_SET ->
                 throw new ProtocolFault(
                         ProtocolFault.Kind.UNEXPECTED_FRAME, frame.getKindCase().name());
--- a/protocol/src/main/java/org/carawaysill/protocol/link/TrafficKind.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/TrafficKind.java
@@ -10,7 +10,7 @@
     REQUEST,
     /** Answers. */
     ANSWER,
-    /** Cancellations. */
+    /** Cancellations and withdrawals. */
     CANCELLATION,
     /** Drain notices. */
     DRAIN,
@@ -32,7 +32,7 @@
             case HELLO, ACCEPTED, REFUSED, PROBE, PROBE_REPLY, KIND_NOT_SET -> LINK;
             case PEER_REQUEST, COPY_REQUEST, ATTEMPT_BODY -> REQUEST;
             case PEER_ANSWER, COPY_ANSWER, PLACE_GRANTED -> ANSWER;
-            case CANCEL_ATTEMPT -> CANCELLATION;
+            case CANCEL_ATTEMPT, WITHDRAW_ATTEMPT -> CANCELLATION;
             case DRAIN_NOTICE -> DRAIN;
             case HEARTBEAT -> HEARTBEAT;
             case LEASE_REQUEST, LEASE_REPLY -> LEASE;
--- a/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/codec/RandomMessages.java
@@ -69,6 +69,7 @@
 import org.carawaysill.policy.message.PeerMessage.ServiceCut;
 import org.carawaysill.policy.message.PeerMessage.SlotTime;
 import org.carawaysill.policy.message.PeerMessage.Suspicions;
+import org.carawaysill.policy.message.PeerMessage.WithdrawAttempt;
 import org.carawaysill.policy.message.PublishedState;
 import org.carawaysill.policy.message.StateSummary;
 import org.carawaysill.policy.message.StateSummary.CallerGroup;
@@ -85,7 +86,7 @@
     private static final String CHARACTERS = "\u0000\t\r\n aZ0\u00e8\u0416\u20ac\uffff";
 
     PeerMessage next() {
-        return switch (random.nextInt(22)) {
+        return switch (random.nextInt(23)) {
             case 0 -> request();
             case 1 -> answer();
             case 2 -> new CancelAttempt(attempt());
@@ -112,6 +113,7 @@
             case 15 -> new ReportWanted();
             case 20 -> new PlaceGranted(attempt());
             case 21 -> new AttemptBody(attempt(), body());
+            case 22 -> new WithdrawAttempt(attempt());
             case 16 -> new GroupSummary(summary());
             case 17 -> new FleetSummary(summary());
             case 18 -> new Suspicions(service(), list(this::suspicion));
@@ -164,6 +166,7 @@
                 publishedState(),
                 random.nextBoolean(),
                 random.nextBoolean(),
+                random.nextBoolean(),
                 service(),
                 load(),
                 random.nextFloat(),
