Bound what the operating system holds for a client that a test leaves unread

Cause: ConnectionOutputTest.makesProgressWhileAPartOfItIsRead writes 12 MB, reads 6 MB and expects that some are left unwritten.

Change: RawConnection, whose reads a test controls, has a receive buffer of 64 KiB, which is not enlarged. The checks stay as they are.

--- a/node/src/test/java/org/carawaysill/node/testing/RawConnection.java
+++ b/node/src/test/java/org/carawaysill/node/testing/RawConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -13,6 +14,9 @@
 
     private static final int TIMEOUT_MILLIS = 30_000;
 
+    /** Keeps the operating system from enlarging the buffer until it holds all that a test leaves unread. */
+    private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
+
     private static final String HEAD_END = "\r\n\r\n";
 
     private final Socket socket;
@@ -23,7 +27,10 @@
 
     public static RawConnection to(int port) {
         try {
-            return new RawConnection(new Socket("127.0.0.1", port));
+            Socket socket = new Socket();
+            socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+            socket.connect(new InetSocketAddress("127.0.0.1", port));
+            return new RawConnection(socket);
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
         }
