Let Withdrawals hold until when a request may start at a copy

OutgoingRequests had grown by the rule of another class; Withdrawals now keeps the schedule of the stop and answers whether a request may still start at a copy. No decision changes.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -27,7 +27,6 @@
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.SlotTime;
-import org.carawaysill.policy.time.Nanos;
 
 /**
  * The requests that entered at this node, from its clients and from its own copy.
@@ -62,7 +61,6 @@
     private final Map<ExchangeIdentifier, OutgoingRequest> byExchange = new HashMap<>();
     private final Map<AttemptIdentifier, OutgoingRequest> byAttempt = new HashMap<>();
     private final RequestDeadlines deadlines = new RequestDeadlines();
-    private Optional<StopSchedule> stop = Optional.empty();
 
     OutgoingRequests(FleetParts parts, RandomGenerator random) {
         this.settings = parts.settings();
@@ -81,7 +79,7 @@
         admission = new Admission(parts, random);
         answers = new FinalAnswers(parts);
         linkWaits = new LinkWaits(effects, settings.service());
-        withdrawals = new Withdrawals(effects, peers);
+        withdrawals = new Withdrawals(parts);
         arrivals = new Arrivals(view, admission, answers);
         localRuns.localSender(this::answered);
     }
@@ -146,7 +144,9 @@
         ServiceName service = request.service();
         List<Copy> copies = view.copies().usable(service);
         double bytes = requestBytes.of(request.route(), request.body());
-        Predicate<NodeName> mayRun = node -> request.maySendTo(node) && hasTimeAt(now, request, node);
+        boolean first = request.sentAttempts() == 0;
+        Predicate<NodeName> mayRun = node -> request.maySendTo(node)
+                && (first || withdrawals.mayStart(now, view.copies().beside(node)));
         Predicate<NodeName> mayReceive = node -> mayRun.test(node) && reachableNodes.contains(now, node);
         Placing placing = placings.of(now, request, copies, bytes);
         Optional<Copy> chosen = choice.choose(
@@ -187,27 +187,13 @@
         }
     }
 
-    /** Returns whether another attempt could be answered by the copy of a node before this process ends. */
-    private boolean hasTimeAt(long now, OutgoingRequest request, NodeName node) {
-        return request.sentAttempts() == 0
-                || stop.isEmpty()
-                || view.copies().beside(node).stream().allMatch(copy -> now < lastStartNanos(stop.get(), copy));
-    }
-
-    private long lastStartNanos(StopSchedule schedule, Copy copy) {
-        return schedule.lastStartNanos(
-                copy.node().equals(settings.self())
-                        ? localRuns.usualRunNanos()
-                        : (long) (copy.load().runSeconds() * Nanos.PER_SECOND));
-    }
-
     /** Takes back what waits for copies of other nodes too late to be answered before this process ends. */
     void withdrawWaiting(long now, StopSchedule schedule) {
-        stop = Optional.of(schedule);
+        withdrawals.stopping(schedule);
         for (AttemptIdentifier attempt : List.copyOf(byAttempt.keySet())) {
             OutgoingRequest request = byAttempt.get(attempt);
             Copy copy = request.copy().orElseThrow();
-            if (copy.node().equals(settings.self()) || now < lastStartNanos(schedule, copy)) {
+            if (copy.node().equals(settings.self()) || withdrawals.mayStart(now, copy)) {
                 continue;
             }
             if (request.awaitsPlace()) {
@@ -218,12 +204,12 @@
         }
     }
 
-    /** Returns when the next request is to be taken back; later than now. */
-    long nextWithdrawalNanos(long now, StopSchedule schedule) {
+    /** Returns when the next request is to be taken back. */
+    long nextWithdrawalNanos(long now) {
         return byAttempt.values().stream()
                 .flatMap(request -> request.copy().stream())
-                .mapToLong(copy -> lastStartNanos(schedule, copy))
-                .filter(due -> due > now)
+                .filter(copy -> withdrawals.mayStart(now, copy))
+                .mapToLong(withdrawals::lastStartNanos)
                 .min()
                 .orElse(Long.MAX_VALUE);
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/PlannedStop.java
@@ -93,7 +93,7 @@
             return NOT_ORDERED;
         }
         StopSchedule schedule = new StopSchedule(orderedNanos, limit);
-        long next = outgoing.nextWithdrawalNanos(now, schedule);
+        long next = outgoing.nextWithdrawalNanos(now);
         for (long due : List.of(
                 schedule.announceNanos(),
                 schedule.refuseClientsNanos(),
