Keep header fields in hardly more memory than their bytes

Callers saw connections refused: crowds of requests with heads of 16 kB in lines of 4 bytes ended a node by OutOfMemoryError. Each line was kept as a Header of two strings, at the node that took the request and again at the one beside the copy, for as long as the request waited or ran.

HeaderFields is the same list in one array of bytes: lengths and characters. Requests, answers and credentials convert what they are given, so that nothing else changes; the message between nodes is as before, and nodes of both versions talk to each other. The fields are decoded again where they are read: once for the link or the copy.

--- a/model/src/main/java/org/carawaysill/model/request/AnswerContent.java
+++ b/model/src/main/java/org/carawaysill/model/request/AnswerContent.java
@@ -14,6 +14,15 @@
 public record AnswerContent(int status, List<Header> headers, Body body) {
 
     public AnswerContent {
-        headers = List.copyOf(headers);
+        headers = HeaderFields.copyOf(headers);
+    }
+
+    /**
+     * Returns about how much memory the answer takes.
+     *
+     * @return the size of its parts in bytes
+     */
+    public long byteCount() {
+        return (long) HeaderFields.copyOf(headers).byteCount() + body.length();
     }
 }
--- a/model/src/main/java/org/carawaysill/model/request/Credential.java
+++ b/model/src/main/java/org/carawaysill/model/request/Credential.java
@@ -19,7 +19,7 @@
     public static final Credential NONE = new Credential(List.of(), Optional.empty());
 
     public Credential {
-        fields = List.copyOf(fields);
+        fields = HeaderFields.copyOf(fields);
     }
 
     /**
--- a/model/src/main/java/org/carawaysill/model/request/RequestContent.java
+++ b/model/src/main/java/org/carawaysill/model/request/RequestContent.java
@@ -17,7 +17,7 @@
 public record RequestContent(String method, String path, List<Header> headers, Body body) {
 
     public RequestContent {
-        headers = List.copyOf(headers);
+        headers = HeaderFields.copyOf(headers);
     }
 
     /**
@@ -35,6 +35,18 @@
         return new RequestContent(method, path, all, body);
     }
 
+    /**
+     * Returns about how much memory the request takes.
+     *
+     * @return the size of its parts in bytes
+     */
+    public long byteCount() {
+        return (long) method.length()
+                + path.length()
+                + HeaderFields.copyOf(headers).byteCount()
+                + body.length();
+    }
+
     /**
      * Finds the first header of a name.
      *
--- a/node/src/main/java/org/carawaysill/node/entry/RequestHead.java
+++ b/node/src/main/java/org/carawaysill/node/entry/RequestHead.java
@@ -13,6 +13,7 @@
 import org.carawaysill.model.request.ContentRules;
 import org.carawaysill.model.request.Credential;
 import org.carawaysill.model.request.Header;
+import org.carawaysill.model.request.HeaderFields;
 import org.carawaysill.model.request.RequestContent;
 import org.carawaysill.node.exchange.HeaderFilter;
 import org.carawaysill.node.exchange.MessageFraming;
@@ -32,6 +33,7 @@
  * @param clientTimeout how long the client waits for the answer, if stated
  * @param statedLength the value of Content-Length, or 0 if there is none
  * @param keepsAlive whether the client may send further requests on the connection
+ * @param whole whether the request ends with its head
  * @param framing whether the end of the body is unambiguous for all readers
  * @param credential identifies the client's organisation
  * @param headers the header fields that are passed on
@@ -44,6 +46,7 @@
         Optional<Duration> clientTimeout,
         int statedLength,
         boolean keepsAlive,
+        boolean whole,
         boolean framing,
         Credential credential,
         List<Header> headers) {
@@ -54,6 +57,10 @@
     private static final long MAXIMUM_CLIENT_TIMEOUT_MILLIS =
             Duration.ofHours(1).toMillis();
 
+    RequestHead {
+        headers = HeaderFields.copyOf(headers);
+    }
+
     static RequestHead of(HttpRequest request, WireDialect dialect) {
         String host = request.headers().get(HttpHeaderNames.HOST, "");
         return new RequestHead(
@@ -64,6 +71,7 @@
                 clientTimeout(request.headers().get(dialect.clientTimeout())),
                 (int) Math.min(MAXIMUM_STATED_LENGTH, Math.max(0, HttpUtil.getContentLength(request, 0L))),
                 HttpUtil.isKeepAlive(request),
+                !HttpUtil.isTransferEncodingChunked(request) && HttpUtil.getContentLength(request, 0L) == 0,
                 MessageFraming.isUnambiguous(request),
                 Credentials.of(request.headers(), dialect.keyScheme()),
                 forwardedHeaders(request, host, dialect));
@@ -121,6 +129,16 @@
         return statedLength > limits.bodyBytes() ? Optional.of(BadRequest.BODY_TOO_LARGE) : Optional.empty();
     }
 
+    /** Returns about how much memory the head takes. */
+    long byteCount() {
+        return (long) method.length()
+                + target.length()
+                + host.length()
+                + requestName.length()
+                + HeaderFields.copyOf(headers).byteCount()
+                + HeaderFields.copyOf(credential.fields()).byteCount();
+    }
+
     boolean isHead() {
         return method.equals(HttpMethod.HEAD.name());
     }
