Check the texts of header fields without streams

Each name and value of each field passes these checks, at the entry, for a message between nodes and at its receiver; a stream was created for each of them. Plain loops decide the same; MessageFraming, link and entry tests as before.

--- a/model/src/main/java/org/carawaysill/model/request/ContentRules.java
+++ b/model/src/main/java/org/carawaysill/model/request/ContentRules.java
@@ -39,7 +39,13 @@
      * @return whether it can
      */
     public static boolean isWithoutWhiteSpace(String text) {
-        return !text.isEmpty() && text.chars().noneMatch(character -> character <= SPACE || character == DELETE);
+        for (int i = 0; i < text.length(); i++) {
+            char character = text.charAt(i);
+            if (character <= SPACE || character == DELETE) {
+                return false;
+            }
+        }
+        return !text.isEmpty();
     }
 
     /**
@@ -49,7 +55,7 @@
      * @return whether it can
      */
     public static boolean isSingleLine(String text) {
-        return text.chars().noneMatch(character -> character == '\r' || character == '\n' || character == 0);
+        return text.indexOf('\r') < 0 && text.indexOf('\n') < 0 && text.indexOf(0) < 0;
     }
 
     /**
@@ -59,6 +65,12 @@
      * @return whether it can
      */
     public static boolean isWritableAsValue(String text) {
-        return text.chars().noneMatch(character -> character < SPACE && character != TAB || character == DELETE);
+        for (int i = 0; i < text.length(); i++) {
+            char character = text.charAt(i);
+            if (character < SPACE && character != TAB || character == DELETE) {
+                return false;
+            }
+        }
+        return true;
     }
 }
