Decode the head of a copy's answer once it is complete

A copy that sends a head slowly, in lines of a few bytes, made the node keep each decoded line until the head was complete: many times its 64 KiB, on each connection. A head now stays in its buffer until its empty line, or until it is larger than the decoder accepts. Trailers, which nobody reads, are dropped line by line.

AnswerDecoderTest, CopyConnectionsTest and EndlessAnswersTest pass as before; EndlessAnswersTest has heads without end.

--- a/node/src/main/java/org/carawaysill/node/upstream/AnswerDecoder.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/AnswerDecoder.java
@@ -12,6 +12,8 @@
 import io.netty.util.AsciiString;
 import java.util.List;
 import org.carawaysill.model.request.ContentRules;
+import org.carawaysill.node.exchange.DiscardedFields;
+import org.carawaysill.node.exchange.HeadScan;
 import org.carawaysill.node.exchange.MessageFraming;
 
 /**
@@ -19,7 +21,8 @@
  *
  * <p>Netty accepts more than HTTP/1.1 allows. An answer that this class rejects has a failed decoder result; it ends the
  * input, as no byte behind it can be attributed to a message. Tolerated are other white space between the words of the
- * status line and folded field values, which RFC 9112 allows, and what follows the size of a chunk on its line. Counts the
+ * status line and folded field values, which RFC 9112 allows, and what follows the size of a chunk on its line. A head
+ * stays in its buffer until it is complete or too large, and trailers are not kept. Counts the
  * bytes of an answer, since those of heads, chunk sizes and trailers are in no message. Not thread safe: confined to the
  * event loop.
  */
@@ -30,8 +33,10 @@
     private static final int STATUS_DIGITS = 3;
     private static final int LOWEST_STATUS = 100;
 
+    private final HeadScan head;
     private boolean bodyless;
     private boolean atStart = true;
+    private boolean inHead = true;
     private long receivedBytes;
 
     /**
@@ -40,7 +45,8 @@
      * @param limits the greatest lengths of lines, heads and decoded parts of bodies
      */
     public AnswerDecoder(HttpDecoderConfig limits) {
-        super(limits);
+        super(limits.setTrailersFactory(DiscardedFields.FACTORY));
+        head = new HeadScan(limits.getMaxInitialLineLength(), limits.getMaxHeaderSize());
     }
 
     /**
@@ -79,10 +85,18 @@
             out.add(failed(createInvalidMessage(), "the answer begins with no protocol name"));
             return;
         }
+        if (inHead) {
+            if (!head.isDecodable(buffer)) {
+                return;
+            }
+            head.restart();
+            inHead = false;
+        }
         int known = out.size();
         super.decode(context, buffer, out);
         for (Object message : out.subList(known, out.size())) {
             atStart |= message instanceof LastHttpContent;
+            inHead |= message instanceof LastHttpContent;
             if (message instanceof HttpResponse response) {
                 check(response);
             }
