Stop in order when memory runs out

Callers saw connections closed without an answer, and later "connection refused": an OutOfMemoryError on the event loop closed the connection on which it came up, silently and one by one, and the process went on without its timers, or ended with status 1 once its main thread had died of it. The log said nothing.

That the whole process ends in order after a real OutOfMemoryError is not shown by a test.

--- a/node/src/main/java/org/carawaysill/node/NodeMain.java
+++ b/node/src/main/java/org/carawaysill/node/NodeMain.java
@@ -77,7 +77,7 @@
 
     private static void run(NodeSettings settings, NodePolicyFactory policies) {
         NodeProcess process = NodeProcess.builder(settings, policies).build();
-        LibraryLog.install(process.services().require(Counters.NAME, Counters.class));
+        LibraryLog.install(process.services().require(Counters.NAME, Counters.class), _ -> {});
         try {
             process.start().join();
         } catch (CompletionException failure) {
--- a/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
@@ -338,6 +338,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        server.failed(cause);
         server.countFault(ConnectionFault.BROKEN);
         context.close();
     }
--- a/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
@@ -35,6 +35,7 @@
 import org.carawaysill.model.request.UnwrittenAnswers;
 import org.carawaysill.node.exchange.BodyBudget;
 import org.carawaysill.node.fleet.DecisionLog;
+import org.carawaysill.node.memory.MemoryFaults;
 import org.carawaysill.node.observation.BadRequest;
 import org.carawaysill.node.observation.ConnectionFault;
 import org.carawaysill.node.observation.Counters;
@@ -66,6 +67,7 @@
     private final BodyBudget bodies;
     private final Counters counters;
     private final DecisionLog log;
+    private final MemoryFaults memoryFaults;
     private final Consumer<FleetEvent> events;
     private final Map<ExchangeIdentifier, OpenExchange> exchanges = new HashMap<>();
     private final Set<EntryConnection> connections = new HashSet<>();
@@ -82,7 +84,7 @@
      * @param dialect the names of header fields
      * @param bodyMemory the maximum number of bytes of the bodies of all open exchanges together
      * @param events receives the events of requests
-     * @param registry provides the counters and the decision log
+     * @param registry provides the counters, the decision log and the watch for lack of memory
      */
     public EntryServer(
             EventLoop eventLoop,
@@ -109,6 +111,7 @@
                 .register(counters.registry());
         UnwrittenGauge.register(counters.registry(), "entry_unwritten", "clients", this::unwritten);
         log = registry.require(DecisionLog.NAME, DecisionLog.class);
+        memoryFaults = registry.require(MemoryFaults.NAME, MemoryFaults.class);
     }
 
     @Override
@@ -286,6 +289,11 @@
         log.badRequest(requestName, kind);
     }
 
+    /** Notes that a connection failed. */
+    void failed(Throwable cause) {
+        memoryFaults.check(cause);
+    }
+
     void countFault(ConnectionFault fault) {
         counters.count(fault);
     }
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetAdmin.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetAdmin.java
@@ -36,6 +36,7 @@
 import org.carawaysill.model.error.CarawaysillException;
 import org.carawaysill.model.identity.NetworkAddress;
 import org.carawaysill.model.request.Step;
+import org.carawaysill.node.memory.MemoryFaults;
 import org.carawaysill.node.observation.Counters;
 
 /**
@@ -56,6 +57,7 @@
     private final Set<NetworkAddress> addresses = new LinkedHashSet<>();
     private final List<Channel> servers = new ArrayList<>();
     private final Counters counters;
+    private final MemoryFaults memoryFaults;
     private final String readyPath;
     private boolean ready;
 
@@ -65,6 +67,7 @@
         addresses.add(settings.admin());
         addresses.add(settings.metrics());
         counters = registry.require(Counters.NAME, Counters.class);
+        memoryFaults = registry.require(MemoryFaults.NAME, MemoryFaults.class);
     }
 
     @Override
@@ -163,6 +166,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            memoryFaults.check(cause);
             context.close();
         }
     }
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetLoop.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetLoop.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.carawaysill.kernel.service.Service;
 import org.carawaysill.model.request.Step;
+import org.carawaysill.node.memory.MemoryFaults;
 import org.carawaysill.node.observation.Counters;
 import org.carawaysill.node.observation.StateLog;
 import org.carawaysill.node.policy.NodeClock;
@@ -39,6 +40,7 @@
     private final Counters counters;
     private final ArrayDeque<FleetEvent> waiting = new ArrayDeque<>();
     private Consumer<FleetEffect> effects = _ -> {};
+    private Optional<MemoryFaults> memoryFaults = Optional.empty();
     private @Nullable ScheduledFuture<?> wake;
     private long wakeNanos = Long.MAX_VALUE;
     private long lastNanos = Long.MIN_VALUE;
@@ -62,6 +64,11 @@
         effects = receiver;
     }
 
+    /** Sets who is told that memory ran out. */
+    void memoryFaults(MemoryFaults receiver) {
+        memoryFaults = Optional.of(receiver);
+    }
+
     /**
      * Passes an event to the policy. May be called on any thread.
      *
@@ -86,6 +93,8 @@
             while (!waiting.isEmpty()) {
                 decide(waiting.poll());
             }
+        } catch (OutOfMemoryError fault) {
+            memoryFaults.ifPresent(receiver -> receiver.check(fault));
         } finally {
             deciding = false;
         }
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -15,6 +15,7 @@
 import org.carawaysill.kernel.service.ServiceRegistry;
 import org.carawaysill.node.entry.EntryServer;
 import org.carawaysill.node.lifecycle.EventLoopFactory;
+import org.carawaysill.node.memory.MemoryFaults;
 import org.carawaysill.node.observation.Counters;
 import org.carawaysill.node.policy.NodeClock;
 import org.carawaysill.node.upstream.CopyConnections;
@@ -41,6 +42,7 @@
     private final ServiceRegistry registry = new ServiceRegistry();
     private final CompletableFuture<Void> stopCompletion = new CompletableFuture<>();
     private final FleetLoop loop;
+    private final MemoryFaults memoryFaults;
     private final EntryServer entry;
     private final CopyConnections copy;
     private final FleetPeers peers;
@@ -74,6 +76,8 @@
         FleetPolicy policy =
                 new FleetPolicy(settings.policy(), decoder, new SplittableRandom(seed(settings, start)), start);
         loop = registry.register(new FleetLoop(eventLoop, policy, NodeClock.SYSTEM, counters));
+        memoryFaults = registry.register(new MemoryFaults(this::orderStop));
+        loop.memoryFaults(memoryFaults);
         long bodyMemory = Runtime.getRuntime().maxMemory() / HEAP_PARTS_FOR_BODIES;
         copy = registry.register(new CopyConnections(
                 eventLoop, settings.policy().copyAddress(), settings.dialect(), bodyMemory, loop::handle, registry));
@@ -125,6 +129,15 @@
         loop.submit(new FleetEvent.SettingsChanged(settings.policy()));
     }
 
+    /**
+     * Begins a planned stop if memory ran out.
+     *
+     * @param cause what failed
+     */
+    public void failed(Throwable cause) {
+        memoryFaults.check(cause);
+    }
+
     /** Begins a planned stop: the node finishes its requests, and then {@link #stopCompletion} completes. */
     public void orderStop() {
         loop.submit(new FleetEvent.StopRequested());
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetPeers.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetPeers.java
@@ -8,6 +8,7 @@
 import org.carawaysill.kernel.service.ServiceRegistry;
 import org.carawaysill.model.identity.NodeName;
 import org.carawaysill.model.request.UnwrittenAnswers;
+import org.carawaysill.node.memory.MemoryFaults;
 import org.carawaysill.node.observation.Counters;
 import org.carawaysill.node.observation.UnwrittenGauge;
 import org.carawaysill.node.peer.LinkFaultLog;
@@ -15,6 +16,7 @@
 import org.carawaysill.policy.fleet.FleetEvent;
 import org.carawaysill.policy.message.PeerMessage;
 import org.carawaysill.protocol.link.LinkFault;
+import org.carawaysill.protocol.link.LinkFaultKind;
 import org.carawaysill.protocol.link.LinkLimits;
 import org.carawaysill.protocol.link.PeerLink;
 import org.carawaysill.protocol.link.PeerListener;
@@ -43,9 +45,11 @@
     private final int port;
     private final FleetLoop loop;
     private final LinkFaultLog faults = new LinkFaultLog();
+    private final MemoryFaults memoryFaults;
 
     FleetPeers(FleetNodeSettings settings, long incarnation, EventLoop eventLoop, ServiceRegistry registry) {
         this.loop = registry.require(FleetLoop.NAME, FleetLoop.class);
+        memoryFaults = registry.require(MemoryFaults.NAME, MemoryFaults.class);
         this.port = settings.peer().port();
         this.link = PeerLink.builder()
                 .self(settings.policy().self())
@@ -129,5 +133,8 @@
     @Override
     public void fault(LinkFault fault) {
         faults.record(fault);
+        if (fault.kind() == LinkFaultKind.OUT_OF_MEMORY) {
+            memoryFaults.outOfMemory(fault.detail());
+        }
     }
 }
--- a/node/src/main/java/org/carawaysill/node/observation/LibraryLog.java
+++ b/node/src/main/java/org/carawaysill/node/observation/LibraryLog.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
@@ -19,10 +20,13 @@
 
     private final Counters counters;
 
+    private final Consumer<Throwable> failures;
+
     private final Set<String> loggedLoggers = ConcurrentHashMap.newKeySet();
 
-    private LibraryLog(Counters counters) {
+    private LibraryLog(Counters counters, Consumer<Throwable> failures) {
         this.counters = counters;
+        this.failures = failures;
         setLevel(Level.WARNING);
     }
 
@@ -30,10 +34,11 @@
      * Installs the handler in place of all other handlers of this process.
      *
      * @param counters counts the warnings
+     * @param failures receives what the warnings are about
      */
-    public static void install(Counters counters) {
+    public static void install(Counters counters, Consumer<Throwable> failures) {
         LogManager.getLogManager().reset();
-        Logger.getLogger("").addHandler(new LibraryLog(counters));
+        Logger.getLogger("").addHandler(new LibraryLog(counters, failures));
     }
 
     @Override
@@ -42,6 +47,9 @@
             return;
         }
         counters.libraryWarning();
+        if (entry.getThrown() != null) {
+            failures.accept(entry.getThrown());
+        }
         if (loggedLoggers.add(entry.getLoggerName())) {
             StateLog.library(entry.getLoggerName(), String.valueOf(entry.getMessage()));
         }
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnection.java
@@ -331,6 +331,7 @@
      */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        pool.failed(cause);
         close(ConnectionEnd.COPY_RESET);
         if (exchange.isPresent()) {
             lost();
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -36,6 +36,7 @@
 import org.carawaysill.node.entry.WireDialect;
 import org.carawaysill.node.exchange.BodyBudget;
 import org.carawaysill.node.fleet.DecisionLog;
+import org.carawaysill.node.memory.MemoryFaults;
 import org.carawaysill.node.observation.ConnectionEnd;
 import org.carawaysill.node.observation.ConnectionFault;
 import org.carawaysill.node.observation.Counters;
@@ -86,6 +87,7 @@
     private final UnreadFields unreadFields;
     private final Counters counters;
     private final DecisionLog log;
+    private final MemoryFaults memoryFaults;
     private final Consumer<FleetEvent> events;
     private final Bootstrap bootstrap;
     private final ArrayDeque<CopyConnection> idle = new ArrayDeque<>();
@@ -102,7 +104,7 @@
      * @param dialect the names of header fields
      * @param answerMemory how many bytes of the bodies of unfinished answers are kept in memory
      * @param events receives the events of answers
-     * @param registry provides the counters and the decision log
+     * @param registry provides the counters, the decision log and the watch for lack of memory
      */
     public CopyConnections(
             EventLoop eventLoop,
@@ -119,6 +121,7 @@
         noticeReader = new NoticeReader(dialect);
         counters = registry.require(Counters.NAME, Counters.class);
         log = registry.require(DecisionLog.NAME, DecisionLog.class);
+        memoryFaults = registry.require(MemoryFaults.NAME, MemoryFaults.class);
         unreadFields = new UnreadFields(dialect, this::reportUnread);
         bootstrap = new Bootstrap()
                 .group(eventLoop)
@@ -406,6 +409,11 @@
         log.copyConnectionEnded(exchange.request(), reason, answerBytes, exchange.age(), exchange.rested());
     }
 
+    /** Notes that a connection failed. */
+    void failed(Throwable cause) {
+        memoryFaults.check(cause);
+    }
+
     void count(ConnectionFault fault) {
         counters.count(fault);
     }
--- a/node/src/test/java/org/carawaysill/node/testing/LoopBench.java
+++ b/node/src/test/java/org/carawaysill/node/testing/LoopBench.java
@@ -13,6 +13,7 @@
 import org.carawaysill.kernel.service.ServiceRegistry;
 import org.carawaysill.node.entry.WireDialect;
 import org.carawaysill.node.fleet.DecisionLog;
+import org.carawaysill.node.memory.MemoryFaults;
 import org.carawaysill.node.observation.Counters;
 import org.carawaysill.policy.fleet.FleetEvent;
 
@@ -46,6 +47,7 @@
     public LoopBench() {
         registry.register(new Counters(new PrometheusRegistry()));
         registry.register(new DecisionLog());
+        registry.register(new MemoryFaults(() -> {}));
     }
 
     public EventLoop eventLoop() {
--- a/protocol/src/main/java/org/carawaysill/protocol/link/LinkFaultKind.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/LinkFaultKind.java
@@ -34,6 +34,8 @@
     MALFORMED(Step.PEER_WAIT),
     /** The peer did not read the data sent to it in time. */
     SLOW_READER(Step.PEER_SEND),
+    /** There was no memory to read or write a frame. */
+    OUT_OF_MEMORY(Step.PEER_WAIT),
     /** Reading from the connection or writing to it failed. */
     BROKEN(Step.PEER_WAIT);
 
@@ -56,6 +58,7 @@
         return switch (cause) {
             case TooLongFrameException _ -> OVERSIZE;
             case CorruptedFrameException _ -> MALFORMED;
+            case OutOfMemoryError _ -> OUT_OF_MEMORY;
             default -> BROKEN;
         };
     }
