Bound what requests of other nodes take at the copy's node

Callers saw 502 where many nodes sent large requests to one copy: the node beside it held as many heads as its slots and its queue allow, and a body for each running request, uncounted.

RunTable counts what each request of another node holds, from its arrival until its end on every way out, and its body when that follows. Beyond a quarter of the heap a request is refused as not run (queue_full), so that its sender tries another copy; a body that does not fit gives its slot up. A request that is alone is always taken.

CopyGateTest.RequestsOfOtherNodes: there was no bound before. Gauge received_request_bytes.

--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -78,6 +78,7 @@
         loop = registry.register(new FleetLoop(eventLoop, policy, NodeClock.SYSTEM, counters));
         memoryFaults = registry.register(new MemoryFaults(this::orderStop));
         loop.memoryFaults(memoryFaults);
+        copyGauges.showReceived(policy::receivedBytes, settings.policy().maximumReceivedBytes());
         long bodyMemory = Runtime.getRuntime().maxMemory() / HEAP_PARTS_FOR_BODIES;
         copy = registry.register(new CopyConnections(
                 eventLoop, settings.policy().copyAddress(), settings.dialect(), bodyMemory, loop::handle, registry));
--- a/node/src/test/java/org/carawaysill/node/fleet/FleetNodeTest.java
+++ b/node/src/test/java/org/carawaysill/node/fleet/FleetNodeTest.java
@@ -54,6 +54,7 @@
                 Duration.ofSeconds(5),
                 new RetrySettings(0.2, 10, Duration.ofSeconds(10)),
                 AllowanceBounds.STRICT,
+                1_000_000,
                 Set.of());
         return new FleetNodeSettings(policy, ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT, WireDialect.OWN);
     }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetPolicy.java
@@ -380,6 +380,15 @@
         }
     }
 
+    /**
+     * Returns the memory of the requests for the local copy that other nodes sent.
+     *
+     * @return the number of bytes
+     */
+    public long receivedBytes() {
+        return localRuns.receivedBytes();
+    }
+
     /**
      * Returns when the policy must be woken if no event occurs before.
      *
--- a/policy/src/main/java/org/carawaysill/policy/fleet/FleetSettings.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/FleetSettings.java
@@ -23,6 +23,7 @@
  * @param stopLimit the time that a planned stop may take before the process is killed
  * @param retries the bound of retries in the whole fleet
  * @param allowances how far the requests of an organisation may exceed its allowance in the whole fleet
+ * @param maximumReceivedBytes how much memory requests of other nodes for the local copy may take
  * @param disabledMechanisms mechanisms that are switched off to measure their effect; empty in normal operation
  */
 public record FleetSettings(
@@ -34,6 +35,7 @@
         Duration stopLimit,
         RetrySettings retries,
         AllowanceBounds allowances,
+        long maximumReceivedBytes,
         Set<Mechanism> disabledMechanisms) {
 
     public FleetSettings {
--- a/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/LocalRuns.java
@@ -61,7 +61,7 @@
     LocalRuns(FleetSettings settings, Effects effects, CrashSuspects suspects) {
         this.effects = effects;
         this.suspects = suspects;
-        gate = new CopyGate(settings.disabledMechanisms());
+        gate = new CopyGate(settings.disabledMechanisms(), settings.maximumReceivedBytes());
         notices = new CopyNotices(effects, gate);
         answers = new RunAnswers(effects, gate, notices);
         places = new BodyPlaces(effects);
@@ -89,6 +89,11 @@
         return gate.all().size();
     }
 
+    /** Returns the memory of the requests that other nodes sent. */
+    long receivedBytes() {
+        return gate.receivedBytes();
+    }
+
     /** Returns the number of requests that were sent to the copy. */
     long runningCount() {
         return gate.all().stream().filter(LocalRun::isSentToCopy).count();
@@ -224,6 +229,10 @@
             answers.refuse(now, run, RefusalReason.DRAINING, Step.QUEUE);
             return;
         }
+        if (!gate.hasMemoryFor(run)) {
+            answers.refuse(now, run, RefusalReason.QUEUE_FULL, Step.QUEUE);
+            return;
+        }
         if (run.request().bodyFollows()) {
             // It is compared with suspected requests once it is whole.
             offer(now, run);
@@ -300,9 +309,14 @@
     void bodyReceived(long now, NodeName from, AttemptBody message) {
         endLapsedPlaces(now);
         places.bodyArrived(gate.find(message.attempt()), from).ifPresent(run -> {
+            if (!gate.hasMemoryFor(run, message.body())) {
+                endPlace(now, run, BodyCount.PLACE_RELEASED, RefusalReason.QUEUE_FULL);
+                startNext(now);
+                return;
+            }
             CopyRequest whole = HeldPlaces.whole(now, run, message.body());
             if (suspects.isClear(now, whole) && localCopy.takes(now, whole.copy())) {
-                run.bodyArrived(now, whole);
+                gate.bodyArrived(now, run, whole);
                 sendToCopy(run);
             } else {
                 release(now, run, CopyGate.Ending.BROKEN_OFF);
--- a/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/copy/CopyGate.java
@@ -4,16 +4,16 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.carawaysill.model.identity.AttemptIdentifier;
+import org.carawaysill.model.request.Body;
 import org.carawaysill.policy.fleet.mechanism.Mechanism;
 import org.carawaysill.policy.fleet.schedule.ServiceWork;
+import org.carawaysill.policy.message.PeerMessage.CopyRequest;
 import org.carawaysill.policy.message.PeerMessage.LoadReport;
 import org.carawaysill.policy.time.Nanos;
 
@@ -36,7 +36,7 @@
     /** After this time it is looked at again whether work that is held back may have a free slot. */
     private static final long HELD_BACK_NANOS = Duration.ofMillis(100).toNanos();
 
-    private final Map<AttemptIdentifier, LocalRun> runs = new HashMap<>();
+    private final RunTable runs;
     private final Comparator<LocalRun> order;
     private final SuspectQueue suspects = new SuspectQueue();
     private final StartPacer pacer = new StartPacer();
@@ -52,8 +52,10 @@
      * Creates a gate in front of a copy whose record is still unknown.
      *
      * @param disabledMechanisms the mechanisms that are switched off
+     * @param maximumReceivedBytes how much memory requests of other nodes may take
      */
-    public CopyGate(Set<Mechanism> disabledMechanisms) {
+    public CopyGate(Set<Mechanism> disabledMechanisms, long maximumReceivedBytes) {
+        runs = new RunTable(maximumReceivedBytes);
         order = disabledMechanisms.contains(Mechanism.OLDEST_FIRST) ? LocalRun.DEEPEST_FIRST : LocalRun.OLDEST_FIRST;
         limit = new RunLimit(!disabledMechanisms.contains(Mechanism.NEAR_FULL_LIMIT));
         dividesSlots = !disabledMechanisms.contains(Mechanism.WORK_CLASSES);
@@ -83,7 +85,7 @@
         Collection<LocalRun> waiting = List.copyOf(line.waiting());
         line = wanted.<WaitingLine>map(needs -> new ClassedLine(now, needs, orderInClass))
                 .orElseGet(() -> new SingleLine(order));
-        runs.values().stream().filter(LocalRun::isRunning).forEach(run -> line.started(now, run));
+        runs.all().stream().filter(LocalRun::isRunning).forEach(run -> line.started(now, run));
         waiting.forEach(line::addReleased);
         return true;
     }
@@ -156,8 +158,7 @@
      * refusals: the limit returns to all slots.
      */
     public void refused() {
-        limit.refused(
-                (int) runs.values().stream().filter(LocalRun::isSentToCopy).count());
+        limit.refused((int) runs.all().stream().filter(LocalRun::isSentToCopy).count());
     }
 
     /** Notes that the copy answered, and raises a lowered limit. */
@@ -165,6 +166,47 @@
         limit.answered();
     }
 
+    /**
+     * Returns whether there is memory for a request that is to wait or run.
+     *
+     * @param run the request
+     * @return whether there is; always for a request that entered at this node
+     */
+    public boolean hasMemoryFor(LocalRun run) {
+        return runs.hasRoom(run);
+    }
+
+    /**
+     * Returns whether there is memory for the body of a request that holds a place.
+     *
+     * @param run the request
+     * @param body its body
+     * @return whether there is
+     */
+    public boolean hasMemoryFor(LocalRun run, Body body) {
+        return runs.hasRoom(run, body);
+    }
+
+    /**
+     * Returns the memory of the requests that other nodes sent.
+     *
+     * @return the number of bytes
+     */
+    public long receivedBytes() {
+        return runs.receivedBytes();
+    }
+
+    /**
+     * Notes that the body of a request that holds a place has arrived.
+     *
+     * @param now the monotonic time
+     * @param run the request
+     * @param whole the request with its body
+     */
+    public void bodyArrived(long now, LocalRun run, CopyRequest whole) {
+        runs.bodyArrived(now, run, whole);
+    }
+
     /**
      * Offers a request: starts it, queues it or refuses it.
      *
@@ -195,7 +237,7 @@
         }
         Offered offered = line.add(now, run, slots, queueCapacity());
         if (offered instanceof Offered.Waits(Optional<LocalRun> evicted)) {
-            runs.put(run.request().attempt(), run);
+            runs.put(run);
             evicted.ifPresent(this::forget);
         }
         return offered;
@@ -231,7 +273,7 @@
         if (suspects.waiting().size() >= queueCapacity()) {
             return false;
         }
-        runs.put(run.request().attempt(), run);
+        runs.put(run);
         suspects.add(run);
         return true;
     }
@@ -267,14 +309,14 @@
     }
 
     private void start(long now, LocalRun run) {
-        runs.put(run.request().attempt(), run);
+        runs.put(run);
         running++;
         run.start(now, running);
         line.started(now, run);
     }
 
     private void forget(LocalRun run) {
-        runs.remove(run.request().attempt());
+        runs.remove(run);
         suspects.remove(run);
         if (!run.isRunning()) {
             line.remove(run);
@@ -288,7 +330,7 @@
      * @return the request
      */
     public Optional<LocalRun> find(AttemptIdentifier attempt) {
-        return Optional.ofNullable(runs.get(attempt));
+        return runs.find(attempt);
     }
 
     /**
@@ -457,7 +499,7 @@
      * @return whether the gate is empty
      */
     public boolean isEmpty() {
-        return runs.isEmpty();
+        return runs.all().isEmpty();
     }
 
     /**
@@ -466,6 +508,6 @@
      * @return the requests
      */
     public List<LocalRun> all() {
-        return List.copyOf(runs.values());
+        return List.copyOf(runs.all());
     }
 }
--- a/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/VirtualFleet.java
@@ -54,6 +54,9 @@
 final class VirtualFleet {
 
     static final long MILLI = 1_000_000;
+    /** A quarter of the heap of a deployed node. */
+    static final long RECEIVED_BYTES = 12L << 20;
+
     static final Duration DRAIN_LIMIT = Duration.ofSeconds(2);
     static final Duration STOP_LIMIT = Duration.ofSeconds(6);
 
@@ -351,6 +354,7 @@
                     stopLimit,
                     new RetrySettings(0.2, 48, Duration.ofSeconds(10)),
                     new AllowanceBounds(Duration.ofSeconds(5), 0.25, 20),
+                    RECEIVED_BYTES,
                     disabledMechanisms);
         }
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyGateTest.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/copy/CopyGateTest.java
@@ -1,6 +1,7 @@
 package org.carawaysill.policy.fleet.copy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -27,7 +28,7 @@
 
     private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
-    private final CopyGate gate = new CopyGate(Set.of());
+    private final CopyGate gate = new CopyGate(Set.of(), Long.MAX_VALUE);
     private long attempts;
 
     private LocalRun run(int rank, int depth, long remainingNanos) {
@@ -35,7 +36,12 @@
     }
 
     private LocalRun run(int rank, int depth, long rootAgeNanos, long remainingNanos) {
-        CopyRequest request = new CopyRequest(
+        return new LocalRun(request(rank, depth, rootAgeNanos, remainingNanos, false, Body.EMPTY), Optional.empty(), 0);
+    }
+
+    private CopyRequest request(
+            int rank, int depth, long rootAgeNanos, long remainingNanos, boolean bodyFollows, Body body) {
+        return new CopyRequest(
                 new AttemptIdentifier(0, ++attempts),
                 "request-" + attempts,
                 new ServiceName("deep"),
@@ -52,9 +58,8 @@
                 OptionalDouble.empty(),
                 "route",
                 new NodeName("10.0.0.1"),
-                false,
-                new RequestContent("GET", "/", List.of(), Body.EMPTY));
-        return new LocalRun(request, Optional.empty(), 0);
+                bodyFollows,
+                new RequestContent("GET", "/", List.of(), body));
     }
 
     private void fill(int slots) {
@@ -77,7 +82,7 @@
          */
         @Test
         void isByRankThenByWorkDoneThenByTimeLeft() {
-            CopyGate without = new CopyGate(Set.of(Mechanism.OLDEST_FIRST));
+            CopyGate without = new CopyGate(Set.of(Mechanism.OLDEST_FIRST), Long.MAX_VALUE);
             fill(without, 1);
             LocalRun running = without.all().getFirst();
             LocalRun lookup = run(2, 3, SECOND);
@@ -132,7 +137,7 @@
 
         private static final int SLOTS = 20;
 
-        private final CopyGate full = new CopyGate(Set.of(Mechanism.NEAR_FULL_LIMIT));
+        private final CopyGate full = new CopyGate(Set.of(Mechanism.NEAR_FULL_LIMIT), Long.MAX_VALUE);
 
         private int limitAfter(int refusals) {
             full.limit(0, SLOTS);
@@ -168,6 +173,60 @@
         }
     }
 
+    @Nested
+    class RequestsOfOtherNodes {
+
+        private static final int MEMORY_BYTES = 100_000;
+        private static final int BODY_BYTES = 30_000;
+
+        private final CopyGate bounded = new CopyGate(Set.of(), MEMORY_BYTES);
+
+        private LocalRun received(boolean bodyFollows, int bodyBytes) {
+            CopyRequest request = request(0, 0, 0, SECOND, bodyFollows, Body.wrap(new byte[bodyBytes]));
+            return new LocalRun(request, Optional.of(new NodeName("10.0.0.2")), 0);
+        }
+
+        private void offer(LocalRun run) {
+            assertTrue(bounded.hasMemoryFor(run));
+            bounded.offer(0, run);
+        }
+
+        /** Guards against many nodes that send to one copy until the memory of its node is full. */
+        @Test
+        void areBoundedByTheirMemoryWhetherTheyWaitOrRun() {
+            bounded.limit(0, 1);
+            LocalRun first = received(false, BODY_BYTES);
+            offer(first);
+            offer(received(false, BODY_BYTES));
+            offer(received(false, BODY_BYTES));
+            assertFalse(bounded.hasMemoryFor(received(false, BODY_BYTES)));
+            bounded.finished(0, first, CopyGate.Ending.DONE);
+            assertTrue(bounded.hasMemoryFor(received(false, BODY_BYTES)));
+            bounded.takeWaiting();
+            assertEquals(0, bounded.receivedBytes());
+        }
+
+        /** Guards against bodies that arrive after their requests and are not counted. */
+        @Test
+        void areCountedWithTheirBodiesWhenTheseArrive() {
+            bounded.limit(0, 2);
+            LocalRun other = received(false, 2 * BODY_BYTES);
+            LocalRun awaiting = received(true, 0);
+            offer(other);
+            offer(awaiting);
+            assertFalse(bounded.hasMemoryFor(awaiting, Body.wrap(new byte[2 * BODY_BYTES])));
+            bounded.bodyArrived(0, awaiting, received(false, BODY_BYTES).request());
+            assertTrue(bounded.receivedBytes() > 3 * BODY_BYTES);
+        }
+
+        /** Guards against a single request within all limits that is refused while nothing else is there. */
+        @Test
+        void areAlwaysTakenAlone() {
+            bounded.limit(0, 1);
+            offer(received(false, 2 * MEMORY_BYTES));
+        }
+    }
+
     @Nested
     class Time {
 
--- a/policy/src/test/java/org/carawaysill/policy/fleet/copy/GateLoad.java
+++ b/policy/src/test/java/org/carawaysill/policy/fleet/copy/GateLoad.java
@@ -78,7 +78,7 @@
     GateLoad(long seed, int slots, Set<Mechanism> disabledMechanisms, ClassQueue.Order order) {
         random = new SplittableRandom(seed);
         this.slots = slots;
-        gate = new CopyGate(disabledMechanisms);
+        gate = new CopyGate(disabledMechanisms, Long.MAX_VALUE);
         gate.limit(0, slots);
         gate.serves(0, ServiceWork.of(SERVICE, routes()), order);
     }
