--- a/protocol/src/main/java/org/carawaysill/protocol/link/LinkLimits.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/LinkLimits.java
@@ -13,6 +13,7 @@
  *     unsent
  * @param socketBufferBytes the requested size of the operating system's socket buffers, for each direction
  * @param ringCapacity messages that may wait for the event loop; a power of two
+ * @param maximumUnknown how many accepted connections may be open whose other side has not said who it is
  * @param connectLimit how long a dial may take
  * @param greetingLimit how long the handshake may take
  * @param drainLimit how long a frame may wait to be written before its peer counts as a slow reader
@@ -27,6 +28,7 @@
         int highWaterMarkBytes,
         int socketBufferBytes,
         int ringCapacity,
+        int maximumUnknown,
         Duration connectLimit,
         Duration greetingLimit,
         Duration drainLimit,
@@ -43,6 +45,7 @@
         requirePositive("highWaterMarkBytes", highWaterMarkBytes);
         requirePositive("socketBufferBytes", socketBufferBytes);
         requirePositive("ringCapacity", ringCapacity);
+        requirePositive("maximumUnknown", maximumUnknown);
         requirePositive("connectLimit", connectLimit.toMillis());
         requirePositive("greetingLimit", greetingLimit.toMillis());
         requirePositive("drainLimit", drainLimit.toMillis());
@@ -83,6 +86,7 @@
         private int highWaterMarkBytes = 2 * MEBIBYTE;
         private int socketBufferBytes = 256 * KIBIBYTE;
         private int ringCapacity = 8192;
+        private int maximumUnknown = 512;
         private Duration connectLimit = Duration.ofSeconds(2);
         private Duration greetingLimit = Duration.ofSeconds(3);
         private Duration drainLimit = Duration.ofSeconds(5);
@@ -137,6 +141,17 @@
             return this;
         }
 
+        /**
+         * Sets how many accepted connections may be open whose other side has not said who it is.
+         *
+         * @param connections the number
+         * @return this builder
+         */
+        public Builder maximumUnknown(int connections) {
+            maximumUnknown = connections;
+            return this;
+        }
+
         /**
          * Sets how long a dial may take.
          *
@@ -217,6 +232,7 @@
                     highWaterMarkBytes,
                     socketBufferBytes,
                     ringCapacity,
+                    maximumUnknown,
                     connectLimit,
                     greetingLimit,
                     drainLimit,
--- a/protocol/src/main/java/org/carawaysill/protocol/link/PeerConnection.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/PeerConnection.java
@@ -80,6 +80,11 @@
         return peer().map(LinkIdentity::name).or(() -> dialled);
     }
 
+    /** Returns whether the other side dialled. */
+    boolean isAccepted() {
+        return dialled.isEmpty();
+    }
+
     /** Starts the handshake. */
     void start() {
         // Stored, since a closed channel no longer has it.
@@ -126,6 +131,7 @@
     /** Opens the connection for messages. */
     void open(LinkIdentity peer) {
         handshakeDeadline.stop();
+        table.identified(this);
         state = State.OPEN;
         table.opened(this, peer);
     }
--- a/protocol/src/main/java/org/carawaysill/protocol/link/PeerTable.java
+++ b/protocol/src/main/java/org/carawaysill/protocol/link/PeerTable.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,6 +31,10 @@
     private final LinkCounters counters = new LinkCounters();
     private final Map<NodeName, PeerConnection> open = new HashMap<>();
     private final Set<PeerConnection> connections = new HashSet<>();
+
+    /** Accepted connections whose other side has not said who it is, the oldest first. */
+    private final Set<PeerConnection> unknown = new LinkedHashSet<>();
+
     private Consumer<NodeName> onLost = _ -> {};
     private Optional<Runnable> onEmpty = Optional.empty();
     private Optional<Encoded> lastEncoded = Optional.empty();
@@ -87,11 +92,27 @@
 
     void add(PeerConnection connection) {
         connections.add(connection);
+        if (connection.isAccepted()) {
+            addUnknown(connection);
+        }
         if (onEmpty.isPresent()) {
             connection.closeGracefully();
         }
     }
 
+    /** Guards against connections that say nothing, which would use up the descriptors of the process. */
+    private void addUnknown(PeerConnection connection) {
+        if (unknown.size() >= limits.maximumUnknown()) {
+            unknown.iterator().next().end(LinkFaultKind.NO_HELLO, "newer connections need its descriptor");
+        }
+        unknown.add(connection);
+    }
+
+    /** Notes that the other side of a connection has said who it is. */
+    void identified(PeerConnection connection) {
+        unknown.remove(connection);
+    }
+
     /** Returns why a further connection of a peer must not be opened; empty if it may be. */
     Optional<LinkFaultKind> refusalReason(LinkIdentity peer) {
         PeerConnection existing = open.get(peer.name());
@@ -122,6 +143,7 @@
     /** Reports the end of a connection: first its unsent messages, then the loss. */
     void ended(PeerConnection connection, List<PeerMessage> unsent) {
         connections.remove(connection);
+        unknown.remove(connection);
         connection
                 .peer()
                 .map(LinkIdentity::name)
--- a/protocol/src/test/java/org/carawaysill/protocol/link/HostileInputTest.java
+++ b/protocol/src/test/java/org/carawaysill/protocol/link/HostileInputTest.java
@@ -124,6 +124,21 @@
             assertFaultAndClose(LinkFaultKind.NO_HELLO, RawPeer.dial(node));
         }
 
+        /** Guards against connections that say nothing, of which each occupies a descriptor until its time is over. */
+        @Test
+        void theOldestConnectionWithoutAHelloIsClosedForANewerOne() throws IOException {
+            stop();
+            start(TestNode.lenientLimits().maximumUnknown(2).build());
+            RawPeer oldest = RawPeer.dial(node);
+            RawPeer second = RawPeer.dial(node);
+            RawPeer peer = RawPeer.completeHandshake(node, "tracker-1", 1);
+            assertFaultAndClose(LinkFaultKind.NO_HELLO, oldest);
+            peer.writeBytes(PeerMessageCodec.encode(heartbeat(5)).toByteArray());
+            node.listener.await(new Report.Received(new NodeName("tracker-1"), heartbeat(5)));
+            peer.close();
+            second.close();
+        }
+
         @Test
         void messagesSentWithTheHelloAreReceivedAfterTheHandshake() throws IOException {
             RawPeer peer = RawPeer.dial(node);
