Count what clients make a node hold, and bound it

Callers saw "connection refused" and requests without an answer: clients that stay within all limits ended the node at which they entered, or took all its descriptors. Heads that arrived were decoded line by line and kept so; requests that waited kept their heads in the same form; trailers were kept though nobody reads them; only bodies were counted; connections were not bounded.

- A head stays in its buffer until it is complete, and trailers are dropped.
- MemoryAccount counts connections, input, requests, bodies and answers that are not read, against three eighths of the heap.
Bodies keep their quarter.
- Beyond half of it, or with a sixteenth taken by one connection, further requests of that connection wait; they stay undecoded, and nothing more is read only once they have arrived, so that the end of a connection without further requests is seen.
Before, that held for 64 open requests and the end was not seen.
- Requests that do not fit are refused with 503 as not run, with Retry-After, on a connection that stays open if there is no body to skip.
Large heads are refused at three quarters, so that usual requests find room beside them.
- Connections without a request that was passed on are closed for newer ones, first those that never sent one.
Of the descriptors in the settings, less 200 for files, clients have a half.
- An answer is encoded when it is written, and counted until it is read; without room, those who leave the most unread are closed.

--- a/node/src/main/java/org/carawaysill/node/entry/BodyBuffer.java
+++ b/node/src/main/java/org/carawaysill/node/entry/BodyBuffer.java
@@ -3,7 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import java.util.Arrays;
 import org.carawaysill.model.request.Body;
-import org.carawaysill.node.exchange.BodyBudget;
+import org.carawaysill.node.memory.Reservation;
 
 /**
  * The part of a request's body that has arrived.
@@ -13,13 +13,12 @@
  */
 final class BodyBuffer {
 
-    private final BodyBudget budget;
+    private final Reservation reservation;
     private byte[] bytes = new byte[0];
     private int length;
-    private int reserved;
 
-    BodyBuffer(BodyBudget budget) {
-        this.budget = budget;
+    BodyBuffer(Reservation reservation) {
+        this.reservation = reservation;
     }
 
     int length() {
@@ -38,37 +37,26 @@
         int needed = Math.max(length + count, statedLength);
         if (bytes.length < needed) {
             int roomy = Math.max(needed, Math.min(2 * bytes.length, length + 2 * count));
-            if (!reserve(roomy) && !reserve(needed)) {
+            if (!reservation.resize(roomy) && !reservation.resize(needed)) {
                 return false;
             }
-            bytes = Arrays.copyOf(bytes, reserved);
+            bytes = Arrays.copyOf(bytes, (int) reservation.bytes());
         }
         added.readBytes(bytes, length, count);
         length += count;
         return true;
     }
 
-    private boolean reserve(int needed) {
-        boolean hasRoom = budget.reserve(needed - reserved);
-        if (hasRoom) {
-            reserved = needed;
-        }
-        return hasRoom;
-    }
-
-    /** Returns the whole body and leaves none here; memory of its length stays reserved. */
+    /** Returns the whole body and leaves none here, nor a reservation for it. */
     Body take() {
         byte[] whole = bytes.length == length ? bytes : Arrays.copyOf(bytes, length);
-        budget.release(reserved - length);
-        reserved = 0;
         discard();
         return Body.wrap(whole);
     }
 
     /** Drops what has arrived, and its memory. */
     void discard() {
-        budget.release(reserved);
-        reserved = 0;
+        reservation.close();
         bytes = new byte[0];
         length = 0;
     }
--- a/node/src/main/java/org/carawaysill/node/entry/ConnectionOutput.java
+++ b/node/src/main/java/org/carawaysill/node/entry/ConnectionOutput.java
@@ -22,6 +22,7 @@
 final class ConnectionOutput extends ChannelOutboundHandlerAdapter {
 
     private final LongSupplier nanoTime;
+    private Runnable onProgress = () -> {};
     private int answers;
     private long bytes;
     private long progressNanos;
@@ -49,6 +50,16 @@
         context.write(message, written);
     }
 
+    /** Sets what is run whenever the operating system has accepted bytes. */
+    void onProgress(Runnable action) {
+        onProgress = action;
+    }
+
+    /** Returns the bytes that the operating system has not accepted. */
+    long bytes() {
+        return bytes;
+    }
+
     /** Notes that an answer is handed over. */
     void answerBegins() {
         answers++;
@@ -115,6 +126,7 @@
             remaining -= count;
             bytes -= count;
             progressNanos = nanoTime.getAsLong();
+            onProgress.run();
         }
     }
 }
--- a/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
@@ -1,6 +1,7 @@
 package org.carawaysill.node.entry;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
@@ -8,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequest;
@@ -20,12 +22,15 @@
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Optional;
 import org.carawaysill.model.fleet.ClientLimits;
 import org.carawaysill.model.identity.ExchangeIdentifier;
+import org.carawaysill.model.request.AnswerContent;
 import org.carawaysill.model.request.Body;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.UnwrittenAnswers;
+import org.carawaysill.node.memory.Holder;
 import org.carawaysill.node.observation.BadRequest;
 import org.carawaysill.node.observation.ConnectionFault;
 import org.carawaysill.policy.fleet.FleetEvent;
@@ -34,13 +39,13 @@
  * The connection of a client.
  *
  * <p>Pipelined requests are processed concurrently; their answers are written in the order of the requests. Invariants:
- * each complete request gets one answer or the connection ends; after an answer that closes the connection, no further
- * input is processed. Not thread safe: confined to the event loop.
+ * each complete request gets one answer or the connection ends; behind a request whose answer closes the connection, no
+ * further one is processed. Not thread safe: confined to the event loop.
  */
 final class EntryConnection extends ChannelInboundHandlerAdapter {
 
     /**
-     * The number of open exchanges at which reading from the client pauses. Guards against a client that keeps sending
+     * The number of open exchanges at which no further request of the client is decoded. Guards against a client that keeps sending
      * requests without reading the answers.
      */
     private static final int MAXIMUM_OPEN_EXCHANGES = 64;
@@ -51,54 +56,83 @@
      */
     private static final Duration READ_LIMIT = Duration.ofSeconds(20);
 
+    /** What the node's own fields and its explanation of a refusal take beside the copy's answer. */
+    private static final int REFUSAL_BYTES = 512;
+
     /** How long a client whose request was malformed or too large may go on sending after the answer that says so. */
     private static final Duration REJECTED_LINGER = Duration.ofSeconds(1);
 
+    /** The order in which connections are closed if there is no room for all. */
+    static final Comparator<EntryConnection> LEAST_NEEDED_FIRST = Comparator.<EntryConnection, Boolean>comparing(
+                    connection -> connection.completedRequest)
+            .thenComparingLong(EntryConnection::waitingSinceNanos);
+
     private final EntryServer server;
     private final ConnectionOutput output;
+    private final StrictRequestDecoder decoder;
+    private final ConnectionMemory memory;
     private final ArrayDeque<EntryExchange> open = new ArrayDeque<>();
     private Optional<ChannelHandlerContext> channel = Optional.empty();
     private Optional<RequestHead> head = Optional.empty();
     private final BodyBuffer body;
     private boolean rejecting;
+    private boolean inputEnded;
+    private boolean completedRequest;
+    private long waitingAnswerBytes;
     private boolean closing;
+    private boolean closed;
+    private long openedNanos;
     private long lastProgressNanos;
     private boolean receiving;
     private boolean headStarted;
     private long headStartNanos;
 
-    EntryConnection(EntryServer server, ConnectionOutput output) {
+    EntryConnection(EntryServer server, ConnectionOutput output, HttpDecoderConfig limits) {
         this.server = server;
         this.output = output;
-        body = new BodyBuffer(server.bodies());
+        decoder = new StrictRequestDecoder(limits, this::takesRequest);
+        memory = new ConnectionMemory(server.memory());
+        body = new BodyBuffer(server.memory().reservation(Holder.BODIES));
+        output.onProgress(this::holdAnswers);
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = Optional.of(context);
-        lastProgressNanos = server.nanoTime();
-        server.opened(this);
+        openedNanos = server.nanoTime();
+        lastProgressNanos = openedNanos;
+        if (!server.connections().add(this)) {
+            end(ConnectionFault.TOO_MANY);
+        }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        server.closed(this);
+        releaseAll();
+    }
+
+    /** Gives back what the connection holds, and ends its requests. */
+    private void releaseAll() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        server.connections().remove(this);
         discardBody();
         while (!open.isEmpty()) {
             EntryExchange exchange = open.poll();
             server.removeExchange(exchange);
             if (exchange.answer().isEmpty()) {
                 server.emit(new FleetEvent.ExchangeClosed(exchange.identifier()));
-            } else {
-                exchange.answer().get().release();
             }
         }
+        memory.close();
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            if (!closing) {
+            if (!closing && !inputEnded) {
                 receive(context, message);
             }
         } finally {
@@ -107,8 +141,8 @@
     }
 
     private void receive(ChannelHandlerContext context, Object message) {
-        receiving = true;
         if (message instanceof HttpRequest request) {
+            receiving = true;
             beginRequest(context, request);
         }
         if (message instanceof HttpContent content && !rejecting) {
@@ -131,10 +165,15 @@
             refuse(bad.get(), read.requestName());
             return;
         }
-        if (!server.bodies().hasRoom(read.statedLength())) {
+        if (!server.makeRoomForBody(
+                this, read.statedLength(), () -> server.memory().hasRoom(Holder.BODIES, read.statedLength()))) {
             refuse(BadRequest.BODIES_FILL_MEMORY, read.requestName());
             return;
         }
+        if (!server.makeRoomForRequest(this, () -> memory.holdRequest(read.byteCount()))) {
+            refuseForMemory(read);
+            return;
+        }
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -169,24 +208,27 @@
     private void append(ByteBuf bytes) {
         if (body.length() + (long) bytes.readableBytes() > server.limits().bodyBytes()) {
             refuse(BadRequest.BODY_TOO_LARGE, requestName());
-        } else if (!body.append(bytes, head.map(RequestHead::statedLength).orElse(0))) {
+        } else if (!server.makeRoomForBody(this, bytes.readableBytes(), () -> body.append(bytes, statedLength()))) {
             refuse(BadRequest.BODIES_FILL_MEMORY, requestName());
         }
     }
 
+    private int statedLength() {
+        return head.map(RequestHead::statedLength).orElse(0);
+    }
+
     private void endRequest(RequestHead read) {
         Body whole = body.take();
+        memory.holdBody(whole.length());
         ExchangeIdentifier identifier = server.nextIdentifier();
-        EntryExchange exchange =
-                new EntryExchange(identifier, read.requestName(), read.isHead(), !read.keepsAlive(), whole.length());
+        EntryExchange exchange = exchange(identifier, read, whole.length());
         head = Optional.empty();
         receiving = false;
+        completedRequest = true;
+        inputEnded = exchange.isClosing();
         lastProgressNanos = server.nanoTime();
         open.add(exchange);
         server.addExchange(exchange, this);
-        if (open.size() >= MAXIMUM_OPEN_EXCHANGES) {
-            channel.ifPresent(context -> context.channel().config().setAutoRead(false));
-        }
         server.emit(new FleetEvent.RequestArrived(
                 identifier,
                 read.requestName(),
@@ -196,48 +238,127 @@
                 read.content(whole)));
     }
 
+    private static EntryExchange exchange(ExchangeIdentifier identifier, RequestHead read, int bodyBytes) {
+        return new EntryExchange(
+                identifier, read.requestName(), read.isHead(), !read.keepsAlive(), read.byteCount(), bodyBytes);
+    }
+
     private String requestName() {
         return head.map(RequestHead::requestName).orElse("");
     }
 
     private void discardBody() {
         body.discard();
+        head.ifPresent(read -> memory.releaseHead(read.byteCount()));
         head = Optional.empty();
     }
 
+    /** Refuses a request for which there is no memory; if it has no body, the connection stays usable. */
+    private void refuseForMemory(RequestHead read) {
+        server.connections().refused();
+        if (!read.whole()) {
+            refuse(BadRequest.REQUESTS_FILL_MEMORY, read.requestName());
+            return;
+        }
+        rejecting = true;
+        receiving = false;
+        completedRequest = true;
+        inputEnded = !read.keepsAlive();
+        server.countBadRequest(BadRequest.REQUESTS_FILL_MEMORY, read.requestName());
+        EntryExchange refused =
+                new EntryExchange(server.nextIdentifier(), read.requestName(), read.isHead(), !read.keepsAlive(), 0, 0);
+        addAnswered(refused, BadRequest.REQUESTS_FILL_MEMORY);
+    }
+
     /** Answers a request that can't be accepted, after the pending answers, and then closes the connection. */
     private void refuse(BadRequest kind, String requestName) {
         discardBody();
         rejecting = true;
+        inputEnded = true;
         receiving = false;
         server.countBadRequest(kind, requestName);
-        EntryExchange exchange = new EntryExchange(server.nextIdentifier(), requestName, false, true, 0);
-        exchange.answer(server.answers().ofBad(kind, exchange));
-        open.add(exchange);
+        addAnswered(new EntryExchange(server.nextIdentifier(), requestName, false, true, 0, 0), kind);
+    }
+
+    private void addAnswered(EntryExchange refused, BadRequest kind) {
+        refused.answer(
+                new EntryExchange.Answer(REFUSAL_BYTES, () -> server.answers().ofBad(kind, refused)));
+        waitingAnswerBytes += REFUSAL_BYTES;
+        open.add(refused);
         writeAnswers();
     }
 
     /** Writes the outcome of a request. */
     void answer(EntryExchange exchange, Outcome outcome) {
-        exchange.answer(server.answers().of(outcome, exchange));
+        long byteCount = outcome instanceof Outcome.Answered(AnswerContent content)
+                ? content.byteCount() + REFUSAL_BYTES
+                : REFUSAL_BYTES;
+        exchange.answer(
+                new EntryExchange.Answer(byteCount, () -> server.answers().of(outcome, exchange)));
+        waitingAnswerBytes += byteCount;
         server.removeExchange(exchange);
         writeAnswers();
     }
 
+    /** Gives back the memory of a request. */
+    void release(EntryExchange exchange) {
+        memory.release(exchange);
+    }
+
+    /** Holds what the client has not read of its answers. If there is no room, clients that read too slowly are closed. */
+    private void holdAnswers() {
+        long unread = waitingAnswerBytes + output.bytes();
+        if (!server.makeRoomForAnswers(this, () -> memory.holdAnswers(unread))) {
+            end(ConnectionFault.MEMORY_FULL);
+        }
+    }
+
     private void writeAnswers() {
         ChannelHandlerContext context = channel.orElseThrow();
         while (!open.isEmpty() && open.peek().answer().isPresent() && !closing) {
             write(context, open.poll());
         }
         context.flush();
-        // After the last answer, what the client still sends is read and dropped until it closes the connection.
-        if (open.size() < MAXIMUM_OPEN_EXCHANGES || closing) {
-            context.channel().config().setAutoRead(true);
+        holdAnswers();
+        if (!isReading() && takesRequest()) {
+            resumeReading(context);
         }
     }
 
+    /**
+     * Returns whether the next request may be decoded. After the last answer, what the client still sends is decoded and
+     * dropped until it closes the connection.
+     */
+    private boolean takesRequest() {
+        return closing || inputEnded || open.size() < MAXIMUM_OPEN_EXCHANGES && !memory.isFull();
+    }
+
+    /** Reads again from the client, who has time from now on for what it has begun to send. */
+    private void resumeReading(ChannelHandlerContext context) {
+        headStartNanos = server.nanoTime();
+        context.channel().config().setAutoRead(true);
+        context.executor().execute(() -> {
+            context.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
+            context.pipeline().fireChannelReadComplete();
+        });
+    }
+
+    private boolean isReading() {
+        return channel.filter(context -> context.channel().config().isAutoRead())
+                .isPresent();
+    }
+
     private void write(ChannelHandlerContext context, EntryExchange exchange) {
-        FullHttpResponse response = exchange.answer().orElseThrow();
+        EntryExchange.Answer answer = exchange.answer().orElseThrow();
+        waitingAnswerBytes -= answer.byteCount();
+        FullHttpResponse response;
+        try {
+            response = answer.response().get();
+        } catch (IllegalArgumentException invalid) {
+            // The answers behind it would be taken for this one.
+            end(ConnectionFault.BROKEN);
+            return;
+        }
         lastProgressNanos = server.nanoTime();
         boolean last = exchange.isClosing() || server.isStopping() && !hasRequest();
         output.answerBegins();
@@ -272,6 +393,41 @@
         return output.unwritten();
     }
 
+    StrictRequestDecoder decoder() {
+        return decoder;
+    }
+
+    /** Returns what the client makes the node hold. */
+    ConnectionMemory memory() {
+        return memory;
+    }
+
+    /** Returns whether the connection can be closed without ending a request that was passed on, or its answer. */
+    boolean isExpendable() {
+        return !closed && open.isEmpty() && !output.isWriting();
+    }
+
+    /** Returns whether another connection may be closed for a request on this one. */
+    boolean goesBefore(EntryConnection other) {
+        return !other.completedRequest && other.openedNanos < openedNanos;
+    }
+
+    private long waitingSinceNanos() {
+        return completedRequest ? lastProgressNanos : openedNanos;
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        // Only now, so that the end of a connection without further requests is still seen.
+        if (decoder.holdsBack()) {
+            context.channel().config().setAutoRead(false);
+        }
+        if (!server.connections().makeRoom(() -> memory.holdInput(decoder.bufferedBytes()))) {
+            end(ConnectionFault.MEMORY_FULL);
+        }
+        context.fireChannelReadComplete();
+    }
+
     /** Records the arrival of bytes that may or may not form a complete request head. */
     void bytesArrived() {
         if (!receiving && !headStarted) {
@@ -291,6 +447,7 @@
             channel.ifPresent(ChannelHandlerContext::close);
         } else if (!closing
                 && headStarted
+                && isReading()
                 && now - headStartNanos > limits.headerTimeout().toNanos()) {
             headStarted = false;
             refuse(BadRequest.HEAD_TOO_SLOW, "");
@@ -322,9 +479,11 @@
         return !hasRequest() && !output.isDelivering();
     }
 
-    private void end(ConnectionFault fault) {
+    /** Closes the connection, whatever its client still expects. */
+    void end(ConnectionFault fault) {
         server.countFault(fault);
         closing = true;
+        releaseAll();
         channel.ifPresent(ChannelHandlerContext::close);
     }
 
--- a/node/src/main/java/org/carawaysill/node/entry/EntryExchange.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryExchange.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.FullHttpResponse;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.carawaysill.model.identity.ExchangeIdentifier;
 
 /**
@@ -15,8 +16,9 @@
     private final String requestName;
     private final boolean head;
     private final boolean closing;
+    private final long headBytes;
     private final int bodyBytes;
-    private Optional<FullHttpResponse> answer = Optional.empty();
+    private Optional<Answer> answer = Optional.empty();
 
     /**
      * Creates an exchange without an answer.
@@ -25,16 +27,33 @@
      * @param requestName the client's own name for the request; empty if it gave none
      * @param head whether the answer must have no body
      * @param closing whether the client wants the connection closed after the answer
+     * @param headBytes the size of the request's head
      * @param bodyBytes the memory reserved for the request's body
      */
-    EntryExchange(ExchangeIdentifier identifier, String requestName, boolean head, boolean closing, int bodyBytes) {
+    EntryExchange(
+            ExchangeIdentifier identifier,
+            String requestName,
+            boolean head,
+            boolean closing,
+            long headBytes,
+            int bodyBytes) {
         this.identifier = identifier;
         this.requestName = requestName;
         this.head = head;
         this.closing = closing;
+        this.headBytes = headBytes;
         this.bodyBytes = bodyBytes;
     }
 
+    /**
+     * An answer that waits for those before it. It is encoded only when it is written, since its header fields then take
+     * many times their bytes.
+     *
+     * @param byteCount about how much memory it takes until then
+     * @param response creates it
+     */
+    record Answer(long byteCount, Supplier<FullHttpResponse> response) {}
+
     ExchangeIdentifier identifier() {
         return identifier;
     }
@@ -51,15 +70,19 @@
         return closing;
     }
 
+    long headBytes() {
+        return headBytes;
+    }
+
     int bodyBytes() {
         return bodyBytes;
     }
 
-    Optional<FullHttpResponse> answer() {
+    Optional<Answer> answer() {
         return answer;
     }
 
-    void answer(FullHttpResponse response) {
-        answer = Optional.of(response);
+    void answer(Answer ready) {
+        answer = Optional.of(ready);
     }
 }
--- a/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
@@ -12,17 +12,14 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.carawaysill.kernel.service.Service;
 import org.carawaysill.kernel.service.ServiceRegistry;
@@ -33,8 +30,9 @@
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnwrittenAnswers;
-import org.carawaysill.node.exchange.BodyBudget;
 import org.carawaysill.node.fleet.DecisionLog;
+import org.carawaysill.node.memory.Holder;
+import org.carawaysill.node.memory.MemoryAccount;
 import org.carawaysill.node.memory.MemoryFaults;
 import org.carawaysill.node.observation.BadRequest;
 import org.carawaysill.node.observation.ConnectionFault;
@@ -57,6 +55,9 @@
     private static final int CHUNK_BYTES = 64 * 1024;
     private static final int BACKLOG = 1024;
 
+    /** Bounds what the operating system holds for a client from which nothing is read. */
+    private static final int RECEIVE_BUFFER_BYTES = 64 * 1024;
+
     /** The interval at which connections are checked for timeouts. */
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(500);
 
@@ -64,13 +65,13 @@
     private final NetworkAddress address;
     private final WireDialect dialect;
     private final EntryAnswers answers;
-    private final BodyBudget bodies;
+    private final MemoryAccount memory;
+    private final ClientConnections connections;
     private final Counters counters;
     private final DecisionLog log;
     private final MemoryFaults memoryFaults;
     private final Consumer<FleetEvent> events;
     private final Map<ExchangeIdentifier, OpenExchange> exchanges = new HashMap<>();
-    private final Set<EntryConnection> connections = new HashSet<>();
     private ClientLimits limits = ClientLimits.DEFAULTS;
     private Optional<Channel> server = Optional.empty();
     private long lastIdentifier;
@@ -82,7 +83,8 @@
      * @param eventLoop the thread that runs the server
      * @param address the address to listen on
      * @param dialect the names of header fields
-     * @param bodyMemory the maximum number of bytes of the bodies of all open exchanges together
+     * @param memory the memory of all clients together
+     * @param maximumConnections how many connections of clients may be open
      * @param events receives the events of requests
      * @param registry provides the counters, the decision log and the watch for lack of memory
      */
@@ -90,7 +92,8 @@
             EventLoop eventLoop,
             NetworkAddress address,
             WireDialect dialect,
-            long bodyMemory,
+            MemoryAccount memory,
+            int maximumConnections,
             Consumer<FleetEvent> events,
             ServiceRegistry registry) {
         this.eventLoop = eventLoop;
@@ -98,17 +101,10 @@
         this.dialect = dialect;
         this.events = events;
         answers = new EntryAnswers(dialect);
-        bodies = new BodyBudget(bodyMemory);
+        this.memory = memory;
+        connections = new ClientConnections(memory, maximumConnections, this::nanoTime);
         counters = registry.require(Counters.NAME, Counters.class);
-        GaugeWithCallback.builder()
-                .name(Counters.PREFIX + "entry_body_bytes")
-                .help("Bytes of the bodies of open requests that entered here, and how many there may be")
-                .labelNames("state")
-                .callback(callback -> {
-                    callback.call(bodies.reserved(), "held");
-                    callback.call(bodyMemory, "limit");
-                })
-                .register(counters.registry());
+        ClientGauges.register(counters.registry(), memory, connections);
         UnwrittenGauge.register(counters.registry(), "entry_unwritten", "clients", this::unwritten);
         log = registry.require(DecisionLog.NAME, DecisionLog.class);
         memoryFaults = registry.require(MemoryFaults.NAME, MemoryFaults.class);
@@ -127,6 +123,7 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -151,7 +148,7 @@
 
     private void install(SocketChannel channel) {
         ConnectionOutput output = new ConnectionOutput(this::nanoTime);
-        EntryConnection connection = new EntryConnection(this, output);
+        EntryConnection connection = new EntryConnection(this, output, decoderLimits());
         channel.pipeline()
                 .addLast(output)
                 .addLast(new ChannelInboundHandlerAdapter() {
@@ -161,21 +158,25 @@
                         context.fireChannelRead(message);
                     }
                 })
-                .addLast(new StrictRequestDecoder(new HttpDecoderConfig()
-                        .setMaxInitialLineLength(Math.min(MAXIMUM_LINE_BYTES, limits.headerBytes()))
-                        .setMaxHeaderSize(limits.headerBytes())
-                        .setMaxChunkSize(CHUNK_BYTES)
-                        .setStrictLineParsing(true)))
+                .addLast(connection.decoder())
                 .addLast(new HttpResponseEncoder())
                 .addLast(connection);
     }
 
+    private HttpDecoderConfig decoderLimits() {
+        return new HttpDecoderConfig()
+                .setMaxInitialLineLength(Math.min(MAXIMUM_LINE_BYTES, limits.headerBytes()))
+                .setMaxHeaderSize(limits.headerBytes())
+                .setMaxChunkSize(CHUNK_BYTES)
+                .setStrictLineParsing(true);
+    }
+
     @Override
     public CompletableFuture<Void> stop() {
         CompletableFuture<Void> closed = new CompletableFuture<>();
         eventLoop.execute(() -> {
             server.ifPresent(Channel::close);
-            List.copyOf(connections).forEach(EntryConnection::closeIfIdle);
+            connections.all().forEach(EntryConnection::closeIfIdle);
             closed.complete(null);
         });
         return closed;
@@ -187,7 +188,7 @@
      * @return the sum over all connections
      */
     public UnwrittenAnswers unwritten() {
-        return connections.stream()
+        return connections.all().stream()
                 .map(EntryConnection::unwritten)
                 .reduce(UnwrittenAnswers.NONE, UnwrittenAnswers::plus);
     }
@@ -230,8 +231,7 @@
     }
 
     private void sweep() {
-        long now = nanoTime();
-        List.copyOf(connections).forEach(connection -> connection.sweep(now));
+        connections.sweep();
     }
 
     boolean isStopping() {
@@ -250,8 +250,47 @@
         return limits;
     }
 
-    BodyBudget bodies() {
-        return bodies;
+    MemoryAccount memory() {
+        return memory;
+    }
+
+    ClientConnections connections() {
+        return connections;
+    }
+
+    /**
+     * Tries to reserve memory for the head of a request, and closes older connections that never sent one if that helps.
+     *
+     * @param asking the connection of the request, which stays open
+     */
+    boolean makeRoomForRequest(EntryConnection asking, BooleanSupplier reservation) {
+        return connections.makeRoom(reservation, asking::goesBefore);
+    }
+
+    /** Tries to reserve memory for a body in the same way. */
+    boolean makeRoomForBody(EntryConnection asking, long bytes, BooleanSupplier reservation) {
+        if (reservation.getAsBoolean()) {
+            return true;
+        }
+        boolean bodiesAreFull = memory.held(Holder.BODIES) + bytes > memory.bodyLimit();
+        return !bodiesAreFull && makeRoomForRequest(asking, reservation);
+    }
+
+    /**
+     * Tries to reserve memory for answers, and closes connections without requests, and then those that leave the most
+     * answers unread, until that succeeds.
+     *
+     * @return whether it succeeded; if not, the given connection is the one to close
+     */
+    boolean makeRoomForAnswers(EntryConnection receiver, BooleanSupplier reservation) {
+        while (!connections.makeRoom(reservation)) {
+            Optional<EntryConnection> slowest = connections.mostUnread();
+            if (slowest.isEmpty() || slowest.get() == receiver) {
+                return false;
+            }
+            slowest.get().end(ConnectionFault.MEMORY_FULL);
+        }
+        return true;
     }
 
     long nanoTime() {
@@ -266,21 +305,14 @@
         events.accept(event);
     }
 
-    void opened(EntryConnection connection) {
-        connections.add(connection);
-    }
-
-    void closed(EntryConnection connection) {
-        connections.remove(connection);
-    }
-
     void addExchange(EntryExchange exchange, EntryConnection connection) {
         exchanges.put(exchange.identifier(), new OpenExchange(exchange, connection));
     }
 
     void removeExchange(EntryExchange exchange) {
-        if (exchanges.remove(exchange.identifier()) != null) {
-            bodies.release(exchange.bodyBytes());
+        OpenExchange removed = exchanges.remove(exchange.identifier());
+        if (removed != null) {
+            removed.connection().release(exchange);
         }
     }
 
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -15,6 +15,7 @@
 import org.carawaysill.kernel.service.ServiceRegistry;
 import org.carawaysill.node.entry.EntryServer;
 import org.carawaysill.node.lifecycle.EventLoopFactory;
+import org.carawaysill.node.memory.MemoryAccount;
 import org.carawaysill.node.memory.MemoryFaults;
 import org.carawaysill.node.observation.Counters;
 import org.carawaysill.node.policy.NodeClock;
@@ -35,6 +36,9 @@
     /** The divisor for the part of the heap that bodies of requests may use, and that of answers: a quarter each. */
     private static final int HEAP_PARTS_FOR_BODIES = 4;
 
+    /** The part of the heap that clients may make the node hold, bodies included. */
+    private static final double HEAP_PART_FOR_CLIENTS = 0.375;
+
     private static final long STOP_LIMIT_MILLIS = 500;
 
     private final EventLoopGroup group = eventLoops();
@@ -79,12 +83,19 @@
         memoryFaults = registry.register(new MemoryFaults(this::orderStop));
         loop.memoryFaults(memoryFaults);
         copyGauges.showReceived(policy::receivedBytes, settings.policy().maximumReceivedBytes());
+        DescriptorShares descriptors = DescriptorShares.of(settings.descriptors());
         long bodyMemory = Runtime.getRuntime().maxMemory() / HEAP_PARTS_FOR_BODIES;
         copy = registry.register(new CopyConnections(
                 eventLoop, settings.policy().copyAddress(), settings.dialect(), bodyMemory, loop::handle, registry));
         peers = registry.register(new FleetPeers(settings, start.epochMillis(), eventLoop, registry));
-        entry = registry.register(
-                new EntryServer(eventLoop, settings.entry(), settings.dialect(), bodyMemory, loop::handle, registry));
+        entry = registry.register(new EntryServer(
+                eventLoop,
+                settings.entry(),
+                settings.dialect(),
+                new MemoryAccount((long) (Runtime.getRuntime().maxMemory() * HEAP_PART_FOR_CLIENTS), bodyMemory),
+                descriptors.clients(),
+                loop::handle,
+                registry));
         admin = registry.register(new FleetAdmin(eventLoop, settings, readyPath, registry));
         this.source = source.apply(eventLoop);
         loop.effects(this::dispatch);
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNodeSettings.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNodeSettings.java
@@ -15,6 +15,7 @@
  * @param admin the address that serves readiness and metrics
  * @param metrics an additional address for metrics; equal to {@code admin} if there is none
  * @param dialect the names of header fields
+ * @param descriptors how many descriptors the process may have open
  */
 public record FleetNodeSettings(
         FleetSettings policy,
@@ -22,4 +23,9 @@
         NetworkAddress peer,
         NetworkAddress admin,
         NetworkAddress metrics,
-        WireDialect dialect) {}
+        WireDialect dialect,
+        int descriptors) {
+
+    /** The number of descriptors where nothing else is set. */
+    public static final int DEFAULT_DESCRIPTORS = 4096;
+}
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetPeers.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetPeers.java
@@ -60,6 +60,8 @@
                 .eventLoop(eventLoop)
                 .limits(LinkLimits.builder()
                         .maximumFrameBytes(MAXIMUM_FRAME_BYTES)
+                        .maximumUnknown(
+                                DescriptorShares.of(settings.descriptors()).unknownNodes())
                         .connectLimit(CONNECT_LIMIT)
                         .redial(SHORTEST_REDIAL, LONGEST_REDIAL)
                         .build())
--- a/node/src/main/java/org/carawaysill/node/observation/BadRequest.java
+++ b/node/src/main/java/org/carawaysill/node/observation/BadRequest.java
@@ -23,7 +23,9 @@
     /** The header fields are larger than the limit. */
     HEADERS_TOO_LARGE(431, RefusalReason.BAD_REQUEST),
     /** The bodies of open exchanges fill the memory that the node reserves for them. */
-    BODIES_FILL_MEMORY(503, RefusalReason.RING_FULL);
+    BODIES_FILL_MEMORY(503, RefusalReason.RING_FULL),
+    /** All that clients hold fills the memory that the node reserves for it. */
+    REQUESTS_FILL_MEMORY(503, RefusalReason.RING_FULL);
 
     private final int status;
 
--- a/node/src/main/java/org/carawaysill/node/observation/ConnectionFault.java
+++ b/node/src/main/java/org/carawaysill/node/observation/ConnectionFault.java
@@ -4,6 +4,8 @@
 public enum ConnectionFault {
     /** More connections are open than the node serves. */
     TOO_MANY,
+    /** What clients hold fills its memory, and this connection had no open request, or left the most answers unread. */
+    MEMORY_FULL,
     /** The connection was idle for too long, or a request head was not complete in time. */
     SLOW_HEADER,
     /** The request body was not complete in time. */
--- a/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
+++ b/node/src/test/java/org/carawaysill/node/entry/EntryServerTest.java
@@ -24,6 +24,7 @@
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnknownReason;
 import org.carawaysill.model.request.UnwrittenAnswers;
+import org.carawaysill.node.memory.MemoryAccount;
 import org.carawaysill.node.observation.Counters;
 import org.carawaysill.node.testing.LoopBench;
 import org.carawaysill.node.testing.RawConnection;
@@ -40,12 +41,17 @@
 @Timeout(120)
 class EntryServerTest {
 
+    private static final int MEMORY_BYTES = 32_000_000;
+    private static final int BODY_BYTES = 100_000;
+    private static final int MAXIMUM_CONNECTIONS = 100;
+
     private final LoopBench bench = new LoopBench();
     private final EntryServer server = new EntryServer(
             bench.eventLoop(),
             new NetworkAddress("127.0.0.1", 0),
             LoopBench.DIALECT,
-            100_000,
+            new MemoryAccount(MEMORY_BYTES, BODY_BYTES),
+            MAXIMUM_CONNECTIONS,
             bench::add,
             bench.registry());
 
--- a/node/src/test/java/org/carawaysill/node/fleet/FleetNodeTest.java
+++ b/node/src/test/java/org/carawaysill/node/fleet/FleetNodeTest.java
@@ -56,7 +56,8 @@
                 AllowanceBounds.STRICT,
                 1_000_000,
                 Set.of());
-        return new FleetNodeSettings(policy, ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT, WireDialect.OWN);
+        return new FleetNodeSettings(
+                policy, ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT, WireDialect.OWN, FleetNodeSettings.DEFAULT_DESCRIPTORS);
     }
 
     @Nested
