Let connections with many short lines or chunks take turns

Callers saw no answer for seconds, also after the crowd had left: a body in chunks of a byte is read up to 1 MB at a time, and decoding 170,000 chunks takes the event loop from all other connections, and from links and timers; with a hundred such clients for longer than a request may take.

ReadTurns counts the steps of decoding in each turn. A connection with many steps for few bytes is read 2 KB at a time, once in a turn of the loop; others as before.

--- a/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
@@ -70,6 +70,7 @@
     private final EntryServer server;
     private final ConnectionOutput output;
     private final StrictRequestDecoder decoder;
+    private final ReadTurns turns;
     private final ConnectionMemory memory;
     private final ArrayDeque<EntryExchange> open = new ArrayDeque<>();
     private Optional<ChannelHandlerContext> channel = Optional.empty();
@@ -87,10 +88,11 @@
     private boolean headStarted;
     private long headStartNanos;
 
-    EntryConnection(EntryServer server, ConnectionOutput output, HttpDecoderConfig limits) {
+    EntryConnection(EntryServer server, ConnectionOutput output, HttpDecoderConfig limits, ReadTurns turns) {
         this.server = server;
         this.output = output;
         decoder = new StrictRequestDecoder(limits, this::takesRequest);
+        this.turns = turns;
         memory = new ConnectionMemory(server.memory());
         body = new BodyBuffer(server.memory().reservation(Holder.BODIES));
         output.onProgress(this::holdAnswers);
@@ -132,6 +134,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
+            countSteps(message);
             if (!closing && !inputEnded) {
                 receive(context, message);
             }
@@ -140,6 +143,14 @@
         }
     }
 
+    private void countSteps(Object message) {
+        if (message instanceof HttpRequest request) {
+            turns.decodedHead(request.headers().size());
+        } else {
+            turns.decodedPart();
+        }
+    }
+
     private void receive(ChannelHandlerContext context, Object message) {
         if (message instanceof HttpRequest request) {
             receiving = true;
@@ -418,6 +429,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        turns.turnEnded();
         // Only now, so that the end of a connection without further requests is still seen.
         if (decoder.holdsBack()) {
             context.channel().config().setAutoRead(false);
@@ -429,7 +441,8 @@
     }
 
     /** Records the arrival of bytes that may or may not form a complete request head. */
-    void bytesArrived() {
+    void bytesArrived(int count) {
+        turns.read(count);
         if (!receiving && !headStarted) {
             headStarted = true;
             headStartNanos = server.nanoTime();
--- a/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
@@ -1,6 +1,7 @@
 package org.carawaysill.node.entry;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -148,13 +149,15 @@
 
     private void install(SocketChannel channel) {
         ConnectionOutput output = new ConnectionOutput(this::nanoTime);
-        EntryConnection connection = new EntryConnection(this, output, decoderLimits());
+        ReadTurns turns = new ReadTurns();
+        channel.config().setRecvByteBufAllocator(turns);
+        EntryConnection connection = new EntryConnection(this, output, decoderLimits(), turns);
         channel.pipeline()
                 .addLast(output)
                 .addLast(new ChannelInboundHandlerAdapter() {
                     @Override
                     public void channelRead(ChannelHandlerContext context, Object message) {
-                        connection.bytesArrived();
+                        connection.bytesArrived(((ByteBuf) message).readableBytes());
                         context.fireChannelRead(message);
                     }
                 })
