Bound the connections to the addresses for readiness and metrics

Connections to these addresses were neither bounded nor timed: 600 clients that send nothing took 675 descriptors (the settings allow 400), and a node without descriptors accepts no client. A new connection now takes the place of the oldest beyond a thirty-second of the descriptors.

--- a/node/src/main/java/org/carawaysill/node/fleet/FleetAdmin.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetAdmin.java
@@ -59,6 +59,7 @@
     private final Counters counters;
     private final MemoryFaults memoryFaults;
     private final String readyPath;
+    private final int maximumConnections;
     private boolean ready;
 
     FleetAdmin(EventLoop eventLoop, FleetNodeSettings settings, String readyPath, ServiceRegistry registry) {
@@ -66,6 +67,7 @@
         this.readyPath = readyPath;
         addresses.add(settings.admin());
         addresses.add(settings.metrics());
+        maximumConnections = DescriptorShares.of(settings.descriptors()).admin();
         counters = registry.require(Counters.NAME, Counters.class);
         memoryFaults = registry.require(MemoryFaults.NAME, MemoryFaults.class);
     }
@@ -82,6 +84,7 @@
 
     private CompletableFuture<Void> listen(NetworkAddress address) {
         CompletableFuture<Void> listening = new CompletableFuture<>();
+        AdminConnections connections = new AdminConnections(maximumConnections);
         new ServerBootstrap()
                 .group(eventLoop)
                 .channel(NioServerSocketChannel.class)
@@ -90,6 +93,7 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
+                                .addLast(connections)
                                 .addLast(new HttpServerCodec())
                                 .addLast(new HttpObjectAggregator(MAXIMUM_REQUEST_BYTES))
                                 .addLast(new RequestHandler());
