Bound the length of values in the decision log

A client's name for a request may be as long as a head, and stood whole in each line about the request: 16 kB a line, tens of lines a second. Values are cut at 1,024 characters, more than the fields of any decision take. Found by reading; no test shows it.

--- a/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/DecisionLog.java
@@ -27,6 +27,9 @@
 
     private static final long SECOND_NANOS = 1_000_000_000L;
 
+    /** Longer than the fields of any decision, and than the name of a call eleven levels deep. */
+    private static final int MAXIMUM_TEXT = 1024;
+
     private final Map<Kind, Integer> written = new EnumMap<>(Kind.class);
     private final Map<Kind, Integer> omitted = new EnumMap<>(Kind.class);
     private long secondNanos = System.nanoTime();
@@ -209,9 +212,10 @@
 
     /**
      * Replaces control characters, which prevents log injection: a name from a client could contain a line break and a
-     * forged line.
+     * forged line. Bounds the length: a client's name for a request may be as long as a head.
      */
-    private static String oneLine(String text) {
+    private static String oneLine(String whole) {
+        String text = whole.length() > MAXIMUM_TEXT ? whole.substring(0, MAXIMUM_TEXT) + "..." : whole;
         boolean plain = text.chars().noneMatch(Character::isISOControl);
         return plain ? text : text.replaceAll("\\p{Cntrl}", " ");
     }
