Assemble requests in a class of their own, and give up first who reads nothing

RequestAssembly has what makes a request of its decoded parts, ClientConnections what makes room; nothing else changes but this: where answers fill the memory, a client that has read none of its answers for a second is given up before one that reads a larger one. Found by reading; no test shows it.

--- a/node/src/main/java/org/carawaysill/node/entry/ClientConnections.java
+++ b/node/src/main/java/org/carawaysill/node/entry/ClientConnections.java
@@ -8,6 +8,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.carawaysill.node.memory.Holder;
 import org.carawaysill.node.memory.MemoryAccount;
 import org.carawaysill.node.observation.ConnectionFault;
 
@@ -73,7 +74,7 @@
     }
 
     /** Tries to reserve memory, and closes only such connections without requests that fulfil a condition. */
-    boolean makeRoom(BooleanSupplier reservation, Predicate<EntryConnection> mayEnd) {
+    private boolean makeRoom(BooleanSupplier reservation, Predicate<EntryConnection> mayEnd) {
         while (!reservation.getAsBoolean()) {
             bound.binds(nanoTime.getAsLong());
             if (!evict(Math.max(1, open.size() / PARTS_PER_EVICTION), mayEnd, ConnectionFault.MEMORY_FULL)) {
@@ -83,6 +84,41 @@
         return true;
     }
 
+    /**
+     * Tries to reserve memory for the head of a request, and closes older connections that never sent one if that helps.
+     *
+     * @param asking the connection of the request, which stays open
+     */
+    boolean makeRoomForRequest(EntryConnection asking, BooleanSupplier reservation) {
+        return makeRoom(reservation, asking::goesBefore);
+    }
+
+    /** Tries to reserve memory for a body in the same way. */
+    boolean makeRoomForBody(EntryConnection asking, long bytes, BooleanSupplier reservation) {
+        if (reservation.getAsBoolean()) {
+            return true;
+        }
+        boolean bodiesAreFull = account.held(Holder.BODIES) + bytes > account.bodyLimit();
+        return !bodiesAreFull && makeRoomForRequest(asking, reservation);
+    }
+
+    /**
+     * Tries to reserve memory for answers, and closes connections without requests, and then those that leave the most
+     * of their answers unread, until that succeeds.
+     *
+     * @return whether it succeeded; if not, the given connection is the one to close
+     */
+    boolean makeRoomForAnswers(EntryConnection receiver, BooleanSupplier reservation) {
+        while (!makeRoom(reservation)) {
+            Optional<EntryConnection> slowest = mostUnread();
+            if (slowest.isEmpty() || slowest.get() == receiver) {
+                return false;
+            }
+            slowest.get().end(ConnectionFault.MEMORY_FULL);
+        }
+        return true;
+    }
+
     /** Closes some of the connections whose end costs their clients least; returns false if there are none. */
     private boolean evict(int count, Predicate<EntryConnection> mayEnd, ConnectionFault fault) {
         bound.binds(nanoTime.getAsLong());
@@ -96,11 +132,13 @@
         return !expendable.isEmpty();
     }
 
-    /** Returns the connection whose client leaves the most of its answers unread. */
-    Optional<EntryConnection> mostUnread() {
+    /** Returns the connection that leaves the most of its answers unread, of those that read nothing if there are any. */
+    private Optional<EntryConnection> mostUnread() {
+        long now = nanoTime.getAsLong();
         return open.stream()
                 .filter(connection -> connection.memory().answerBytes() > 0)
-                .max(Comparator.comparingLong(connection -> connection.memory().answerBytes()));
+                .max(Comparator.<EntryConnection, Boolean>comparing(connection -> connection.readsNothing(now))
+                        .thenComparingLong(connection -> connection.memory().answerBytes()));
     }
 
     /** Returns all connections. */
--- a/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
@@ -1,24 +1,15 @@
 package org.carawaysill.node.entry;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.DecoderResult;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -30,7 +21,6 @@
 import org.carawaysill.model.request.Body;
 import org.carawaysill.model.request.Outcome;
 import org.carawaysill.model.request.UnwrittenAnswers;
-import org.carawaysill.node.memory.Holder;
 import org.carawaysill.node.observation.BadRequest;
 import org.carawaysill.node.observation.ConnectionFault;
 import org.carawaysill.policy.fleet.FleetEvent;
@@ -56,6 +46,9 @@
      */
     private static final Duration READ_LIMIT = Duration.ofSeconds(20);
 
+    /** How long a client may read nothing of its answers before they are the first to be given up for others. */
+    private static final Duration UNREAD_LIMIT = Duration.ofSeconds(1);
+
     /** What the node's own fields and its explanation of a refusal take beside the copy's answer. */
     private static final int REFUSAL_BYTES = 512;
 
@@ -74,9 +67,7 @@
     private final ConnectionMemory memory;
     private final ArrayDeque<EntryExchange> open = new ArrayDeque<>();
     private Optional<ChannelHandlerContext> channel = Optional.empty();
-    private Optional<RequestHead> head = Optional.empty();
-    private final BodyBuffer body;
-    private boolean rejecting;
+    private final RequestAssembly assembly;
     private boolean inputEnded;
     private boolean completedRequest;
     private long waitingAnswerBytes;
@@ -84,7 +75,6 @@
     private boolean closed;
     private long openedNanos;
     private long lastProgressNanos;
-    private boolean receiving;
     private boolean headStarted;
     private long headStartNanos;
 
@@ -94,7 +84,7 @@
         decoder = new StrictRequestDecoder(limits, this::takesRequest);
         this.turns = turns;
         memory = new ConnectionMemory(server.memory());
-        body = new BodyBuffer(server.memory().reservation(Holder.BODIES));
+        assembly = new RequestAssembly(server, this);
         output.onProgress(this::holdAnswers);
     }
 
@@ -120,7 +110,7 @@
         }
         closed = true;
         server.connections().remove(this);
-        discardBody();
+        assembly.discard();
         while (!open.isEmpty()) {
             EntryExchange exchange = open.poll();
             server.removeExchange(exchange);
@@ -153,88 +143,19 @@
 
     private void receive(ChannelHandlerContext context, Object message) {
         if (message instanceof HttpRequest request) {
-            receiving = true;
-            beginRequest(context, request);
-        }
-        if (message instanceof HttpContent content && !rejecting) {
-            receiveBody(content);
-        }
-    }
-
-    private void beginRequest(ChannelHandlerContext context, HttpRequest request) {
-        rejecting = false;
-        headStarted = false;
-        lastProgressNanos = server.nanoTime();
-        DecoderResult decoded = request.decoderResult();
-        if (decoded.isFailure()) {
-            refuse(decodingFault(decoded.cause()), "");
-            return;
-        }
-        RequestHead read = RequestHead.of(request, server.dialect());
-        Optional<BadRequest> bad = read.fault(server.limits());
-        if (bad.isPresent()) {
-            refuse(bad.get(), read.requestName());
-            return;
-        }
-        if (!server.makeRoomForBody(
-                this, read.statedLength(), () -> server.memory().hasRoom(Holder.BODIES, read.statedLength()))) {
-            refuse(BadRequest.BODIES_FILL_MEMORY, read.requestName());
-            return;
-        }
-        if (!server.makeRoomForRequest(this, () -> memory.holdRequest(read.byteCount()))) {
-            refuseForMemory(read);
-            return;
-        }
-        if (HttpUtil.is100ContinueExpected(request)) {
-            context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
-        }
-        head = Optional.of(read);
-    }
-
-    private static BadRequest decodingFault(Throwable cause) {
-        return switch (cause) {
-            case TooLongHttpLineException _ -> BadRequest.LINE_TOO_LONG;
-            case TooLongHttpHeaderException _ -> BadRequest.HEADERS_TOO_LARGE;
-            default -> BadRequest.MALFORMED;
-        };
-    }
-
-    private void receiveBody(HttpContent content) {
-        if (head.isEmpty()) {
-            return;
-        }
-        if (content.decoderResult().isFailure()) {
-            refuse(BadRequest.FRAMING, head.get().requestName());
-            return;
-        }
-        ByteBuf bytes = content.content();
-        if (bytes.isReadable()) {
-            append(bytes);
-        }
-        if (content instanceof LastHttpContent && !rejecting) {
-            endRequest(head.get());
+            headStarted = false;
+            lastProgressNanos = server.nanoTime();
+            assembly.begin(context, request);
         }
-    }
-
-    private void append(ByteBuf bytes) {
-        if (body.length() + (long) bytes.readableBytes() > server.limits().bodyBytes()) {
-            refuse(BadRequest.BODY_TOO_LARGE, requestName());
-        } else if (!server.makeRoomForBody(this, bytes.readableBytes(), () -> body.append(bytes, statedLength()))) {
-            refuse(BadRequest.BODIES_FILL_MEMORY, requestName());
+        if (message instanceof HttpContent content) {
+            assembly.receiveBody(content);
         }
     }
 
-    private int statedLength() {
-        return head.map(RequestHead::statedLength).orElse(0);
-    }
-
-    private void endRequest(RequestHead read) {
-        Body whole = body.take();
-        memory.holdBody(whole.length());
+    /** Passes a complete request on. */
+    void complete(RequestHead read, Body whole) {
         ExchangeIdentifier identifier = server.nextIdentifier();
         EntryExchange exchange = exchange(identifier, read, whole.length());
-        head = Optional.empty();
-        receiving = false;
         completedRequest = true;
         inputEnded = exchange.isClosing();
         lastProgressNanos = server.nanoTime();
@@ -254,25 +175,14 @@
                 identifier, read.requestName(), read.isHead(), !read.keepsAlive(), read.byteCount(), bodyBytes);
     }
 
-    private String requestName() {
-        return head.map(RequestHead::requestName).orElse("");
-    }
-
-    private void discardBody() {
-        body.discard();
-        head.ifPresent(read -> memory.releaseHead(read.byteCount()));
-        head = Optional.empty();
-    }
-
     /** Refuses a request for which there is no memory; if it has no body, the connection stays usable. */
-    private void refuseForMemory(RequestHead read) {
+    void refuseForMemory(RequestHead read) {
         server.connections().refused();
         if (!read.whole()) {
             refuse(BadRequest.REQUESTS_FILL_MEMORY, read.requestName());
             return;
         }
-        rejecting = true;
-        receiving = false;
+        assembly.reject();
         completedRequest = true;
         inputEnded = !read.keepsAlive();
         server.countBadRequest(BadRequest.REQUESTS_FILL_MEMORY, read.requestName());
@@ -282,11 +192,9 @@
     }
 
     /** Answers a request that can't be accepted, after the pending answers, and then closes the connection. */
-    private void refuse(BadRequest kind, String requestName) {
-        discardBody();
-        rejecting = true;
+    void refuse(BadRequest kind, String requestName) {
+        assembly.reject();
         inputEnded = true;
-        receiving = false;
         server.countBadRequest(kind, requestName);
         addAnswered(new EntryExchange(server.nextIdentifier(), requestName, false, true, 0, 0), kind);
     }
@@ -319,7 +227,7 @@
     /** Holds what the client has not read of its answers. If there is no room, clients that read too slowly are closed. */
     private void holdAnswers() {
         long unread = waitingAnswerBytes + output.bytes();
-        if (!server.makeRoomForAnswers(this, () -> memory.holdAnswers(unread))) {
+        if (!server.connections().makeRoomForAnswers(this, () -> memory.holdAnswers(unread))) {
             end(ConnectionFault.MEMORY_FULL);
         }
     }
@@ -418,6 +326,11 @@
         return !closed && open.isEmpty() && !output.isWriting();
     }
 
+    /** Returns whether answers wait for the client, which has read none of them for a while. */
+    boolean readsNothing(long now) {
+        return output.isWriting() && now - output.progressNanos() > UNREAD_LIMIT.toNanos();
+    }
+
     /** Returns whether another connection may be closed for a request on this one. */
     boolean goesBefore(EntryConnection other) {
         return !other.completedRequest && other.openedNanos < openedNanos;
@@ -443,7 +356,7 @@
     /** Records the arrival of bytes that may or may not form a complete request head. */
     void bytesArrived(int count) {
         turns.read(count);
-        if (!receiving && !headStarted) {
+        if (count > 0 && !assembly.isReceiving() && !headStarted) {
             headStarted = true;
             headStartNanos = server.nanoTime();
         }
@@ -465,9 +378,9 @@
             headStarted = false;
             refuse(BadRequest.HEAD_TOO_SLOW, "");
         } else if (!closing
-                && receiving
+                && assembly.isReceiving()
                 && now - lastProgressNanos > limits.idleTimeout().toNanos()) {
-            refuse(BadRequest.BODY_TOO_SLOW, requestName());
+            refuse(BadRequest.BODY_TOO_SLOW, assembly.requestName());
         } else if (output.isWriting() && now - output.progressNanos() > READ_LIMIT.toNanos()) {
             end(ConnectionFault.SLOW_READER);
         } else if (!closing
@@ -479,12 +392,12 @@
 
     /** Returns how long the client may keep the connection open after the last answer. */
     private Duration lingerLimit() {
-        return rejecting ? REJECTED_LINGER : READ_LIMIT;
+        return assembly.isRejecting() ? REJECTED_LINGER : READ_LIMIT;
     }
 
     /** Returns whether a request is being received or is not answered yet. */
     private boolean hasRequest() {
-        return receiving || !open.isEmpty();
+        return assembly.isReceiving() || !open.isEmpty();
     }
 
     /** Returns whether the connection can be closed without loss to its client. */
--- a/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryServer.java
@@ -20,7 +20,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.carawaysill.kernel.service.Service;
 import org.carawaysill.kernel.service.ServiceRegistry;
@@ -32,7 +31,6 @@
 import org.carawaysill.model.request.Step;
 import org.carawaysill.model.request.UnwrittenAnswers;
 import org.carawaysill.node.fleet.DecisionLog;
-import org.carawaysill.node.memory.Holder;
 import org.carawaysill.node.memory.MemoryAccount;
 import org.carawaysill.node.memory.MemoryFaults;
 import org.carawaysill.node.observation.BadRequest;
@@ -261,41 +259,6 @@
         return connections;
     }
 
-    /**
-     * Tries to reserve memory for the head of a request, and closes older connections that never sent one if that helps.
-     *
-     * @param asking the connection of the request, which stays open
-     */
-    boolean makeRoomForRequest(EntryConnection asking, BooleanSupplier reservation) {
-        return connections.makeRoom(reservation, asking::goesBefore);
-    }
-
-    /** Tries to reserve memory for a body in the same way. */
-    boolean makeRoomForBody(EntryConnection asking, long bytes, BooleanSupplier reservation) {
-        if (reservation.getAsBoolean()) {
-            return true;
-        }
-        boolean bodiesAreFull = memory.held(Holder.BODIES) + bytes > memory.bodyLimit();
-        return !bodiesAreFull && makeRoomForRequest(asking, reservation);
-    }
-
-    /**
-     * Tries to reserve memory for answers, and closes connections without requests, and then those that leave the most
-     * answers unread, until that succeeds.
-     *
-     * @return whether it succeeded; if not, the given connection is the one to close
-     */
-    boolean makeRoomForAnswers(EntryConnection receiver, BooleanSupplier reservation) {
-        while (!connections.makeRoom(reservation)) {
-            Optional<EntryConnection> slowest = connections.mostUnread();
-            if (slowest.isEmpty() || slowest.get() == receiver) {
-                return false;
-            }
-            slowest.get().end(ConnectionFault.MEMORY_FULL);
-        }
-        return true;
-    }
-
     long nanoTime() {
         return System.nanoTime();
     }
