Forget ended requests before their deadlines

RequestDeadlines took a request out of its queue only once it was the first there, so that each was kept with head and body until its deadline, 5 s, whether answered, refused or left by its client: what the entry counts as given back stays for seconds.

The requests are now in a sorted set, from which each is removed as it ends; the flag that said so is gone.

--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequest.java
@@ -42,7 +42,6 @@
     private int possibleRuns;
     private boolean sentBack;
     private boolean awaitsPlace;
-    private boolean finished;
 
     /**
      * The caller's request on whose behalf a request is made.
@@ -243,12 +242,4 @@
     SlotTimes times() {
         return times;
     }
-
-    void finish() {
-        finished = true;
-    }
-
-    boolean isFinished() {
-        return finished;
-    }
 }
--- a/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
+++ b/policy/src/main/java/org/carawaysill/policy/fleet/OutgoingRequests.java
@@ -363,7 +363,7 @@
     }
 
     private void finish(long now, OutgoingRequest request, Outcome outcome) {
-        request.finish();
+        deadlines.remove(request);
         byExchange.remove(request.arrival().exchange());
         request.origin().parent().ifPresent(parent -> {
             parent.times().addAll(request.times().list());
@@ -380,7 +380,7 @@
         if (request == null) {
             return;
         }
-        request.finish();
+        deadlines.remove(request);
         request.origin().parent().ifPresent(parent -> parent.callEnded(now));
         effects.count(RefusalReason.CANCELLED);
         effects.log(new Decision.Abandoned(
