--- a/node/src/main/java/org/carawaysill/node/fleet/DescriptorShares.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/DescriptorShares.java
@@ -19,10 +19,15 @@
     private static final int UNKNOWN_NODES_DIVISOR = 8;
     private static final int ADMIN_DIVISOR = 32;
 
+    /** More than operators and the platform use at the same time. */
+    private static final int MAXIMUM_ADMIN = 16;
+
     /** Divides the descriptors of a process. */
     static DescriptorShares of(int descriptors) {
         int available = Math.max(descriptors - FILES, ADMIN_DIVISOR);
         return new DescriptorShares(
-                available / CLIENTS_DIVISOR, available / UNKNOWN_NODES_DIVISOR, available / ADMIN_DIVISOR);
+                available / CLIENTS_DIVISOR,
+                available / UNKNOWN_NODES_DIVISOR,
+                Math.min(available / ADMIN_DIVISOR, MAXIMUM_ADMIN));
     }
 }
--- a/node/src/main/java/org/carawaysill/node/fleet/FleetAdmin.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetAdmin.java
@@ -94,7 +94,8 @@
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
                                 .addLast(connections)
-                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpServerCodec(
+                                        MAXIMUM_REQUEST_BYTES, MAXIMUM_REQUEST_BYTES, MAXIMUM_REQUEST_BYTES))
                                 .addLast(new HttpObjectAggregator(MAXIMUM_REQUEST_BYTES))
                                 .addLast(new RequestHandler());
                     }
