Bound the connections to the local copy by the descriptors

A channel that is closed keeps its descriptor until the next selection, which a busy machine delays.

Connections to the copy have a bound now, half of the descriptors for sockets: at the bound one that rests is used before its time, and without one the request is refused as not run.

CopyConnectionsTest.RestingConnections.areUsedBeforeTheirTimeIfNoMoreMayBeOpened; there was no bound before.

--- a/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/FleetNode.java
@@ -86,7 +86,13 @@
         DescriptorShares descriptors = DescriptorShares.of(settings.descriptors());
         long bodyMemory = Runtime.getRuntime().maxMemory() / HEAP_PARTS_FOR_BODIES;
         copy = registry.register(new CopyConnections(
-                eventLoop, settings.policy().copyAddress(), settings.dialect(), bodyMemory, loop::handle, registry));
+                eventLoop,
+                settings.policy().copyAddress(),
+                settings.dialect(),
+                bodyMemory,
+                descriptors.copy(),
+                loop::handle,
+                registry));
         peers = registry.register(new FleetPeers(settings, start.epochMillis(), eventLoop, registry));
         entry = registry.register(new EntryServer(
                 eventLoop,
--- a/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/CopyConnections.java
@@ -94,6 +94,8 @@
     private final Set<CopyConnection> all = new HashSet<>();
     private final Map<AttemptIdentifier, CopyExchange> running = new HashMap<>();
     private final BodyBudget answerBodies;
+    private final int maximumConnections;
+    private int connecting;
     private final CopyEndCheck endCheck = new CopyEndCheck(this);
 
     /**
@@ -103,6 +105,7 @@
      * @param copy the address of the copy
      * @param dialect the names of header fields
      * @param answerMemory how many bytes of the bodies of unfinished answers are kept in memory
+     * @param maximumConnections how many connections may be open, connecting ones included
      * @param events receives the events of answers
      * @param registry provides the counters, the decision log and the watch for lack of memory
      */
@@ -111,12 +114,14 @@
             NetworkAddress copy,
             WireDialect dialect,
             long answerMemory,
+            int maximumConnections,
             Consumer<FleetEvent> events,
             ServiceRegistry registry) {
         this.eventLoop = eventLoop;
         this.dialect = dialect;
         this.events = events;
         answerBodies = new BodyBudget(answerMemory);
+        this.maximumConnections = maximumConnections;
         classifier = new AnswerClassifier(dialect);
         noticeReader = new NoticeReader(dialect);
         counters = registry.require(Counters.NAME, Counters.class);
@@ -168,14 +173,21 @@
         Optional<CopyConnection> free = takeIdle();
         if (free.isPresent()) {
             free.get().send(exchange);
-        } else {
+        } else if (hasRoom()) {
             connect(exchange);
+        } else {
+            ended(exchange, unreachable());
         }
     }
 
+    private boolean hasRoom() {
+        return all.size() + connecting < maximumConnections;
+    }
+
     /**
-     * Takes the connection that was used last, so that surplus connections reach their idle limit. If too many rest, the
-     * one that has rested longest is taken before its time: a copy resets connections beyond its maximum.
+     * Takes the connection that was used last, so that surplus connections reach their idle limit. If too many rest, or
+     * no other may be opened, the one that has rested longest is taken before its time: a copy resets connections beyond
+     * its maximum, and the process has descriptors for so many.
      */
     private Optional<CopyConnection> takeIdle() {
         long now = System.nanoTime();
@@ -193,7 +205,7 @@
     }
 
     private Optional<CopyConnection> takeResting(long now) {
-        while (idle.size() >= running.size() + SPARE_RESTING) {
+        while (idle.size() >= running.size() + SPARE_RESTING || !idle.isEmpty() && !hasRoom()) {
             CopyConnection longestRested = idle.pollFirst();
             if (isIntact(longestRested, now)) {
                 return Optional.of(longestRested);
@@ -217,6 +229,7 @@
 
     private void connect(CopyExchange exchange) {
         CopyConnection connection = newConnection();
+        connecting++;
         openConnection(connection, CONNECT_LIMIT_MILLIS)
                 .addListener((ChannelFuture connected) -> connected(exchange, connection, connected));
     }
@@ -249,14 +262,9 @@
     }
 
     private void connected(CopyExchange exchange, CopyConnection connection, ChannelFuture connected) {
+        connecting--;
         if (!connected.isSuccess()) {
-            ended(
-                    exchange,
-                    new Outcome.NotRun(
-                            RefusalReason.COPY_UNREACHABLE,
-                            UNREACHABLE_RETRY_AFTER,
-                            Step.COPY_CONNECT,
-                            Optional.empty()));
+            ended(exchange, unreachable());
             return;
         }
         all.add(connection);
@@ -267,6 +275,11 @@
         }
     }
 
+    private static Outcome.NotRun unreachable() {
+        return new Outcome.NotRun(
+                RefusalReason.COPY_UNREACHABLE, UNREACHABLE_RETRY_AFTER, Step.COPY_CONNECT, Optional.empty());
+    }
+
     /**
      * Cancels a request at the copy; no event follows for it.
      *
--- a/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
+++ b/node/src/test/java/org/carawaysill/node/upstream/CopyConnectionsTest.java
@@ -39,11 +39,18 @@
     private static final Duration ARRIVAL = Duration.ofMillis(50);
 
     private static final long ANSWER_MEMORY = 4L * 1024 * 1024;
+    private static final int MAXIMUM_CONNECTIONS = 20;
 
     private final LoopBench bench = new LoopBench();
     private final RawCopy copy = new RawCopy();
     private final CopyConnections connections = new CopyConnections(
-            bench.eventLoop(), copy.address(), LoopBench.DIALECT, ANSWER_MEMORY, bench::add, bench.registry());
+            bench.eventLoop(),
+            copy.address(),
+            LoopBench.DIALECT,
+            ANSWER_MEMORY,
+            MAXIMUM_CONNECTIONS,
+            bench::add,
+            bench.registry());
     private long attempts;
 
     @AfterEach
@@ -481,6 +488,29 @@
             LoopBench.pause(ARRIVAL);
             bench.onLoop(() -> assertEquals(many, connections.open().size()));
         }
+
+        /** Guards against connections to the copy that use up the descriptors of the process. */
+        @Test
+        void areUsedBeforeTheirTimeIfNoMoreMayBeOpened() {
+            // A connection that nothing refers to is closed by the garbage collector.
+            List<RawConnection> all = new ArrayList<>();
+            for (int i = 0; i < MAXIMUM_CONNECTIONS; i++) {
+                all.add(sendAndAccept());
+            }
+            expectNotRun(send("a"), RefusalReason.COPY_UNREACHABLE);
+            all.getFirst().write(answer("a", "one"));
+            bench.next(FleetEvent.CopyAnswered.class);
+            bench.onLoop(() -> {});
+            send("b");
+            assertTrue(all.getFirst().readMessage().contains("/bills/b"));
+        }
+
+        private RawConnection sendAndAccept() {
+            send("a");
+            RawConnection connection = copy.accept();
+            connection.readMessage();
+            return connection;
+        }
     }
 
     @Nested
--- a/node/src/test/java/org/carawaysill/node/upstream/EndlessAnswersTest.java
+++ b/node/src/test/java/org/carawaysill/node/upstream/EndlessAnswersTest.java
@@ -47,7 +47,13 @@
     private final LoopBench bench = new LoopBench();
     private final RawCopy copy = new RawCopy();
     private final CopyConnections connections = new CopyConnections(
-            bench.eventLoop(), copy.address(), LoopBench.DIALECT, MEMORY, bench::add, bench.registry());
+            bench.eventLoop(),
+            copy.address(),
+            LoopBench.DIALECT,
+            MEMORY,
+            Integer.MAX_VALUE,
+            bench::add,
+            bench.registry());
     private long attempts;
 
     @AfterEach
