--- a/node/src/main/java/org/carawaysill/node/fleet/DescriptorShares.java
+++ b/node/src/main/java/org/carawaysill/node/fleet/DescriptorShares.java
@@ -16,7 +16,7 @@
     /** What the Java virtual machine opens for its own files. */
     private static final int FILES = 200;
 
-    private static final int CLIENTS_DIVISOR = 3;
+    private static final int CLIENTS_DIVISOR = 2;
     private static final int COPY_DIVISOR = 2;
     private static final int UNKNOWN_NODES_DIVISOR = 8;
     private static final int ADMIN_DIVISOR = 32;
