Refuse in one place, and keep one flag for the beginning of an answer

- EntryConnection made the answer of a refusal in two places and queued answers in two; both are one now.
- AnswerDecoder had two flags for "no part of this answer is decoded".
One difference: behind a status line that is too long, further bytes are dropped by Netty's state instead of giving a second failed message, on a connection that the first one has closed.
- ClientConnections noted twice for each round that clients are turned away.

--- a/node/src/main/java/org/carawaysill/node/entry/ClientConnections.java
+++ b/node/src/main/java/org/carawaysill/node/entry/ClientConnections.java
@@ -76,7 +76,6 @@
     /** Tries to reserve memory, and closes only such connections without requests that fulfil a condition. */
     private boolean makeRoom(BooleanSupplier reservation, Predicate<EntryConnection> mayEnd) {
         while (!reservation.getAsBoolean()) {
-            bound.binds(nanoTime.getAsLong());
             if (!evict(Math.max(1, open.size() / PARTS_PER_EVICTION), mayEnd, ConnectionFault.MEMORY_FULL)) {
                 return false;
             }
@@ -121,7 +120,7 @@
 
     /** Closes some of the connections whose end costs their clients least; returns false if there are none. */
     private boolean evict(int count, Predicate<EntryConnection> mayEnd, ConnectionFault fault) {
-        bound.binds(nanoTime.getAsLong());
+        turnedAway();
         List<EntryConnection> expendable = open.stream()
                 .filter(EntryConnection::isExpendable)
                 .filter(mayEnd)
@@ -154,8 +153,8 @@
         return limit;
     }
 
-    /** Notes that a request was refused for lack of memory. */
-    void refused() {
+    /** Notes that a client is turned away. */
+    void turnedAway() {
         bound.binds(nanoTime.getAsLong());
     }
 
--- a/node/src/main/java/org/carawaysill/node/entry/ConnectionMemory.java
+++ b/node/src/main/java/org/carawaysill/node/entry/ConnectionMemory.java
@@ -7,7 +7,8 @@
 /**
  * The memory that one client connection makes the node hold, except for a body that arrives.
  *
- * <p>Invariant: nothing is held after {@link #close}, whatever is asked for then. Not thread safe: confined to the event loop.
+ * <p>Invariant: nothing is held after {@link #close}, whatever is asked for then. Not thread safe: confined to the event
+ * loop.
  */
 final class ConnectionMemory {
 
--- a/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
+++ b/node/src/main/java/org/carawaysill/node/entry/EntryConnection.java
@@ -15,6 +15,7 @@
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.carawaysill.model.fleet.ClientLimits;
 import org.carawaysill.model.identity.ExchangeIdentifier;
 import org.carawaysill.model.request.AnswerContent;
@@ -35,8 +36,8 @@
 final class EntryConnection extends ChannelInboundHandlerAdapter {
 
     /**
-     * The number of open exchanges at which no further request of the client is decoded. Guards against a client that keeps sending
-     * requests without reading the answers.
+     * The number of open exchanges at which no further request of the client is decoded. Guards against a client that
+     * keeps sending requests without reading the answers.
      */
     private static final int MAXIMUM_OPEN_EXCHANGES = 64;
 
@@ -177,34 +178,27 @@
 
     /** Refuses a request for which there is no memory; if it has no body, the connection stays usable. */
     void refuseForMemory(RequestHead read) {
-        server.connections().refused();
+        server.connections().turnedAway();
         if (!read.whole()) {
             refuse(BadRequest.REQUESTS_FILL_MEMORY, read.requestName());
             return;
         }
-        assembly.reject();
         completedRequest = true;
-        inputEnded = !read.keepsAlive();
-        server.countBadRequest(BadRequest.REQUESTS_FILL_MEMORY, read.requestName());
-        EntryExchange refused =
-                new EntryExchange(server.nextIdentifier(), read.requestName(), read.isHead(), !read.keepsAlive(), 0, 0);
-        addAnswered(refused, BadRequest.REQUESTS_FILL_MEMORY);
+        refuse(BadRequest.REQUESTS_FILL_MEMORY, read.requestName(), read.isHead(), !read.keepsAlive());
     }
 
     /** Answers a request that can't be accepted, after the pending answers, and then closes the connection. */
     void refuse(BadRequest kind, String requestName) {
-        assembly.reject();
-        inputEnded = true;
-        server.countBadRequest(kind, requestName);
-        addAnswered(new EntryExchange(server.nextIdentifier(), requestName, false, true, 0, 0), kind);
+        refuse(kind, requestName, false, true);
     }
 
-    private void addAnswered(EntryExchange refused, BadRequest kind) {
-        refused.answer(
-                new EntryExchange.Answer(REFUSAL_BYTES, () -> server.answers().ofBad(kind, refused)));
-        waitingAnswerBytes += REFUSAL_BYTES;
+    private void refuse(BadRequest kind, String requestName, boolean isHead, boolean last) {
+        assembly.reject();
+        inputEnded = last;
+        server.countBadRequest(kind, requestName);
+        EntryExchange refused = new EntryExchange(server.nextIdentifier(), requestName, isHead, last, 0, 0);
         open.add(refused);
-        writeAnswers();
+        answer(refused, REFUSAL_BYTES, () -> server.answers().ofBad(kind, refused));
     }
 
     /** Writes the outcome of a request. */
@@ -212,10 +206,13 @@
         long byteCount = outcome instanceof Outcome.Answered(AnswerContent content)
                 ? content.byteCount() + REFUSAL_BYTES
                 : REFUSAL_BYTES;
-        exchange.answer(
-                new EntryExchange.Answer(byteCount, () -> server.answers().of(outcome, exchange)));
-        waitingAnswerBytes += byteCount;
         server.removeExchange(exchange);
+        answer(exchange, byteCount, () -> server.answers().of(outcome, exchange));
+    }
+
+    private void answer(EntryExchange exchange, long byteCount, Supplier<FullHttpResponse> response) {
+        exchange.answer(new EntryExchange.Answer(byteCount, response));
+        waitingAnswerBytes += byteCount;
         writeAnswers();
     }
 
--- a/node/src/main/java/org/carawaysill/node/upstream/AnswerDecoder.java
+++ b/node/src/main/java/org/carawaysill/node/upstream/AnswerDecoder.java
@@ -36,7 +36,6 @@
     private final HeadScan head;
     private boolean bodyless;
     private boolean atStart = true;
-    private boolean inHead = true;
     private long receivedBytes;
 
     /**
@@ -85,18 +84,17 @@
             out.add(failed(createInvalidMessage(), "the answer begins with no protocol name"));
             return;
         }
-        if (inHead) {
+        if (atStart) {
             if (!head.isDecodable(buffer)) {
                 return;
             }
             head.restart();
-            inHead = false;
+            atStart = false;
         }
         int known = out.size();
         super.decode(context, buffer, out);
         for (Object message : out.subList(known, out.size())) {
             atStart |= message instanceof LastHttpContent;
-            inHead |= message instanceof LastHttpContent;
             if (message instanceof HttpResponse response) {
                 check(response);
             }
@@ -121,7 +119,6 @@
 
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
-        atStart = false;
         if (!VERSIONS.contains(statusLine[0])) {
             throw new IllegalArgumentException("the version is none of " + VERSIONS);
         }
